--- /dev/null
+++ b/src/choice.cpp
@@ -0,0 +1,623 @@
+// Every decision of a controller is made in this file. The caller (src/simwire/door.cpp on the bench) tells a
+// Controller what happens, one call an event, with the time; the Controller answers at once through its Host.
+// Both interfaces are in choice.hpp, what is told of jobs, engines and the deployment in model/.
+//
+// A job passes the stages turn (order by key), room (class checks) and draw (an engine, or a short wait). What
+// comes back runs the other way: settle (counts), learn (health, cost), judge (answer or back to draw), and
+// the next in turn. Every dispatch passes guarded(), where the seven rules are kept.
+#include "choice.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace paddletrack {
+namespace {
+
+using Seconds = std::chrono::duration<double>;
+
+constexpr double kMark = 2.0;          // threads a core, the design's starting value
+constexpr double kOverMark = 1.5;      // class bounds reach this far over the mark, for starts by chance
+constexpr double kFloorShare = 0.3;    // of a bound: all floors together
+constexpr double kLoadCeiling = 0.5;   // of a bound: a load has no floor and at most this
+constexpr double kWaitShare = 1.0 / 20;  // of the job timeout: a queued job is throttled after this
+constexpr double kColdSafety = 0.5;    // of what the cold rule allows: speeds and costs are only estimates
+constexpr double kIllShare = 0.3;      // of recent outcomes: an engine that fails more is doubted
+
+double seconds(Span span) { return Seconds(span).count(); }
+Span span(double secs) { return std::chrono::duration_cast<Span>(Seconds(secs)); }
+
+}  // namespace
+
+Controller::Controller(Host& host, const Deployment& deployment, std::uint64_t seed, Span now)
+    : host_(host),
+      site_(deployment),
+      dice_(static_cast<std::minstd_rand::result_type>(seed % 2147483646 + 1)),
+      now_(now),
+      lore_(deployment.types.size()),
+      floors_(deployment.types.size()),
+      customerTaken_(deployment.customers.size(), BucketRing<double>(span(1.0 / 7))),
+      taken_(deployment.furtherSpan / 8),
+      further_(deployment.furtherSpan / 7 + Span{1}) {
+  // Floors fall with the time and threads a type takes: the short, few-threaded hold the largest, loads none.
+  double weights = 0;
+  for (const ReservationType& type : site_.types) {
+    const double size = seconds(type.slaTime) * type.threads;
+    lore_[type.index].meanCost = size;
+    floors_[type.index] = type.load ? 0 : 1 / std::max(size, 1e-3);
+    weights += floors_[type.index];
+    widest_ = std::max(widest_, type.threads);
+    if (!shortest_ || size < seconds(shortest_->slaTime) * shortest_->threads) shortest_ = &type;
+  }
+  for (double& each : floors_) each *= weights > 0 ? kFloorShare / weights : 0;
+  if (site_.listOnRequest) host_.watchList();
+  nextAsk_ = now + site_.mustAskWithin / 3;
+}
+
+double Controller::chance() {
+  return static_cast<double>(dice_() - dice_.min()) / static_cast<double>(dice_.max() - dice_.min());
+}
+
+// ---- events ---------------------------------------------------------------------------------------------
+
+void Controller::look(Span now) {
+  now_ = now;
+  survey();
+  advance();
+}
+
+void Controller::take(Span now, Job& job) {
+  now_ = now;
+  if (site_.furtherSpan > Span{0}) taken_.add(now, 1);
+  estimate(job);
+  // What a customer sends beyond its share is worth little: it gets idle room only.
+  if (job.customer < customerTaken_.size()) {
+    BucketRing<double>& ring = customerTaken_[job.customer];
+    ring.add(now, 1);
+    const double quota = site_.customers[job.customer].quotaPerSecond / site_.controllers;
+    job.overShare = quota > 0 && ring.sum(now) > quota * 8 / 7;
+  }
+  if (job.type->inOrder && job.key) turns_[job.key].line.push_back(&job);
+  run(job);
+  look(now);
+}
+
+void Controller::run(Job& job) {
+  static constexpr std::array<Stage, 3> kStages{&Controller::turn, &Controller::room, &Controller::draw};
+  for (const Stage stage : kStages) {
+    const Step step = (this->*stage)(job);
+    if (step == Step::end) giveUp(job);
+    if (step != Step::pass) return;
+  }
+}
+
+void Controller::ended(Span now, Dispatch& dispatch, Outcome outcome, bool jobOver,
+                       std::optional<TrueCost> cost, const LoadReport* report) {
+  now_ = now;
+  Job& job = *dispatch.job;
+  dispatch.provenUnrun = outcome == Outcome::turnedAway || outcome == Outcome::unreachable ||
+                         outcome == Outcome::neverSent;
+  settle(dispatch);
+  if (report) read(*dispatch.engine, *report);
+  learn(dispatch, outcome, cost);
+  const bool mayStillRun =
+      outcome == Outcome::timedOut || outcome == Outcome::reset || outcome == Outcome::withdrawn;
+  if (job.type->inOrder && job.key && mayStillRun) turns_[job.key].restsUntil = now + site_.keyRest;
+  if (jobOver && !job.over) finish(job);
+  if (!job.over) judge(job);
+  leaveLine(job);
+  look(now);
+}
+
+void Controller::begun(Span now, Dispatch& dispatch) {
+  now_ = now;
+  dispatch.job->streaming = true;
+  dispatch.engine->lastGood = now;
+  look(now);
+}
+
+void Controller::gaveUp(Span now, Job& job) {
+  now_ = now;
+  if (!job.over) finish(job);
+  leaveLine(job);
+  look(now);
+}
+
+void Controller::noted(Span now, Dispatch& dispatch, Note note, double value) {
+  now_ = now;
+  if (note == Note::progress) {
+    if (value > dispatch.progress) dispatch.engine->lastGood = now;
+    dispatch.progress = std::max(dispatch.progress, value);
+  }
+  look(now);
+}
+
+void Controller::probed(Span now, Engine& engine, bool answered, const LoadReport* report) {
+  now_ = now;
+  engine.probeSent.reset();
+  if (answered && report) read(engine, *report);
+  look(now);
+}
+
+void Controller::heard(Span now, unsigned peer, const std::vector<PeerNote>& notes) {
+  now_ = now;
+  if (peer >= site_.controllers) return;
+  for (Engine* engine : engines_) engine->byPeer[peer] = {};
+  for (const PeerNote& note : notes) note.engine->byPeer[peer] = {note.threads, note.tokens};
+  for (Engine* engine : engines_) {
+    engine->peerHeard[peer] = now;
+    engine->othersSeen = now;
+    engine->othersThreads = 0;
+    // A peer long unheard of is down; what it had out has run dry.
+    for (unsigned each = 0; each < site_.controllers; ++each) {
+      if (now - engine->peerHeard[each] < shortest_->slaTime * 3) engine->othersThreads += engine->byPeer[each].threads;
+    }
+  }
+  look(now);
+}
+
+void Controller::listed(Span now, bool whole, const Listings& listings) {
+  now_ = now;
+  if (whole) {
+    for (Engine* engine : engines_) engine->listed = false;
+  }
+  for (const auto& [engine, listing] : listings) {
+    if (std::find(engines_.begin(), engines_.end(), engine) == engines_.end()) {
+      engines_.push_back(engine);
+      engine->byType.resize(site_.types.size());
+      engine->byPeer.resize(site_.controllers);
+      engine->peerHeard.resize(site_.controllers, now);
+      const Span bucket = shortest_->slaTime * 4 / 7;
+      for (BucketRing<double>* ring : {&engine->good, &engine->bad, &engine->spent, &engine->workDone}) {
+        *ring = BucketRing<double>(bucket);
+      }
+      engine->coldSent = BucketRing<double>(site_.fallSpan / 7 + Span{1});
+    }
+    // A process started anew has none of the old one's faults, nor its data sets.
+    if (listing.started && listing.started != engine->listing.started) {
+      engine->bad.clear();
+      engine->spent.clear();
+      engine->workDone.clear();
+      engine->warmSets.clear();
+      engine->trialAt.reset();
+    }
+    engine->listing = listing;
+    engine->listed = listing.standing == Standing::ready;
+  }
+  if (site_.listOnRequest) nextAsk_ = now + site_.mustAskWithin / 3;
+  look(now);
+}
+
+void Controller::listFailed(Span now) {
+  now_ = now;
+  nextAsk_ = now + site_.mustAskWithin / 8;
+  look(now);
+}
+
+void Controller::woken(Span now) {
+  if (nextWake_ && *nextWake_ <= now) nextWake_.reset();
+  look(now);
+}
+
+// ---- the way in -----------------------------------------------------------------------------------------
+
+// Rule 5: jobs of one key run one at a time, in the order taken.
+Controller::Step Controller::turn(Job& job) {
+  if (!job.type->inOrder || !job.key) return Step::pass;
+  const Turn& turn = turns_[job.key];
+  if (turn.line.front() == &job && now_ >= turn.restsUntil) return Step::pass;
+  if (!job.waiting) {
+    job.waiting = true;
+    draws_.emplace(std::max(now_ + site_.tick, turn.restsUntil), &job);
+  }
+  return Step::keep;
+}
+
+// The design's class checks: a job that fits on no engine is throttled at once, any other may queue.
+Controller::Step Controller::room(Job& job) {
+  if (job.waitEnds) return Step::pass;
+  job.waitEnds = std::min(now_ + span(seconds(job.type->jobTimeout) * kWaitShare), job.expires);
+  const bool any = std::any_of(engines_.begin(), engines_.end(), [&](Engine* engine) {
+    return engine->listed && placed(job, *engine) && fits(job, *engine);
+  });
+  return any ? Step::pass : Step::end;
+}
+
+// Start on a fitting engine under the mark, or above it by a falling chance; else draw again a little later.
+Controller::Step Controller::draw(Job& job) {
+  Engine* best = nullptr;
+  double bestScore = 0;
+  bool anySound = false;
+  for (const bool sound : {true, false}) {
+    if (!sound && anySound) break;  // never all engines excluded: the doubted count when there are no others
+    for (Engine* engine : engines_) {
+      if (!engine->listed || doubted(*engine) == sound || !guarded(job, *engine)) continue;
+      anySound = true;
+      if (!fits(job, *engine)) continue;
+      const auto& warm = engine->warmSets;
+      const bool isWarm = std::find(warm.begin(), warm.end(), job.dataSet) != warm.end();
+      const bool tried = std::any_of(job.dispatches.begin(), job.dispatches.end(),
+                                     [&](const auto& each) { return each->engine == engine; });
+      const double load = engine->threads + othersThreads(*engine) + job.type->threads;
+      double score = load / effectiveCores(*engine) * (isWarm ? 1 : 1.25) * (tried ? 2 : 1);
+      score *= 1 + 0.1 * chance();
+      if (engine->listing.location != site_.location) score *= 1 + site_.crossLocationPrice;
+      if (!best || score < bestScore) {
+        best = engine;
+        bestScore = score;
+      }
+    }
+  }
+  if (best) {
+    const double load = best->threads + othersThreads(*best) + job.type->threads;
+    const double over = load / (effectiveCores(*best) * kMark);
+    if (over <= 1 || (!job.overShare && chance() < std::exp(-8 * (over - 1)) / 2)) {
+      start(job, *best);
+      return Step::pass;
+    }
+  }
+  if (now_ >= *job.waitEnds || (job.overShare && job.dispatches.empty())) return Step::end;
+  job.waiting = true;
+  const Span wait = span(seconds(shortest_->slaTime) / 40 * (0.5 + chance()));
+  draws_.emplace(std::min(now_ + std::max(wait, site_.tick), *job.waitEnds), &job);
+  return Step::keep;
+}
+
+void Controller::start(Job& job, Engine& engine) {
+  auto dispatch = std::make_unique<Dispatch>();
+  dispatch->job = &job;
+  dispatch->engine = &engine;
+  dispatch->number = static_cast<std::uint8_t>(job.dispatches.size());
+  dispatch->sent = now_;
+  dispatch->until = job.expires;
+  dispatch->threads = job.type->threads;
+  dispatch->tokens = job.tokens;
+  dispatch->memoryMb = memoryNeed(job);
+  InFlight& mine = engine.byType[job.type->index];
+  mine.threads += dispatch->threads;
+  mine.tokens += dispatch->tokens;
+  engine.threads += dispatch->threads;
+  engine.tokens += dispatch->tokens;
+  engine.memoryMb += dispatch->memoryMb;
+  engine.coldSent.add(now_, meanCost(*job.type));
+  if (!job.dispatches.empty()) further_.add(now_, 1);
+  if (site_.memoryHeeded || site_.prioritiesHeeded) host_.terms(job, 0, priority(job));
+  auto& warm = engine.warmSets;
+  warm.erase(std::remove(warm.begin(), warm.end(), job.dataSet), warm.end());
+  warm.insert(warm.begin(), job.dataSet);
+  if (warm.size() > 3) warm.pop_back();
+  if (doubted(engine)) engine.trialAt = now_ + shortest_->slaTime;
+  out_.push_back(dispatch.get());
+  engine.out.push_back(dispatch.get());
+  job.dispatches.push_back(std::move(dispatch));
+  host_.dispatch(*job.dispatches.back());
+}
+
+// ---- the way back ---------------------------------------------------------------------------------------
+
+void Controller::settle(Dispatch& dispatch) {
+  Engine& engine = *dispatch.engine;
+  dispatch.out = false;
+  InFlight& mine = engine.byType[dispatch.job->type->index];
+  mine.threads -= dispatch.threads;
+  mine.tokens -= dispatch.tokens;
+  engine.threads -= dispatch.threads;
+  engine.tokens -= dispatch.tokens;
+  engine.memoryMb -= dispatch.memoryMb;
+  std::erase(engine.out, &dispatch);
+  std::erase(out_, &dispatch);
+}
+
+void Controller::learn(Dispatch& dispatch, Outcome outcome, const std::optional<TrueCost>& cost) {
+  Engine& engine = *dispatch.engine;
+  const Job& job = *dispatch.job;
+  TypeLore& lore = lore_[job.type->index];
+  if (outcome == Outcome::withdrawn || outcome == Outcome::neverSent) return;
+  if (outcome != Outcome::done) {
+    engine.bad.add(now_, 1);
+    return;
+  }
+  engine.good.add(now_, 1);
+  engine.lastGood = now_;
+  engine.trialAt.reset();
+  const double took = seconds(now_ - dispatch.sent) * dispatch.threads;
+  const double work = cost ? cost->threadSeconds : job.tokens;
+  engine.spent.add(now_, took);
+  engine.workDone.add(now_, work);
+  const auto blend = [](double& mean, double& seen, double value) {
+    seen = std::min(seen + 1, 100.0);
+    mean += (value - mean) / seen;
+  };
+  if (cost) {
+    blend(lore.meanCost, lore.costSeen, cost->threadSeconds);
+    blend(lore.meanMemoryMb, lore.memorySeen, cost->memoryMb);
+    if (job.toldCost) blend(lore.bias, lore.biasSeen, cost->threadSeconds / seconds(*job.toldCost));
+  } else {
+    blend(lore.meanCost, lore.costSeen, job.toldCost ? seconds(*job.toldCost) : took);
+    if (job.toldMemoryMb > 0) blend(lore.meanMemoryMb, lore.memorySeen, job.toldMemoryMb);
+  }
+}
+
+// A dispatch has come back without an answer: another one if the rules and the time left allow it.
+void Controller::judge(Job& job) {
+  if (job.out() > 0 || job.waiting) return;
+  const bool late = seconds(now_ - job.taken) > slaSeconds(job) && job.type->lateValue <= 0;
+  if (late || now_ + site_.tick >= job.expires || static_cast<int>(job.dispatches.size()) >= site_.mostDispatches) {
+    return giveUp(job);
+  }
+  job.waitEnds = std::min(now_ + span(seconds(job.type->jobTimeout) * kWaitShare), job.expires);
+  run(job);
+}
+
+// The final answer goes out at once, with a time to come back where the rules let the client try again.
+void Controller::giveUp(Job& job) {
+  const bool harmless = mayThrottle(job);
+  finish(job);
+  if (harmless) {
+    const Span comeBack = span(slaSeconds(job) / 4 * (0.5 + chance()));
+    host_.throttle(job, site_.comeBackHeard ? std::min(comeBack, site_.longestComeBack) : Span{0});
+  } else {
+    host_.cancelForGood(job);
+  }
+  if (site_.mayWithdraw) {
+    for (const auto& each : job.dispatches) {
+      if (each->out) host_.withdraw(*each);
+    }
+  }
+  leaveLine(job);
+}
+
+void Controller::finish(Job& job) {
+  job.over = true;
+  if (job.waiting) std::erase_if(draws_, [&](const auto& each) { return each.second == &job; });
+  job.waiting = false;
+}
+
+void Controller::leaveLine(Job& job) {
+  if (!job.over || job.out() > 0 || !job.type->inOrder || !job.key) return;
+  const auto at = turns_.find(job.key);
+  if (at == turns_.end()) return;
+  std::erase(at->second.line, &job);
+  if (at->second.line.empty() && now_ >= at->second.restsUntil) turns_.erase(at);
+}
+
+// ---- the seven rules ------------------------------------------------------------------------------------
+
+bool Controller::guarded(const Job& job, Engine& engine) {
+  return mayRun(job) && engine.listed && repeatsSafely(job, engine) && placed(job, engine) &&
+         furtherAllows(job) && coldAllows(job, engine);
+}
+
+// Rule 1, and the site's most dispatches.
+bool Controller::mayRun(const Job& job) const {
+  return !job.over && !job.streaming && now_ < job.expires &&
+         static_cast<int>(job.dispatches.size()) < site_.mostDispatches;
+}
+
+// Rule 2.
+bool Controller::repeatsSafely(const Job& job, const Engine& engine) const {
+  if (!site_.secondCopies && job.out() > 0) return false;
+  return std::all_of(job.dispatches.begin(), job.dispatches.end(), [&](const auto& each) {
+    if (each->provenUnrun || job.type->effect == Effect::restartable) return true;
+    if (job.type->effect == Effect::runOnce) return false;
+    if (now_ + site_.tick - each->sent >= job.type->repeatWindow) return false;
+    const Listing& before = each->engine->listing;
+    if (job.type->repeatGroup == RepeatGroup::location) return before.location == engine.listing.location;
+    if (job.type->repeatGroup == RepeatGroup::cell) return before.cell == engine.listing.cell;
+    return true;
+  });
+}
+
+bool Controller::mayThrottle(const Job& job) const {
+  if (job.type->effect == Effect::restartable) return true;
+  return std::all_of(job.dispatches.begin(), job.dispatches.end(), [&](const auto& each) {
+    return each->provenUnrun ||
+           (job.type->effect == Effect::keyed && job.type->repeatGroup == RepeatGroup::all &&
+            now_ - each->sent < job.type->repeatWindow);
+  });
+}
+
+// Rule 6.
+bool Controller::placed(const Job& job, const Engine& engine) const {
+  const auto holds = [](const std::optional<std::vector<unsigned>>& bound, unsigned value) {
+    return !bound || std::find(bound->begin(), bound->end(), value) != bound->end();
+  };
+  return holds(job.type->locations, engine.listing.location) && holds(job.type->kinds, engine.listing.kind);
+}
+
+bool Controller::isCold(const Engine& engine) const {
+  return engine.listing.started && now_ - *engine.listing.started < site_.coldFor;
+}
+
+// Rule 4: this controller's part of what all together may send a cold engine in any window. The engine counts
+// as no warmer than at its start, a job as the usual work of its type.
+bool Controller::coldAllows(const Job& job, Engine& engine) {
+  if (!isCold(engine) || site_.fallMultiple <= 0) return true;
+  const double cores = site_.machines[engine.listing.kind].cores;
+  const double budget = site_.fallMultiple * site_.coldStart * cores * seconds(site_.fallSpan) * kColdSafety;
+  return engine.coldSent.sum(now_) + meanCost(*job.type) <= budget / site_.controllers;
+}
+
+// Rule 7.
+bool Controller::furtherAllows(const Job& job) {
+  if (job.dispatches.empty() || site_.furtherSpan <= Span{0}) return true;
+  return further_.sum(now_) + 1 <= site_.furtherFloor + site_.furtherRatio * taken_.sum(now_);
+}
+
+// ---- what an engine can take ----------------------------------------------------------------------------
+
+// A cold or slow engine counts for less. Slow is meant against the others: all slow together are not ill.
+double Controller::effectiveCores(Engine& engine) {
+  double cores = site_.machines[engine.listing.kind].cores;
+  if (isCold(engine)) {
+    const double part = seconds(now_ - *engine.listing.started) / seconds(site_.coldFor);
+    cores *= site_.coldStart + (1 - site_.coldStart) * std::clamp(part, 0.0, 1.0);
+  }
+  const double slow = slowness(engine) / typicalSlowness_;
+  return slow > 1.5 ? cores / slow : cores;
+}
+
+// Threads for the work done, with what is out and overdue counted as it stands.
+double Controller::slowness(Engine& engine) {
+  double spent = engine.spent.sum(now_), work = engine.workDone.sum(now_);
+  for (const Dispatch* each : engine.out) {
+    const double took = seconds(now_ - each->sent) * each->threads;
+    if (took > each->tokens * 2 * typicalSlowness_) {
+      spent += took;
+      work += each->tokens;
+    }
+  }
+  const double prior = meanCost(*shortest_) * 2;
+  return (spent + prior * typicalSlowness_) / (work + prior);
+}
+
+double Controller::othersThreads(const Engine& engine) const {
+  if (engine.othersSeen) return engine.othersThreads;
+  return engine.threads * (site_.controllers - 1);
+}
+
+// The share of the mark, or all that the others are seen to leave of it: a busy controller among light ones
+// passes its share below the mark.
+double Controller::bound(Engine& engine) {
+  const double whole = effectiveCores(engine) * kMark * kOverMark;
+  const double share = whole / site_.controllers;
+  return engine.othersSeen ? std::max(share, whole - engine.othersThreads) : share;
+}
+
+// Floors first, then the shared remainder, in threads and in tokens.
+bool Controller::fits(const Job& job, Engine& engine) {
+  const Machine& machine = site_.machines[engine.listing.kind];
+  const std::size_t type = job.type->index;
+  const double threads = bound(engine);
+  const double horizon = seconds(shortest_->slaTime) + slaSeconds(job);
+  const double tokens = threads / kMark * horizon;
+  // A type with nothing in flight here may start one job: else a share thinner than a wide job, or a budget
+  // smaller than a dear one, would shut it out for good.
+  if (engine.byType[type].threads > 0) {
+    double borrowedThreads = 0, borrowedTokens = 0;
+    for (std::size_t each = 0; each < floors_.size(); ++each) {
+      const InFlight& used = engine.byType[each];
+      const bool own = each == type;
+      const double nowThreads = used.threads + (own ? job.type->threads : 0);
+      const double nowTokens = used.tokens + (own ? job.tokens : 0);
+      borrowedThreads += std::max(0.0, nowThreads - floors_[each] * threads);
+      borrowedTokens += std::max(0.0, nowTokens - floors_[each] * tokens);
+    }
+    const InFlight& mine = engine.byType[type];
+    const double ceiling = job.type->load ? kLoadCeiling : 1;
+    if (mine.threads + job.type->threads > ceiling * threads) return false;
+    if (mine.tokens + job.tokens > ceiling * tokens) return false;
+    const bool byFloor = mine.threads + job.type->threads <= floors_[type] * threads &&
+                         mine.tokens + job.tokens <= floors_[type] * tokens;
+    const double remainder = 1 - kFloorShare;
+    if (!byFloor && (borrowedThreads > remainder * threads || borrowedTokens > remainder * tokens)) return false;
+  }
+  // Grants past the memory make the engine page, or its queue stand: they count against it like threads.
+  const double need = memoryNeed(job);
+  if (machine.memoryMb <= 0 || need <= 0 || engine.threads <= 0) return true;
+  const double others = othersThreads(engine) / engine.threads * engine.memoryMb;
+  const double granted = std::max(engine.memoryMb + others, engine.memoryGranted * machine.memoryMb);
+  return granted + need <= machine.memoryMb;
+}
+
+// Doubted: it failed much of late, or holds overdue work and has shown no sign of life since that was sent.
+// A doubted engine gets one job at a time as a trial.
+bool Controller::doubted(Engine& engine) {
+  const double bad = engine.bad.sum(now_), good = engine.good.sum(now_);
+  bool ill = bad >= 2 && bad > kIllShare * (bad + good);
+  for (const Dispatch* each : engine.out) {
+    const bool overdue = seconds(now_ - each->sent) > slaSeconds(*each->job);
+    ill = ill || (overdue && (!engine.lastGood || *engine.lastGood < each->sent));
+  }
+  if (!ill && !engine.trialAt) return false;
+  return !engine.trialAt || now_ < *engine.trialAt;
+}
+
+// ---- estimates ------------------------------------------------------------------------------------------
+
+double Controller::meanCost(const ReservationType& type) const { return lore_[type.index].meanCost; }
+
+void Controller::estimate(Job& job) {
+  const TypeLore& lore = lore_[job.type->index];
+  job.tokens = job.toldCost ? seconds(*job.toldCost) * lore.bias : lore.meanCost;
+}
+
+double Controller::slaSeconds(const Job& job) const {
+  return seconds(job.type->slaTime) + job.type->slaStretch * job.tokens / job.type->threads;
+}
+
+double Controller::memoryNeed(const Job& job) const {
+  return job.toldMemoryMb > 0 ? job.toldMemoryMb : lore_[job.type->index].meanMemoryMb;
+}
+
+int Controller::priority(const Job& job) const {
+  if (job.type == shortest_) return 3;
+  return job.tokens < meanCost(*job.type) / 2 ? 2 : 1;
+}
+
+void Controller::read(Engine& engine, const LoadReport& report) {
+  if (report.memoryGranted) engine.memoryGranted = *report.memoryGranted;
+  if (!report.jobsHeld || site_.mayTellPeers) return;
+  double threads = 0;
+  for (const Engine* each : engines_) threads += each->threads;
+  const double width = out_.empty() ? 1 : threads / static_cast<double>(out_.size());
+  engine.othersThreads = std::max(0.0, *report.jobsHeld - static_cast<double>(engine.out.size())) * width;
+  engine.othersSeen = now_;
+}
+
+// ---- by the clock ---------------------------------------------------------------------------------------
+
+void Controller::survey() {
+  if (now_ < nextSurvey_) return;
+  nextSurvey_ = now_ + shortest_->slaTime / 8;
+  std::vector<double> all;
+  for (Engine* engine : engines_) {
+    if (engine->listed) all.push_back(slowness(*engine));
+  }
+  if (!all.empty()) {
+    std::nth_element(all.begin(), all.begin() + static_cast<std::ptrdiff_t>(all.size() / 2), all.end());
+    typicalSlowness_ = std::max(0.1, all[all.size() / 2]);
+  }
+  tellPeers();
+  askForList();
+}
+
+void Controller::tellPeers() {
+  if (!site_.mayTellPeers || site_.controllers < 2 || now_ < nextTell_) return;
+  nextTell_ = now_ + shortest_->slaTime / 3;
+  std::vector<PeerNote> notes;
+  for (Engine* engine : engines_) {
+    if (engine->threads > 0) {
+      notes.push_back({engine, static_cast<float>(engine->threads), static_cast<float>(engine->tokens)});
+    }
+  }
+  host_.tellPeers(notes);
+}
+
+// Where the list must be asked for, a controller that has not asked for long counts as told of all that was
+// listed since: it watches, and asks again whenever the answer is late or failed.
+void Controller::askForList() {
+  if (!site_.listOnRequest || now_ < nextAsk_) return;
+  nextAsk_ = now_ + site_.mustAskWithin / 3;
+  host_.watchList();
+}
+
+void Controller::advance() {
+  while (!draws_.empty() && draws_.begin()->first <= now_) {
+    Job& job = *draws_.begin()->second;
+    draws_.erase(draws_.begin());
+    job.waiting = false;
+    if (now_ >= job.expires) giveUp(job);
+    else run(job);
+  }
+  Span next = nextSurvey_;
+  if (!draws_.empty()) next = std::min(next, draws_.begin()->first);
+  wakeBy(next);
+}
+
+void Controller::wakeBy(Span when) {
+  if (nextWake_ && *nextWake_ <= when) return;
+  nextWake_ = when;
+  host_.wakeAt(when);
+}
+
+}  // namespace paddletrack
--- /dev/null
+++ b/src/choice.hpp
@@ -0,0 +1,138 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <random>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "model/deployment.hpp"
+#include "model/engine.hpp"
+#include "model/job.hpp"
+
+namespace paddletrack {
+
+// What a controller can do. It runs at once and never calls back into the controller.
+class Host {
+ public:
+  virtual ~Host() = default;
+  virtual void dispatch(Dispatch&) = 0;
+  virtual void terms(Job&, double grantMb, int priority) = 0;
+  virtual void throttle(Job&, Span comeBackIn) = 0;
+  virtual void cancelForGood(Job&) = 0;
+  virtual void withdraw(Dispatch&) = 0;
+  virtual void wakeAt(Span) = 0;
+  virtual void probe(Engine&) = 0;
+  virtual void tellPeers(const std::vector<PeerNote>&) = 0;
+  virtual void watchList() = 0;
+  virtual void fetchList() = 0;
+  virtual void log(std::string_view) = 0;
+};
+
+struct TrueCost {
+  double threadSeconds = 0;
+  double memoryMb = 0;
+};
+
+using Listings = std::vector<std::pair<Engine*, Listing>>;
+
+// One controller: told what happens, in the order it happens; answers through its Host.
+// Jobs and engines belong to the caller. An engine stays valid for the controller's life, a job until
+// it is over and has no dispatch out.
+class Controller {
+ public:
+  Controller(Host& host, const Deployment& deployment, std::uint64_t seed, Span now);
+
+  void take(Span now, Job& job);
+  void ended(Span now, Dispatch& dispatch, Outcome outcome, bool jobOver, std::optional<TrueCost> cost,
+             const LoadReport* report);
+  void begun(Span now, Dispatch& dispatch);
+  void gaveUp(Span now, Job& job);  // the client has left
+  void noted(Span now, Dispatch& dispatch, Note note, double value);
+  void probed(Span now, Engine& engine, bool answered, const LoadReport* report);
+  void heard(Span now, unsigned peer, const std::vector<PeerNote>& notes);
+  void listed(Span now, bool whole, const Listings& listings);
+  void listFailed(Span now);
+  void woken(Span now);
+
+ private:
+  enum class Step { pass, keep, end };
+  using Stage = Step (Controller::*)(Job&);
+
+  // What is learned of a reservation type.
+  struct TypeLore {
+    double meanCost = 0, meanMemoryMb = 0, bias = 1;
+    double costSeen = 0, memorySeen = 0, biasSeen = 0;
+  };
+  struct Turn {
+    std::deque<Job*> line;
+    Span restsUntil{0};
+  };
+
+  void run(Job& job);
+  Step turn(Job& job);
+  Step room(Job& job);
+  Step draw(Job& job);
+
+  void settle(Dispatch& dispatch);
+  void learn(Dispatch& dispatch, Outcome outcome, const std::optional<TrueCost>& cost);
+  void judge(Job& job);
+  void finish(Job& job);
+
+  bool mayRun(const Job& job) const;
+  bool mayThrottle(const Job& job) const;
+  bool repeatsSafely(const Job& job, const Engine& engine) const;
+  bool placed(const Job& job, const Engine& engine) const;
+  bool coldAllows(const Job& job, Engine& engine);
+  bool furtherAllows(const Job& job);
+  bool guarded(const Job& job, Engine& engine);
+  bool isCold(const Engine& engine) const;
+
+  double effectiveCores(Engine& engine);
+  double othersThreads(const Engine& engine) const;
+  double bound(Engine& engine);
+  bool fits(const Job& job, Engine& engine);
+  bool doubted(Engine& engine);
+  double slowness(Engine& engine);
+  void survey();
+  void start(Job& job, Engine& engine);
+  void giveUp(Job& job);
+
+  void estimate(Job& job);
+  double slaSeconds(const Job& job) const;
+  double meanCost(const ReservationType& type) const;
+  double memoryNeed(const Job& job) const;
+  int priority(const Job& job) const;
+  void read(Engine& engine, const LoadReport& report);
+  void look(Span now);
+  void advance();
+  void leaveLine(Job& job);
+  void tellPeers();
+  void askForList();
+  void wakeBy(Span when);
+  double chance();
+
+  Host& host_;
+  const Deployment& site_;
+  std::minstd_rand dice_;
+  Span now_;
+  std::vector<Engine*> engines_;
+  std::vector<TypeLore> lore_;
+  std::vector<double> floors_;
+  std::vector<BucketRing<double>> customerTaken_;
+  BucketRing<double> taken_, further_;
+  const ReservationType* shortest_ = nullptr;
+  int widest_ = 1;
+  std::multimap<Span, Job*> draws_;
+  std::map<std::uint64_t, Turn> turns_;
+  std::vector<Dispatch*> out_;
+  double typicalSlowness_ = 1;
+  std::optional<Span> nextWake_;
+  Span nextSurvey_{0}, nextTell_{0}, nextAsk_{0};
+};
+
+}  // namespace paddletrack
--- /dev/null
+++ b/src/model/deployment.hpp
@@ -0,0 +1,85 @@
+#pragma once
+
+#include <cstddef>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/bucket_ring.hpp"
+
+namespace paddletrack {
+
+enum class Effect { restartable, keyed, runOnce };
+enum class RepeatGroup { all, location, cell };
+enum class MemoryShort { wait, shrink, page };
+
+struct ReservationType {
+  std::size_t index = 0;
+  Effect effect = Effect::restartable;
+  RepeatGroup repeatGroup = RepeatGroup::all;
+  Span repeatWindow{0};
+  bool inOrder = false;
+  std::optional<std::vector<unsigned>> locations;  // bound to these, where given
+  std::optional<std::vector<unsigned>> kinds;
+  Span slaTime{0};
+  double slaStretch = 0;
+  Span jobTimeout{0};
+  double billedValue = 1;
+  double lateValue = 0;
+  int threads = 1;
+  bool load = false;
+  bool streamed = false;
+};
+
+struct Customer {
+  double share = 0;
+  double quotaPerSecond = 0;
+};
+
+struct Machine {
+  double cores = 1;
+  double memoryMb = 0;
+};
+
+// What a controller is told once, at its start.
+struct Deployment {
+  unsigned me = 0;
+  unsigned controllers = 1;
+  unsigned location = 0;
+  std::vector<ReservationType> types;
+  std::vector<Customer> customers;
+  std::vector<Machine> machines;
+
+  bool memoryHeeded = false;
+  bool prioritiesHeeded = false;
+  MemoryShort memoryShort = MemoryShort::wait;
+  double largestGrant = 1;
+  Span progressPace{0};
+
+  bool reportsInline = false;
+  bool reportsOnProbe = false;
+  bool mayProbe = false;
+  bool mayTellPeers = false;
+  bool mayWithdraw = false;
+  bool secondCopies = false;
+  bool comeBackHeard = false;
+  Span longestComeBack{0};
+  int mostDispatches = 1;
+
+  bool listOnRequest = false;
+  Span mustAskWithin{0};
+
+  Span tick{0};
+  Span coldFor{0};
+  double coldStart = 1;
+  double fallMultiple = 0;
+  Span fallSpan{0};
+  Span keyRest{0};
+  double furtherFloor = 0;
+  double furtherRatio = 0;
+  Span furtherSpan{0};  // 0: no budget of further dispatches
+  double crossLocationPrice = 0;
+  double overShareValue = 1;
+};
+
+}  // namespace paddletrack
--- /dev/null
+++ b/src/model/engine.hpp
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+#include "base/bucket_ring.hpp"
+
+namespace paddletrack {
+
+enum class Standing { ready, draining, gone };
+
+// What the list says of an engine.
+struct Listing {
+  unsigned location = 0;
+  unsigned kind = 0;
+  unsigned cell = 0;
+  Standing standing = Standing::ready;
+  std::optional<Span> started;  // absent: a long time back
+};
+
+struct LoadReport {
+  std::optional<double> jobsHeld;
+  std::optional<double> jobsWaiting;
+  std::optional<double> memoryGranted;
+  std::optional<double> disksBusy;
+};
+
+// What one reservation type has in flight on one engine, by this controller's own count.
+struct InFlight {
+  double threads = 0;
+  double tokens = 0;
+};
+
+struct Dispatch;
+
+struct Engine {
+  std::uint32_t number = 0;  // the same at every controller
+  Listing listing;
+  bool listed = false;
+
+  std::vector<InFlight> byType;
+  std::vector<Dispatch*> out;
+  double threads = 0;  // own, all types
+  double tokens = 0;
+  double memoryMb = 0;
+
+  double othersThreads = 0;  // as last estimated from reports or peers
+  std::optional<Span> othersSeen;
+  double memoryGranted = 0;
+  std::vector<InFlight> byPeer;
+  std::vector<Span> peerHeard;
+  std::optional<Span> probeSent;
+
+  BucketRing<double> good, bad;           // outcomes
+  BucketRing<double> spent, workDone;     // threads x latency against work: how slow it is
+  BucketRing<double> coldSent;            // work sent in the window of the cold rule
+  std::optional<Span> lastGood;
+  std::optional<Span> trialAt;  // when a doubted engine may be tried next
+  std::vector<std::uint32_t> warmSets;  // data sets read last, latest first
+};
+
+}  // namespace paddletrack
--- /dev/null
+++ b/src/model/job.hpp
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include "model/deployment.hpp"
+#include "model/engine.hpp"
+
+namespace paddletrack {
+
+enum class Outcome { done, error, turnedAway, timedOut, unreachable, reset, withdrawn, neverSent };
+enum class Note { progress, spilling, waiting };
+
+struct Job;
+
+struct Dispatch {
+  Job* job = nullptr;
+  Engine* engine = nullptr;
+  std::uint8_t number = 0;
+  Span sent{0};
+  Span until{0};
+  double threads = 0;
+  double tokens = 0;
+  double memoryMb = 0;
+  double progress = 0;
+  bool out = true;
+  bool provenUnrun = false;
+  bool withdrawn = false;
+};
+
+struct Job {
+  std::uint32_t number = 0;
+  const ReservationType* type = nullptr;
+  Span taken{0};
+  Span expires{0};
+  std::optional<Span> toldCost;
+  double toldMemoryMb = 0;
+  std::uint64_t key = 0;
+  std::size_t customer = 0;
+  std::uint32_t dataSet = 0;
+
+  double tokens = 0;  // estimated cost in seconds of one thread
+  bool overShare = false;
+  bool over = false;
+  bool waiting = false;
+  bool streaming = false;
+  std::optional<Span> waitEnds;
+  std::vector<std::unique_ptr<Dispatch>> dispatches;
+
+  int out() const {
+    int count = 0;
+    for (const auto& each : dispatches) count += each->out ? 1 : 0;
+    return count;
+  }
+};
+
+struct PeerNote {
+  Engine* engine = nullptr;
+  float threads = 0;
+  float tokens = 0;
+};
+
+}  // namespace paddletrack
