--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -21,6 +21,8 @@
 constexpr double kLoadCeiling = 0.5;   // of a bound: a load has no floor and at most this
 constexpr double kWaitShare = 1.0 / 20;  // of the job timeout: a queued job is throttled after this
 constexpr double kColdSafety = 0.5;    // of what the cold rule allows: speeds and costs are only estimates
+constexpr double kGrantOver = 1.1;     // of the expected need: the scatter of a good estimate
+constexpr double kRunaway = 4;         // times the time expected of a dispatch: its plan is bad
 constexpr double kIllShare = 0.3;      // of recent outcomes: an engine that fails more is doubted
 
 double seconds(Span span) { return Seconds(span).count(); }
@@ -280,7 +282,7 @@
   engine.memoryMb += dispatch->memoryMb;
   engine.coldSent.add(now_, meanCost(*job.type));
   if (!job.dispatches.empty()) further_.add(now_, 1);
-  if (site_.memoryHeeded || site_.prioritiesHeeded) host_.terms(job, 0, priority(job));
+  if (site_.memoryHeeded || site_.prioritiesHeeded) host_.terms(job, grant(job), priority(job));
   auto& warm = engine.warmSets;
   warm.erase(std::remove(warm.begin(), warm.end(), job.dataSet), warm.end());
   warm.insert(warm.begin(), job.dataSet);
@@ -331,6 +333,7 @@
     blend(lore.meanCost, lore.costSeen, cost->threadSeconds);
     blend(lore.meanMemoryMb, lore.memorySeen, cost->memoryMb);
     if (job.toldCost) blend(lore.bias, lore.biasSeen, cost->threadSeconds / seconds(*job.toldCost));
+    if (job.toldMemoryMb > 0) blend(lore.memoryBias, lore.memoryBiasSeen, cost->memoryMb / job.toldMemoryMb);
   } else {
     blend(lore.meanCost, lore.costSeen, job.toldCost ? seconds(*job.toldCost) : took);
     if (job.toldMemoryMb > 0) blend(lore.meanMemoryMb, lore.memorySeen, job.toldMemoryMb);
@@ -546,7 +549,14 @@
 }
 
 double Controller::memoryNeed(const Job& job) const {
-  return job.toldMemoryMb > 0 ? job.toldMemoryMb : lore_[job.type->index].meanMemoryMb;
+  const TypeLore& lore = lore_[job.type->index];
+  return job.toldMemoryMb > 0 ? job.toldMemoryMb * lore.memoryBias : lore.meanMemoryMb;
+}
+
+// Where answers tell the true need, a grant little over it; elsewhere the engine's own choice.
+double Controller::grant(const Job& job) const {
+  const TypeLore& lore = lore_[job.type->index];
+  return site_.memoryHeeded && lore.memoryBiasSeen >= 10 && job.toldMemoryMb > 0 ? memoryNeed(job) * kGrantOver : 0;
 }
 
 int Controller::priority(const Job& job) const {
@@ -577,10 +587,29 @@
     std::nth_element(all.begin(), all.begin() + static_cast<std::ptrdiff_t>(all.size() / 2), all.end());
     typicalSlowness_ = std::max(0.1, all[all.size() / 2]);
   }
+  rescue();
   tellPeers();
   askForList();
 }
 
+// A dispatch far behind what its job should take (a bad plan, an engine that hangs or crawls) is withdrawn
+// while another can still answer in time.
+void Controller::rescue() {
+  if (!site_.mayWithdraw) return;
+  for (Dispatch* each : out_) {
+    Job& job = *each->job;
+    if (each->withdrawn || job.over || job.streaming || job.type->effect == Effect::runOnce) continue;
+    const double expected = std::max(job.tokens, meanCost(*job.type) / 4) / job.type->threads * typicalSlowness_;
+    const double took = seconds(now_ - each->sent);
+    const double toGo = each->progress > 0 ? took / each->progress - took : took;
+    if (took < kRunaway * expected || toGo < 2 * expected) continue;
+    if (static_cast<int>(job.dispatches.size()) >= site_.mostDispatches) continue;
+    if (seconds(job.expires - now_) < 2 * expected) continue;
+    each->withdrawn = true;
+    host_.withdraw(*each);
+  }
+}
+
 void Controller::tellPeers() {
   if (!site_.mayTellPeers || site_.controllers < 2 || now_ < nextTell_) return;
   nextTell_ = now_ + shortest_->slaTime / 3;
--- a/src/choice.hpp
+++ b/src/choice.hpp
@@ -65,8 +65,8 @@
 
   // What is learned of a reservation type.
   struct TypeLore {
-    double meanCost = 0, meanMemoryMb = 0, bias = 1;
-    double costSeen = 0, memorySeen = 0, biasSeen = 0;
+    double meanCost = 0, meanMemoryMb = 0, bias = 1, memoryBias = 1;
+    double costSeen = 0, memorySeen = 0, biasSeen = 0, memoryBiasSeen = 0;
   };
   struct Turn {
     std::deque<Job*> line;
@@ -106,11 +106,13 @@
   double slaSeconds(const Job& job) const;
   double meanCost(const ReservationType& type) const;
   double memoryNeed(const Job& job) const;
+  double grant(const Job& job) const;
   int priority(const Job& job) const;
   void read(Engine& engine, const LoadReport& report);
   void look(Span now);
   void advance();
   void leaveLine(Job& job);
+  void rescue();
   void tellPeers();
   void askForList();
   void wakeBy(Span when);
