--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -602,6 +602,8 @@
     const double expected = std::max(job.tokens, meanCost(*job.type) / 4) / job.type->threads * typicalSlowness_;
     const double took = seconds(now_ - each->sent);
     const double toGo = each->progress > 0 ? took / each->progress - took : took;
+    // Without notes only the engine's own state is evidence: an estimate alone may be off by as much.
+    if (site_.progressPace <= Span{0} && !doubted(*each->engine)) continue;
     if (took < kRunaway * expected || toGo < 2 * expected) continue;
     if (static_cast<int>(job.dispatches.size()) >= site_.mostDispatches) continue;
     if (seconds(job.expires - now_) < 2 * expected) continue;
