--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -23,6 +23,7 @@
 constexpr double kColdSafety = 0.5;    // of what the cold rule allows: speeds and costs are only estimates
 constexpr double kGrantOver = 1.1;     // of the expected need: the scatter of a good estimate
 constexpr double kRunaway = 4;         // times the time expected of a dispatch: its plan is bad
+constexpr int kTrustedSlas = 2;        // SLA times of the shortest type: how long a load report is taken as it is
 constexpr double kIllShare = 0.3;      // of recent outcomes: an engine that fails more is doubted
 
 double seconds(Span span) { return Seconds(span).count(); }
@@ -144,14 +145,16 @@
   now_ = now;
   if (peer >= site_.controllers) return;
   for (Engine* engine : engines_) engine->byPeer[peer] = {};
-  for (const PeerNote& note : notes) note.engine->byPeer[peer] = {note.threads, note.tokens};
+  for (const PeerNote& note : notes) note.engine->byPeer[peer] = {note.threads, 0, note.memoryMb};
   for (Engine* engine : engines_) {
     engine->peerHeard[peer] = now;
     engine->othersSeen = now;
-    engine->othersThreads = 0;
+    engine->othersThreads = engine->othersMemoryMb = 0;
     // A peer long unheard of is down; what it had out has run dry.
     for (unsigned each = 0; each < site_.controllers; ++each) {
-      if (now - engine->peerHeard[each] < shortest_->slaTime * 3) engine->othersThreads += engine->byPeer[each].threads;
+      if (now - engine->peerHeard[each] > shortest_->slaTime * 3) continue;
+      engine->othersThreads += engine->byPeer[each].threads;
+      engine->othersMemoryMb += engine->byPeer[each].memoryMb;
     }
   }
   look(now);
@@ -239,7 +242,7 @@
       const bool isWarm = std::find(warm.begin(), warm.end(), job.dataSet) != warm.end();
       const bool tried = std::any_of(job.dispatches.begin(), job.dispatches.end(),
                                      [&](const auto& each) { return each->engine == engine; });
-      const double load = engine->threads + othersThreads(*engine) + job.type->threads;
+      const double load = engine->threads + others(*engine).threads + job.type->threads;
       double score = load / effectiveCores(*engine) * (isWarm ? 1 : 1.25) * (tried ? 2 : 1);
       score *= 1 + 0.1 * chance();
       if (engine->listing.location != site_.location) score *= 1 + site_.crossLocationPrice;
@@ -250,7 +253,7 @@
     }
   }
   if (best) {
-    const double load = best->threads + othersThreads(*best) + job.type->threads;
+    const double load = best->threads + others(*best).threads + job.type->threads;
     const double over = load / (effectiveCores(*best) * kMark);
     if (over <= 1 || (!job.overShare && chance() < std::exp(-8 * (over - 1)) / 2)) {
       start(job, *best);
@@ -322,6 +325,9 @@
   engine.lastGood = now_;
   engine.trialAt.reset();
   const double took = seconds(now_ - dispatch.sent) * dispatch.threads;
+  heldTime_ = heldTime_ * 0.99 + took / dispatch.threads;
+  heldThreads_ = heldThreads_ * 0.99 + took;
+  jobWidth_ = heldThreads_ / heldTime_;
   const double work = cost ? cost->threadSeconds : job.tokens;
   engine.spent.add(now_, took);
   engine.workDone.add(now_, work);
@@ -473,9 +479,20 @@
   return (spent + prior * typicalSlowness_) / (work + prior);
 }
 
-double Controller::othersThreads(const Engine& engine) const {
-  if (engine.othersSeen) return engine.othersThreads;
-  return engine.threads * (site_.controllers - 1);
+// What the other controllers have on an engine. A report or a peer's word is trusted for a while, then fades into
+// what is known of the whole fleet: an engine once seen full must not stay shut out because nobody looks again.
+// With no word at all, the others are taken to do as this one does.
+InFlight Controller::others(const Engine& engine) const {
+  if (!fleetSeen_) {
+    const double peers = site_.controllers - 1;
+    return {engine.threads * peers, engine.tokens * peers, engine.memoryMb * peers};
+  }
+  const Machine& machine = site_.machines[engine.listing.kind];
+  const double age = engine.othersSeen ? seconds(now_ - *engine.othersSeen) / seconds(shortest_->slaTime) : 99;
+  const double trust = std::exp2(-std::max(0.0, age / kTrustedSlas - 1));
+  const auto blend = [&](double seen, double fleet) { return trust * seen + (1 - trust) * fleet; };
+  return {blend(engine.othersThreads, fleetThreads_ * machine.cores), 0,
+          blend(engine.othersMemoryMb, fleetMemory_ * machine.memoryMb)};
 }
 
 // The share of the mark, or all that the others are seen to leave of it: a busy controller among light ones
@@ -483,7 +500,7 @@
 double Controller::bound(Engine& engine) {
   const double whole = effectiveCores(engine) * kMark * kOverMark;
   const double share = whole / site_.controllers;
-  return engine.othersSeen ? std::max(share, whole - engine.othersThreads) : share;
+  return fleetSeen_ ? std::max(share, whole - others(engine).threads) : share;
 }
 
 // Floors first, then the shared remainder, in threads and in tokens.
@@ -516,10 +533,8 @@
   }
   // Grants past the memory make the engine page, or its queue stand: they count against it like threads.
   const double need = memoryNeed(job);
-  if (machine.memoryMb <= 0 || need <= 0 || engine.threads <= 0) return true;
-  const double others = othersThreads(engine) / engine.threads * engine.memoryMb;
-  const double granted = std::max(engine.memoryMb + others, engine.memoryGranted * machine.memoryMb);
-  return granted + need <= machine.memoryMb;
+  if (machine.memoryMb <= 0 || need <= 0 || engine.memoryMb <= 0) return true;
+  return engine.memoryMb + others(engine).memoryMb + need <= machine.memoryMb;
 }
 
 // Doubted: it failed much of late, or holds overdue work and has shown no sign of life since that was sent.
@@ -565,12 +580,10 @@
 }
 
 void Controller::read(Engine& engine, const LoadReport& report) {
-  if (report.memoryGranted) engine.memoryGranted = *report.memoryGranted;
   if (!report.jobsHeld || site_.mayTellPeers) return;
-  double threads = 0;
-  for (const Engine* each : engines_) threads += each->threads;
-  const double width = out_.empty() ? 1 : threads / static_cast<double>(out_.size());
-  engine.othersThreads = std::max(0.0, *report.jobsHeld - static_cast<double>(engine.out.size())) * width;
+  const double memory = site_.machines[engine.listing.kind].memoryMb;
+  engine.othersThreads = std::max(0.0, *report.jobsHeld - static_cast<double>(engine.out.size())) * jobWidth_;
+  engine.othersMemoryMb = std::max(0.0, report.memoryGranted.value_or(0) * memory - engine.memoryMb);
   engine.othersSeen = now_;
 }
 
@@ -580,8 +593,20 @@
   if (now_ < nextSurvey_) return;
   nextSurvey_ = now_ + shortest_->slaTime / 8;
   std::vector<double> all;
+  double threads = 0, memory = 0, cores = 0, machines = 0;
   for (Engine* engine : engines_) {
-    if (engine->listed) all.push_back(slowness(*engine));
+    if (!engine->listed) continue;
+    if (engine->workDone.sum(now_) > 0) all.push_back(slowness(*engine));
+    if (!engine->othersSeen || now_ - *engine->othersSeen > shortest_->slaTime * kTrustedSlas) continue;
+    threads += engine->othersThreads;
+    memory += engine->othersMemoryMb;
+    cores += site_.machines[engine->listing.kind].cores;
+    machines += std::max(1.0, site_.machines[engine->listing.kind].memoryMb);
+  }
+  if (cores > 0) {
+    fleetSeen_ = true;
+    fleetThreads_ = threads / cores;
+    fleetMemory_ = memory / machines;
   }
   if (!all.empty()) {
     std::nth_element(all.begin(), all.begin() + static_cast<std::ptrdiff_t>(all.size() / 2), all.end());
@@ -618,7 +643,7 @@
   std::vector<PeerNote> notes;
   for (Engine* engine : engines_) {
     if (engine->threads > 0) {
-      notes.push_back({engine, static_cast<float>(engine->threads), static_cast<float>(engine->tokens)});
+      notes.push_back({engine, static_cast<float>(engine->threads), static_cast<float>(engine->memoryMb)});
     }
   }
   host_.tellPeers(notes);
--- a/src/choice.hpp
+++ b/src/choice.hpp
@@ -93,7 +93,7 @@
   bool isCold(const Engine& engine) const;
 
   double effectiveCores(Engine& engine);
-  double othersThreads(const Engine& engine) const;
+  InFlight others(const Engine& engine) const;
   double bound(Engine& engine);
   bool fits(const Job& job, Engine& engine);
   bool doubted(Engine& engine);
@@ -133,6 +133,9 @@
   std::map<std::uint64_t, Turn> turns_;
   std::vector<Dispatch*> out_;
   double typicalSlowness_ = 1;
+  bool fleetSeen_ = false;
+  double fleetThreads_ = 0, fleetMemory_ = 0;  // of the others: threads a core, part of the memory
+  double heldTime_ = 1e-3, heldThreads_ = 1e-3, jobWidth_ = 1;
   std::optional<Span> nextWake_;
   Span nextSurvey_{0}, nextTell_{0}, nextAsk_{0};
 };
--- a/src/model/engine.hpp
+++ b/src/model/engine.hpp
@@ -30,6 +30,7 @@
 struct InFlight {
   double threads = 0;
   double tokens = 0;
+  double memoryMb = 0;
 };
 
 struct Dispatch;
@@ -45,9 +46,8 @@
   double tokens = 0;
   double memoryMb = 0;
 
-  double othersThreads = 0;  // as last estimated from reports or peers
+  double othersThreads = 0, othersMemoryMb = 0;  // as last told by a report or by peers
   std::optional<Span> othersSeen;
-  double memoryGranted = 0;
   std::vector<InFlight> byPeer;
   std::vector<Span> peerHeard;
   std::optional<Span> probeSent;
--- a/src/model/job.hpp
+++ b/src/model/job.hpp
@@ -59,7 +59,7 @@
 struct PeerNote {
   Engine* engine = nullptr;
   float threads = 0;
-  float tokens = 0;
+  float memoryMb = 0;
 };
 
 }  // namespace paddletrack
--- a/src/simwire/door.cpp
+++ b/src/simwire/door.cpp
@@ -9,7 +9,7 @@
 
 constexpr std::size_t kLargestMail = 256;
 constexpr std::size_t kPeerNoteSize = 8;
-constexpr float kPeerStep = 16;  // peers tell threads and tokens in sixteenths
+constexpr float kPeerMemoryStep = 4;  // peers tell memory in steps of so many MB
 
 Outcome outcomeOf(std::uint8_t code) {
   switch (code) {
@@ -106,9 +106,9 @@
   std::vector<PeerNote> notes;
   while (data.left() > 0) {
     const std::uint32_t id = data.u32();
-    const float threads = data.u16() / kPeerStep, tokens = data.u16() / kPeerStep;
+    const float threads = data.u16(), memoryMb = data.u16() * kPeerMemoryStep;
     const auto at = engines_.find(id);  // a peer may know of engines that are not listed here yet
-    if (at != engines_.end()) notes.push_back({at->second.get(), threads, tokens});
+    if (at != engines_.end()) notes.push_back({at->second.get(), threads, memoryMb});
   }
   controller_.heard(inside(clock), from, notes);
   forgetEnded();
@@ -195,14 +195,14 @@
 
 void Door::tellPeers(const std::vector<PeerNote>& notes) {
   const auto steps = [](float value) {
-    return static_cast<std::uint64_t>(std::lround(std::clamp(value * kPeerStep, 0.0F, 65535.0F)));
+    return static_cast<std::uint64_t>(std::lround(std::clamp(value, 0.0F, 65535.0F)));
   };
   std::string data;
   for (const PeerNote& note : notes) {
     if (data.size() + kPeerNoteSize > kLargestMail) break;
     put(data, note.engine->number, 4);
     put(data, steps(note.threads), 2);
-    put(data, steps(note.tokens), 2);
+    put(data, steps(note.memoryMb / kPeerMemoryStep), 2);
   }
   record(6).u16(0xffff).text(data);
 }
