--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -24,6 +24,8 @@
 constexpr double kGrantOver = 1.1;     // of the expected need: the scatter of a good estimate
 constexpr double kRunaway = 4;         // times the time expected of a dispatch: its plan is bad
 constexpr int kTrustedSlas = 2;        // SLA times of the shortest type: how long a load report is taken as it is
+constexpr double kLateShare = 0.7;     // of the SLA time: a dispatch that takes longer asks for a lower mark
+constexpr double kEaseDown = 0.8, kEaseUp = 0.05, kLeastEase = 0.3;
 constexpr double kIllShare = 0.3;      // of recent outcomes: an engine that fails more is doubted
 
 double seconds(Span span) { return Seconds(span).count(); }
@@ -254,7 +256,7 @@
   }
   if (best) {
     const double load = best->threads + others(*best).threads + job.type->threads;
-    const double over = load / (effectiveCores(*best) * kMark);
+    const double over = load / (effectiveCores(*best) * kMark * best->ease);
     if (over <= 1 || (!job.overShare && chance() < std::exp(-8 * (over - 1)) / 2)) {
       start(job, *best);
       return Step::pass;
@@ -317,6 +319,7 @@
   const Job& job = *dispatch.job;
   TypeLore& lore = lore_[job.type->index];
   if (outcome == Outcome::withdrawn || outcome == Outcome::neverSent) return;
+  ease(dispatch, outcome);
   if (outcome != Outcome::done) {
     engine.bad.add(now_, 1);
     return;
@@ -346,6 +349,19 @@
   }
 }
 
+// The mark is fixed in the design; under shared slowness, or where engines thrash below it, it shrinks here while
+// dispatches take longer than their SLA time, and grows back while they do not.
+void Controller::ease(Dispatch& dispatch, Outcome outcome) {
+  Engine& engine = *dispatch.engine;
+  const bool late = seconds(now_ - dispatch.sent) > slaSeconds(*dispatch.job) * kLateShare;
+  if (outcome == Outcome::done && !late) {
+    engine.ease = std::min(1.0, engine.ease + kEaseUp * dispatch.threads / effectiveCores(engine));
+  } else if (late && (!engine.easedAt || *engine.easedAt < dispatch.sent)) {
+    engine.ease = std::max(kLeastEase, engine.ease * kEaseDown);
+    engine.easedAt = now_;
+  }
+}
+
 // A dispatch has come back without an answer: another one if the rules and the time left allow it.
 void Controller::judge(Job& job) {
   if (job.out() > 0 || job.waiting) return;
@@ -498,7 +514,7 @@
 // The share of the mark, or all that the others are seen to leave of it: a busy controller among light ones
 // passes its share below the mark.
 double Controller::bound(Engine& engine) {
-  const double whole = effectiveCores(engine) * kMark * kOverMark;
+  const double whole = effectiveCores(engine) * kMark * engine.ease * kOverMark;
   const double share = whole / site_.controllers;
   return fleetSeen_ ? std::max(share, whole - others(engine).threads) : share;
 }
--- a/src/choice.hpp
+++ b/src/choice.hpp
@@ -80,6 +80,7 @@
 
   void settle(Dispatch& dispatch);
   void learn(Dispatch& dispatch, Outcome outcome, const std::optional<TrueCost>& cost);
+  void ease(Dispatch& dispatch, Outcome outcome);
   void judge(Job& job);
   void finish(Job& job);
 
--- a/src/model/engine.hpp
+++ b/src/model/engine.hpp
@@ -55,6 +55,8 @@
   BucketRing<double> good, bad;           // outcomes
   BucketRing<double> spent, workDone;     // threads x latency against work: how slow it is
   BucketRing<double> coldSent;            // work sent in the window of the cold rule
+  double ease = 1;  // the mark is multiplied by this
+  std::optional<Span> easedAt;
   std::optional<Span> lastGood;
   std::optional<Span> trialAt;  // when a doubted engine may be tried next
   std::vector<std::uint32_t> warmSets;  // data sets read last, latest first
