--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -24,8 +24,8 @@
 constexpr double kGrantOver = 1.1;     // of the expected need: the scatter of a good estimate
 constexpr double kRunaway = 4;         // times the time expected of a dispatch: its plan is bad
 constexpr int kTrustedSlas = 2;        // SLA times of the shortest type: how long a load report is taken as it is
-constexpr double kLateShare = 0.7;     // of the SLA time: a dispatch that takes longer asks for a lower mark
-constexpr double kEaseDown = 0.8, kEaseUp = 0.05, kLeastEase = 0.3;
+constexpr double kLateShare = 1.0;     // of the SLA time: a dispatch that takes longer asks for a lower mark
+constexpr double kEaseDown = 0.9, kEaseUp = 0.05, kLeastEase = 0.5;
 constexpr double kIllShare = 0.3;      // of recent outcomes: an engine that fails more is doubted
 
 double seconds(Span span) { return Seconds(span).count(); }
