--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -258,7 +258,9 @@
   if (best) {
     const double load = best->threads + others(*best).threads + job.type->threads;
     const double over = load / (effectiveCores(*best) * kMark * best->ease);
-    if (over <= 1 || (!job.overShare && chance() < std::exp(-8 * (over - 1)) / 2)) {
+    const InFlight& mine = best->byType[job.type->index];
+    const bool byFloor = mine.threads + job.type->threads <= floorThreads(*job.type, *best);
+    if (over <= 1 || byFloor || (!job.overShare && chance() < std::exp(-8 * (over - 1)) / 2)) {
       start(job, *best);
       return Step::pass;
     }
@@ -520,6 +522,12 @@
   return fleetSeen_ ? std::max(share, whole - others(engine).threads) : share;
 }
 
+// The floor of the shortest type holds one job at least, however thin the share.
+double Controller::floorThreads(const ReservationType& type, Engine& engine) {
+  const double threads = floors_[type.index] * bound(engine);
+  return &type == shortest_ ? std::max<double>(threads, type.threads) : threads;
+}
+
 // Floors first, then the shared remainder, in threads and in tokens.
 bool Controller::fits(const Job& job, Engine& engine) {
   const Machine& machine = site_.machines[engine.listing.kind];
--- a/src/choice.hpp
+++ b/src/choice.hpp
@@ -96,6 +96,7 @@
   double effectiveCores(Engine& engine);
   InFlight others(const Engine& engine) const;
   double bound(Engine& engine);
+  double floorThreads(const ReservationType& type, Engine& engine);
   bool fits(const Job& job, Engine& engine);
   bool doubted(Engine& engine);
   double slowness(Engine& engine);
