--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -22,7 +22,7 @@
 constexpr double kWaitShare = 1.0 / 20;  // of the job timeout: a queued job is throttled after this
 constexpr double kColdSafety = 0.5;    // of what the cold rule allows: speeds and costs are only estimates
 constexpr double kGrantOver = 1.1;     // of the expected need: the scatter of a good estimate
-constexpr double kEngineGrantOver = 1.5;  // of the usual need: what engines grant where they decide
+constexpr double kEngineGrantOver = 0.7;  // of the usual need: what engines grant where they decide
 constexpr double kRunaway = 4;         // times the time expected of a dispatch: its plan is bad
 constexpr int kTrustedSlas = 2;        // SLA times of the shortest type: how long a load report is taken as it is
 constexpr double kLateShare = 1.0;     // of the SLA time: a dispatch that takes longer asks for a lower mark
@@ -557,10 +557,10 @@
     if (!byFloor && (borrowedThreads > remainder * threads || borrowedTokens > remainder * tokens)) return false;
   }
   // Grants past the memory make the engine page, or its queue stand: they count against it like threads. A job
-  // that needs less than its threads' part of the memory is not what crowds it. Where the engine sets the grants,
+  // that needs less than half its threads' part of the memory is not what crowds it. Where the engine sets the grants,
   // it grants half over the need, and so the memory granted may pass what there is by as much.
   const double need = memoryNeed(job);
-  const double fair = machine.memoryMb * job.type->threads / (machine.cores * kMark);
+  const double fair = machine.memoryMb * job.type->threads / (machine.cores * kMark) / 2;
   if (machine.memoryMb <= 0 || need <= fair || engine.memoryMb <= 0) return true;
   const double over = site_.memoryHeeded ? 1 : kEngineGrantOver;
   return (engine.memoryMb + need) * over + others(engine).memoryMb <= machine.memoryMb * over;
