--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -535,9 +535,13 @@
   const double threads = bound(engine);
   const double horizon = seconds(shortest_->slaTime) + slaSeconds(job);
   const double tokens = threads / kMark * horizon;
-  // A type with nothing in flight here may start one job: else a share thinner than a wide job, or a budget
-  // smaller than a dear one, would shut it out for good.
-  if (engine.byType[type].threads > 0) {
+  // A type with nothing in flight here may start one job below the mark: else a share thinner than a wide job,
+  // or a budget smaller than a dear one, would shut it out for good.
+  const InFlight theirs = others(engine);
+  const double whole = effectiveCores(engine) * kMark * engine.ease;
+  const bool alone = engine.byType[type].threads <= 0 &&
+                     (theirs.threads <= 0 || engine.threads + theirs.threads + job.type->threads <= whole);
+  if (!alone) {
     double borrowedThreads = 0, borrowedTokens = 0;
     for (std::size_t each = 0; each < floors_.size(); ++each) {
       const InFlight& used = engine.byType[each];
@@ -561,9 +565,9 @@
   // it grants half over the need, and so the memory granted may pass what there is by as much.
   const double need = memoryNeed(job);
   const double fair = machine.memoryMb * job.type->threads / (machine.cores * kMark) / 2;
-  if (machine.memoryMb <= 0 || need <= fair || engine.memoryMb <= 0) return true;
+  if (machine.memoryMb <= 0 || need <= fair || engine.memoryMb + theirs.memoryMb <= 0) return true;
   const double over = site_.memoryHeeded ? 1 : kEngineGrantOver;
-  return (engine.memoryMb + need) * over + others(engine).memoryMb <= machine.memoryMb * over;
+  return (engine.memoryMb + need) * over + theirs.memoryMb <= machine.memoryMb * over;
 }
 
 // Doubted: it failed much of late, or holds overdue work and has shown no sign of life since that was sent.
