--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -612,11 +612,18 @@
   return job.tokens < meanCost(*job.type) / 2 ? 2 : 1;
 }
 
+// A report is from a while back: what was sent since is not in it, and must not be taken off it as own.
 void Controller::read(Engine& engine, const LoadReport& report) {
   if (!report.jobsHeld || site_.mayTellPeers) return;
-  const double memory = site_.machines[engine.listing.kind].memoryMb;
-  engine.othersThreads = std::max(0.0, *report.jobsHeld - static_cast<double>(engine.out.size())) * jobWidth_;
-  engine.othersMemoryMb = std::max(0.0, report.memoryGranted.value_or(0) * memory - engine.memoryMb);
+  double held = 0, memory = 0;
+  for (const Dispatch* each : engine.out) {
+    if (now_ - each->sent < shortest_->slaTime) continue;
+    held += 1;
+    memory += each->memoryMb;
+  }
+  const double granted = report.memoryGranted.value_or(0) * site_.machines[engine.listing.kind].memoryMb;
+  engine.othersThreads = std::max(0.0, *report.jobsHeld - held) * jobWidth_;
+  engine.othersMemoryMb = std::max(0.0, granted - memory);
   engine.othersSeen = now_;
 }
 
