--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -260,7 +260,7 @@
     const double over = load / (effectiveCores(*best) * kMark * best->ease);
     const InFlight& mine = best->byType[job.type->index];
     const bool byFloor = mine.threads + job.type->threads <= floorThreads(*job.type, *best);
-    if (over <= 1 || byFloor || (!job.overShare && chance() < std::exp(-8 * (over - 1)) / 2)) {
+    if (over <= 1 || byFloor || (!job.overShare && chance() < std::exp(-16 * (over - 1)) / 4)) {
       start(job, *best);
       return Step::pass;
     }
