--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -2,9 +2,9 @@
 // Controller what happens, one call an event, with the time; the Controller answers at once through its Host.
 // Both interfaces are in choice.hpp, what is told of jobs, engines and the deployment in model/.
 //
-// A job passes the stages turn (order by key), room (class checks) and draw (an engine, or a short wait). What
-// comes back runs the other way: settle (counts), learn (health, cost), judge (answer or back to draw), and
-// the next in turn. Every dispatch passes guarded(), where the seven rules are kept.
+// A job passes the stages turn (order by key), room (class checks) and draw (an engine, or a short wait).
+// What comes back runs the other way: settle (counts), learn (health, cost), judge (answer or back to draw),
+// and the next in turn. Every dispatch passes guarded(), where the seven rules are kept.
 #include "choice.hpp"
 
 #include <algorithm>
@@ -15,19 +15,21 @@
 
 using Seconds = std::chrono::duration<double>;
 
-constexpr double kMark = 2.0;          // threads a core, the design's starting value
-constexpr double kOverMark = 1.5;      // class bounds reach this far over the mark, for starts by chance
-constexpr double kFloorShare = 0.3;    // of a bound: all floors together
-constexpr double kLoadCeiling = 0.5;   // of a bound: a load has no floor and at most this
-constexpr double kWaitShare = 1.0 / 20;  // of the job timeout: a queued job is throttled after this
-constexpr double kColdSafety = 0.5;    // of what the cold rule allows: speeds and costs are only estimates
-constexpr double kGrantOver = 1.1;     // of the expected need: the scatter of a good estimate
+constexpr double kMark = 2.0;             // threads a core, the design's starting value
+constexpr double kOverMark = 1.5;         // class bounds reach this far over the mark, for starts by chance
+constexpr double kFloorShare = 0.3;       // of a bound: all floors together
+constexpr double kLoadCeiling = 0.5;      // of a bound: a load has no floor and at most this
+constexpr double kWaitShare = 1.0 / 20;   // of the job timeout: a queued job is throttled after this
+constexpr double kColdSafety = 0.5;       // of what the cold rule allows: speeds and costs are only estimates
+constexpr double kGrantOver = 1.1;        // of the expected need: the scatter of a good estimate
 constexpr double kEngineGrantOver = 0.7;  // of the usual need: what engines grant where they decide
-constexpr double kRunaway = 4;         // times the time expected of a dispatch: its plan is bad
-constexpr int kTrustedSlas = 2;        // SLA times of the shortest type: how long a load report is taken as it is
-constexpr double kLateShare = 1.0;     // of the SLA time: a dispatch that takes longer asks for a lower mark
+constexpr double kRunaway = 4;            // times the time expected of a dispatch: its plan is bad
+constexpr int kTrustedSlas = 2;  // SLA times of the shortest type: how long a load report is taken as it is
+constexpr double kTokenHorizon =
+    0.6;  // of the longest usual SLA time: the work a thread of the mark may have ahead
+constexpr double kLateShare = 1.0;  // of the SLA time: a dispatch that takes longer asks for a lower mark
 constexpr double kEaseDown = 0.9, kEaseUp = 0.05, kLeastEase = 0.5;
-constexpr double kIllShare = 0.3;      // of recent outcomes: an engine that fails more is doubted
+constexpr double kIllShare = 0.3;  // of recent outcomes: an engine that fails more is doubted
 
 double seconds(Span span) { return Seconds(span).count(); }
 Span span(double secs) { return std::chrono::duration_cast<Span>(Seconds(secs)); }
@@ -100,8 +102,8 @@
                        std::optional<TrueCost> cost, const LoadReport* report) {
   now_ = now;
   Job& job = *dispatch.job;
-  dispatch.provenUnrun = outcome == Outcome::turnedAway || outcome == Outcome::unreachable ||
-                         outcome == Outcome::neverSent;
+  dispatch.provenUnrun =
+      outcome == Outcome::turnedAway || outcome == Outcome::unreachable || outcome == Outcome::neverSent;
   settle(dispatch);
   if (report) read(*dispatch.engine, *report);
   learn(dispatch, outcome, cost);
@@ -352,8 +354,8 @@
   }
 }
 
-// The mark is fixed in the design; under shared slowness, or where engines thrash below it, it shrinks here while
-// dispatches take longer than their SLA time, and grows back while they do not.
+// The mark is fixed in the design; under shared slowness, or where engines thrash below it, it shrinks here
+// while dispatches take longer than their SLA time, and grows back while they do not.
 void Controller::ease(Dispatch& dispatch, Outcome outcome) {
   Engine& engine = *dispatch.engine;
   const bool late = seconds(now_ - dispatch.sent) > slaSeconds(*dispatch.job) * kLateShare;
@@ -369,9 +371,10 @@
 void Controller::judge(Job& job) {
   if (job.out() > 0 || job.waiting) return;
   const bool late = seconds(now_ - job.taken) > slaSeconds(job) && job.type->lateValue <= 0;
-  if (late || now_ + site_.tick >= job.expires || static_cast<int>(job.dispatches.size()) >= site_.mostDispatches) {
-    return giveUp(job);
-  }
+  const bool anywhere = std::any_of(engines_.begin(), engines_.end(), [&](const Engine* engine) {
+    return engine->listed && repeatsSafely(job, *engine) && placed(job, *engine);
+  });
+  if (late || !anywhere || !mayRun(job) || now_ + site_.tick >= job.expires) return giveUp(job);
   job.waitEnds = std::min(now_ + span(seconds(job.type->jobTimeout) * kWaitShare), job.expires);
   run(job);
 }
@@ -498,16 +501,17 @@
   return (spent + prior * typicalSlowness_) / (work + prior);
 }
 
-// What the other controllers have on an engine. A report or a peer's word is trusted for a while, then fades into
-// what is known of the whole fleet: an engine once seen full must not stay shut out because nobody looks again.
-// With no word at all, the others are taken to do as this one does.
+// What the other controllers have on an engine. A report or a peer's word is trusted for a while, then fades
+// into what is known of the whole fleet: an engine once seen full must not stay shut out because nobody looks
+// again. With no word at all, the others are taken to do as this one does.
 InFlight Controller::others(const Engine& engine) const {
   if (!fleetSeen_) {
     const double peers = site_.controllers - 1;
     return {engine.threads * peers, engine.tokens * peers, engine.memoryMb * peers};
   }
   const Machine& machine = site_.machines[engine.listing.kind];
-  const double age = engine.othersSeen ? seconds(now_ - *engine.othersSeen) / seconds(shortest_->slaTime) : 99;
+  const double age =
+      engine.othersSeen ? seconds(now_ - *engine.othersSeen) / seconds(shortest_->slaTime) : 99;
   const double trust = std::exp2(-std::max(0.0, age / kTrustedSlas - 1));
   const auto blend = [&](double seen, double fleet) { return trust * seen + (1 - trust) * fleet; };
   return {blend(engine.othersThreads, fleetThreads_ * machine.cores), 0,
@@ -533,10 +537,9 @@
   const Machine& machine = site_.machines[engine.listing.kind];
   const std::size_t type = job.type->index;
   const double threads = bound(engine);
-  const double horizon = seconds(shortest_->slaTime) + slaSeconds(job);
-  const double tokens = threads / kMark * horizon;
-  // A type with nothing in flight here may start one job below the mark: else a share thinner than a wide job,
-  // or a budget smaller than a dear one, would shut it out for good.
+  const double tokens = threads / kMark * horizon_;
+  // A type with nothing in flight here may start one job below the mark: else a share thinner than a wide
+  // job, or a budget smaller than a dear one, would shut it out for good.
   const InFlight theirs = others(engine);
   const double whole = effectiveCores(engine) * kMark * engine.ease;
   const bool alone = engine.byType[type].threads <= 0 &&
@@ -558,11 +561,13 @@
     const bool byFloor = mine.threads + job.type->threads <= floors_[type] * threads &&
                          mine.tokens + job.tokens <= floors_[type] * tokens;
     const double remainder = 1 - kFloorShare;
-    if (!byFloor && (borrowedThreads > remainder * threads || borrowedTokens > remainder * tokens)) return false;
+    if (!byFloor && (borrowedThreads > remainder * threads || borrowedTokens > remainder * tokens))
+      return false;
   }
-  // Grants past the memory make the engine page, or its queue stand: they count against it like threads. A job
-  // that needs less than half its threads' part of the memory is not what crowds it. Where the engine sets the grants,
-  // it grants half over the need, and so the memory granted may pass what there is by as much.
+  // Grants past the memory make the engine page, or its queue stand: they count against it like threads. A
+  // job that needs less than half its threads' part of the memory is not what crowds it. Where the engine
+  // sets the grants, it grants half over the need, and so the memory granted may pass what there is by as
+  // much.
   const double need = memoryNeed(job);
   const double fair = machine.memoryMb * job.type->threads / (machine.cores * kMark) / 2;
   if (machine.memoryMb <= 0 || need <= fair || engine.memoryMb + theirs.memoryMb <= 0) return true;
@@ -604,7 +609,9 @@
 // Where answers tell the true need, a grant little over it; elsewhere the engine's own choice.
 double Controller::grant(const Job& job) const {
   const TypeLore& lore = lore_[job.type->index];
-  return site_.memoryHeeded && lore.memoryBiasSeen >= 10 && job.toldMemoryMb > 0 ? memoryNeed(job) * kGrantOver : 0;
+  return site_.memoryHeeded && lore.memoryBiasSeen >= 10 && job.toldMemoryMb > 0
+             ? memoryNeed(job) * kGrantOver
+             : 0;
 }
 
 int Controller::priority(const Job& job) const {
@@ -652,6 +659,11 @@
     std::nth_element(all.begin(), all.begin() + static_cast<std::ptrdiff_t>(all.size() / 2), all.end());
     typicalSlowness_ = std::max(0.1, all[all.size() / 2]);
   }
+  horizon_ = 0;
+  for (const ReservationType& type : site_.types) {
+    const double mean = type.slaStretch * meanCost(type) / type.threads;
+    horizon_ = std::max(horizon_, kTokenHorizon * (seconds(type.slaTime) + mean));
+  }
   rescue();
   tellPeers();
   askForList();
@@ -664,7 +676,8 @@
   for (Dispatch* each : out_) {
     Job& job = *each->job;
     if (each->withdrawn || job.over || job.streaming || job.type->effect == Effect::runOnce) continue;
-    const double expected = std::max(job.tokens, meanCost(*job.type) / 4) / job.type->threads * typicalSlowness_;
+    const double expected =
+        std::max(job.tokens, meanCost(*job.type) / 4) / job.type->threads * typicalSlowness_;
     const double took = seconds(now_ - each->sent);
     const double toGo = each->progress > 0 ? took / each->progress - took : took;
     // Without notes only the engine's own state is evidence: an estimate alone may be off by as much.
@@ -702,8 +715,10 @@
     Job& job = *draws_.begin()->second;
     draws_.erase(draws_.begin());
     job.waiting = false;
-    if (now_ >= job.expires) giveUp(job);
-    else run(job);
+    if (now_ >= job.expires)
+      giveUp(job);
+    else
+      run(job);
   }
   Span next = nextSurvey_;
   if (!draws_.empty()) next = std::min(next, draws_.begin()->first);
--- a/src/choice.hpp
+++ b/src/choice.hpp
@@ -135,6 +135,7 @@
   std::map<std::uint64_t, Turn> turns_;
   std::vector<Dispatch*> out_;
   double typicalSlowness_ = 1;
+  double horizon_ = 0;  // seconds of work for each thread
   bool fleetSeen_ = false;
   double fleetThreads_ = 0, fleetMemory_ = 0;  // of the others: threads a core, part of the memory
   double heldTime_ = 1e-3, heldThreads_ = 1e-3, jobWidth_ = 1;
--- a/src/model/deployment.hpp
+++ b/src/model/deployment.hpp
@@ -19,8 +19,8 @@
   RepeatGroup repeatGroup = RepeatGroup::all;
   Span repeatWindow{0};
   bool inOrder = false;
-  std::optional<std::vector<unsigned>> locations;  // bound to these, where given
-  std::optional<std::vector<unsigned>> kinds;
+  std::optional<std::vector<unsigned>> locations{};  // bound to these, where given
+  std::optional<std::vector<unsigned>> kinds{};
   Span slaTime{0};
   double slaStretch = 0;
   Span jobTimeout{0};
--- a/src/model/engine.hpp
+++ b/src/model/engine.hpp
@@ -16,14 +16,14 @@
   unsigned kind = 0;
   unsigned cell = 0;
   Standing standing = Standing::ready;
-  std::optional<Span> started;  // absent: a long time back
+  std::optional<Span> started{};  // absent: a long time back
 };
 
 struct LoadReport {
-  std::optional<double> jobsHeld;
-  std::optional<double> jobsWaiting;
-  std::optional<double> memoryGranted;
-  std::optional<double> disksBusy;
+  std::optional<double> jobsHeld{};
+  std::optional<double> jobsWaiting{};
+  std::optional<double> memoryGranted{};
+  std::optional<double> disksBusy{};
 };
 
 // What one reservation type has in flight on one engine, by this controller's own count.
@@ -52,13 +52,13 @@
   std::vector<Span> peerHeard;
   std::optional<Span> probeSent;
 
-  BucketRing<double> good, bad;           // outcomes
-  BucketRing<double> spent, workDone;     // threads x latency against work: how slow it is
-  BucketRing<double> coldSent;            // work sent in the window of the cold rule
-  double ease = 1;  // the mark is multiplied by this
+  BucketRing<double> good, bad;        // outcomes
+  BucketRing<double> spent, workDone;  // threads x latency against work: how slow it is
+  BucketRing<double> coldSent;         // work sent in the window of the cold rule
+  double ease = 1;                     // the mark is multiplied by this
   std::optional<Span> easedAt;
   std::optional<Span> lastGood;
-  std::optional<Span> trialAt;  // when a doubted engine may be tried next
+  std::optional<Span> trialAt;          // when a doubted engine may be tried next
   std::vector<std::uint32_t> warmSets;  // data sets read last, latest first
 };
 
--- a/src/simwire/deployment.cpp
+++ b/src/simwire/deployment.cpp
@@ -60,7 +60,8 @@
 };
 
 // A list of places or kinds, by index; a name is looked up among all names.
-std::optional<std::vector<unsigned>> bound(const Lines& lines, const std::string& key, const std::string& names) {
+std::optional<std::vector<unsigned>> bound(const Lines& lines, const std::string& key,
+                                           const std::string& names) {
   if (!lines.has(key)) return std::nullopt;
   const std::vector<std::string> all = lines.list(names);
   std::vector<unsigned> indices;
@@ -77,9 +78,12 @@
   ReservationType made;
   made.index = index;
   const std::string effect = lines.text(at + "idempotency"), group = lines.text(at + "group");
-  if (effect == "dedup") made.effect = Effect::keyed;
-  else if (effect == "fragile") made.effect = Effect::runOnce;
-  else if (effect != "retryable") throw Malformed("settings: " + at + "idempotency: '" + effect + "' is unknown");
+  if (effect == "dedup")
+    made.effect = Effect::keyed;
+  else if (effect == "fragile")
+    made.effect = Effect::runOnce;
+  else if (effect != "retryable")
+    throw Malformed("settings: " + at + "idempotency: '" + effect + "' is unknown");
   if (group == "zone") made.repeatGroup = RepeatGroup::location;
   if (group == "cell") made.repeatGroup = RepeatGroup::cell;
   made.repeatWindow = lines.time(at + "windowUs");
@@ -107,7 +111,8 @@
   made.me = lines.whole("me");
   made.controllers = std::max(1U, lines.whole("balancers"));
   made.location = lines.whole("zone");
-  for (std::size_t each = 0; each < lines.whole("profiles.count"); ++each) made.types.push_back(type(lines, each));
+  for (std::size_t each = 0; each < lines.whole("profiles.count"); ++each)
+    made.types.push_back(type(lines, each));
   if (made.types.empty()) throw Malformed("settings: profiles.count: no reservation type");
   for (std::size_t each = 0; each < lines.whole("tenants.count"); ++each) {
     const std::string at = "tenants." + std::to_string(each) + ".";
--- a/src/simwire/door.cpp
+++ b/src/simwire/door.cpp
@@ -13,21 +13,31 @@
 
 Outcome outcomeOf(std::uint8_t code) {
   switch (code) {
-    case 0: return Outcome::done;
-    case 255: return Outcome::error;
-    case 254: return Outcome::turnedAway;
-    case 253: return Outcome::timedOut;
-    case 252: return Outcome::unreachable;
-    case 251: return Outcome::reset;
-    case 250: return Outcome::withdrawn;
-    case 249: return Outcome::neverSent;
-    default: throw Malformed("resolved: outcome " + std::to_string(code) + " is unknown");
+    case 0:
+      return Outcome::done;
+    case 255:
+      return Outcome::error;
+    case 254:
+      return Outcome::turnedAway;
+    case 253:
+      return Outcome::timedOut;
+    case 252:
+      return Outcome::unreachable;
+    case 251:
+      return Outcome::reset;
+    case 250:
+      return Outcome::withdrawn;
+    case 249:
+      return Outcome::neverSent;
+    default:
+      throw Malformed("resolved: outcome " + std::to_string(code) + " is unknown");
   }
 }
 
 }  // namespace
 
-Door::Door(std::uint32_t instance, std::uint64_t clock, std::uint64_t seed, std::string_view settings, Writer& writer)
+Door::Door(std::uint32_t instance, std::uint64_t clock, std::uint64_t seed, std::string_view settings,
+           Writer& writer)
     : instance_(instance),
       start_(clock),
       told_(decode(settings)),
@@ -74,7 +84,8 @@
   fields.end();
   Dispatch* ended = made(id, number);
   if (!ended || !ended->out) {
-    throw Malformed("resolved: job " + std::to_string(id) + " has no dispatch " + std::to_string(number) + " out");
+    throw Malformed("resolved: job " + std::to_string(id) + " has no dispatch " + std::to_string(number) +
+                    " out");
   }
   std::optional<TrueCost> cost;
   if (outcome == Outcome::done && note != 0) cost = TrueCost{(note / 4096) / 1000.0, (note % 4096) * 4.0};
@@ -152,7 +163,8 @@
   Listings listings;
   for (const Entry& entry : *entries) {
     if (entry.listing.kind >= told_.deployment.machines.size()) {
-      throw Malformed("register: machine kind " + std::to_string(entry.listing.kind) + " is not in the settings");
+      throw Malformed("register: machine kind " + std::to_string(entry.listing.kind) +
+                      " is not in the settings");
     }
     std::unique_ptr<Engine>& known = engines_[entry.executor];
     if (!known) {
--- a/src/simwire/door.hpp
+++ b/src/simwire/door.hpp
@@ -19,10 +19,12 @@
   Listing listing;
 };
 
-// The door of one running controller: ids outside, objects inside. Look-ups only; nothing ever walks its maps.
+// The door of one running controller: ids outside, objects inside. Look-ups only; nothing ever walks its
+// maps.
 class Door final : private Host {
  public:
-  Door(std::uint32_t instance, std::uint64_t clock, std::uint64_t seed, std::string_view settings, Writer& writer);
+  Door(std::uint32_t instance, std::uint64_t clock, std::uint64_t seed, std::string_view settings,
+       Writer& writer);
 
   // One event of this controller; what it holds starts behind the instance's number.
   void inbound(std::uint64_t clock, Reader& fields);
--- a/src/simwire/frame.hpp
+++ b/src/simwire/frame.hpp
@@ -25,8 +25,8 @@
   float f32() { return std::bit_cast<float>(u32()); }
   std::string_view bytes(std::size_t count) {
     if (count > bytes_.size()) {
-      throw Malformed(what_ + ": " + std::to_string(count) + " bytes wanted, " + std::to_string(bytes_.size()) +
-                      " left");
+      throw Malformed(what_ + ": " + std::to_string(count) + " bytes wanted, " +
+                      std::to_string(bytes_.size()) + " left");
     }
     const std::string_view taken = bytes_.substr(0, count);
     bytes_.remove_prefix(count);
@@ -49,7 +49,8 @@
 };
 
 inline void put(std::string& out, std::uint64_t value, int size) {
-  for (int shift = 8 * (size - 1); shift >= 0; shift -= 8) out.push_back(static_cast<char>(value >> shift & 0xff));
+  for (int shift = 8 * (size - 1); shift >= 0; shift -= 8)
+    out.push_back(static_cast<char>(value >> shift & 0xff));
 }
 
 // The records of one reply. A record's length is filled in when the next one begins or the reply ends.
--- a/src/simwire/server.cpp
+++ b/src/simwire/server.cpp
@@ -37,9 +37,11 @@
     const std::uint64_t clock = header.u64();
     const std::uint32_t count = header.u32();
     const std::string where = "batch " + std::to_string(batch);
-    if (length < kCountedFromLength) throw Malformed(where + ": length " + std::to_string(length) + " is too short");
+    if (length < kCountedFromLength)
+      throw Malformed(where + ": length " + std::to_string(length) + " is too short");
     const std::size_t size = length - kCountedFromLength;
-    if (size > 0 && !fill(in, bytes, size, where.c_str())) throw Malformed(where + ": input ends after its header");
+    if (size > 0 && !fill(in, bytes, size, where.c_str()))
+      throw Malformed(where + ": input ends after its header");
     Reader records(size > 0 ? std::string_view(bytes) : std::string_view(), where);
     for (std::uint32_t each = 0; each < count; ++each) {
       const std::string which = where + ", record " + std::to_string(each);
@@ -50,7 +52,8 @@
       } catch (const Malformed& error) {
         throw Malformed(which + ": " + error.what());
       } catch (const std::exception& error) {
-        writer_.record(10, 0).text(which + ": " + error.what());  // the module broke: the wire's fault message
+        writer_.record(10, 0).text(which + ": " +
+                                   error.what());  // the module broke: the wire's fault message
         break;
       }
     }
@@ -66,9 +69,12 @@
   if (code > 11) throw Malformed("event code " + std::to_string(code) + " is unknown");
   const std::uint32_t who = fields.u32();
   switch (code) {
-    case 0: return door(who).mail(clock, fields);
-    case 1: return door(who).checkResult(clock, fields);
-    case 2: return door(who).change(clock, fields);
+    case 0:
+      return door(who).mail(clock, fields);
+    case 1:
+      return door(who).checkResult(clock, fields);
+    case 2:
+      return door(who).change(clock, fields);
     case 3: {
       const std::uint64_t seed = fields.u64();
       const std::string_view settings = fields.bytes(fields.u32());
@@ -77,9 +83,12 @@
       doors_.emplace(who, std::make_unique<Door>(who, clock, seed, settings, writer_));
       return;
     }
-    case 4: return door(who).tickDue(clock, fields);
-    case 5: return door(who).underWay(clock, fields);
-    case 6: return door(who).resolved(clock, fields);
+    case 4:
+      return door(who).tickDue(clock, fields);
+    case 5:
+      return door(who).underWay(clock, fields);
+    case 6:
+      return door(who).resolved(clock, fields);
     case 7: {
       const std::uint8_t how = fields.u8();
       fields.u32();
@@ -92,13 +101,15 @@
       }
       return door(who).update(clock, how, &*lists_[page]);
     }
-    case 9: return door(who).timedOutClient(clock, fields);
+    case 9:
+      return door(who).timedOutClient(clock, fields);
     case 10:
       door(who);
       fields.end();
       doors_.erase(who);
       return;
-    default: return door(who).inbound(clock, fields);
+    default:
+      return door(who).inbound(clock, fields);
   }
 }
 
@@ -106,8 +117,8 @@
   const std::uint32_t page = fields.u32(), count = fields.u32();
   if (page >= lists_.size()) throw Malformed("register: number " + std::to_string(page) + " is over 15");
   if (fields.left() != count * kEntrySize) {
-    throw Malformed("register: " + std::to_string(count) + " entries do not fit " + std::to_string(fields.left()) +
-                    " bytes");
+    throw Malformed("register: " + std::to_string(count) + " entries do not fit " +
+                    std::to_string(fields.left()) + " bytes");
   }
   std::vector<Entry> entries(count);
   for (Entry& entry : entries) {
--- /dev/null
+++ b/tests/choice_test.cpp
@@ -0,0 +1,237 @@
+// The ordinary path of the design, and a story for each failure met on the way.
+#include <gtest/gtest.h>
+
+#include "fake_host.hpp"
+
+namespace paddletrack {
+namespace {
+
+TEST(Classes, WideJobsBorrowOnlyWhatIsNoFloor) {
+  FakeHost host;
+  host.open(1);
+  for (int each = 0; each < 10; ++each) {
+    host.takeMany(10, 1, 2s);
+    host.pass(50ms);
+  }
+  const double wide = host.engines[0].byType[1].threads;
+  EXPECT_GE(wide, 12);
+  EXPECT_LT(wide, 24 * 0.8);           // the bound less the dashboards' idle floor
+  EXPECT_GE(host.takeMany(4, 0), 2U);  // which is still theirs
+}
+
+TEST(Classes, ALoadHoldsOnlyItsCeiling) {
+  FakeHost host;
+  host.site.types[1].load = true;
+  host.open(1);
+  host.takeMany(40, 1);
+  host.pass(3s);
+  EXPECT_LE(host.engines[0].byType[1].threads, 12);
+}
+
+TEST(Classes, JobsQueueAboveTheMarkAndAreThrottledAfterASmallPartOfTheirTime) {
+  FakeHost host;
+  host.open(1);
+  EXPECT_EQ(host.takeMany(16, 0), 16U);  // 8 cores, 2 threads each
+  Job& late = host.take(0);
+  EXPECT_TRUE(late.waiting);
+  host.takeMany(60, 0);
+  host.pass(205ms);  // a twentieth of the job timeout, and a tick
+  EXPECT_FALSE(host.throttled.empty());
+  for (const Span each : host.comeBacks) EXPECT_GT(each, 0ms);
+  for (const Job& each : host.jobs) EXPECT_FALSE(each.waiting);
+}
+
+TEST(Classes, ADearJobIsShutOutByTokensWhileACheapOneFits) {
+  FakeHost host;
+  host.open(1);
+  EXPECT_EQ(host.takeMany(3, 1, 14s), 2U);
+  EXPECT_EQ(host.takeMany(1, 1, 100ms), 1U);
+}
+
+TEST(Classes, OnlyAJobThatFitsNowhereIsThrottledAtOnce) {
+  FakeHost host;
+  host.open(1);
+  host.takeMany(1, 1, 60s);
+  host.take(1, 60s);
+  EXPECT_EQ(host.throttled.size(), 1U);
+  host.open(1);  // one more engine, idle
+  host.take(1, 60s);
+  EXPECT_EQ(host.throttled.size(), 1U);
+}
+
+TEST(Classes, AThinShareStillLetsAWideJobThrough) {
+  FakeHost host;
+  host.site.controllers = 8;  // 8 cores x 2 / 8 is less than 4 threads
+  host.open(1);
+  EXPECT_EQ(host.takeMany(1, 1), 1U);
+}
+
+TEST(Classes, ABusyControllerPassesItsShareWhereOthersAreSeenIdle) {
+  FakeHost host;
+  host.site.controllers = 8;
+  host.open(1);
+  host.takeMany(1, 0);
+  const LoadReport idle{.jobsHeld = 0};
+  host.end(*host.sent[0], Outcome::done, &idle);
+  host.pass(100ms);
+  EXPECT_EQ(host.takeMany(12, 0), 12U);
+}
+
+TEST(Classes, SameEventsGiveSameActions) {
+  const auto day = [](std::uint64_t seed) {
+    FakeHost host;
+    host.open(3, seed);
+    for (int each = 0; each < 60; ++each) {
+      host.takeMany(3, each % 2);
+      host.pass(20ms);
+      if (each % 5 == 0) host.endAll();
+    }
+    return host.story;
+  };
+  EXPECT_EQ(day(3), day(3));
+  EXPECT_NE(day(3), day(4));
+}
+
+TEST(Reports, AnEngineOnceSeenFullIsTriedAgain) {
+  FakeHost host;
+  host.site.controllers = 4;
+  host.open(2);
+  host.takeMany(2, 0);
+  ASSERT_EQ(host.sentTo(0), 1U);
+  const LoadReport full{.jobsHeld = 60};
+  const LoadReport idle{.jobsHeld = 0};
+  for (Dispatch* each : {host.sent[0], host.sent[1]})
+    host.end(*each, Outcome::done, each->engine == &host.engines[0] ? &full : &idle);
+  host.pass(100ms);
+  host.takeMany(4, 0);
+  EXPECT_EQ(host.sentTo(0), 1U);
+  for (int each = 0; each < 8; ++each) {  // only the other one reports from here on
+    host.pass(1s);
+    for (Dispatch* one : std::vector<Dispatch*>(host.sent)) {
+      if (one->out) host.end(*one, Outcome::done, &idle);
+    }
+    host.takeMany(4, 0);
+  }
+  EXPECT_GT(host.sentTo(0), 1U);
+}
+
+TEST(Reports, WhatWasSentSinceIsNotTakenOffThem) {
+  FakeHost host;
+  host.site.controllers = 2;
+  host.open(1);
+  host.takeMany(1, 0);
+  host.pass(1s);
+  host.takeMany(6, 0);
+  const LoadReport report{.jobsHeld = 10};
+  host.end(*host.sent[0], Outcome::done, &report);
+  EXPECT_GE(host.engines[0].othersThreads, 9.9);
+}
+
+TEST(Memory, WideJobsDoNotCrowdItOut) {
+  FakeHost host;
+  host.site.machines[0].memoryMb = 4000;
+  host.site.memoryHeeded = true;
+  host.open(1);
+  for (int each = 0; each < 6; ++each) {
+    Job& job = host.jobs.emplace_back();
+    job.type = &host.site.types[1];
+    job.expires = 20s;
+    job.toldMemoryMb = 1500;
+    host.controller->take(host.now, job);
+  }
+  EXPECT_EQ(host.sent.size(), 2U);
+}
+
+TEST(Slow, TheMarkShrinksWhileDispatchesOutlastTheirSlaTime) {
+  FakeHost host;
+  host.open(1);
+  for (int each = 0; each < 4; ++each) {
+    host.takeMany(16, 0);
+    host.pass(2s);
+    host.endAll();
+  }
+  EXPECT_LT(host.takeMany(16, 0), 14U);
+}
+
+TEST(Slow, AllSlowAtOnceAreNotIll) {
+  FakeHost host;
+  host.open(3);
+  for (int each = 0; each < 5; ++each) {
+    host.takeMany(3, 0);
+    host.pass(1s);
+    host.endAll();
+  }
+  const std::size_t before = host.sent.size();
+  host.takeMany(12, 0);
+  EXPECT_EQ(host.sent.size(), before + 12);
+}
+
+TEST(Health, AFailingEngineIsLeftAndTriedNowAndThen) {
+  FakeHost host;
+  host.open(2);
+  for (int each = 0; each < 40; ++each) {
+    host.take(0);
+    host.pass(20ms);
+    for (Dispatch* one : std::vector<Dispatch*>(host.sent)) {
+      if (one->out) host.end(*one, one->engine == &host.engines[0] ? Outcome::error : Outcome::done);
+    }
+  }
+  EXPECT_LE(host.sentTo(0), 6U);
+  EXPECT_TRUE(host.throttled.empty());  // each failed job had another dispatch
+  host.pass(3s);
+  const std::size_t before = host.sentTo(0);
+  host.takeMany(6, 0);
+  EXPECT_GT(host.sentTo(0), before);
+}
+
+TEST(Health, ASilentEngineGetsNoMore) {
+  FakeHost host;
+  host.open(2);
+  host.takeMany(2, 0);
+  host.pass(1s);
+  for (Dispatch* each : std::vector<Dispatch*>(host.sent)) {
+    if (each->engine == &host.engines[1]) host.end(*each);
+  }
+  host.pass(1s);
+  const std::size_t before = host.sentTo(0);
+  host.takeMany(5, 0);
+  EXPECT_LE(host.sentTo(0), before + 1);  // one trial at most
+}
+
+TEST(Health, NeverAllEnginesExcluded) {
+  FakeHost host;
+  host.open(2);
+  host.takeMany(8, 0);
+  host.endAll(Outcome::error);
+  host.endAll(Outcome::error);
+  EXPECT_EQ(host.takeMany(1, 0), 1U);
+}
+
+TEST(Runaway, ABadPlanIsWithdrawnByItsNotesAndDrawnAnew) {
+  FakeHost host;
+  host.site.mayWithdraw = true;
+  host.site.progressPace = 1s;
+  host.open(2);
+  Job& job = host.take(1, 2s);
+  host.pass(1500ms);
+  host.controller->noted(host.now, *host.sent[0], Note::progress, 0.05);
+  host.pass(700ms);  // four times the half second expected
+  ASSERT_EQ(host.withdrawn.size(), 1U);
+  host.end(*host.sent[0], Outcome::withdrawn);
+  EXPECT_EQ(job.dispatches.size(), 2U);
+}
+
+TEST(Runaway, AnEstimateAloneIsNoEvidence) {
+  FakeHost host;
+  host.site.mayWithdraw = true;  // but no notes
+  host.open(2);
+  host.take(1, 2s);
+  host.takeMany(10, 0);
+  host.pass(400ms);
+  for (std::size_t each = 1; each < 11; ++each) host.end(*host.sent[each]);
+  host.pass(3s);
+  EXPECT_TRUE(host.withdrawn.empty());
+}
+
+}  // namespace
+}  // namespace paddletrack
