--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -23,7 +23,7 @@
 constexpr double kColdSafety = 0.5;       // of what the cold rule allows: speeds and costs are only estimates
 constexpr double kGrantOver = 1.1;        // of the expected need: the scatter of a good estimate
 constexpr double kEngineGrantOver = 0.7;  // of the usual need: what engines grant where they decide
-constexpr double kRunaway = 4;            // times the time expected of a dispatch: its plan is bad
+constexpr double kRunaway = 3;            // times the time expected of a dispatch: its plan is bad
 constexpr int kTrustedSlas = 2;  // SLA times of the shortest type: how long a load report is taken as it is
 constexpr double kTokenHorizon =
     0.6;  // of the longest usual SLA time: the work a thread of the mark may have ahead
@@ -682,7 +682,8 @@
     const double toGo = each->progress > 0 ? took / each->progress - took : took;
     // Without notes only the engine's own state is evidence: an estimate alone may be off by as much.
     if (site_.progressPace <= Span{0} && !doubted(*each->engine)) continue;
-    if (took < kRunaway * expected || toGo < 2 * expected) continue;
+    const bool seen = each->progress > 0 && took > expected * kRunaway / 2 && toGo > expected * kRunaway;
+    if (!seen && (took < kRunaway * expected || toGo < 2 * expected)) continue;
     if (static_cast<int>(job.dispatches.size()) >= site_.mostDispatches) continue;
     if (seconds(job.expires - now_) < 2 * expected) continue;
     each->withdrawn = true;
