--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -22,7 +22,8 @@
 constexpr double kWaitShare = 1.0 / 20;   // of the job timeout: a queued job is throttled after this
 constexpr double kColdSafety = 0.5;       // of what the cold rule allows: speeds and costs are only estimates
 constexpr double kGrantOver = 1.1;        // of the expected need: the scatter of a good estimate
-constexpr double kEngineGrantOver = 0.7;  // of the usual need: what engines grant where they decide
+constexpr double kEngineGrantOver = 1.5;  // of the usual need: what engines grant where they decide
+constexpr double kMemoryFull = 0.85;       // of the memory: grants beyond wait or page
 constexpr double kRunaway = 3;            // times the time expected of a dispatch: its plan is bad
 constexpr int kTrustedSlas = 2;  // SLA times of the shortest type: how long a load report is taken as it is
 constexpr double kTokenHorizon =
@@ -564,15 +565,12 @@
     if (!byFloor && (borrowedThreads > remainder * threads || borrowedTokens > remainder * tokens))
       return false;
   }
-  // Grants past the memory make the engine page, or its queue stand: they count against it like threads. A
-  // job that needs less than half its threads' part of the memory is not what crowds it. Where the engine
-  // sets the grants, it grants half over the need, and so the memory granted may pass what there is by as
-  // much.
+  // Grants past the memory make the engine page, or its queue stand: they count against it like threads. A job
+  // that needs less than half its threads' part of the memory is not what crowds it.
   const double need = memoryNeed(job);
   const double fair = machine.memoryMb * job.type->threads / (machine.cores * kMark) / 2;
   if (machine.memoryMb <= 0 || need <= fair || engine.memoryMb + theirs.memoryMb <= 0) return true;
-  const double over = site_.memoryHeeded ? 1 : kEngineGrantOver;
-  return (engine.memoryMb + need) * over + theirs.memoryMb <= machine.memoryMb * over;
+  return engine.memoryMb + need + theirs.memoryMb <= machine.memoryMb * kMemoryFull;
 }
 
 // Doubted: it failed much of late, or holds overdue work and has shown no sign of life since that was sent.
@@ -601,9 +599,13 @@
   return seconds(job.type->slaTime) + job.type->slaStretch * job.tokens / job.type->threads;
 }
 
+// Memory a job will be granted. Until a type's need is known a wide job counts as its threads' part.
 double Controller::memoryNeed(const Job& job) const {
   const TypeLore& lore = lore_[job.type->index];
-  return job.toldMemoryMb > 0 ? job.toldMemoryMb * lore.memoryBias : lore.meanMemoryMb;
+  if (job.toldMemoryMb > 0) return job.toldMemoryMb * lore.memoryBias;
+  if (lore.memorySeen > 0) return lore.meanMemoryMb * (site_.memoryHeeded ? 1 : kEngineGrantOver);
+  const Machine& machine = site_.machines.front();
+  return job.type->threads > shortest_->threads ? machine.memoryMb * job.type->threads / (machine.cores * kMark) : 0;
 }
 
 // Where answers tell the true need, a grant little over it; elsewhere the engine's own choice.
