--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -23,7 +23,7 @@
 constexpr double kColdSafety = 0.5;       // of what the cold rule allows: speeds and costs are only estimates
 constexpr double kGrantOver = 1.1;        // of the expected need: the scatter of a good estimate
 constexpr double kEngineGrantOver = 1.5;  // of the usual need: what engines grant where they decide
-constexpr double kMemoryFull = 0.85;       // of the memory: grants beyond wait or page
+constexpr double kMemoryFull = 0.85;      // of the memory: grants beyond wait or page
 constexpr double kRunaway = 3;            // times the time expected of a dispatch: its plan is bad
 constexpr int kTrustedSlas = 2;  // SLA times of the shortest type: how long a load report is taken as it is
 constexpr double kTokenHorizon =
@@ -216,10 +216,7 @@
   if (!job.type->inOrder || !job.key) return Step::pass;
   const Turn& turn = turns_[job.key];
   if (turn.line.front() == &job && now_ >= turn.restsUntil) return Step::pass;
-  if (!job.waiting) {
-    job.waiting = true;
-    draws_.emplace(std::max(now_ + site_.tick, turn.restsUntil), &job);
-  }
+  keepUntil(job, std::max(now_ + shortest_->slaTime / 40, turn.restsUntil));
   return Step::keep;
 }
 
@@ -269,12 +266,17 @@
     }
   }
   if (now_ >= *job.waitEnds || (job.overShare && job.dispatches.empty())) return Step::end;
-  job.waiting = true;
-  const Span wait = span(seconds(shortest_->slaTime) / 40 * (0.5 + chance()));
-  draws_.emplace(std::min(now_ + std::max(wait, site_.tick), *job.waitEnds), &job);
+  keepUntil(job, std::min(now_ + span(seconds(shortest_->slaTime) / 40 * (0.5 + chance())), *job.waitEnds));
   return Step::keep;
 }
 
+// No wait outlasts the job: a key that rests past a job's time must not keep it from its answer.
+void Controller::keepUntil(Job& job, Span when) {
+  if (job.waiting) std::erase_if(draws_, [&](const auto& each) { return each.second == &job; });
+  job.waiting = true;
+  draws_.emplace(std::max(now_ + site_.tick, std::min(when, job.expires - 2 * site_.tick)), &job);
+}
+
 void Controller::start(Job& job, Engine& engine) {
   auto dispatch = std::make_unique<Dispatch>();
   dispatch->job = &job;
@@ -408,8 +410,9 @@
   if (!job.over || job.out() > 0 || !job.type->inOrder || !job.key) return;
   const auto at = turns_.find(job.key);
   if (at == turns_.end()) return;
-  std::erase(at->second.line, &job);
-  if (at->second.line.empty() && now_ >= at->second.restsUntil) turns_.erase(at);
+  std::deque<Job*>& line = at->second.line;
+  std::erase(line, &job);
+  if (!line.empty() && line.front()->waiting) keepUntil(*line.front(), at->second.restsUntil);
 }
 
 // ---- the seven rules ------------------------------------------------------------------------------------
@@ -565,8 +568,8 @@
     if (!byFloor && (borrowedThreads > remainder * threads || borrowedTokens > remainder * tokens))
       return false;
   }
-  // Grants past the memory make the engine page, or its queue stand: they count against it like threads. A job
-  // that needs less than half its threads' part of the memory is not what crowds it.
+  // Grants past the memory make the engine page, or its queue stand: they count against it like threads. A
+  // job that needs less than half its threads' part of the memory is not what crowds it.
   const double need = memoryNeed(job);
   const double fair = machine.memoryMb * job.type->threads / (machine.cores * kMark) / 2;
   if (machine.memoryMb <= 0 || need <= fair || engine.memoryMb + theirs.memoryMb <= 0) return true;
@@ -605,7 +608,9 @@
   if (job.toldMemoryMb > 0) return job.toldMemoryMb * lore.memoryBias;
   if (lore.memorySeen > 0) return lore.meanMemoryMb * (site_.memoryHeeded ? 1 : kEngineGrantOver);
   const Machine& machine = site_.machines.front();
-  return job.type->threads > shortest_->threads ? machine.memoryMb * job.type->threads / (machine.cores * kMark) : 0;
+  return job.type->threads > shortest_->threads
+             ? machine.memoryMb * job.type->threads / (machine.cores * kMark)
+             : 0;
 }
 
 // Where answers tell the true need, a grant little over it; elsewhere the engine's own choice.
@@ -666,6 +671,8 @@
     const double mean = type.slaStretch * meanCost(type) / type.threads;
     horizon_ = std::max(horizon_, kTokenHorizon * (seconds(type.slaTime) + mean));
   }
+  std::erase_if(turns_,
+                [&](const auto& each) { return each.second.line.empty() && now_ >= each.second.restsUntil; });
   rescue();
   tellPeers();
   askForList();
@@ -718,7 +725,7 @@
     Job& job = *draws_.begin()->second;
     draws_.erase(draws_.begin());
     job.waiting = false;
-    if (now_ >= job.expires)
+    if (now_ + 2 * site_.tick >= job.expires)
       giveUp(job);
     else
       run(job);
--- a/src/choice.hpp
+++ b/src/choice.hpp
@@ -114,6 +114,7 @@
   void look(Span now);
   void advance();
   void leaveLine(Job& job);
+  void keepUntil(Job& job, Span when);
   void rescue();
   void tellPeers();
   void askForList();
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -139,6 +139,21 @@
   EXPECT_EQ(second.dispatches.size(), 1U);
 }
 
+TEST(Rule5, ARestLongerThanTheJobTimeoutDoesNotCostTheAnswer) {
+  FakeHost host;
+  host.site.types[0].inOrder = true;
+  host.site.keyRest = 9s;
+  host.open(2);
+  Job& first = host.take(0, 100ms, 9);
+  host.pass(1s);
+  Job& second = host.take(0, 100ms, 9);
+  host.pass(2s);
+  host.end(*first.dispatches[0], Outcome::reset);
+  host.pass(2s);
+  EXPECT_TRUE(second.over);
+  EXPECT_TRUE(second.dispatches.empty());
+}
+
 TEST(Rule6, ABoundTypeGoesNowhereElse) {
   FakeHost host;
   host.site.types[0].locations = std::vector<unsigned>{1};
