--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -361,7 +361,8 @@
 // while dispatches take longer than their SLA time, and grows back while they do not.
 void Controller::ease(Dispatch& dispatch, Outcome outcome) {
   Engine& engine = *dispatch.engine;
-  const bool late = seconds(now_ - dispatch.sent) > slaSeconds(*dispatch.job) * kLateShare;
+  const bool late = outcome == Outcome::timedOut ||
+                    seconds(now_ - dispatch.sent) > slaSeconds(*dispatch.job) * kLateShare;
   if (outcome == Outcome::done && !late) {
     engine.ease = std::min(1.0, engine.ease + kEaseUp * dispatch.threads / effectiveCores(engine));
   } else if (late && (!engine.easedAt || *engine.easedAt < dispatch.sent)) {
@@ -599,7 +600,9 @@
 }
 
 double Controller::slaSeconds(const Job& job) const {
-  return seconds(job.type->slaTime) + job.type->slaStretch * job.tokens / job.type->threads;
+  // A client that leaves earlier leaves only so much.
+  const double sla = seconds(job.type->slaTime) + job.type->slaStretch * job.tokens / job.type->threads;
+  return std::min(sla, seconds(job.expires - job.taken));
 }
 
 // Memory a job will be granted. Until a type's need is known a wide job counts as its threads' part.
