A second copy for short jobs past half their SLA time, where copies are allowed

All dispatches still out are withdrawn once a job is over. Also guards against lost answers and stalled connections; may add load when all engines are slow but under their mark.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -28,7 +28,8 @@
 constexpr int kTrustedSlas = 2;  // SLA times of the shortest type: how long a load report is taken as it is
 constexpr double kTokenHorizon =
     0.6;  // of the longest usual SLA time: the work a thread of the mark may have ahead
-constexpr double kLateShare = 1.0;  // of the SLA time: a dispatch that takes longer asks for a lower mark
+constexpr double kCopyShare = 0.05;  // of recent dispatches: second copies at most
+constexpr double kLateShare = 1.0;   // of the SLA time: a dispatch that takes longer asks for a lower mark
 constexpr double kEaseDown = 0.9, kEaseUp = 0.05, kLeastEase = 0.5;
 constexpr double kIllShare = 0.3;  // of recent outcomes: an engine that fails more is doubted
 
@@ -60,6 +61,7 @@
   for (double& each : floors_) each *= weights > 0 ? kFloorShare / weights : 0;
   if (site_.listOnRequest) host_.watchList();
   nextAsk_ = now + site_.mustAskWithin / 3;
+  copies_ = started_ = BucketRing<double>(shortest_->slaTime);
 }
 
 double Controller::chance() {
@@ -230,13 +232,14 @@
   return any ? Step::pass : Step::end;
 }
 
-// Start on a fitting engine under the mark, or above it by a falling chance; else draw again a little later.
-Controller::Step Controller::draw(Job& job) {
+// The best fitting engine: least loaded for its cores, warm, near, not one that has failed this job. Never
+// all engines excluded: the doubted count where no sound one may have the job.
+Engine* Controller::choose(const Job& job) {
   Engine* best = nullptr;
   double bestScore = 0;
   bool anySound = false;
   for (const bool sound : {true, false}) {
-    if (!sound && anySound) break;  // never all engines excluded: the doubted count when there are no others
+    if (!sound && anySound) break;
     for (Engine* engine : engines_) {
       if (!engine->listed || doubted(*engine) == sound || !guarded(job, *engine)) continue;
       anySound = true;
@@ -245,22 +248,29 @@
       const bool isWarm = std::find(warm.begin(), warm.end(), job.dataSet) != warm.end();
       const bool tried = std::any_of(job.dispatches.begin(), job.dispatches.end(),
                                      [&](const auto& each) { return each->engine == engine; });
-      const double load = engine->threads + others(*engine).threads + job.type->threads;
-      double score = load / effectiveCores(*engine) * (isWarm ? 1 : 1.25) * (tried ? 2 : 1);
-      score *= 1 + 0.1 * chance();
+      double score = markUsed(job, *engine) * (isWarm ? 1 : 1.25) * (tried ? 2 : 1) * (1 + 0.1 * chance());
       if (engine->listing.location != site_.location) score *= 1 + site_.crossLocationPrice;
-      if (!best || score < bestScore) {
-        best = engine;
-        bestScore = score;
-      }
+      if (best && score >= bestScore) continue;
+      best = engine;
+      bestScore = score;
     }
   }
-  if (best) {
-    const double load = best->threads + others(*best).threads + job.type->threads;
-    const double over = load / (effectiveCores(*best) * kMark * best->ease);
+  return best;
+}
+
+// How much of its mark an engine uses with this job on it.
+double Controller::markUsed(const Job& job, Engine& engine) {
+  const double load = engine.threads + others(engine).threads + job.type->threads;
+  return load / (effectiveCores(engine) * kMark * engine.ease);
+}
+
+// Start on a fitting engine under the mark, or above it by a falling chance; else draw again a little later.
+Controller::Step Controller::draw(Job& job) {
+  if (Engine* best = choose(job)) {
+    const double over = markUsed(job, *best) - 1;
     const InFlight& mine = best->byType[job.type->index];
     const bool byFloor = mine.threads + job.type->threads <= floorThreads(*job.type, *best);
-    if (over <= 1 || byFloor || (!job.overShare && chance() < std::exp(-16 * (over - 1)) / 4)) {
+    if (over <= 0 || byFloor || (!job.overShare && chance() < std::exp(-16 * over) / 4)) {
       start(job, *best);
       return Step::pass;
     }
@@ -294,6 +304,7 @@
   engine.tokens += dispatch->tokens;
   engine.memoryMb += dispatch->memoryMb;
   engine.coldSent.add(now_, meanCost(*job.type));
+  started_.add(now_, 1);
   if (!job.dispatches.empty()) further_.add(now_, 1);
   if (site_.memoryHeeded || site_.prioritiesHeeded) host_.terms(job, grant(job), priority(job));
   auto& warm = engine.warmSets;
@@ -361,8 +372,8 @@
 // while dispatches take longer than their SLA time, and grows back while they do not.
 void Controller::ease(Dispatch& dispatch, Outcome outcome) {
   Engine& engine = *dispatch.engine;
-  const bool late = outcome == Outcome::timedOut ||
-                    seconds(now_ - dispatch.sent) > slaSeconds(*dispatch.job) * kLateShare;
+  const bool late =
+      outcome == Outcome::timedOut || seconds(now_ - dispatch.sent) > slaSeconds(*dispatch.job) * kLateShare;
   if (outcome == Outcome::done && !late) {
     engine.ease = std::min(1.0, engine.ease + kEaseUp * dispatch.threads / effectiveCores(engine));
   } else if (late && (!engine.easedAt || *engine.easedAt < dispatch.sent)) {
@@ -393,11 +404,6 @@
   } else {
     host_.cancelForGood(job);
   }
-  if (site_.mayWithdraw) {
-    for (const auto& each : job.dispatches) {
-      if (each->out) host_.withdraw(*each);
-    }
-  }
   leaveLine(job);
 }
 
@@ -405,6 +411,10 @@
   job.over = true;
   if (job.waiting) std::erase_if(draws_, [&](const auto& each) { return each.second == &job; });
   job.waiting = false;
+  if (!site_.mayWithdraw || job.streaming) return;
+  for (const auto& each : job.dispatches) {
+    if (each->out) host_.withdraw(*each);
+  }
 }
 
 void Controller::leaveLine(Job& job) {
@@ -681,25 +691,32 @@
   askForList();
 }
 
-// A dispatch far behind what its job should take (a bad plan, an engine that hangs or crawls) is withdrawn
-// while another can still answer in time.
+// A dispatch far behind what its job should take (a bad plan, an engine that hangs or crawls, an answer lost)
+// is withdrawn while another can still answer in time. Where an estimate is the only evidence it is left
+// alone, and a second copy sent if the site allows one: to an engine under its mark, and a few in a hundred
+// jobs at most.
 void Controller::rescue() {
-  if (!site_.mayWithdraw) return;
-  for (Dispatch* each : out_) {
+  const std::vector<Dispatch*> all = out_;
+  for (Dispatch* each : all) {
     Job& job = *each->job;
-    if (each->withdrawn || job.over || job.streaming || job.type->effect == Effect::runOnce) continue;
-    const double expected =
-        std::max(job.tokens, meanCost(*job.type) / 4) / job.type->threads * typicalSlowness_;
+    if (each->withdrawn || job.over || job.streaming || job.type->effect == Effect::runOnce || !mayRun(job))
+      continue;
+    const double usual = std::max(job.tokens, meanCost(*job.type) / 4) / job.type->threads * typicalSlowness_;
     const double took = seconds(now_ - each->sent);
     const double toGo = each->progress > 0 ? took / each->progress - took : took;
-    // Without notes only the engine's own state is evidence: an estimate alone may be off by as much.
-    if (site_.progressPace <= Span{0} && !doubted(*each->engine)) continue;
-    const bool seen = each->progress > 0 && took > expected * kRunaway / 2 && toGo > expected * kRunaway;
-    if (!seen && (took < kRunaway * expected || toGo < 2 * expected)) continue;
-    if (static_cast<int>(job.dispatches.size()) >= site_.mostDispatches) continue;
-    if (seconds(job.expires - now_) < 2 * expected) continue;
-    each->withdrawn = true;
-    host_.withdraw(*each);
+    if (seconds(job.expires - now_) < 2 * usual) continue;
+    if (site_.mayWithdraw && (site_.progressPace > Span{0} || doubted(*each->engine))) {
+      const bool seen = each->progress > 0 && took > usual * kRunaway / 2 && toGo > usual * kRunaway;
+      if (!seen && (took < kRunaway * usual || toGo < 2 * usual)) continue;
+      each->withdrawn = true;
+      host_.withdraw(*each);
+    } else if (site_.secondCopies && job.type == shortest_ && job.out() == 1 && took > slaSeconds(job) / 2 &&
+               took > usual * kRunaway / 2 && copies_.sum(now_) < kCopyShare * started_.sum(now_)) {
+      Engine* other = choose(job);
+      if (!other || other == each->engine || markUsed(job, *other) > 1) continue;
+      copies_.add(now_, 1);
+      start(job, *other);
+    }
   }
 }
 
--- a/src/choice.hpp
+++ b/src/choice.hpp
@@ -101,6 +101,8 @@
   bool doubted(Engine& engine);
   double slowness(Engine& engine);
   void survey();
+  Engine* choose(const Job& job);
+  double markUsed(const Job& job, Engine& engine);
   void start(Job& job, Engine& engine);
   void giveUp(Job& job);
 
@@ -129,7 +131,8 @@
   std::vector<TypeLore> lore_;
   std::vector<double> floors_;
   std::vector<BucketRing<double>> customerTaken_;
-  BucketRing<double> taken_, further_;
+  BucketRing<double> taken_, further_;  // for the budget of further dispatches
+  BucketRing<double> copies_, started_;
   const ReservationType* shortest_ = nullptr;
   int widest_ = 1;
   std::multimap<Span, Job*> draws_;
