--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -243,7 +243,10 @@
     for (Engine* engine : engines_) {
       if (!engine->listed || doubted(*engine) == sound || !guarded(job, *engine)) continue;
       anySound = true;
-      if (!fits(job, *engine)) continue;
+      // A second copy beside the first would share its fate.
+      const bool held = std::any_of(job.dispatches.begin(), job.dispatches.end(),
+                                    [&](const auto& each) { return each->out && each->engine == engine; });
+      if (held || !fits(job, *engine)) continue;
       const auto& warm = engine->warmSets;
       const bool isWarm = std::find(warm.begin(), warm.end(), job.dataSet) != warm.end();
       const bool tried = std::any_of(job.dispatches.begin(), job.dispatches.end(),
@@ -713,7 +716,7 @@
     } else if (site_.secondCopies && job.type == shortest_ && job.out() == 1 && took > slaSeconds(job) / 2 &&
                took > usual * kRunaway / 2 && copies_.sum(now_) < kCopyShare * started_.sum(now_)) {
       Engine* other = choose(job);
-      if (!other || other == each->engine || markUsed(job, *other) > 1) continue;
+      if (!other || markUsed(job, *other) > 1) continue;
       copies_.add(now_, 1);
       start(job, *other);
     }
--- a/tests/choice_test.cpp
+++ b/tests/choice_test.cpp
@@ -153,6 +153,18 @@
   EXPECT_LT(host.takeMany(16, 0), 14U);
 }
 
+TEST(Slow, TheMarkShrinksWhenClientsLeaveBeforeTheirAnswers) {
+  FakeHost host;
+  host.site.types[0].jobTimeout = 100ms;  // well within the SLA time
+  host.open(1);
+  for (int each = 0; each < 6; ++each) {
+    host.takeMany(8, 0);
+    host.pass(100ms);
+    host.endAll(Outcome::timedOut);
+  }
+  EXPECT_LT(host.engines[0].ease, 0.75);
+}
+
 TEST(Slow, AllSlowAtOnceAreNotIll) {
   FakeHost host;
   host.open(3);
@@ -221,6 +233,27 @@
   EXPECT_EQ(job.dispatches.size(), 2U);
 }
 
+TEST(Runaway, AShortJobLeftUnansweredGetsASecondCopyAndTheLoserIsWithdrawn) {
+  FakeHost host;
+  host.site.mayWithdraw = true;
+  host.site.secondCopies = true;
+  host.open(2);
+  for (int each = 0; each < 25; ++each) {
+    Job& usual = host.take(0);
+    host.pass(100ms);
+    host.end(*usual.dispatches[0]);
+  }
+  Job& job = host.take(0, 100ms);
+  Job& wide = host.take(1, 8s);  // dear to run twice
+  host.pass(450ms);              // not overdue yet, but past half its SLA time
+  ASSERT_EQ(job.dispatches.size(), 2U);
+  EXPECT_NE(job.dispatches[0]->engine, job.dispatches[1]->engine);
+  EXPECT_EQ(wide.dispatches.size(), 1U);
+  host.end(*job.dispatches[1]);
+  ASSERT_EQ(host.withdrawn.size(), 1U);
+  EXPECT_EQ(host.withdrawn[0], job.dispatches[0].get());
+}
+
 TEST(Runaway, AnEstimateAloneIsNoEvidence) {
   FakeHost host;
   host.site.mayWithdraw = true;  // but no notes
