--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -30,7 +30,7 @@
     0.6;  // of the longest usual SLA time: the work a thread of the mark may have ahead
 constexpr double kCopyShare = 0.05;  // of recent dispatches: second copies at most
 constexpr double kLateShare = 1.0;   // of the SLA time: a dispatch that takes longer asks for a lower mark
-constexpr double kEaseDown = 0.9, kEaseUp = 0.05, kLeastEase = 0.5;
+constexpr double kEaseDown = 0.9, kEaseUp = 0.05, kLeastEase = 0.3;
 constexpr double kIllShare = 0.3;  // of recent outcomes: an engine that fails more is doubted
 
 double seconds(Span span) { return Seconds(span).count(); }
