--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <string>
 
 namespace paddletrack {
 namespace {
@@ -144,7 +145,6 @@
 
 void Controller::probed(Span now, Engine& engine, bool answered, const LoadReport* report) {
   now_ = now;
-  engine.probeSent.reset();
   if (answered && report) read(engine, *report);
   look(now);
 }
@@ -666,6 +666,10 @@
   double threads = 0, memory = 0, cores = 0, machines = 0;
   for (Engine* engine : engines_) {
     if (!engine->listed) continue;
+    if (doubted(*engine) != engine->doubtLogged) {
+      engine->doubtLogged = !engine->doubtLogged;
+      host_.log("engine " + std::to_string(engine->number) + (engine->doubtLogged ? " doubted" : " trusted"));
+    }
     if (engine->workDone.sum(now_) > 0) all.push_back(slowness(*engine));
     if (!engine->othersSeen || now_ - *engine->othersSeen > shortest_->slaTime * kTrustedSlas) continue;
     threads += engine->othersThreads;
@@ -691,9 +695,22 @@
                 [&](const auto& each) { return each.second.line.empty() && now_ >= each.second.restsUntil; });
   rescue();
   tellPeers();
+  probeUnseen();
   askForList();
 }
 
+// Where only probes bring load reports and no peer tells, an engine is probed when its last report has aged.
+void Controller::probeUnseen() {
+  if (!site_.reportsOnProbe || !site_.mayProbe || site_.mayTellPeers || site_.controllers < 2) return;
+  const Span aged = shortest_->slaTime * kTrustedSlas;
+  for (Engine* engine : engines_) {
+    const auto recent = [&](const std::optional<Span>& at) { return at && now_ - *at < aged; };
+    if (!engine->listed || recent(engine->othersSeen) || recent(engine->probeSent)) continue;
+    engine->probeSent = now_;
+    host_.probe(*engine);
+  }
+}
+
 // A dispatch far behind what its job should take (a bad plan, an engine that hangs or crawls, an answer lost)
 // is withdrawn while another can still answer in time. Where an estimate is the only evidence it is left
 // alone, and a second copy sent if the site allows one: to an engine under its mark, and a few in a hundred
--- a/src/choice.hpp
+++ b/src/choice.hpp
@@ -119,6 +119,7 @@
   void keepUntil(Job& job, Span when);
   void rescue();
   void tellPeers();
+  void probeUnseen();
   void askForList();
   void wakeBy(Span when);
   double chance();
--- a/src/model/deployment.hpp
+++ b/src/model/deployment.hpp
@@ -11,7 +11,6 @@
 
 enum class Effect { restartable, keyed, runOnce };
 enum class RepeatGroup { all, location, cell };
-enum class MemoryShort { wait, shrink, page };
 
 struct ReservationType {
   std::size_t index = 0;
@@ -24,15 +23,12 @@
   Span slaTime{0};
   double slaStretch = 0;
   Span jobTimeout{0};
-  double billedValue = 1;
   double lateValue = 0;
   int threads = 1;
   bool load = false;
-  bool streamed = false;
 };
 
 struct Customer {
-  double share = 0;
   double quotaPerSecond = 0;
 };
 
@@ -43,7 +39,6 @@
 
 // What a controller is told once, at its start.
 struct Deployment {
-  unsigned me = 0;
   unsigned controllers = 1;
   unsigned location = 0;
   std::vector<ReservationType> types;
@@ -52,11 +47,8 @@
 
   bool memoryHeeded = false;
   bool prioritiesHeeded = false;
-  MemoryShort memoryShort = MemoryShort::wait;
-  double largestGrant = 1;
   Span progressPace{0};
 
-  bool reportsInline = false;
   bool reportsOnProbe = false;
   bool mayProbe = false;
   bool mayTellPeers = false;
@@ -79,7 +71,6 @@
   double furtherRatio = 0;
   Span furtherSpan{0};  // 0: no budget of further dispatches
   double crossLocationPrice = 0;
-  double overShareValue = 1;
 };
 
 }  // namespace paddletrack
--- a/src/model/engine.hpp
+++ b/src/model/engine.hpp
@@ -21,9 +21,7 @@
 
 struct LoadReport {
   std::optional<double> jobsHeld{};
-  std::optional<double> jobsWaiting{};
   std::optional<double> memoryGranted{};
-  std::optional<double> disksBusy{};
 };
 
 // What one reservation type has in flight on one engine, by this controller's own count.
@@ -58,7 +56,8 @@
   double ease = 1;                     // the mark is multiplied by this
   std::optional<Span> easedAt;
   std::optional<Span> lastGood;
-  std::optional<Span> trialAt;          // when a doubted engine may be tried next
+  std::optional<Span> trialAt;  // when a doubted engine may be tried next
+  bool doubtLogged = false;
   std::vector<std::uint32_t> warmSets;  // data sets read last, latest first
 };
 
--- a/src/simwire/deployment.cpp
+++ b/src/simwire/deployment.cpp
@@ -93,12 +93,10 @@
   made.slaTime = lines.time(at + "onTimeUs");
   made.slaStretch = lines.real(at + "aimStretch");
   made.jobTimeout = lines.time(at + "giveUpUs");
-  made.billedValue = lines.real(at + "importance");
   made.lateValue = lines.real(at + "lateWorth");
   made.threads = std::max(1, static_cast<int>(lines.realAt("familyInfo.widthByClass", index)));
   const std::vector<std::string> loads = lines.list("familyInfo.loads");
   made.load = index < loads.size() && loads[index] == "true";
-  made.streamed = lines.yes(at + "stream");
   return made;
 }
 
@@ -108,7 +106,6 @@
   const Lines lines(settings);
   Told told;
   Deployment& made = told.deployment;
-  made.me = lines.whole("me");
   made.controllers = std::max(1U, lines.whole("balancers"));
   made.location = lines.whole("zone");
   for (std::size_t each = 0; each < lines.whole("profiles.count"); ++each)
@@ -116,7 +113,7 @@
   if (made.types.empty()) throw Malformed("settings: profiles.count: no reservation type");
   for (std::size_t each = 0; each < lines.whole("tenants.count"); ++each) {
     const std::string at = "tenants." + std::to_string(each) + ".";
-    made.customers.push_back({lines.real(at + "share"), lines.real(at + "quotaPerS")});
+    made.customers.push_back({lines.real(at + "quotaPerS")});
   }
   for (std::size_t each = 0; each < lines.list("machineTypes").size(); ++each) {
     made.machines.push_back({std::max(1.0, lines.realAt("familyInfo.kindCores", each)),
@@ -124,11 +121,7 @@
   }
   made.memoryHeeded = lines.yes("familyInfo.memoryHeeded");
   made.prioritiesHeeded = lines.yes("familyInfo.lanesCount");
-  if (lines.text("familyInfo.memoryShort") == "shrink") made.memoryShort = MemoryShort::shrink;
-  if (lines.text("familyInfo.memoryShort") == "page") made.memoryShort = MemoryShort::page;
-  made.largestGrant = lines.real("familyInfo.grantCap");
   made.progressPace = lines.time("familyInfo.progressPaceUs");
-  made.reportsInline = lines.text("reporting.source") == "inline";
   made.reportsOnProbe = lines.text("reporting.source") == "on_probe";
   made.mayProbe = lines.yes("limits.probes");
   made.mayTellPeers = lines.yes("limits.peers");
@@ -149,7 +142,6 @@
   made.furtherRatio = lines.real("rules.repeatRatio");
   made.furtherSpan = lines.time("rules.budgetSpanUs");
   made.crossLocationPrice = lines.real("prices.crossZone");
-  made.overShareValue = lines.real("overShareWorth");
   told.reportNames = lines.list("reporting.names");
   return told;
 }
--- a/tests/choice_test.cpp
+++ b/tests/choice_test.cpp
@@ -127,6 +127,20 @@
   EXPECT_GE(host.engines[0].othersThreads, 9.9);
 }
 
+TEST(Reports, AnEngineUnseenForLongIsProbedWhereOnlyProbesTell) {
+  FakeHost host;
+  host.site.controllers = 3;
+  host.site.reportsOnProbe = host.site.mayProbe = true;
+  host.open(1);
+  host.pass(900ms);
+  EXPECT_NE(host.story.find("probe 0"), std::string::npos);
+  EXPECT_EQ(host.story.find("probe 0"), host.story.rfind("probe 0"));  // once in its time
+  const LoadReport full{.jobsHeld = 60};
+  host.controller->probed(host.now, host.engines[0], true, &full);
+  host.pass(100ms);
+  EXPECT_EQ(host.takeMany(4, 1), 0U);
+}
+
 TEST(Memory, WideJobsDoNotCrowdItOut) {
   FakeHost host;
   host.site.machines[0].memoryMb = 4000;
