A doubted engine gets one short job a pause; a note of progress ends the doubt

Guards against any engine that fails for longer than the ring; may keep a sound engine of a controller with little traffic waiting ten short SLA times.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -32,6 +32,7 @@
 constexpr double kCopyShare = 0.05;  // of recent dispatches: second copies at most
 constexpr double kLateShare = 1.0;   // of the SLA time: a dispatch that takes longer asks for a lower mark
 constexpr double kEaseDown = 0.9, kEaseUp = 0.05, kLeastEase = 0.3;
+constexpr int kTrialSlas = 2;      // SLA times of the shortest type between trials of a doubted engine
 constexpr double kIllShare = 0.3;  // of recent outcomes: an engine that fails more is doubted
 
 double seconds(Span span) { return Seconds(span).count(); }
@@ -137,7 +138,10 @@
 void Controller::noted(Span now, Dispatch& dispatch, Note note, double value) {
   now_ = now;
   if (note == Note::progress) {
-    if (value > dispatch.progress) dispatch.engine->lastGood = now;
+    if (value > dispatch.progress) {
+      dispatch.engine->lastGood = now;
+      dispatch.engine->trialAt.reset();  // it lives; what it failed is still held against it
+    }
     dispatch.progress = std::max(dispatch.progress, value);
   }
   look(now);
@@ -241,7 +245,10 @@
   for (const bool sound : {true, false}) {
     if (!sound && anySound) break;
     for (Engine* engine : engines_) {
-      if (!engine->listed || doubted(*engine) == sound || !guarded(job, *engine)) continue;
+      // A trial is a short job, which costs least; a controller that has none sends what it has, later.
+      const Span patience = job.type == shortest_ ? Span{0} : shortest_->slaTime * 4 * kTrialSlas;
+      const bool trial = engine->trialAt && now_ >= *engine->trialAt + patience;
+      if (!engine->listed || (doubted(*engine) && !trial) == sound || !guarded(job, *engine)) continue;
       anySound = true;
       // A second copy beside the first would share its fate.
       const bool held = std::any_of(job.dispatches.begin(), job.dispatches.end(),
@@ -314,7 +321,7 @@
   warm.erase(std::remove(warm.begin(), warm.end(), job.dataSet), warm.end());
   warm.insert(warm.begin(), job.dataSet);
   if (warm.size() > 3) warm.pop_back();
-  if (doubted(engine)) engine.trialAt = now_ + shortest_->slaTime;
+  if (engine.trialAt) engine.trialAt = now_ + shortest_->slaTime * kTrialSlas;
   out_.push_back(dispatch.get());
   engine.out.push_back(dispatch.get());
   job.dispatches.push_back(std::move(dispatch));
@@ -591,7 +598,7 @@
 }
 
 // Doubted: it failed much of late, or holds overdue work and has shown no sign of life since that was sent.
-// A doubted engine gets one job at a time as a trial.
+// From then on it gets one short job a pause as a trial, until one comes back done.
 bool Controller::doubted(Engine& engine) {
   const double bad = engine.bad.sum(now_), good = engine.good.sum(now_);
   bool ill = bad >= 2 && bad > kIllShare * (bad + good);
@@ -599,8 +606,8 @@
     const bool overdue = seconds(now_ - each->sent) > slaSeconds(*each->job);
     ill = ill || (overdue && (!engine.lastGood || *engine.lastGood < each->sent));
   }
-  if (!ill && !engine.trialAt) return false;
-  return !engine.trialAt || now_ < *engine.trialAt;
+  if (ill && !engine.trialAt) engine.trialAt = now_ + shortest_->slaTime * kTrialSlas;
+  return engine.trialAt.has_value();
 }
 
 // ---- estimates ------------------------------------------------------------------------------------------
--- a/tests/choice_test.cpp
+++ b/tests/choice_test.cpp
@@ -224,6 +224,31 @@
   EXPECT_LE(host.sentTo(0), before + 1);  // one trial at most
 }
 
+TEST(Health, ADoubtedEngineGetsOneShortJobAPauseUntilOneIsDone) {
+  FakeHost host;
+  host.open(2);
+  host.takeMany(8, 0);
+  host.pass(100ms);
+  for (Dispatch* each : std::vector<Dispatch*>(host.sent)) {
+    host.end(*each, each->engine == &host.engines[0] ? Outcome::timedOut : Outcome::done);
+  }
+  const auto more = [&](Span wait) {
+    const std::size_t before = host.sentTo(0);
+    host.pass(wait);
+    host.takeMany(1, 1);
+    host.takeMany(6, 0);
+    return host.sentTo(0) - before;
+  };
+  EXPECT_EQ(more(500ms), 0U);
+  EXPECT_EQ(more(600ms), 1U);
+  EXPECT_EQ(host.sent.back()->job->type, &host.site.types[0]);
+  host.endAll();
+  more(3s);
+  host.endAll();
+  host.pass(100ms);
+  EXPECT_FALSE(host.engines[0].trialAt);  // trusted again, its failures out of sight
+}
+
 TEST(Health, NeverAllEnginesExcluded) {
   FakeHost host;
   host.open(2);
