--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -25,6 +25,8 @@
   const std::size_t before = host.sent.size();
   host.endAll(Outcome::error);
   EXPECT_EQ(host.sent.size(), before);
+  EXPECT_EQ(std::count(host.throttled.begin(), host.throttled.end(), &left),
+            0);  // the client's leaving was its end
 }
 
 TEST(Rule1, AJobWithoutAnEngineIsAnsweredInTime) {
