--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -311,7 +311,6 @@
   mine.threads += dispatch->threads;
   mine.tokens += dispatch->tokens;
   engine.threads += dispatch->threads;
-  engine.tokens += dispatch->tokens;
   engine.memoryMb += dispatch->memoryMb;
   engine.coldSent.add(now_, meanCost(*job.type));
   started_.add(now_, 1);
@@ -337,7 +336,6 @@
   mine.threads -= dispatch.threads;
   mine.tokens -= dispatch.tokens;
   engine.threads -= dispatch.threads;
-  engine.tokens -= dispatch.tokens;
   engine.memoryMb -= dispatch.memoryMb;
   std::erase(engine.out, &dispatch);
   std::erase(out_, &dispatch);
@@ -532,7 +530,7 @@
 InFlight Controller::others(const Engine& engine) const {
   if (!fleetSeen_) {
     const double peers = site_.controllers - 1;
-    return {engine.threads * peers, engine.tokens * peers, engine.memoryMb * peers};
+    return {engine.threads * peers, 0, engine.memoryMb * peers};
   }
   const Machine& machine = site_.machines[engine.listing.kind];
   const double age =
--- a/src/model/engine.hpp
+++ b/src/model/engine.hpp
@@ -41,7 +41,6 @@
   std::vector<InFlight> byType;
   std::vector<Dispatch*> out;
   double threads = 0;  // own, all types
-  double tokens = 0;
   double memoryMb = 0;
 
   double othersThreads = 0, othersMemoryMb = 0;  // as last told by a report or by peers
