Thin shares: others judged by own mean, one easing, best of three drawn engines

Cause: where cores x mark / controllers is less than the widest job and nothing is told of the others, they were taken to do as this controller did on that engine, times their number: nothing out meant an idle engine, one job out a full one. No admission was left, and all controllers ranked all engines alike and ran for the larger ones. Change: the others are taken to do what this controller did on all engines over one SLA time, spread by cores; one easing for all engines; best of three engines drawn by cores; no doubt counts when most are doubted.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -32,6 +32,7 @@
 constexpr double kCopyShare = 0.05;  // of recent dispatches: second copies at most
 constexpr double kLateShare = 1.0;   // of the SLA time: a dispatch that takes longer asks for a lower mark
 constexpr double kEaseDown = 0.9, kEaseUp = 0.05, kLeastEase = 0.3;
+constexpr std::size_t kLooks = 3;  // engines that a controller with thin shares chooses among
 constexpr int kTrialSlas = 2;      // SLA times of the shortest type between trials of a doubted engine
 constexpr double kIllShare = 0.3;  // of recent outcomes: an engine that fails more is doubted
 
@@ -64,6 +65,9 @@
   if (site_.listOnRequest) host_.watchList();
   nextAsk_ = now + site_.mustAskWithin / 3;
   copies_ = started_ = BucketRing<double>(shortest_->slaTime);
+  ownThreads_ = ownMemory_ = looks_ = BucketRing<double>(shortest_->slaTime / 8);
+  for (const Machine& machine : site_.machines) mostCores_ = std::max(mostCores_, machine.cores);
+  thin_ = mostCores_ * kMark * kOverMark / site_.controllers < widest_;
 }
 
 double Controller::chance() {
@@ -242,18 +246,26 @@
   Engine* best = nullptr;
   double bestScore = 0;
   bool anySound = false;
+  // Controllers with thin shares know the same little, and all that ranked the whole fleet would run for the
+  // same engines: each looks at a few, drawn by their cores.
+  std::vector<Engine*> order = engines_;
   for (const bool sound : {true, false}) {
     if (!sound && anySound) break;
-    for (Engine* engine : engines_) {
+    std::size_t looks = thin_ ? kLooks : order.size();
+    for (std::size_t at = 0; at < order.size() && looks > 0; ++at) {
+      if (thin_) std::swap(order[at], order[at + dice_() % (order.size() - at)]);
+      Engine* engine = order[at];
       // A trial is a short job, which costs least; a controller that has none sends what it has, later.
       const Span patience = job.type == shortest_ ? Span{0} : shortest_->slaTime * 4 * kTrialSlas;
       const bool trial = engine->trialAt && now_ >= *engine->trialAt + patience;
-      if (!engine->listed || (doubted(*engine) && !trial) == sound || !guarded(job, *engine)) continue;
+      if (!engine->listed || (doubted(*engine) && !trial && !mostDoubted_) == sound || !guarded(job, *engine)) continue;
       anySound = true;
       // A second copy beside the first would share its fate.
       const bool held = std::any_of(job.dispatches.begin(), job.dispatches.end(),
                                     [&](const auto& each) { return each->out && each->engine == engine; });
       if (held || !fits(job, *engine)) continue;
+      if (thin_ && chance() * mostCores_ > effectiveCores(*engine)) continue;
+      --looks;
       const auto& warm = engine->warmSets;
       const bool isWarm = std::find(warm.begin(), warm.end(), job.dataSet) != warm.end();
       const bool tried = std::any_of(job.dispatches.begin(), job.dispatches.end(),
@@ -271,7 +283,7 @@
 // How much of its mark an engine uses with this job on it.
 double Controller::markUsed(const Job& job, Engine& engine) {
   const double load = engine.threads + others(engine).threads + job.type->threads;
-  return load / (effectiveCores(engine) * kMark * engine.ease);
+  return load / (effectiveCores(engine) * kMark * easing(engine).ease);
 }
 
 // Start on a fitting engine under the mark, or above it by a falling chance; else draw again a little later.
@@ -312,6 +324,8 @@
   mine.tokens += dispatch->tokens;
   engine.threads += dispatch->threads;
   engine.memoryMb += dispatch->memoryMb;
+  threadsOut_ += dispatch->threads;
+  memoryOut_ += dispatch->memoryMb;
   engine.coldSent.add(now_, meanCost(*job.type));
   started_.add(now_, 1);
   if (!job.dispatches.empty()) further_.add(now_, 1);
@@ -337,6 +351,8 @@
   mine.tokens -= dispatch.tokens;
   engine.threads -= dispatch.threads;
   engine.memoryMb -= dispatch.memoryMb;
+  threadsOut_ -= dispatch.threads;
+  memoryOut_ -= dispatch.memoryMb;
   std::erase(engine.out, &dispatch);
   std::erase(out_, &dispatch);
 }
@@ -380,13 +396,14 @@
 // while dispatches take longer than their SLA time, and grows back while they do not.
 void Controller::ease(Dispatch& dispatch, Outcome outcome) {
   Engine& engine = *dispatch.engine;
+  Easing& eased = easing(engine);
   const bool late =
       outcome == Outcome::timedOut || seconds(now_ - dispatch.sent) > slaSeconds(*dispatch.job) * kLateShare;
   if (outcome == Outcome::done && !late) {
-    engine.ease = std::min(1.0, engine.ease + kEaseUp * dispatch.threads / effectiveCores(engine));
-  } else if (late && (!engine.easedAt || *engine.easedAt < dispatch.sent)) {
-    engine.ease = std::max(kLeastEase, engine.ease * kEaseDown);
-    engine.easedAt = now_;
+    eased.ease = std::min(1.0, eased.ease + kEaseUp * dispatch.threads / effectiveCores(engine));
+  } else if (late && (!eased.easedAt || *eased.easedAt < dispatch.sent)) {
+    eased.ease = std::max(kLeastEase, eased.ease * kEaseDown);
+    eased.easedAt = now_;
   }
 }
 
@@ -544,7 +561,7 @@
 // The share of the mark, or all that the others are seen to leave of it: a busy controller among light ones
 // passes its share below the mark.
 double Controller::bound(Engine& engine) {
-  const double whole = effectiveCores(engine) * kMark * engine.ease * kOverMark;
+  const double whole = effectiveCores(engine) * kMark * easing(engine).ease * kOverMark;
   const double share = whole / site_.controllers;
   return fleetSeen_ ? std::max(share, whole - others(engine).threads) : share;
 }
@@ -564,7 +581,7 @@
   // A type with nothing in flight here may start one job below the mark: else a share thinner than a wide
   // job, or a budget smaller than a dear one, would shut it out for good.
   const InFlight theirs = others(engine);
-  const double whole = effectiveCores(engine) * kMark * engine.ease;
+  const double whole = effectiveCores(engine) * kMark * easing(engine).ease;
   const bool alone = engine.byType[type].threads <= 0 &&
                      (theirs.threads <= 0 || engine.threads + theirs.threads + job.type->threads <= whole);
   if (!alone) {
@@ -667,10 +684,18 @@
 void Controller::survey() {
   if (now_ < nextSurvey_) return;
   nextSurvey_ = now_ + shortest_->slaTime / 8;
+  looks_.add(now_, 1);
+  ownThreads_.add(now_, threadsOut_);
+  ownMemory_.add(now_, memoryOut_);
   std::vector<double> all;
-  double threads = 0, memory = 0, cores = 0, machines = 0;
+  double threads = 0, memory = 0, cores = 0, machines = 0, allCores = 0, allMachines = 0;
+  std::size_t listed = 0, doubts = 0;
   for (Engine* engine : engines_) {
     if (!engine->listed) continue;
+    allCores += site_.machines[engine->listing.kind].cores;
+    allMachines += std::max(1.0, site_.machines[engine->listing.kind].memoryMb);
+    listed += 1;
+    doubts += doubted(*engine) ? 1 : 0;
     if (doubted(*engine) != engine->doubtLogged) {
       engine->doubtLogged = !engine->doubtLogged;
       host_.log("engine " + std::to_string(engine->number) + (engine->doubtLogged ? " doubted" : " trusted"));
@@ -682,10 +707,18 @@
     cores += site_.machines[engine->listing.kind].cores;
     machines += std::max(1.0, site_.machines[engine->listing.kind].memoryMb);
   }
+  mostDoubted_ = doubts * 2 > listed;
   if (cores > 0) {
     fleetSeen_ = true;
     fleetThreads_ = threads / cores;
     fleetMemory_ = memory / machines;
+  } else if (thin_ && allCores > 0) {
+    // Nobody tells of the others, and what is out here now is too little to go by: they are taken to do as
+    // this controller did over a while, spread over all engines.
+    fleetSeen_ = true;
+    const double others = (site_.controllers - 1) / std::max(1.0, looks_.sum(now_));
+    fleetThreads_ = ownThreads_.sum(now_) * others / allCores;
+    fleetMemory_ = ownMemory_.sum(now_) * others / allMachines;
   }
   if (!all.empty()) {
     std::nth_element(all.begin(), all.begin() + static_cast<std::ptrdiff_t>(all.size() / 2), all.end());
--- a/src/choice.hpp
+++ b/src/choice.hpp
@@ -95,6 +95,7 @@
 
   double effectiveCores(Engine& engine);
   InFlight others(const Engine& engine) const;
+  Easing& easing(Engine& engine) { return thin_ ? fleetEase_ : engine.easing; }
   double bound(Engine& engine);
   double floorThreads(const ReservationType& type, Engine& engine);
   bool fits(const Job& job, Engine& engine);
@@ -141,8 +142,14 @@
   std::vector<Dispatch*> out_;
   double typicalSlowness_ = 1;
   double horizon_ = 0;  // seconds of work for each thread
+  double mostCores_ = 1;
+  bool thin_ = false;  // a controller's share of an engine is less than the widest job
   bool fleetSeen_ = false;
   double fleetThreads_ = 0, fleetMemory_ = 0;  // of the others: threads a core, part of the memory
+  double threadsOut_ = 0, memoryOut_ = 0;      // own, on all engines
+  BucketRing<double> ownThreads_, ownMemory_, looks_;
+  Easing fleetEase_;
+  bool mostDoubted_ = false;  // then a doubt tells nothing of the engine
   double heldTime_ = 1e-3, heldThreads_ = 1e-3, jobWidth_ = 1;
   std::optional<Span> nextWake_;
   Span nextSurvey_{0}, nextTell_{0}, nextAsk_{0};
--- a/src/model/engine.hpp
+++ b/src/model/engine.hpp
@@ -31,6 +31,12 @@
   double memoryMb = 0;
 };
 
+// How far a mark has come down.
+struct Easing {
+  double ease = 1;  // the mark is multiplied by this
+  std::optional<Span> easedAt{};
+};
+
 struct Dispatch;
 
 struct Engine {
@@ -52,8 +58,7 @@
   BucketRing<double> good, bad;        // outcomes
   BucketRing<double> spent, workDone;  // threads x latency against work: how slow it is
   BucketRing<double> coldSent;         // work sent in the window of the cold rule
-  double ease = 1;                     // the mark is multiplied by this
-  std::optional<Span> easedAt;
+  Easing easing;
   std::optional<Span> lastGood;
   std::optional<Span> trialAt;  // when a doubted engine may be tried next
   bool doubtLogged = false;
--- a/tests/choice_test.cpp
+++ b/tests/choice_test.cpp
@@ -176,7 +176,7 @@
     host.pass(100ms);
     host.endAll(Outcome::timedOut);
   }
-  EXPECT_LT(host.engines[0].ease, 0.75);
+  EXPECT_LT(host.engines[0].easing.ease, 0.75);
 }
 
 TEST(Slow, AllSlowAtOnceAreNotIll) {
