Thin shares: own part of the fleet, reports fade as engines drain, probes by the job

Change: a controller with thin shares keeps to the first engines of an order of chance, as many as its traffic sees afresh; a report fades as what the engine held drains, at all sizes; full and timed out count as a report of a full engine; own counts are told to peers only where they hold whole jobs, else the own part is probed, at most once a job; time in which the controller stood still is held against no engine; the shortest type's floor job holds in the class checks, not on an engine seen filled past its bounds; others unseen are judged by the own mean at all sizes.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -26,13 +26,11 @@
 constexpr double kEngineGrantOver = 1.5;  // of the usual need: what engines grant where they decide
 constexpr double kMemoryFull = 0.85;      // of the memory: grants beyond wait or page
 constexpr double kRunaway = 3;            // times the time expected of a dispatch: its plan is bad
-constexpr int kTrustedSlas = 2;  // SLA times of the shortest type: how long a load report is taken as it is
-constexpr double kTokenHorizon =
-    0.6;  // of the longest usual SLA time: the work a thread of the mark may have ahead
-constexpr double kCopyShare = 0.05;  // of recent dispatches: second copies at most
-constexpr double kLateShare = 1.0;   // of the SLA time: a dispatch that takes longer asks for a lower mark
+constexpr int kFreshSlas = 2;             // SLA times of the shortest type: how long a load report is fresh
+constexpr double kTokenHorizon = 0.6;     // of the longest usual SLA time: work that a thread may have ahead
+constexpr double kCopyShare = 0.05;       // of recent dispatches: second copies at most
 constexpr double kEaseDown = 0.9, kEaseUp = 0.05, kLeastEase = 0.3;
-constexpr std::size_t kLooks = 3;  // engines that a controller with thin shares chooses among
+constexpr double kLooks = 3;       // engines that a controller with thin shares chooses among
 constexpr int kTrialSlas = 2;      // SLA times of the shortest type between trials of a doubted engine
 constexpr double kIllShare = 0.3;  // of recent outcomes: an engine that fails more is doubted
 
@@ -64,7 +62,7 @@
   for (double& each : floors_) each *= weights > 0 ? kFloorShare / weights : 0;
   if (site_.listOnRequest) host_.watchList();
   nextAsk_ = now + site_.mustAskWithin / 3;
-  copies_ = started_ = BucketRing<double>(shortest_->slaTime);
+  copies_ = started_ = probes_ = BucketRing<double>(shortest_->slaTime);
   ownThreads_ = ownMemory_ = looks_ = BucketRing<double>(shortest_->slaTime / 8);
   for (const Machine& machine : site_.machines) mostCores_ = std::max(mostCores_, machine.cores);
   thin_ = mostCores_ * kMark * kOverMark / site_.controllers < widest_;
@@ -76,16 +74,29 @@
 
 // ---- events ---------------------------------------------------------------------------------------------
 
-void Controller::look(Span now) {
+// A wake far behind its time shows that this controller stood still (stalled process, stolen cores). What it
+// had out may have been answered meanwhile: that time is no evidence against an engine.
+void Controller::clock(Span now) {
   now_ = now;
+  if (!nextWake_ || now - *nextWake_ <= 4 * site_.tick) return;
+  for (Dispatch* each : out_) each->unseen += now - *nextWake_;
+  stalled_ = now - *nextWake_;
+  stallEnded_ = nextWake_ = now;
+}
+
+// How long a dispatch has been out, as far as this controller was there to see it.
+double Controller::age(const Dispatch& sent) const { return seconds(now_ - sent.sent - sent.unseen); }
+
+void Controller::look() {
   survey();
   advance();
 }
 
 void Controller::take(Span now, Job& job) {
-  now_ = now;
+  clock(now);
   if (site_.furtherSpan > Span{0}) taken_.add(now, 1);
-  estimate(job);
+  const TypeLore& lore = lore_[job.type->index];
+  job.tokens = job.toldCost ? seconds(*job.toldCost) * lore.bias : lore.meanCost;
   // What a customer sends beyond its share is worth little: it gets idle room only.
   if (job.customer < customerTaken_.size()) {
     BucketRing<double>& ring = customerTaken_[job.customer];
@@ -95,7 +106,7 @@
   }
   if (job.type->inOrder && job.key) turns_[job.key].line.push_back(&job);
   run(job);
-  look(now);
+  look();
 }
 
 void Controller::run(Job& job) {
@@ -109,7 +120,7 @@
 
 void Controller::ended(Span now, Dispatch& dispatch, Outcome outcome, bool jobOver,
                        std::optional<TrueCost> cost, const LoadReport* report) {
-  now_ = now;
+  clock(now);
   Job& job = *dispatch.job;
   dispatch.provenUnrun =
       outcome == Outcome::turnedAway || outcome == Outcome::unreachable || outcome == Outcome::neverSent;
@@ -122,71 +133,69 @@
   if (jobOver && !job.over) finish(job);
   if (!job.over) judge(job);
   leaveLine(job);
-  look(now);
+  look();
 }
 
 void Controller::begun(Span now, Dispatch& dispatch) {
-  now_ = now;
+  clock(now);
   dispatch.job->streaming = true;
   dispatch.engine->lastGood = now;
-  look(now);
+  look();
 }
 
 void Controller::gaveUp(Span now, Job& job) {
-  now_ = now;
+  clock(now);
   if (!job.over) finish(job);
   leaveLine(job);
-  look(now);
+  look();
 }
 
 void Controller::noted(Span now, Dispatch& dispatch, Note note, double value) {
-  now_ = now;
-  if (note == Note::progress) {
-    if (value > dispatch.progress) {
-      dispatch.engine->lastGood = now;
-      dispatch.engine->trialAt.reset();  // it lives; what it failed is still held against it
-    }
-    dispatch.progress = std::max(dispatch.progress, value);
+  clock(now);
+  if (note == Note::progress && value > dispatch.progress) {
+    dispatch.progress = value;
+    dispatch.engine->lastGood = now;
+    dispatch.engine->trialAt.reset();  // it lives; what it failed is still held against it
   }
-  look(now);
+  look();
 }
 
 void Controller::probed(Span now, Engine& engine, bool answered, const LoadReport* report) {
-  now_ = now;
+  clock(now);
   if (answered && report) read(engine, *report);
-  look(now);
+  look();
 }
 
 void Controller::heard(Span now, unsigned peer, const std::vector<PeerNote>& notes) {
-  now_ = now;
-  if (peer >= site_.controllers) return;
-  for (Engine* engine : engines_) engine->byPeer[peer] = {};
-  for (const PeerNote& note : notes) note.engine->byPeer[peer] = {note.threads, 0, note.memoryMb};
+  clock(now);
+  if (peer >= site_.controllers || !peersTell()) return;
+  for (Engine* engine : engines_) engine->byPeer[peer] = {0, 0, now};
+  for (const PeerNote& note : notes) note.engine->byPeer[peer] = {note.threads, note.memoryMb, now};
   for (Engine* engine : engines_) {
-    engine->peerHeard[peer] = now;
-    engine->othersSeen = now;
     engine->othersThreads = engine->othersMemoryMb = 0;
-    // A peer long unheard of is down; what it had out has run dry.
-    for (unsigned each = 0; each < site_.controllers; ++each) {
-      if (now - engine->peerHeard[each] > shortest_->slaTime * 3) continue;
-      engine->othersThreads += engine->byPeer[each].threads;
-      engine->othersMemoryMb += engine->byPeer[each].memoryMb;
+    engine->othersSeen = now;
+    for (const Engine::PeerWord& word : engine->byPeer) {
+      if (now - word.heard > shortest_->slaTime * 3) continue;  // it is down; what it had out has run dry
+      engine->othersThreads += word.threads;
+      engine->othersMemoryMb += word.memoryMb;
     }
   }
-  look(now);
+  look();
 }
 
 void Controller::listed(Span now, bool whole, const Listings& listings) {
-  now_ = now;
+  clock(now);
   if (whole) {
     for (Engine* engine : engines_) engine->listed = false;
   }
   for (const auto& [engine, listing] : listings) {
     if (std::find(engines_.begin(), engines_.end(), engine) == engines_.end()) {
-      engines_.push_back(engine);
+      // The order is of chance, the larger rather first.
+      engine->rank = -std::log(1 - 0.999 * chance()) / site_.machines[listing.kind].cores;
+      const auto later = [&](const Engine* each) { return each->rank > engine->rank; };
+      engines_.insert(std::find_if(engines_.begin(), engines_.end(), later), engine);
       engine->byType.resize(site_.types.size());
-      engine->byPeer.resize(site_.controllers);
-      engine->peerHeard.resize(site_.controllers, now);
+      if (peersTell()) engine->byPeer.resize(site_.controllers, {0, 0, now});
       const Span bucket = shortest_->slaTime * 4 / 7;
       for (BucketRing<double>* ring : {&engine->good, &engine->bad, &engine->spent, &engine->workDone}) {
         *ring = BucketRing<double>(bucket);
@@ -205,18 +214,19 @@
     engine->listed = listing.standing == Standing::ready;
   }
   if (site_.listOnRequest) nextAsk_ = now + site_.mustAskWithin / 3;
-  look(now);
+  look();
 }
 
 void Controller::listFailed(Span now) {
-  now_ = now;
+  clock(now);
   nextAsk_ = now + site_.mustAskWithin / 8;
-  look(now);
+  look();
 }
 
 void Controller::woken(Span now) {
+  clock(now);
   if (nextWake_ && *nextWake_ <= now) nextWake_.reset();
-  look(now);
+  look();
 }
 
 // ---- the way in -----------------------------------------------------------------------------------------
@@ -240,37 +250,38 @@
   return any ? Step::pass : Step::end;
 }
 
+// How many engines this controller looks at. One with thin shares keeps to a part of the fleet of its own,
+// the first in its order of chance, as many as its traffic lets it see afresh while a report holds.
+double Controller::reach() {
+  const double seen = started_.sum(now_) * kFreshSlas / 8;
+  return thin_ ? std::max(kLooks, seen) : static_cast<double>(engines_.size());
+}
+
 // The best fitting engine: least loaded for its cores, warm, near, not one that has failed this job. Never
 // all engines excluded: the doubted count where no sound one may have the job.
 Engine* Controller::choose(const Job& job) {
   Engine* best = nullptr;
   double bestScore = 0;
   bool anySound = false;
-  // Controllers with thin shares know the same little, and all that ranked the whole fleet would run for the
-  // same engines: each looks at a few, drawn by their cores.
-  std::vector<Engine*> order = engines_;
   for (const bool sound : {true, false}) {
     if (!sound && anySound) break;
-    std::size_t looks = thin_ ? kLooks : order.size();
-    for (std::size_t at = 0; at < order.size() && looks > 0; ++at) {
-      if (thin_) std::swap(order[at], order[at + dice_() % (order.size() - at)]);
-      Engine* engine = order[at];
+    double looks = reach();
+    for (Engine* engine : engines_) {
+      if (looks <= 0) break;
       // A trial is a short job, which costs least; a controller that has none sends what it has, later.
       const Span patience = job.type == shortest_ ? Span{0} : shortest_->slaTime * 4 * kTrialSlas;
       const bool trial = engine->trialAt && now_ >= *engine->trialAt + patience;
-      if (!engine->listed || (doubted(*engine) && !trial && !mostDoubted_) == sound || !guarded(job, *engine)) continue;
+      const bool ill = doubted(*engine) && !trial && !mostDoubted_;
+      if (!engine->listed || ill == sound || !guarded(job, *engine)) continue;
       anySound = true;
+      const Dispatch* before = nullptr;
+      for (const auto& each : job.dispatches) before = each->engine == engine ? each.get() : before;
       // A second copy beside the first would share its fate.
-      const bool held = std::any_of(job.dispatches.begin(), job.dispatches.end(),
-                                    [&](const auto& each) { return each->out && each->engine == engine; });
-      if (held || !fits(job, *engine)) continue;
-      if (thin_ && chance() * mostCores_ > effectiveCores(*engine)) continue;
+      if ((before && before->out) || !fits(job, *engine)) continue;
       --looks;
       const auto& warm = engine->warmSets;
       const bool isWarm = std::find(warm.begin(), warm.end(), job.dataSet) != warm.end();
-      const bool tried = std::any_of(job.dispatches.begin(), job.dispatches.end(),
-                                     [&](const auto& each) { return each->engine == engine; });
-      double score = markUsed(job, *engine) * (isWarm ? 1 : 1.25) * (tried ? 2 : 1) * (1 + 0.1 * chance());
+      double score = markUsed(job, *engine) * (isWarm ? 1 : 1.25) * (before ? 2 : 1) * (1 + 0.1 * chance());
       if (engine->listing.location != site_.location) score *= 1 + site_.crossLocationPrice;
       if (best && score >= bestScore) continue;
       best = engine;
@@ -365,13 +376,21 @@
   ease(dispatch, outcome);
   if (outcome != Outcome::done) {
     engine.bad.add(now_, 1);
+    // Turned away, or not answered in all its time: as good as a report of a full engine.
+    if (engine.othersSeen && (outcome == Outcome::turnedAway || outcome == Outcome::timedOut)) {
+      const Machine& machine = site_.machines[engine.listing.kind];
+      engine.othersThreads = machine.cores * kMark * kMark;
+      engine.othersMemoryMb = machine.memoryMb;
+      engine.othersSeen = now_;
+    }
     return;
   }
   engine.good.add(now_, 1);
   engine.lastGood = now_;
   engine.trialAt.reset();
-  const double took = seconds(now_ - dispatch.sent) * dispatch.threads;
+  const double took = age(dispatch) * dispatch.threads;
   heldTime_ = heldTime_ * 0.99 + took / dispatch.threads;
+  heldSquare_ = heldSquare_ * 0.99 + took * took / dispatch.threads;
   heldThreads_ = heldThreads_ * 0.99 + took;
   jobWidth_ = heldThreads_ / heldTime_;
   const double work = cost ? cost->threadSeconds : job.tokens;
@@ -381,15 +400,13 @@
     seen = std::min(seen + 1, 100.0);
     mean += (value - mean) / seen;
   };
-  if (cost) {
-    blend(lore.meanCost, lore.costSeen, cost->threadSeconds);
-    blend(lore.meanMemoryMb, lore.memorySeen, cost->memoryMb);
-    if (job.toldCost) blend(lore.bias, lore.biasSeen, cost->threadSeconds / seconds(*job.toldCost));
-    if (job.toldMemoryMb > 0) blend(lore.memoryBias, lore.memoryBiasSeen, cost->memoryMb / job.toldMemoryMb);
-  } else {
-    blend(lore.meanCost, lore.costSeen, job.toldCost ? seconds(*job.toldCost) : took);
-    if (job.toldMemoryMb > 0) blend(lore.meanMemoryMb, lore.memorySeen, job.toldMemoryMb);
-  }
+  const double told = job.toldCost ? seconds(*job.toldCost) : took;
+  blend(lore.meanCost, lore.costSeen, cost ? cost->threadSeconds : told);
+  if (cost || job.toldMemoryMb > 0)
+    blend(lore.meanMemoryMb, lore.memorySeen, cost ? cost->memoryMb : job.toldMemoryMb);
+  if (cost && job.toldCost) blend(lore.bias, lore.biasSeen, cost->threadSeconds / told);
+  if (cost && job.toldMemoryMb > 0)
+    blend(lore.memoryBias, lore.memoryBiasSeen, cost->memoryMb / job.toldMemoryMb);
 }
 
 // The mark is fixed in the design; under shared slowness, or where engines thrash below it, it shrinks here
@@ -397,8 +414,7 @@
 void Controller::ease(Dispatch& dispatch, Outcome outcome) {
   Engine& engine = *dispatch.engine;
   Easing& eased = easing(engine);
-  const bool late =
-      outcome == Outcome::timedOut || seconds(now_ - dispatch.sent) > slaSeconds(*dispatch.job) * kLateShare;
+  const bool late = outcome == Outcome::timedOut || age(dispatch) > slaSeconds(*dispatch.job);
   if (outcome == Outcome::done && !late) {
     eased.ease = std::min(1.0, eased.ease + kEaseUp * dispatch.threads / effectiveCores(engine));
   } else if (late && (!eased.easedAt || *eased.easedAt < dispatch.sent)) {
@@ -531,7 +547,7 @@
 double Controller::slowness(Engine& engine) {
   double spent = engine.spent.sum(now_), work = engine.workDone.sum(now_);
   for (const Dispatch* each : engine.out) {
-    const double took = seconds(now_ - each->sent) * each->threads;
+    const double took = age(*each) * each->threads;
     if (took > each->tokens * 2 * typicalSlowness_) {
       spent += took;
       work += each->tokens;
@@ -545,14 +561,12 @@
 // into what is known of the whole fleet: an engine once seen full must not stay shut out because nobody looks
 // again. With no word at all, the others are taken to do as this one does.
 InFlight Controller::others(const Engine& engine) const {
-  if (!fleetSeen_) {
-    const double peers = site_.controllers - 1;
-    return {engine.threads * peers, 0, engine.memoryMb * peers};
-  }
   const Machine& machine = site_.machines[engine.listing.kind];
-  const double age =
-      engine.othersSeen ? seconds(now_ - *engine.othersSeen) / seconds(shortest_->slaTime) : 99;
-  const double trust = std::exp2(-std::max(0.0, age / kTrustedSlas - 1));
+  // What a report tells is gone when what the engine held has run: one seen idle is soon as full as any, one
+  // seen full stays so for long.
+  const double age = engine.othersSeen ? seconds(now_ - *engine.othersSeen) : 99;
+  const double drains = engine.othersThreads / machine.cores * heldSquare_ / heldThreads_;
+  const double trust = std::exp(-age / std::max(drains, 1e-3));
   const auto blend = [&](double seen, double fleet) { return trust * seen + (1 - trust) * fleet; };
   return {blend(engine.othersThreads, fleetThreads_ * machine.cores), 0,
           blend(engine.othersMemoryMb, fleetMemory_ * machine.memoryMb)};
@@ -563,13 +577,16 @@
 double Controller::bound(Engine& engine) {
   const double whole = effectiveCores(engine) * kMark * easing(engine).ease * kOverMark;
   const double share = whole / site_.controllers;
-  return fleetSeen_ ? std::max(share, whole - others(engine).threads) : share;
+  return std::max(share, whole - others(engine).threads);
 }
 
-// The floor of the shortest type holds one job at least, however thin the share.
+// The floor of the shortest type holds one job at least, however thin the share, but on no engine that all
+// together are seen to have filled past any bound.
 double Controller::floorThreads(const ReservationType& type, Engine& engine) {
   const double threads = floors_[type.index] * bound(engine);
-  return &type == shortest_ ? std::max<double>(threads, type.threads) : threads;
+  const double full = effectiveCores(engine) * kMark * kOverMark;
+  if (&type != shortest_ || others(engine).threads + engine.threads + type.threads > full) return threads;
+  return std::max<double>(threads, type.threads);
 }
 
 // Floors first, then the shared remainder, in threads and in tokens.
@@ -584,7 +601,10 @@
   const double whole = effectiveCores(engine) * kMark * easing(engine).ease;
   const bool alone = engine.byType[type].threads <= 0 &&
                      (theirs.threads <= 0 || engine.threads + theirs.threads + job.type->threads <= whole);
-  if (!alone) {
+  const InFlight& mine = engine.byType[type];
+  const bool byFloor = mine.threads + job.type->threads <= floorThreads(*job.type, engine) &&
+                       (mine.threads <= 0 || mine.tokens + job.tokens <= floors_[type] * tokens);
+  if (!alone && !byFloor) {
     double borrowedThreads = 0, borrowedTokens = 0;
     for (std::size_t each = 0; each < floors_.size(); ++each) {
       const InFlight& used = engine.byType[each];
@@ -594,15 +614,11 @@
       borrowedThreads += std::max(0.0, nowThreads - floors_[each] * threads);
       borrowedTokens += std::max(0.0, nowTokens - floors_[each] * tokens);
     }
-    const InFlight& mine = engine.byType[type];
     const double ceiling = job.type->load ? kLoadCeiling : 1;
     if (mine.threads + job.type->threads > ceiling * threads) return false;
     if (mine.tokens + job.tokens > ceiling * tokens) return false;
-    const bool byFloor = mine.threads + job.type->threads <= floors_[type] * threads &&
-                         mine.tokens + job.tokens <= floors_[type] * tokens;
     const double remainder = 1 - kFloorShare;
-    if (!byFloor && (borrowedThreads > remainder * threads || borrowedTokens > remainder * tokens))
-      return false;
+    if (borrowedThreads > remainder * threads || borrowedTokens > remainder * tokens) return false;
   }
   // Grants past the memory make the engine page, or its queue stand: they count against it like threads. A
   // job that needs less than half its threads' part of the memory is not what crowds it.
@@ -618,7 +634,7 @@
   const double bad = engine.bad.sum(now_), good = engine.good.sum(now_);
   bool ill = bad >= 2 && bad > kIllShare * (bad + good);
   for (const Dispatch* each : engine.out) {
-    const bool overdue = seconds(now_ - each->sent) > slaSeconds(*each->job);
+    const bool overdue = age(*each) > slaSeconds(*each->job);
     ill = ill || (overdue && (!engine.lastGood || *engine.lastGood < each->sent));
   }
   if (ill && !engine.trialAt) engine.trialAt = now_ + shortest_->slaTime * kTrialSlas;
@@ -629,11 +645,6 @@
 
 double Controller::meanCost(const ReservationType& type) const { return lore_[type.index].meanCost; }
 
-void Controller::estimate(Job& job) {
-  const TypeLore& lore = lore_[job.type->index];
-  job.tokens = job.toldCost ? seconds(*job.toldCost) * lore.bias : lore.meanCost;
-}
-
 double Controller::slaSeconds(const Job& job) const {
   // A client that leaves earlier leaves only so much.
   const double sla = seconds(job.type->slaTime) + job.type->slaStretch * job.tokens / job.type->threads;
@@ -666,7 +677,7 @@
 
 // A report is from a while back: what was sent since is not in it, and must not be taken off it as own.
 void Controller::read(Engine& engine, const LoadReport& report) {
-  if (!report.jobsHeld || site_.mayTellPeers) return;
+  if (!report.jobsHeld || peersTell()) return;
   double held = 0, memory = 0;
   for (const Dispatch* each : engine.out) {
     if (now_ - each->sent < shortest_->slaTime) continue;
@@ -676,7 +687,7 @@
   const double granted = report.memoryGranted.value_or(0) * site_.machines[engine.listing.kind].memoryMb;
   engine.othersThreads = std::max(0.0, *report.jobsHeld - held) * jobWidth_;
   engine.othersMemoryMb = std::max(0.0, granted - memory);
-  engine.othersSeen = now_;
+  engine.othersSeen = now_ == stallEnded_ ? now_ - stalled_ : now_;  // it may have waited as long
 }
 
 // ---- by the clock ---------------------------------------------------------------------------------------
@@ -695,27 +706,26 @@
     allCores += site_.machines[engine->listing.kind].cores;
     allMachines += std::max(1.0, site_.machines[engine->listing.kind].memoryMb);
     listed += 1;
-    doubts += doubted(*engine) ? 1 : 0;
-    if (doubted(*engine) != engine->doubtLogged) {
-      engine->doubtLogged = !engine->doubtLogged;
-      host_.log("engine " + std::to_string(engine->number) + (engine->doubtLogged ? " doubted" : " trusted"));
-    }
+    const bool ill = doubted(*engine);
+    doubts += ill ? 1 : 0;
+    if (ill != engine->doubtLogged)
+      host_.log("engine " + std::to_string(engine->number) + (ill ? " doubted" : " trusted"));
+    engine->doubtLogged = ill;
     if (engine->workDone.sum(now_) > 0) all.push_back(slowness(*engine));
-    if (!engine->othersSeen || now_ - *engine->othersSeen > shortest_->slaTime * kTrustedSlas) continue;
+    if (!engine->othersSeen || now_ - *engine->othersSeen > shortest_->slaTime * kFreshSlas) continue;
     threads += engine->othersThreads;
     memory += engine->othersMemoryMb;
     cores += site_.machines[engine->listing.kind].cores;
     machines += std::max(1.0, site_.machines[engine->listing.kind].memoryMb);
   }
   mostDoubted_ = doubts * 2 > listed;
+  told_ = cores > 0;
   if (cores > 0) {
-    fleetSeen_ = true;
     fleetThreads_ = threads / cores;
     fleetMemory_ = memory / machines;
-  } else if (thin_ && allCores > 0) {
+  } else if (allCores > 0) {
     // Nobody tells of the others, and what is out here now is too little to go by: they are taken to do as
     // this controller did over a while, spread over all engines.
-    fleetSeen_ = true;
     const double others = (site_.controllers - 1) / std::max(1.0, looks_.sum(now_));
     fleetThreads_ = ownThreads_.sum(now_) * others / allCores;
     fleetMemory_ = ownMemory_.sum(now_) * others / allMachines;
@@ -737,14 +747,18 @@
   askForList();
 }
 
-// Where only probes bring load reports and no peer tells, an engine is probed when its last report has aged.
+// Where only probes bring load reports and no peer tells, an engine is probed when its last report has aged:
+// of a thin share's part of the fleet, and no more probes than jobs.
 void Controller::probeUnseen() {
-  if (!site_.reportsOnProbe || !site_.mayProbe || site_.mayTellPeers || site_.controllers < 2) return;
-  const Span aged = shortest_->slaTime * kTrustedSlas;
+  if (!site_.reportsOnProbe || !site_.mayProbe || peersTell() || site_.controllers < 2) return;
+  const Span aged = shortest_->slaTime * kFreshSlas;
+  double looks = reach();
   for (Engine* engine : engines_) {
+    if (--looks < 0 || (thin_ && probes_.sum(now_) >= started_.sum(now_))) return;
     const auto recent = [&](const std::optional<Span>& at) { return at && now_ - *at < aged; };
     if (!engine->listed || recent(engine->othersSeen) || recent(engine->probeSent)) continue;
     engine->probeSent = now_;
+    probes_.add(now_, 1);
     host_.probe(*engine);
   }
 }
@@ -760,7 +774,7 @@
     if (each->withdrawn || job.over || job.streaming || job.type->effect == Effect::runOnce || !mayRun(job))
       continue;
     const double usual = std::max(job.tokens, meanCost(*job.type) / 4) / job.type->threads * typicalSlowness_;
-    const double took = seconds(now_ - each->sent);
+    const double took = age(*each);
     const double toGo = each->progress > 0 ? took / each->progress - took : took;
     if (seconds(job.expires - now_) < 2 * usual) continue;
     if (site_.mayWithdraw && (site_.progressPace > Span{0} || doubted(*each->engine))) {
@@ -779,7 +793,7 @@
 }
 
 void Controller::tellPeers() {
-  if (!site_.mayTellPeers || site_.controllers < 2 || now_ < nextTell_) return;
+  if (!peersTell() || site_.controllers < 2 || now_ < nextTell_) return;
   nextTell_ = now_ + shortest_->slaTime / 3;
   std::vector<PeerNote> notes;
   for (Engine* engine : engines_) {
@@ -810,13 +824,9 @@
   }
   Span next = nextSurvey_;
   if (!draws_.empty()) next = std::min(next, draws_.begin()->first);
-  wakeBy(next);
-}
-
-void Controller::wakeBy(Span when) {
-  if (nextWake_ && *nextWake_ <= when) return;
-  nextWake_ = when;
-  host_.wakeAt(when);
+  if (nextWake_ && *nextWake_ <= next) return;
+  nextWake_ = next;
+  host_.wakeAt(next);
 }
 
 }  // namespace paddletrack
--- a/src/choice.hpp
+++ b/src/choice.hpp
@@ -95,26 +95,30 @@
 
   double effectiveCores(Engine& engine);
   InFlight others(const Engine& engine) const;
-  Easing& easing(Engine& engine) { return thin_ ? fleetEase_ : engine.easing; }
+  Easing& easing(Engine& engine) { return thin_ && !told_ ? fleetEase_ : engine.easing; }
   double bound(Engine& engine);
   double floorThreads(const ReservationType& type, Engine& engine);
   bool fits(const Job& job, Engine& engine);
   bool doubted(Engine& engine);
   double slowness(Engine& engine);
+  // The peers' own counts tell little where each is less than a job, and cost the square of their number.
+  bool peersTell() const { return site_.mayTellPeers && !thin_; }
+  double reach();
   void survey();
   Engine* choose(const Job& job);
   double markUsed(const Job& job, Engine& engine);
   void start(Job& job, Engine& engine);
   void giveUp(Job& job);
 
-  void estimate(Job& job);
   double slaSeconds(const Job& job) const;
   double meanCost(const ReservationType& type) const;
   double memoryNeed(const Job& job) const;
   double grant(const Job& job) const;
   int priority(const Job& job) const;
   void read(Engine& engine, const LoadReport& report);
-  void look(Span now);
+  void clock(Span now);
+  double age(const Dispatch& sent) const;
+  void look();
   void advance();
   void leaveLine(Job& job);
   void keepUntil(Job& job, Span when);
@@ -122,7 +126,6 @@
   void tellPeers();
   void probeUnseen();
   void askForList();
-  void wakeBy(Span when);
   double chance();
 
   Host& host_;
@@ -134,7 +137,7 @@
   std::vector<double> floors_;
   std::vector<BucketRing<double>> customerTaken_;
   BucketRing<double> taken_, further_;  // for the budget of further dispatches
-  BucketRing<double> copies_, started_;
+  BucketRing<double> copies_, started_, probes_;
   const ReservationType* shortest_ = nullptr;
   int widest_ = 1;
   std::multimap<Span, Job*> draws_;
@@ -143,15 +146,16 @@
   double typicalSlowness_ = 1;
   double horizon_ = 0;  // seconds of work for each thread
   double mostCores_ = 1;
+  bool told_ = false;
   bool thin_ = false;  // a controller's share of an engine is less than the widest job
-  bool fleetSeen_ = false;
   double fleetThreads_ = 0, fleetMemory_ = 0;  // of the others: threads a core, part of the memory
   double threadsOut_ = 0, memoryOut_ = 0;      // own, on all engines
   BucketRing<double> ownThreads_, ownMemory_, looks_;
   Easing fleetEase_;
   bool mostDoubted_ = false;  // then a doubt tells nothing of the engine
-  double heldTime_ = 1e-3, heldThreads_ = 1e-3, jobWidth_ = 1;
-  std::optional<Span> nextWake_;
+  double heldTime_ = 1e-3, heldThreads_ = 1e-3, heldSquare_ = 1e-3, jobWidth_ = 1;
+  std::optional<Span> nextWake_, stallEnded_;
+  Span stalled_{0};
   Span nextSurvey_{0}, nextTell_{0}, nextAsk_{0};
 };
 
--- a/src/model/engine.hpp
+++ b/src/model/engine.hpp
@@ -43,6 +43,7 @@
   std::uint32_t number = 0;  // the same at every controller
   Listing listing;
   bool listed = false;
+  double rank = 0;  // its place in this controller's own order
 
   std::vector<InFlight> byType;
   std::vector<Dispatch*> out;
@@ -51,8 +52,11 @@
 
   double othersThreads = 0, othersMemoryMb = 0;  // as last told by a report or by peers
   std::optional<Span> othersSeen;
-  std::vector<InFlight> byPeer;
-  std::vector<Span> peerHeard;
+  struct PeerWord {
+    double threads = 0, memoryMb = 0;
+    Span heard{0};
+  };
+  std::vector<PeerWord> byPeer;
   std::optional<Span> probeSent;
 
   BucketRing<double> good, bad;        // outcomes
--- a/src/model/job.hpp
+++ b/src/model/job.hpp
@@ -21,6 +21,7 @@
   std::uint8_t number = 0;
   Span sent{0};
   Span until{0};
+  Span unseen{0};  // while it was out its controller stood still for so long
   double threads = 0;
   double tokens = 0;
   double memoryMb = 0;
