Thin shares choose by load alone; own mean over four SLA times

All controllers guess the same of the others, so the room that one job takes decided, and it is smaller on a large engine. The pull to sets sent before kept controllers on few engines, though others' jobs had displaced these sets long since. Change: among thin shares the score counts the load alone, and no warm sets; the own mean is taken over four SLA times.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -64,7 +64,7 @@
   if (site_.listOnRequest) host_.watchList();
   nextAsk_ = now + site_.mustAskWithin / 3;
   copies_ = drawn_ = started_ = probes_ = BucketRing<double>(shortest_->slaTime);
-  ownThreads_ = ownMemory_ = BucketRing<double>(shortest_->slaTime / 8);
+  ownThreads_ = ownMemory_ = BucketRing<double>(shortest_->slaTime / 2);
   double cores = 1;
   for (const Machine& machine : site_.machines) cores = std::max(cores, machine.cores);
   told_ = site_.reportsOnProbe && site_.mayProbe;
@@ -190,9 +190,7 @@
 
 void Controller::listed(Span now, bool whole, const Listings& listings) {
   clock(now);
-  if (whole) {
-    for (Engine* engine : engines_) engine->listed = false;
-  }
+  for (Engine* engine : engines_) engine->listed = engine->listed && !whole;
   for (const auto& [engine, listing] : listings) {
     if (std::find(engines_.begin(), engines_.end(), engine) == engines_.end()) {
       // The order is of chance, the larger rather first.
@@ -286,7 +284,11 @@
       --looks;
       const auto& warm = engine->warmSets;
       const bool isWarm = std::find(warm.begin(), warm.end(), job.dataSet) != warm.end();
-      double score = markUsed(job, *engine) * (isWarm ? 1 : 1.25) * (before ? 2 : 1) * (1 + 0.1 * chance());
+      // Where many guess alike, the room one job takes would send all to large engines; and what this
+      // controller sent last is not what an engine read last.
+      const double more = thin_ ? effectiveCores(*engine) : job.type->threads;
+      double score =
+          markUsed(more, *engine) * (isWarm || thin_ ? 1 : 1.25) * (before ? 2 : 1) * (1 + 0.1 * chance());
       if (engine->listing.location != site_.location) score *= 1 + site_.crossLocationPrice;
       if (best && score >= bestScore) continue;
       best = engine;
@@ -296,16 +298,16 @@
   return best;
 }
 
-// How much of its mark an engine uses with this job on it.
-double Controller::markUsed(const Job& job, Engine& engine) {
-  const double load = engine.threads + others(engine).threads + job.type->threads;
+// How much of its mark an engine uses with so many threads more on it.
+double Controller::markUsed(double more, Engine& engine) {
+  const double load = engine.threads + others(engine).threads + more;
   return load / (effectiveCores(engine) * kMark * easing(engine).ease);
 }
 
 // Start on a fitting engine under the mark, or above it by a falling chance; else draw again a little later.
 Controller::Step Controller::draw(Job& job) {
   if (Engine* best = choose(job)) {
-    const double over = markUsed(job, *best) - 1;
+    const double over = markUsed(job.type->threads, *best) - 1;
     const double mine = best->byType[job.type->index].threads;
     const bool byFloor = mine + job.type->threads <= floorThreads(job, *best);
     if (over <= 0 || byFloor || (!job.overShare && chance() < std::exp(-16 * over) / 4)) {
@@ -729,7 +731,7 @@
   } else if (!told_ && allCores > 0) {
     // Nobody tells of the others, and what is out here now is too little to go by: they are taken to do as
     // this controller did over a while, spread over all engines.
-    const double others = (site_.controllers - 1) / 8.0;  // this many looks are summed
+    const double others = (site_.controllers - 1) / 32.0;  // so many looks are summed
     fleetThreads_ = ownThreads_.sum(now_) * others / allCores;
     fleetMemory_ = ownMemory_.sum(now_) * others / allMachines;
   }
@@ -792,7 +794,7 @@
     } else if (site_.secondCopies && job.type == shortest_ && job.out() == 1 && took > slaSeconds(job) / 2 &&
                took > usual * kRunaway / 2 && copies_.sum(now_) < kCopyShare * started_.sum(now_)) {
       Engine* other = choose(job);
-      if (!other || markUsed(job, *other) > 1) continue;
+      if (!other || markUsed(job.type->threads, *other) > 1) continue;
       copies_.add(now_, 1);
       start(job, *other);
     }
@@ -803,11 +805,9 @@
   if (!peersTell() || site_.controllers < 2 || now_ < nextTell_) return;
   nextTell_ = now_ + shortest_->slaTime / 3;
   std::vector<PeerNote> notes;
-  for (Engine* engine : engines_) {
-    if (engine->threads > 0) {
+  for (Engine* engine : engines_)
+    if (engine->threads > 0)
       notes.push_back({engine, static_cast<float>(engine->threads), static_cast<float>(engine->memoryMb)});
-    }
-  }
   host_.tellPeers(notes);
 }
 
@@ -816,10 +816,7 @@
     Job& job = *draws_.begin()->second;
     draws_.erase(draws_.begin());
     job.waiting = false;
-    if (now_ + 2 * site_.tick >= job.expires)
-      giveUp(job);
-    else
-      run(job);
+    now_ + 2 * site_.tick >= job.expires ? giveUp(job) : run(job);
   }
   Span next = nextSurvey_;
   if (!draws_.empty()) next = std::min(next, draws_.begin()->first);
--- a/src/choice.hpp
+++ b/src/choice.hpp
@@ -106,7 +106,7 @@
   double reach();
   void survey();
   Engine* choose(const Job& job);
-  double markUsed(const Job& job, Engine& engine);
+  double markUsed(double more, Engine& engine);
   void start(Job& job, Engine& engine);
   void giveUp(Job& job);
 
