--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -216,6 +216,7 @@
     }
     engine->listing = listing;
     engine->listed = listing.standing == Standing::ready;
+    weigh(*engine);
   }
   if (site_.listOnRequest) nextAsk_ = now + site_.mustAskWithin / 3;
   look();
@@ -286,7 +287,7 @@
       const bool isWarm = std::find(warm.begin(), warm.end(), job.dataSet) != warm.end();
       // Where many guess alike, the room one job takes would send all to large engines; and what this
       // controller sent last is not what an engine read last.
-      const double more = thin_ ? effectiveCores(*engine) : job.type->threads;
+      const double more = thin_ ? engine->cores : job.type->threads;
       double score =
           markUsed(more, *engine) * (isWarm || thin_ ? 1 : 1.25) * (before ? 2 : 1) * (1 + 0.1 * chance());
       if (engine->listing.location != site_.location) score *= 1 + site_.crossLocationPrice;
@@ -301,7 +302,7 @@
 // How much of its mark an engine uses with so many threads more on it.
 double Controller::markUsed(double more, Engine& engine) {
   const double load = engine.threads + others(engine).threads + more;
-  return load / (effectiveCores(engine) * kMark * easing(engine).ease);
+  return load / (engine.cores * kMark * easing(engine).ease);
 }
 
 // Start on a fitting engine under the mark, or above it by a falling chance; else draw again a little later.
@@ -420,7 +421,7 @@
   Easing& eased = easing(engine);
   const bool late = outcome == Outcome::timedOut || age(dispatch) > slaSeconds(*dispatch.job);
   if (outcome == Outcome::done && !late) {
-    eased.ease = std::min(1.0, eased.ease + kEaseUp * dispatch.threads / effectiveCores(engine));
+    eased.ease = std::min(1.0, eased.ease + kEaseUp * dispatch.threads / engine.cores);
   } else if (late && (!eased.easedAt || *eased.easedAt < dispatch.sent)) {
     eased.ease = std::max(kLeastEase, eased.ease * kEaseDown);
     eased.easedAt = now_;
@@ -546,14 +547,14 @@
 // ---- what an engine can take ----------------------------------------------------------------------------
 
 // A cold or slow engine counts for less. Slow is meant against the others: all slow together are not ill.
-double Controller::effectiveCores(Engine& engine) {
-  double cores = site_.machines[engine.listing.kind].cores;
+void Controller::weigh(Engine& engine) {
+  double& cores = engine.cores = site_.machines[engine.listing.kind].cores;
   if (isCold(engine)) {
     const double part = seconds(now_ - *engine.listing.started) / seconds(site_.coldFor);
     cores *= site_.coldStart + (1 - site_.coldStart) * std::clamp(part, 0.0, 1.0);
   }
   const double slow = slowness(engine) / typicalSlowness_;
-  return slow > 1.5 ? cores / slow : cores;
+  if (slow > 1.5) cores /= slow;
 }
 
 // Threads for the work done, with what is out and overdue counted as it stands.
@@ -587,7 +588,7 @@
 // The share of the mark, or all that the others are seen to leave of it: a busy controller among light ones
 // passes its share below the mark.
 double Controller::bound(Engine& engine) {
-  const double whole = effectiveCores(engine) * kMark * easing(engine).ease * kOverMark;
+  const double whole = engine.cores * kMark * easing(engine).ease * kOverMark;
   const double share = whole / site_.controllers;
   return std::max(share, whole - others(engine).threads);
 }
@@ -597,7 +598,7 @@
 double Controller::floorThreads(const Job& job, Engine& engine) {
   const ReservationType& type = *job.type;
   const double threads = floors_[type.index] * bound(engine);
-  const double full = effectiveCores(engine) * kMark * kOverMark;
+  const double full = engine.cores * kMark * kOverMark;
   if (&type != shortest_ || others(engine).threads + engine.threads + type.threads > full) return threads;
   return std::max<double>(threads, type.threads);
 }
@@ -611,7 +612,7 @@
   // A type with nothing in flight here may start one job below the mark: else a share thinner than a wide
   // job, or a budget smaller than a dear one, would shut it out for good.
   const InFlight theirs = others(engine);
-  const double whole = effectiveCores(engine) * kMark * easing(engine).ease;
+  const double whole = engine.cores * kMark * easing(engine).ease;
   const bool alone = engine.byType[type].threads <= 0 &&
                      (theirs.threads <= 0 || engine.threads + theirs.threads + job.type->threads <= whole);
   const InFlight& mine = engine.byType[type];
@@ -711,6 +712,7 @@
     if (!engine->listed) continue;
     allCores += site_.machines[engine->listing.kind].cores;
     allMachines += std::max(1.0, site_.machines[engine->listing.kind].memoryMb);
+    weigh(*engine);
     const bool ill = doubted(*engine);
     doubts += ill ? 1 : -1;
     if (ill != engine->doubtLogged)
--- a/src/choice.hpp
+++ b/src/choice.hpp
@@ -93,7 +93,7 @@
   bool guarded(const Job& job, Engine& engine);
   bool isCold(const Engine& engine) const;
 
-  double effectiveCores(Engine& engine);
+  void weigh(Engine& engine);
   InFlight others(Engine& engine);
   Easing& easing(Engine& engine) { return thin_ && !told_ ? fleetEase_ : engine.easing; }
   double bound(Engine& engine);
--- a/src/model/engine.hpp
+++ b/src/model/engine.hpp
@@ -43,6 +43,7 @@
   std::uint32_t number = 0;  // the same at every controller
   Listing listing;
   bool listed = false;
+  double cores = 1;  // as good as so many: fewer while cold or slow
   double rank = 0;  // its place in this controller's own order
 
   std::vector<InFlight> byType;
