--- a/tests/choice_test.cpp
+++ b/tests/choice_test.cpp
@@ -103,9 +103,7 @@
   EXPECT_EQ(host.sentTo(0), 1U);
   for (int each = 0; each < 24; ++each) {  // only the other one reports; what 60 held runs off
     host.pass(1s);
-    for (Dispatch* one : std::vector<Dispatch*>(host.sent)) {
-      if (one->out) host.end(*one, Outcome::done, &idle);
-    }
+    host.endAll(Outcome::done, &idle);
     host.takeMany(4, 0);
   }
   EXPECT_GT(host.sentTo(0), 1U);
@@ -142,13 +140,8 @@
   host.site.machines[0].memoryMb = 4000;
   host.site.memoryHeeded = true;
   host.open(1);
-  for (int each = 0; each < 6; ++each) {
-    Job& job = host.jobs.emplace_back();
-    job.type = &host.site.types[1];
-    job.expires = 20s;
-    job.toldMemoryMb = 1500;
-    host.controller->take(host.now, job);
-  }
+  host.needMb = 1500;
+  host.takeMany(6, 1);
   EXPECT_EQ(host.sent.size(), 2U);
 }
 
@@ -158,10 +151,9 @@
   host.site.machines[0].memoryMb = 4000;
   host.open(1);
   for (const double granted : {1.2, 1.6}) {
-    host.take(0);
-    ASSERT_TRUE(host.jobs.back().dispatches.size());
+    EXPECT_EQ(host.takeMany(1, 0), 1U);
     const LoadReport paging{.jobsHeld = 8, .memoryGranted = granted};
-    host.end(*host.sent.back(), Outcome::done, &paging);
+    host.endAll(Outcome::done, &paging);
   }
   EXPECT_EQ(host.takeMany(1, 0), 0U);
 }
@@ -315,10 +307,9 @@
     site.controllers = 100;
     open(20);
   }
-  std::size_t reached() const {
-    std::size_t met = 0;
-    for (std::size_t each = 0; each < engines.size(); ++each) met += sentTo(static_cast<int>(each)) > 0;
-    return met;
+  auto reached() const {
+    return std::count_if(engines.begin(), engines.end(),
+                         [](const Engine& each) { return !each.warmSets.empty(); });
   }
 };
 
@@ -336,16 +327,14 @@
 
 TEST(Thin, AControllerKeepsToAPartOfTheFleetThatItsTrafficSeesAfresh) {
   ThinHost light, heavy;
-  for (int each = 0; each < 20; ++each) {
-    light.takeMany(1, 0);
-    light.pass(500ms);
-    light.endAll();
-    heavy.takeMany(30, 0);
-    heavy.pass(500ms);
-    heavy.endAll();
-  }
-  EXPECT_LE(light.reached(), 6U);
-  EXPECT_EQ(heavy.reached(), 20U);
+  for (int each = 0; each < 20; ++each)
+    for (ThinHost* host : {&light, &heavy}) {
+      host->takeMany(host == &light ? 1 : 30, 0);
+      host->pass(500ms);
+      host->endAll();
+    }
+  EXPECT_LE(light.reached(), 6);
+  EXPECT_EQ(heavy.reached(), 20);
 }
 
 TEST(Thin, PeersAreNotToldOfSharesUnderAJobAndProbesFollowTheJobs) {
@@ -375,7 +364,7 @@
   host.open(2);
   host.takeMany(4, 0);
   const LoadReport idle{.jobsHeld = 0};
-  for (Dispatch* each : std::vector<Dispatch*>(host.sent)) host.end(*each, Outcome::done, &idle);
+  host.endAll(Outcome::done, &idle);
   host.take(0);
   Engine* full = host.sent.back()->engine;
   host.end(*host.sent.back(), Outcome::turnedAway);
--- a/tests/fake_host.hpp
+++ b/tests/fake_host.hpp
@@ -39,6 +39,7 @@
   std::vector<Job*> throttled, cancelled;
   std::vector<Span> comeBacks;
   int told = 0;
+  double needMb = 0;  // of the jobs to come
   std::string story;
   std::unique_ptr<Controller> controller;
 
@@ -63,6 +64,7 @@
     job.expires = now + job.type->jobTimeout;
     job.toldCost = cost;
     job.key = key;
+    job.toldMemoryMb = needMb;
     controller->take(now, job);
     return job;
   }
@@ -74,11 +76,9 @@
   void end(Dispatch& dispatch, Outcome outcome = Outcome::done, const LoadReport* report = nullptr) {
     controller->ended(now, dispatch, outcome, outcome == Outcome::done, std::nullopt, report);
   }
-  void endAll(Outcome outcome = Outcome::done) {
-    const std::vector<Dispatch*> all = sent;
-    for (Dispatch* each : all) {
-      if (each->out) end(*each, outcome);
-    }
+  void endAll(Outcome outcome = Outcome::done, const LoadReport* report = nullptr) {
+    for (Dispatch* each : std::vector<Dispatch*>(sent))
+      if (each->out) end(*each, outcome, report);
   }
   // Lets time pass, tick by tick, waking the controller when it has asked for that.
   void pass(Span time) {
--- a/tests/simwire_test.cpp
+++ b/tests/simwire_test.cpp
@@ -14,19 +14,21 @@
     "profiles.0.onTimeUs=500000\nprofiles.0.giveUpUs=4000000\nlimits.mostTries=3\nlimits.retryAfter=true\n"
     "limits.maxRetryAfterUs=1000000\ntickUs=5000\nnever.seen=1,2\n";
 
+// Fields as pairs of value and size.
+using Fields = std::initializer_list<std::pair<std::uint64_t, int>>;
+std::string packed(Fields fields) {
+  std::string bytes;
+  for (const auto& [value, size] : fields) put(bytes, value, size);
+  return bytes;
+}
+
 struct Frame {
   std::string body;
   std::uint32_t count = 0;
 
-  // Fields as pairs of value and size.
-  Frame& record(int code, std::initializer_list<std::pair<std::uint64_t, int>> fields,
-                const std::string& tail = "") {
-    std::string packed;
-    for (const auto& [value, size] : fields) put(packed, value, size);
-    packed += tail;
-    put(body, static_cast<std::uint64_t>(code), 1);
-    put(body, packed.size(), 4);
-    body += packed;
+  Frame& record(std::uint64_t code, Fields fields, const std::string& tail = "") {
+    const std::string content = packed(fields) + tail;
+    body += packed({{code, 1}, {content.size(), 4}}) + content;
     ++count;
     return *this;
   }
@@ -42,12 +44,7 @@
         11, {{who, 4}, {id, 4}, {5000000, 8}, {0, 4}, {1, 2}, {9000, 4}, {0, 1}, {0, 8}, {0, 2}, {0, 4}});
   }
   std::string bytes(std::uint64_t clock = 1000000) const {
-    std::string whole;
-    put(whole, 77, 4);
-    put(whole, body.size() + 12, 4);
-    put(whole, clock, 8);
-    put(whole, count, 4);
-    return whole + body;
+    return packed({{77, 4}, {body.size() + 12, 4}, {clock, 8}, {count, 4}}) + body;
   }
 };
 
@@ -67,32 +64,18 @@
   return "";
 }
 
-TEST(Wire, AnEmptyBatchGetsAnEmptyReply) {
-  std::string empty;
-  put(empty, 77, 4);
-  put(empty, 0, 8);
-  EXPECT_EQ(served(Frame().bytes()), empty);
-}
+TEST(Wire, AnEmptyBatchGetsAnEmptyReply) { EXPECT_EQ(served(Frame().bytes()), packed({{77, 4}, {0, 8}})); }
 
 TEST(Wire, AJobIsIssuedToTheListedExecutorByItsOwnIds) {
   const std::string reply = served(Frame().start(3).list(3, 0xabcd).job(3, 0x1234).bytes());
-  std::string issue;
-  for (const auto& [value, size] : std::initializer_list<std::pair<std::uint64_t, int>>{
-           {12, 1}, {20, 4}, {3, 4}, {0x1234, 4}, {5000000, 8}, {0xabcd, 4}}) {
-    put(issue, value, size);
-  }
-  EXPECT_NE(reply.find(issue), std::string::npos);
+  EXPECT_NE(reply.find(packed({{12, 1}, {20, 4}, {3, 4}, {0x1234, 4}, {5000000, 8}, {0xabcd, 4}})),
+            std::string::npos);
 }
 
 TEST(Wire, AControllerStartedAgainInABatchKnowsNothing) {
   const std::string reply =
       served(Frame().start(3).list(3, 1).record(10, {{3, 4}}).start(3).job(3, 6).bytes());
-  std::string busy;
-  for (const auto& [value, size] :
-       std::initializer_list<std::pair<std::uint64_t, int>>{{3, 1}, {12, 4}, {3, 4}, {6, 4}}) {
-    put(busy, value, size);
-  }
-  EXPECT_NE(reply.find(busy), std::string::npos);
+  EXPECT_NE(reply.find(packed({{3, 1}, {12, 4}, {3, 4}, {6, 4}})), std::string::npos);
 }
 
 TEST(Wire, NewsOfAJobThatHasEndedIsIgnored) {
