--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -256,10 +256,9 @@
 }
 
 // How many engines this controller looks at. One with thin shares keeps to a part of the fleet of its own,
-// the first in its order of chance, as many as its traffic lets it see afresh while a report holds.
+// the first in its order of chance, as many as the jobs it takes in an SLA time: these it sees afresh.
 double Controller::reach() {
-  const double seen = drawn_.sum(now_) * kFreshSlas / 4;
-  return thin_ ? std::max(kLooks, seen) : static_cast<double>(engines_.size());
+  return thin_ ? std::max(kLooks, drawn_.sum(now_) / 4) : static_cast<double>(engines_.size());
 }
 
 // The best fitting engine: least loaded for its cores, warm, near, not one that has failed this job. Never
@@ -760,13 +759,13 @@
 }
 
 // Where only probes bring load reports and no peer tells, an engine is probed when its last report has aged:
-// of a thin share's part of the fleet, and no more probes than jobs.
+// of a thin share's part of the fleet, more rarely, and one probe for two jobs at most.
 void Controller::probeUnseen() {
   if (!site_.reportsOnProbe || !site_.mayProbe || peersTell() || site_.controllers < 2) return;
-  const Span aged = shortest_->slaTime * kFreshSlas;
+  const Span aged = shortest_->slaTime * kFreshSlas * (thin_ ? 2 : 1);
   double looks = reach();
   for (Engine* engine : engines_) {
-    if (--looks < 0 || (thin_ && probes_.sum(now_) >= drawn_.sum(now_))) return;
+    if (--looks < 0 || (thin_ && 2 * probes_.sum(now_) >= drawn_.sum(now_))) return;
     const auto recent = [&](const std::optional<Span>& at) { return at && now_ - *at < aged; };
     if (!engine->listed || recent(engine->othersSeen) || recent(engine->probeSent)) continue;
     engine->probeSent = now_;
