The fleet's mean fades unheard, so that no controller sheds for good

Change: with no fresh report the mean fades, three times as slowly as what the fleet held runs off. Also guards against: any source of reports that falls silent. Harm: a collapsed fleet is tried again a little sooner.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -31,6 +31,7 @@
 constexpr double kTokenHorizon = 0.6;     // of the longest usual SLA time: work that a thread may have ahead
 constexpr double kCopyShare = 0.05;       // of recent dispatches: second copies at most
 constexpr double kEaseDown = 0.9, kEaseUp = 0.05, kLeastEase = 0.3;
+constexpr double kHeldOff = 3;     // times what the fleet held runs off: how fast its unheard mean fades
 constexpr double kLooks = 3;       // engines that a controller with thin shares chooses among
 constexpr int kTrialSlas = 2;      // SLA times of the shortest type between trials of a doubted engine
 constexpr double kIllShare = 0.3;  // of recent outcomes: an engine that fails more is doubted
@@ -275,7 +276,7 @@
       // A trial is a short job, which costs least; a controller that has none sends what it has, later.
       const Span patience = job.type == shortest_ ? Span{0} : shortest_->slaTime * 4 * kTrialSlas;
       const bool trial = engine->trialAt && now_ >= *engine->trialAt + patience;
-      const bool ill = doubted(*engine) && !trial && !mostDoubted_;
+      const bool ill = doubted(*engine) && !trial;
       if (!engine->listed || ill == sound || !guarded(job, *engine)) continue;
       anySound = true;
       const Dispatch* before = nullptr;
@@ -679,8 +680,7 @@
 }
 
 int Controller::priority(const Job& job) const {
-  if (job.type == shortest_) return 3;
-  return job.tokens < meanCost(*job.type) / 2 ? 2 : 1;
+  return job.type == shortest_ ? 3 : job.tokens < meanCost(*job.type) / 2 ? 2 : 1;
 }
 
 // A report is from a while back: what was sent since is not in it, and must not be taken off it as own.
@@ -707,14 +707,12 @@
   ownMemory_.add(now_, memoryOut_);
   std::vector<double> all;
   double threads = 0, memory = 0, cores = 0, machines = 0, allCores = 0, allMachines = 0;
-  int doubts = 0;
   for (Engine* engine : engines_) {
     if (!engine->listed) continue;
     allCores += site_.machines[engine->listing.kind].cores;
     allMachines += std::max(1.0, site_.machines[engine->listing.kind].memoryMb);
     weigh(*engine);
     const bool ill = doubted(*engine);
-    doubts += ill ? 1 : -1;
     if (ill != engine->doubtLogged)
       host_.log("engine " + std::to_string(engine->number) + (ill ? " doubted" : " trusted"));
     engine->doubtLogged = ill;
@@ -726,11 +724,15 @@
     cores += site_.machines[engine->listing.kind].cores;
     machines += std::max(1.0, site_.machines[engine->listing.kind].memoryMb);
   }
-  mostDoubted_ = doubts > 0;
   if (cores > 0) {
     fleetThreads_ = threads / cores;
     fleetMemory_ = memory / machines;
-  } else if (!told_ && allCores > 0) {
+  } else if (told_) {
+    // Who sheds by an old word hears no new one: it fades, more slowly than what the fleet held runs off.
+    const double drains = std::max(1e-3, kHeldOff * fleetThreads_ * heldSquare_ / heldThreads_);
+    const double left = std::exp(-seconds(shortest_->slaTime) / 8 / drains);
+    fleetThreads_ *= left, fleetMemory_ *= left;
+  } else if (allCores > 0) {
     // Nobody tells of the others, and what is out here now is too little to go by: they are taken to do as
     // this controller did over a while, spread over all engines.
     const double others = (site_.controllers - 1) / 32.0;  // so many looks are summed
@@ -751,8 +753,7 @@
   rescue();
   tellPeers();
   probeUnseen();
-  // Where the list must be asked for, one that has not asked for long counts as told of all listed since: it
-  // watches, and asks again whenever the answer is late or failed.
+  // Where the list must be asked for, one long unasked counts as told of all listed since: ask in time.
   if (!site_.listOnRequest || now_ < nextAsk_) return;
   nextAsk_ = now_ + site_.mustAskWithin / 3;
   host_.watchList();
--- a/src/choice.hpp
+++ b/src/choice.hpp
@@ -150,7 +150,6 @@
   double threadsOut_ = 0, memoryOut_ = 0;      // own, on all engines
   BucketRing<double> ownThreads_, ownMemory_;
   Easing fleetEase_;
-  bool mostDoubted_ = false;  // then a doubt tells nothing of the engine
   double heldTime_ = 1e-3, heldThreads_ = 1e-3, heldSquare_ = 1e-3;
   std::optional<Span> nextWake_, stallEnded_;
   Span stalled_{0};
