No guess of the others' memory, no floor shut by a guess

Change: where nothing is told, the others' memory is not guessed, and the guess of their threads shuts no floor. Harm: on a fleet short of memory and nothing else, wide jobs are let in until they are late.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -65,7 +65,7 @@
   if (site_.listOnRequest) host_.watchList();
   nextAsk_ = now + site_.mustAskWithin / 3;
   copies_ = started_ = BucketRing<double>(shortest_->slaTime);
-  drawn_ = probes_ = ownThreads_ = ownMemory_ = BucketRing<double>(shortest_->slaTime / 2);
+  drawn_ = probes_ = ownThreads_ = BucketRing<double>(shortest_->slaTime / 2);
   double cores = 1;
   for (const Machine& machine : site_.machines) cores = std::max(cores, machine.cores);
   told_ = site_.reportsOnProbe && site_.mayProbe;
@@ -344,7 +344,6 @@
   engine.threads += dispatch->threads;
   engine.memoryMb += dispatch->memoryMb;
   threadsOut_ += dispatch->threads;
-  memoryOut_ += dispatch->memoryMb;
   engine.coldSent.add(now_, meanCost(*job.type));
   started_.add(now_, 1);
   if (!job.dispatches.empty()) further_.add(now_, 1);
@@ -371,7 +370,6 @@
   engine.threads -= dispatch.threads;
   engine.memoryMb -= dispatch.memoryMb;
   threadsOut_ -= dispatch.threads;
-  memoryOut_ -= dispatch.memoryMb;
   std::erase(engine.out, &dispatch);
   std::erase(out_, &dispatch);
 }
@@ -594,12 +592,13 @@
 }
 
 // The floor of the shortest type holds one job at least, however thin the share, but on no engine that all
-// together are seen to have filled past any bound.
+// together are told, not guessed, to have filled past any bound.
 double Controller::floorThreads(const Job& job, Engine& engine) {
   const ReservationType& type = *job.type;
   const double threads = floors_[type.index] * bound(engine);
   const double full = engine.cores * kMark * kOverMark;
-  if (&type != shortest_ || others(engine).threads + engine.threads + type.threads > full) return threads;
+  const bool filled = told_ && others(engine).threads + engine.threads + type.threads > full;
+  if (&type != shortest_ || filled) return threads;
   return std::max<double>(threads, type.threads);
 }
 
@@ -704,13 +703,11 @@
   if (now_ < nextSurvey_) return;
   nextSurvey_ = now_ + shortest_->slaTime / 8;
   ownThreads_.add(now_, threadsOut_);
-  ownMemory_.add(now_, memoryOut_);
   std::vector<double> all;
-  double threads = 0, memory = 0, cores = 0, machines = 0, allCores = 0, allMachines = 0;
+  double threads = 0, memory = 0, cores = 0, machines = 0, allCores = 0;
   for (Engine* engine : engines_) {
     if (!engine->listed) continue;
     allCores += site_.machines[engine->listing.kind].cores;
-    allMachines += std::max(1.0, site_.machines[engine->listing.kind].memoryMb);
     weigh(*engine);
     const bool ill = doubted(*engine);
     if (ill != engine->doubtLogged)
@@ -734,10 +731,10 @@
     fleetThreads_ *= left, fleetMemory_ *= left;
   } else if (allCores > 0) {
     // Nobody tells of the others, and what is out here now is too little to go by: they are taken to do as
-    // this controller did over a while, spread over all engines.
+    // this controller did over a while, spread over all engines. Of memory so little is out that it would
+    // shed for one dear job.
     const double others = (site_.controllers - 1) / 32.0;  // so many looks are summed
     fleetThreads_ = ownThreads_.sum(now_) * others / allCores;
-    fleetMemory_ = ownMemory_.sum(now_) * others / allMachines;
   }
   if (!all.empty()) {
     std::nth_element(all.begin(), all.begin() + static_cast<std::ptrdiff_t>(all.size() / 2), all.end());
--- a/src/choice.hpp
+++ b/src/choice.hpp
@@ -147,8 +147,8 @@
   bool told_ = false;   // reports or peers have told of the others
   bool thin_ = false;   // a controller's share of an engine is less than the widest job
   double fleetThreads_ = 0, fleetMemory_ = 0;  // of the others: threads a core, part of the memory
-  double threadsOut_ = 0, memoryOut_ = 0;      // own, on all engines
-  BucketRing<double> ownThreads_, ownMemory_;
+  double threadsOut_ = 0;                      // own, on all engines
+  BucketRing<double> ownThreads_;
   Easing fleetEase_;
   double heldTime_ = 1e-3, heldThreads_ = 1e-3, heldSquare_ = 1e-3;
   std::optional<Span> nextWake_, stallEnded_;
