Untold, the floor of short jobs ends at this controller's part of all marks

Change: where nothing is told, a controller with its part of all marks out in short jobs alone spends no more floor. Also guards against: clients' retries that multiply short jobs.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -344,6 +344,7 @@
   engine.threads += dispatch->threads;
   engine.memoryMb += dispatch->memoryMb;
   threadsOut_ += dispatch->threads;
+  shortsOut_ += job.type == shortest_ ? dispatch->threads : 0;
   engine.coldSent.add(now_, meanCost(*job.type));
   started_.add(now_, 1);
   if (!job.dispatches.empty()) further_.add(now_, 1);
@@ -370,6 +371,7 @@
   engine.threads -= dispatch.threads;
   engine.memoryMb -= dispatch.memoryMb;
   threadsOut_ -= dispatch.threads;
+  shortsOut_ -= dispatch.job->type == shortest_ ? dispatch.threads : 0;
   std::erase(engine.out, &dispatch);
   std::erase(out_, &dispatch);
 }
@@ -592,12 +594,13 @@
 }
 
 // The floor of the shortest type holds one job at least, however thin the share, but on no engine that all
-// together are told, not guessed, to have filled past any bound.
+// together are told to have filled past any bound, nor, untold, past this controller's part of all marks.
 double Controller::floorThreads(const Job& job, Engine& engine) {
   const ReservationType& type = *job.type;
   const double threads = floors_[type.index] * bound(engine);
   const double full = engine.cores * kMark * kOverMark;
-  const bool filled = told_ && others(engine).threads + engine.threads + type.threads > full;
+  const bool filled = told_ ? others(engine).threads + engine.threads + type.threads > full
+                            : shortsOut_ + type.threads > allCores_ * kMark / site_.controllers;
   if (&type != shortest_ || filled) return threads;
   return std::max<double>(threads, type.threads);
 }
@@ -704,10 +707,11 @@
   nextSurvey_ = now_ + shortest_->slaTime / 8;
   ownThreads_.add(now_, threadsOut_);
   std::vector<double> all;
-  double threads = 0, memory = 0, cores = 0, machines = 0, allCores = 0;
+  double threads = 0, memory = 0, cores = 0, machines = 0;
+  allCores_ = 0;
   for (Engine* engine : engines_) {
     if (!engine->listed) continue;
-    allCores += site_.machines[engine->listing.kind].cores;
+    allCores_ += site_.machines[engine->listing.kind].cores;
     weigh(*engine);
     const bool ill = doubted(*engine);
     if (ill != engine->doubtLogged)
@@ -729,12 +733,11 @@
     const double drains = std::max(1e-3, kHeldOff * fleetThreads_ * heldSquare_ / heldThreads_);
     const double left = std::exp(-seconds(shortest_->slaTime) / 8 / drains);
     fleetThreads_ *= left, fleetMemory_ *= left;
-  } else if (allCores > 0) {
-    // Nobody tells of the others, and what is out here now is too little to go by: they are taken to do as
-    // this controller did over a while, spread over all engines. Of memory so little is out that it would
-    // shed for one dear job.
+  } else if (allCores_ > 0) {
+    // Nobody tells of the others: they are taken to do as this controller did over a while, spread over all
+    // engines. Of memory so little is out that it would shed for one dear job.
     const double others = (site_.controllers - 1) / 32.0;  // so many looks are summed
-    fleetThreads_ = ownThreads_.sum(now_) * others / allCores;
+    fleetThreads_ = ownThreads_.sum(now_) * others / allCores_;
   }
   if (!all.empty()) {
     std::nth_element(all.begin(), all.begin() + static_cast<std::ptrdiff_t>(all.size() / 2), all.end());
--- a/src/choice.hpp
+++ b/src/choice.hpp
@@ -146,8 +146,8 @@
   double horizon_ = 0;  // seconds of work for each thread
   bool told_ = false;   // reports or peers have told of the others
   bool thin_ = false;   // a controller's share of an engine is less than the widest job
-  double fleetThreads_ = 0, fleetMemory_ = 0;  // of the others: threads a core, part of the memory
-  double threadsOut_ = 0;                      // own, on all engines
+  double fleetThreads_ = 0, fleetMemory_ = 0;             // of the others: threads a core, part of the memory
+  double threadsOut_ = 0, shortsOut_ = 0, allCores_ = 0;  // own, on all engines
   BucketRing<double> ownThreads_;
   Easing fleetEase_;
   double heldTime_ = 1e-3, heldThreads_ = 1e-3, heldSquare_ = 1e-3;
--- a/tests/choice_test.cpp
+++ b/tests/choice_test.cpp
@@ -312,6 +312,7 @@
   EXPECT_EQ(host.takeMany(1, 1), 0U);
   EXPECT_EQ(host.throttled.size(), 1U);
   EXPECT_EQ(host.takeMany(2, 0), 2U);  // no guess shuts the floor of short jobs
+  EXPECT_EQ(host.takeMany(9, 0), 0U);  // but its part of all marks does: 20 x 8 x 2 / 150
   host.endAll();
   host.pass(5s);  // its mean has run dry
   EXPECT_EQ(host.takeMany(1, 1), 1U);
--- a/tests/fake_host.hpp
+++ b/tests/fake_host.hpp
@@ -12,8 +12,7 @@
 
 using namespace std::chrono_literals;
 
-// A whole small site: it plays the list, the jobs and the engines' answers to one controller, and keeps what
-// the controller does, both as objects and as one line of text an action.
+// A whole small site for one controller; it keeps what that does, as objects and as a line an action.
 class FakeHost : public Host {
  public:
   Deployment site = [] {
