Untold, twice its part out at once counts like a mean

Change: half of what a controller has out at this moment counts like its mean, where that is more. Also guards against: a controller that starts into a jump. Harm: one that takes many jobs by rights sheds wide ones sooner.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -345,6 +345,8 @@
   engine.memoryMb += dispatch->memoryMb;
   threadsOut_ += dispatch->threads;
   shortsOut_ += job.type == shortest_ ? dispatch->threads : 0;
+  if (!told_)
+    fleetThreads_ = std::max(fleetThreads_, ofOthers(threadsOut_ / kMark));  // no burst after a stall
   engine.coldSent.add(now_, meanCost(*job.type));
   started_.add(now_, 1);
   if (!job.dispatches.empty()) further_.add(now_, 1);
@@ -733,11 +735,9 @@
     const double drains = std::max(1e-3, kHeldOff * fleetThreads_ * heldSquare_ / heldThreads_);
     const double left = std::exp(-seconds(shortest_->slaTime) / 8 / drains);
     fleetThreads_ *= left, fleetMemory_ *= left;
-  } else if (allCores_ > 0) {
-    // Nobody tells of the others: they are taken to do as this controller did over a while, spread over all
-    // engines. Of memory so little is out that it would shed for one dear job.
-    const double others = (site_.controllers - 1) / 32.0;  // so many looks are summed
-    fleetThreads_ = ownThreads_.sum(now_) * others / allCores_;
+  } else {
+    // Nobody tells of the others: they do as this one did over a while. Its memory out is too little to tell.
+    fleetThreads_ = ofOthers(ownThreads_.sum(now_) / 32);  // so many looks are summed
   }
   if (!all.empty()) {
     std::nth_element(all.begin(), all.begin() + static_cast<std::ptrdiff_t>(all.size() / 2), all.end());
--- a/src/choice.hpp
+++ b/src/choice.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <array>
 #include <cstdint>
 #include <deque>
@@ -95,6 +96,7 @@
 
   void weigh(Engine& engine);
   InFlight others(Engine& engine);
+  double ofOthers(double own) const { return own * (site_.controllers - 1) / std::max(1.0, allCores_); }
   Easing& easing(Engine& engine) { return thin_ && !told_ ? fleetEase_ : engine.easing; }
   double bound(Engine& engine);
   double floorThreads(const Job& job, Engine& engine);
--- a/tests/fake_host.hpp
+++ b/tests/fake_host.hpp
@@ -79,7 +79,6 @@
     for (Dispatch* each : std::vector<Dispatch*>(sent))
       if (each->out) end(*each, outcome, report);
   }
-  // Lets time pass, tick by tick, waking the controller when it has asked for that.
   void pass(Span time) {
     for (const Span until = now + time; now < until;) {
       now += site.tick;
