A customer's share is counted over seven seconds, not one

Change: the count covers seven to eight seconds. An action of the interface that nothing used is gone (fetching the list). Harm: a customer that jumps far over its share is held to it some seconds later.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -48,7 +48,7 @@
       now_(now),
       lore_(deployment.types.size()),
       floors_(deployment.types.size()),
-      customerTaken_(deployment.customers.size(), BucketRing<double>(span(1.0 / 7))),
+      customerTaken_(deployment.customers.size(), BucketRing<double>(span(1))),
       taken_(deployment.furtherSpan / 8),
       further_(deployment.furtherSpan / 7 + Span{1}) {
   // Floors fall with the time and threads a type takes: the short, few-threaded hold the largest, loads none.
@@ -108,7 +108,7 @@
     BucketRing<double>& ring = customerTaken_[job.customer];
     ring.add(now, 1);
     const double quota = site_.customers[job.customer].quotaPerSecond / site_.controllers;
-    job.overShare = quota > 0 && ring.sum(now) > quota * 8 / 7;
+    job.overShare = quota > 0 && ring.sum(now) > quota * 8;
   }
   if (job.type->inOrder && job.key) turns_[job.key].line.push_back(&job);
   run(job);
--- a/src/choice.hpp
+++ b/src/choice.hpp
@@ -30,7 +30,6 @@
   virtual void probe(Engine&) = 0;
   virtual void tellPeers(const std::vector<PeerNote>&) = 0;
   virtual void watchList() = 0;
-  virtual void fetchList() = 0;
   virtual void log(std::string_view) = 0;
 };
 
