--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -144,6 +144,7 @@
   Job& other = host.take(0, 100ms, 8);
   EXPECT_EQ(other.dispatches.size(), 1U);
   host.pass(100ms);
+  EXPECT_TRUE(second.dispatches.empty());
   host.controller->gaveUp(host.now, first);  // its dispatch is still out
   host.pass(100ms);
   EXPECT_TRUE(second.dispatches.empty());
--- a/tests/simwire_test.cpp
+++ b/tests/simwire_test.cpp
@@ -14,8 +14,7 @@
     "profiles.0.onTimeUs=500000\nprofiles.0.giveUpUs=4000000\nlimits.mostTries=3\nlimits.retryAfter=true\n"
     "limits.maxRetryAfterUs=1000000\ntickUs=5000\nnever.seen=1,2\n";
 
-// Fields as pairs of value and size.
-using Fields = std::initializer_list<std::pair<std::uint64_t, int>>;
+using Fields = std::initializer_list<std::pair<std::uint64_t, int>>;  // value and size
 std::string packed(Fields fields) {
   std::string bytes;
   for (const auto& [value, size] : fields) put(bytes, value, size);
