Read through: slowness and the others' load worked out once a look; no action changes

A survey summed each engine's slowness twice, and a class check worked out the others' load four times; both are handed on now. The end of a wait has one wording, the widest type is kept no longer than the start needs it.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -53,12 +53,13 @@
       further_(deployment.furtherSpan / 7 + Span{1}) {
   // Floors fall with the time and threads a type takes: the short, few-threaded hold the largest, loads none.
   double weights = 0;
+  int widest = 1;
   for (const ReservationType& type : site_.types) {
     const double size = seconds(type.slaTime) * type.threads;
     lore_[type.index].meanCost = size;
     floors_[type.index] = type.load ? 0 : 1 / std::max(size, 1e-3);
     weights += floors_[type.index];
-    widest_ = std::max(widest_, type.threads);
+    widest = std::max(widest, type.threads);
     if (!shortest_ || size < seconds(shortest_->slaTime) * shortest_->threads) shortest_ = &type;
   }
   for (double& each : floors_) each *= weights > 0 ? kFloorShare / weights : 0;
@@ -69,7 +70,7 @@
   double cores = 1;
   for (const Machine& machine : site_.machines) cores = std::max(cores, machine.cores);
   told_ = site_.reportsOnProbe && site_.mayProbe;
-  thin_ = cores * kMark * kOverMark / site_.controllers < widest_;
+  thin_ = cores * kMark * kOverMark / site_.controllers < widest;
 }
 
 double Controller::chance() {
@@ -246,10 +247,14 @@
   return Step::keep;
 }
 
+Span Controller::waitEnd(const Job& job) const {
+  return std::min(now_ + span(seconds(job.type->jobTimeout) * kWaitShare), job.expires);
+}
+
 // The design's class checks: a job that fits on no engine is throttled at once, any other may queue.
 Controller::Step Controller::room(Job& job) {
   if (job.waitEnds) return Step::pass;
-  job.waitEnds = std::min(now_ + span(seconds(job.type->jobTimeout) * kWaitShare), job.expires);
+  job.waitEnds = waitEnd(job);
   const bool any = std::any_of(engines_.begin(), engines_.end(), [&](Engine* engine) {
     return engine->listed && placed(job, *engine) && fits(job, *engine);
   });
@@ -310,7 +315,7 @@
   if (Engine* best = choose(job)) {
     const double over = markUsed(job.type->threads, *best) - 1;
     const double mine = best->byType[job.type->index].threads;
-    const bool byFloor = mine + job.type->threads <= floorThreads(job, *best);
+    const bool byFloor = mine + job.type->threads <= floorThreads(job, *best, others(*best));
     if (over <= 0 || byFloor || (!job.overShare && chance() < std::exp(-16 * over) / 4)) {
       start(job, *best);
       return Step::pass;
@@ -438,7 +443,7 @@
     return engine->listed && repeatsSafely(job, *engine) && placed(job, *engine);
   });
   if (late || !anywhere || !mayRun(job) || now_ + site_.tick >= job.expires) return giveUp(job);
-  job.waitEnds = std::min(now_ + span(seconds(job.type->jobTimeout) * kWaitShare), job.expires);
+  job.waitEnds = waitEnd(job);
   job.dice = chance();
   drawn_.add(now_, 1);
   run(job);
@@ -549,14 +554,15 @@
 // ---- what an engine can take ----------------------------------------------------------------------------
 
 // A cold or slow engine counts for less. Slow is meant against the others: all slow together are not ill.
-void Controller::weigh(Engine& engine) {
+double Controller::weigh(Engine& engine) {
   double& cores = engine.cores = site_.machines[engine.listing.kind].cores;
   if (isCold(engine)) {
     const double part = seconds(now_ - *engine.listing.started) / seconds(site_.coldFor);
     cores *= site_.coldStart + (1 - site_.coldStart) * std::clamp(part, 0.0, 1.0);
   }
-  const double slow = slowness(engine) / typicalSlowness_;
-  if (slow > 1.5) cores /= slow;
+  const double slow = slowness(engine);
+  if (slow / typicalSlowness_ > 1.5) cores /= slow / typicalSlowness_;
+  return slow;
 }
 
 // Threads for the work done, with what is out and overdue counted as it stands.
@@ -589,38 +595,35 @@
 
 // The share of the mark, or all that the others are seen to leave of it: a busy controller among light ones
 // passes its share below the mark.
-double Controller::bound(Engine& engine) {
+double Controller::bound(Engine& engine, const InFlight& theirs) {
   const double whole = engine.cores * kMark * easing(engine).ease * kOverMark;
   const double share = whole / site_.controllers;
-  return std::max(share, whole - others(engine).threads);
+  return std::max(share, whole - theirs.threads);
 }
 
 // The floor of the shortest type holds one job at least, however thin the share, but on no engine that all
 // together are told to have filled past any bound, nor, untold, past this controller's part of all marks.
-double Controller::floorThreads(const Job& job, Engine& engine) {
-  const ReservationType& type = *job.type;
-  const double threads = floors_[type.index] * bound(engine);
-  const double full = engine.cores * kMark * kOverMark;
-  const bool filled = told_ ? others(engine).threads + engine.threads + type.threads > full
-                            : shortsOut_ + type.threads > allCores_ * kMark / site_.controllers;
-  if (&type != shortest_ || filled) return threads;
-  return std::max<double>(threads, type.threads);
+double Controller::floorThreads(const Job& job, Engine& engine, const InFlight& theirs) {
+  const double threads = floors_[job.type->index] * bound(engine, theirs), more = job.type->threads;
+  const bool filled = told_ ? theirs.threads + engine.threads + more > engine.cores * kMark * kOverMark
+                            : shortsOut_ + more > allCores_ * kMark / site_.controllers;
+  return job.type != shortest_ || filled ? threads : std::max(threads, more);
 }
 
 // Floors first, then the shared remainder, in threads and in tokens.
 bool Controller::fits(const Job& job, Engine& engine) {
   const Machine& machine = site_.machines[engine.listing.kind];
   const std::size_t type = job.type->index;
-  const double threads = bound(engine);
+  const InFlight theirs = others(engine);
+  const double threads = bound(engine, theirs);
   const double tokens = threads / kMark * horizon_;
   // A type with nothing in flight here may start one job below the mark: else a share thinner than a wide
   // job, or a budget smaller than a dear one, would shut it out for good.
-  const InFlight theirs = others(engine);
   const double whole = engine.cores * kMark * easing(engine).ease;
   const bool alone = engine.byType[type].threads <= 0 &&
                      (theirs.threads <= 0 || engine.threads + theirs.threads + job.type->threads <= whole);
   const InFlight& mine = engine.byType[type];
-  const bool byFloor = mine.threads + job.type->threads <= floorThreads(job, engine) &&
+  const bool byFloor = mine.threads + job.type->threads <= floorThreads(job, engine, theirs) &&
                        (mine.threads <= 0 || mine.tokens + job.tokens <= floors_[type] * tokens);
   if (!alone && !byFloor) {
     double borrowedThreads = 0, borrowedTokens = 0;
@@ -635,9 +638,8 @@
     if (mine.tokens + job.tokens > ceiling * tokens) return false;
     if (std::max(borrowedThreads / threads, borrowedTokens / tokens) > 1 - kFloorShare) return false;
   }
-  // Grants past the memory make the engine page, or its queue stand: they count against it like threads. A
-  // job that needs less than half its threads' part is not what crowds it, but one far past its memory is let
-  // be.
+  // Grants past the memory make the engine page, or its queue stand: they count like threads. A job that
+  // needs under half its threads' part does not crowd it; an engine far past its memory is left alone by all.
   const double need = memoryNeed(job), used = engine.memoryMb + theirs.memoryMb;
   const double fair = machine.memoryMb * job.type->threads / (machine.cores * kMark) / 2;
   if (machine.memoryMb <= 0 || used <= 0) return true;
@@ -714,12 +716,12 @@
   for (Engine* engine : engines_) {
     if (!engine->listed) continue;
     allCores_ += site_.machines[engine->listing.kind].cores;
-    weigh(*engine);
+    const double slow = weigh(*engine);
     const bool ill = doubted(*engine);
     if (ill != engine->doubtLogged)
       host_.log("engine " + std::to_string(engine->number) + (ill ? " doubted" : " trusted"));
     engine->doubtLogged = ill;
-    if (engine->workDone.sum(now_) > 0) all.push_back(slowness(*engine));
+    if (engine->workDone.sum(now_) > 0) all.push_back(slow);
     told_ = told_ || engine->othersSeen;
     if (!engine->othersSeen || now_ - *engine->othersSeen > shortest_->slaTime * kFreshSlas) continue;
     threads += engine->othersThreads;
--- a/src/choice.hpp
+++ b/src/choice.hpp
@@ -93,12 +93,12 @@
   bool guarded(const Job& job, Engine& engine);
   bool isCold(const Engine& engine) const;
 
-  void weigh(Engine& engine);
+  double weigh(Engine& engine);  // and tells its slowness
   InFlight others(Engine& engine);
   double ofOthers(double own) const { return own * (site_.controllers - 1) / std::max(1.0, allCores_); }
   Easing& easing(Engine& engine) { return thin_ && !told_ ? fleetEase_ : engine.easing; }
-  double bound(Engine& engine);
-  double floorThreads(const Job& job, Engine& engine);
+  double bound(Engine& engine, const InFlight& theirs);
+  double floorThreads(const Job& job, Engine& engine, const InFlight& theirs);
   bool fits(const Job& job, Engine& engine);
   bool doubted(Engine& engine);
   double slowness(Engine& engine);
@@ -122,6 +122,7 @@
   void look();
   void advance();
   void leaveLine(Job& job);
+  Span waitEnd(const Job& job) const;
   void keepUntil(Job& job, Span when);
   void rescue();
   void tellPeers();
@@ -139,7 +140,6 @@
   BucketRing<double> taken_, further_;  // for the budget of further dispatches
   BucketRing<double> copies_, drawn_, started_, probes_;
   const ReservationType* shortest_ = nullptr;
-  int widest_ = 1;
   std::multimap<Span, Job*> draws_;
   std::map<std::uint64_t, Turn> turns_;
   std::vector<Dispatch*> out_;
