--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -52,7 +52,7 @@
       taken_(deployment.furtherSpan / 8),
       further_(deployment.furtherSpan / 7 + Span{1}) {
   // Floors fall with the time and threads a type takes: the short, few-threaded hold the largest, loads none.
-  double weights = 0;
+  double weights = 0, cores = 1;
   int widest = 1;
   for (const ReservationType& type : site_.types) {
     const double size = seconds(type.slaTime) * type.threads;
@@ -67,7 +67,6 @@
   nextAsk_ = now + site_.mustAskWithin / 3;
   copies_ = started_ = BucketRing<double>(shortest_->slaTime);
   drawn_ = probes_ = ownThreads_ = BucketRing<double>(shortest_->slaTime / 2);
-  double cores = 1;
   for (const Machine& machine : site_.machines) cores = std::max(cores, machine.cores);
   told_ = site_.reportsOnProbe && site_.mayProbe;
   thin_ = cores * kMark * kOverMark / site_.controllers < widest;
