--- /dev/null
+++ b/src/program/configuration.hpp
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <cstdint>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+#include "protocol/change_log.hpp"
+#include "protocol/settings.hpp"
+#include "transport/connection.hpp"
+
+namespace paddletrack::program {
+
+// What is wrong with the configuration, with the key at fault.
+struct Misconfigured : std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+
+// What one controller is told, read and checked.
+struct Node {
+  std::string name;
+  transport::Address listen, changeLog;
+  std::uint64_t seed = 0;
+  std::size_t memoryBytes = 0, descriptors = 0;
+  std::uint64_t known = 0;  // number of the last change that is known
+  std::vector<protocol::Change> changes;
+  protocol::Told told;
+};
+
+Node readNode(const std::string& path);
+
+}  // namespace paddletrack::program
--- /dev/null
+++ b/src/program/serve.cpp
@@ -0,0 +1,88 @@
+#include "program/serve.hpp"
+
+#include <csignal>
+#include <cstdio>
+
+#include <sys/signalfd.h>
+#include <unistd.h>
+
+#include "program/log.hpp"
+#include "routing/client_side.hpp"
+#include "routing/desk.hpp"
+#include "routing/follower.hpp"
+
+namespace paddletrack::program {
+namespace {
+
+using std::chrono::milliseconds;
+
+// A planned restart: connections and requests go on coming for a while after SIGTERM, and SIGKILL comes no
+// sooner than the longest job timeout, at most so long, and a last stretch.
+constexpr milliseconds kStillComing{700}, kLongestRest{3000}, kLastStretch{700}, kMargin{300};
+
+// How the limits told are shared out.
+constexpr std::size_t kUnsentShare = 4;     // of the memory: a fourth for bytes on their way out
+constexpr std::size_t kInputShare = 8;      // an eighth for requests that are still coming in
+constexpr std::size_t kOpenBytes = 16384;   // that an open request may cost, with its result; a fourth for all
+constexpr std::size_t kOwnDescriptors = 8;  // standard streams, epoll, signals, listener, change log, spare
+
+int signals() {
+  sigset_t wanted;
+  sigemptyset(&wanted);
+  sigaddset(&wanted, SIGTERM);
+  sigaddset(&wanted, SIGINT);
+  sigprocmask(SIG_BLOCK, &wanted, nullptr);
+  std::signal(SIGPIPE, SIG_IGN);
+  return ::signalfd(-1, &wanted, SFD_NONBLOCK | SFD_CLOEXEC);
+}
+
+transport::Task<> leaveOnSignal(transport::Scheduler& scheduler, transport::Descriptor& signal,
+                                const Node& node, routing::Desk& desk, routing::ClientSide& clients,
+                                const routing::Say& say) {
+  co_await signal.readable.wait();
+  const transport::Moment told = scheduler.now();
+  Span longest{0};
+  for (const ReservationType& type : node.told.deployment.types) longest = std::max(longest, type.jobTimeout);
+  const Span rest = std::min<Span>(longest, kLongestRest) + kLastStretch - kMargin;
+  say("leaving", std::to_string(desk.open()) + " requests open, " + std::to_string(rest.count() / 1000) + " ms at most");
+  clients.leave();
+  desk.answerBy(desk.now() + rest - kMargin);
+  while (scheduler.now() < told + rest) {
+    if (scheduler.now() >= told + kStillComing && desk.open() == 0 && clients.unsent() == 0) break;
+    co_await scheduler.sleepUntil(scheduler.now() + milliseconds(20));
+  }
+  say("leaving", std::to_string(desk.open()) + " requests open at the end");
+  scheduler.stop();
+}
+
+}  // namespace
+
+int serve(const Node& node) {
+  Log log;
+  const routing::Say say = [&log](const char* topic, const std::string& line) { log.say(topic, line); };
+  transport::Scheduler scheduler;
+  transport::Unsent unsent{node.memoryBytes / kUnsentShare, 0};
+  const Deployment& site = node.told.deployment;
+  if (site.mayProbe || site.mayTellPeers || site.progressPace > Span{0})
+    say("unsupported", "the settings allow probes, peers or notes: there is no message for these, they are not used");
+
+  const std::size_t connections = (node.descriptors - kOwnDescriptors) / 2;
+  routing::Desk::Bounds bounds;
+  bounds.open = std::min(node.told.mostOpen, node.memoryBytes / 4 / kOpenBytes);
+  bounds.links = {node.told.sharedBy, connections, node.told.dialTimeout, node.told.idleClose};
+  routing::Desk desk(scheduler, unsent, node.told, bounds, node.seed, say);
+  for (const protocol::Change& change : node.changes) desk.listed(change);
+  const std::size_t frame = std::min<std::size_t>(1 << 20, node.memoryBytes / kInputShare / connections);
+  routing::ClientSide clients(scheduler, unsent, node.listen, {connections, frame, frame}, desk, say);
+  routing::Follower follower(scheduler, unsent, node.changeLog, node.known, node.seed, desk, say);
+
+  transport::Descriptor signal(scheduler, signals());
+  transport::Group running(scheduler, [&](const char* what) { say("leaving", what); });
+  running.spawn(leaveOnSignal(scheduler, signal, node, desk, clients, say));
+  say("serving", node.name + ", " + std::to_string(site.types.size()) + " reservation types, " +
+                     std::to_string(node.changes.size()) + " known changes");
+  scheduler.run();
+  return 0;
+}
+
+}  // namespace paddletrack::program
--- /dev/null
+++ b/src/protocol/json.hpp
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <cstdint>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <variant>
+#include <vector>
+
+namespace paddletrack::protocol {
+
+// What a peer or a file wrote does not follow its page. The text says what and where.
+struct Unreadable : std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+
+// One JSON value (RFC 8259), members in the order written.
+class Json {
+ public:
+  using Members = std::vector<std::pair<std::string, Json>>;
+  using Elements = std::vector<Json>;
+  std::variant<std::nullptr_t, bool, double, std::string, Elements, Members> value = nullptr;
+  std::string written;  // of a number: as it stands there
+
+  const Json* find(std::string_view name) const;  // absent, or no object: null
+
+  // These name the member at fault.
+  const Json& at(std::string_view name) const;
+  const std::string& text(std::string_view name) const;
+  double number(std::string_view name) const;
+  std::uint64_t whole(std::string_view name) const;
+  bool flag(std::string_view name) const;
+  const Elements& list(std::string_view name) const;
+};
+
+// Strict: one value and nothing after it, no doubled names, nesting bounded.
+Json parseJson(std::string_view text);
+
+}  // namespace paddletrack::protocol
--- a/src/simwire/deployment.cpp
+++ b/src/protocol/settings.cpp
@@ -1,11 +1,11 @@
-#include "simwire/deployment.hpp"
+#include "protocol/settings.hpp"
 
+#include <algorithm>
 #include <charconv>
-#include <map>
+#include <limits>
+#include <optional>
 
-#include "simwire/frame.hpp"
-
-namespace paddletrack::simwire {
+namespace paddletrack::protocol {
 namespace {
 
 std::vector<std::string> split(std::string_view text, char mark) {
@@ -23,21 +23,14 @@
   double value = 0;
   const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
   if (error != std::errc{} || end != text.data() + text.size()) {
-    throw Malformed("settings: " + key + ": '" + std::string(text) + "' is not a number");
+    throw Unreadable("settings: " + key + ": '" + std::string(text) + "' is not a number");
   }
   return value;
 }
 
 class Lines {
  public:
-  explicit Lines(std::string_view settings) {
-    for (const std::string& line : split(settings, '\n')) {
-      if (line.empty()) continue;
-      const std::size_t at = line.find('=');
-      if (at == std::string::npos || at == 0) throw Malformed("settings: '" + line + "' is not path=value");
-      values_[line.substr(0, at)] = line.substr(at + 1);
-    }
-  }
+  explicit Lines(const Paths& values) : values_(values) {}
 
   bool has(const std::string& key) const { return values_.count(key) > 0; }
   std::string text(const std::string& key) const {
@@ -56,7 +49,7 @@
   }
 
  private:
-  std::map<std::string, std::string> values_;
+  const Paths& values_;
 };
 
 // A list of places or kinds, by index; a name is looked up among all names.
@@ -73,6 +66,39 @@
   return indices;
 }
 
+void flatten(const Json& value, const std::string& path, Paths& out) {
+  const std::string inside = path.empty() ? "" : path + ".";
+  if (const auto* members = std::get_if<Json::Members>(&value.value)) {
+    for (const auto& [name, member] : *members) flatten(member, inside + name, out);
+  } else if (const auto* elements = std::get_if<Json::Elements>(&value.value)) {
+    const bool objects =
+        !elements->empty() && std::holds_alternative<Json::Members>(elements->front().value);
+    if (objects) out[inside + "count"] = std::to_string(elements->size());
+    std::string joined;
+    for (std::size_t each = 0; each < elements->size(); ++each) {
+      if (objects) {
+        flatten((*elements)[each], inside + std::to_string(each), out);
+        continue;
+      }
+      Paths one;
+      flatten((*elements)[each], "", one);
+      if (one.size() != 1) throw Unreadable("settings: " + path + ": a list within a list");
+      std::string text = one.begin()->second;
+      std::replace(text.begin(), text.end(), ',', '_');
+      joined += (each > 0 ? "," : "") + text;
+    }
+    if (!objects) out[path] = joined;
+  } else if (const auto* text = std::get_if<std::string>(&value.value)) {
+    out[path] = *text;
+  } else if (const auto* flag = std::get_if<bool>(&value.value)) {
+    out[path] = *flag ? "true" : "false";
+  } else if (std::holds_alternative<double>(value.value)) {
+    out[path] = value.written;
+  } else {
+    if (path.empty()) out[path];  // null in a list; elsewhere as good as absent
+  }
+}
+
 ReservationType type(const Lines& lines, std::size_t index) {
   const std::string at = "profiles." + std::to_string(index) + ".";
   ReservationType made;
@@ -83,7 +109,7 @@
   else if (effect == "fragile")
     made.effect = Effect::runOnce;
   else if (effect != "retryable")
-    throw Malformed("settings: " + at + "idempotency: '" + effect + "' is unknown");
+    throw Unreadable("settings: " + at + "idempotency: '" + effect + "' is unknown");
   if (group == "zone") made.repeatGroup = RepeatGroup::location;
   if (group == "cell") made.repeatGroup = RepeatGroup::cell;
   made.repeatWindow = lines.time(at + "windowUs");
@@ -102,18 +128,38 @@
 
 }  // namespace
 
-Told decode(std::string_view settings) {
-  const Lines lines(settings);
+Paths pathsOfLines(std::string_view lines) {
+  Paths paths;
+  for (const std::string& line : split(lines, '\n')) {
+    if (line.empty()) continue;
+    const std::size_t at = line.find('=');
+    if (at == std::string::npos || at == 0) throw Unreadable("settings: '" + line + "' is not path=value");
+    paths[line.substr(0, at)] = line.substr(at + 1);
+  }
+  return paths;
+}
+
+Paths pathsOfJson(const Json& settings) {
+  Paths paths;
+  flatten(settings, "", paths);
+  return paths;
+}
+
+Told decode(const Paths& paths) {
+  const Lines lines(paths);
   Told told;
   Deployment& made = told.deployment;
   made.controllers = std::max(1U, lines.whole("balancers"));
   made.location = lines.whole("zone");
-  for (std::size_t each = 0; each < lines.whole("profiles.count"); ++each)
+  for (std::size_t each = 0; each < lines.whole("profiles.count"); ++each) {
     made.types.push_back(type(lines, each));
-  if (made.types.empty()) throw Malformed("settings: profiles.count: no reservation type");
+    told.typeNames.push_back(lines.text("profiles." + std::to_string(each) + ".name"));
+  }
+  if (made.types.empty()) throw Unreadable("settings: profiles.count: no reservation type");
   for (std::size_t each = 0; each < lines.whole("tenants.count"); ++each) {
     const std::string at = "tenants." + std::to_string(each) + ".";
     made.customers.push_back({lines.real(at + "quotaPerS")});
+    told.customerNames.push_back(lines.text(at + "name"));
   }
   for (std::size_t each = 0; each < lines.list("machineTypes").size(); ++each) {
     made.machines.push_back({std::max(1.0, lines.realAt("familyInfo.kindCores", each)),
@@ -142,8 +188,15 @@
   made.furtherRatio = lines.real("rules.repeatRatio");
   made.furtherSpan = lines.time("rules.budgetSpanUs");
   made.crossLocationPrice = lines.real("prices.crossZone");
+  told.locationNames = lines.list("zones");
+  told.machineNames = lines.list("machineTypes");
+  told.mostOpen = lines.has("limits.maxOpen") ? lines.whole("limits.maxOpen")
+                                              : std::numeric_limits<std::size_t>::max();
+  told.sharedBy = std::max(1U, lines.whole("limits.streamsPerConn"));
+  told.dialTimeout = lines.time("limits.dialTimeoutUs");
+  told.idleClose = lines.time("limits.idleCloseUs");
   told.reportNames = lines.list("reporting.names");
   return told;
 }
 
-}  // namespace paddletrack::simwire
+}  // namespace paddletrack::protocol
--- /dev/null
+++ b/src/routing/client_side.cpp
@@ -0,0 +1,191 @@
+#include "routing/client_side.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+#include <deque>
+
+#include "protocol/statement.hpp"
+
+namespace paddletrack::routing {
+namespace {
+
+namespace thrift = protocol::thrift;
+
+constexpr std::size_t kUsualInput = 4 * 1024;
+constexpr std::size_t kMostOpen = 32;  // requests on one connection
+
+std::optional<double> number(std::string_view text) {
+  double value = 0;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+  if (error != std::errc{} || end != text.data() + text.size() || !std::isfinite(value)) return std::nullopt;
+  return value;
+}
+
+// A figure of the request, within what can be meant.
+double figure(std::string_view name, std::string_view text, double most) {
+  const std::optional<double> read = number(text);
+  if (!read || *read < 0 || *read > most)
+    throw protocol::Unreadable(std::string(name) + ": '" + std::string(text.substr(0, 40)) + "' can't be used");
+  return *read;
+}
+
+std::size_t placeOf(const std::vector<std::string>& names, std::string_view name, const char* what) {
+  const auto at = std::find(names.begin(), names.end(), name);
+  if (at == names.end())
+    throw protocol::Unreadable(std::string(what) + ": '" + std::string(name.substr(0, 40)) + "' is unknown");
+  return static_cast<std::size_t>(at - names.begin());
+}
+
+Span ofMilliseconds(double value) { return Span{std::llround(value * 1000)}; }
+
+}  // namespace
+
+// One connection of a client. The requests that are open on it when it ends have lost their client.
+class ClientSide::Session final : private Exchange::Asker {
+ public:
+  Session(ClientSide& side, std::unique_ptr<transport::Descriptor> accepted)
+      : side_(side),
+        connection_(side.scheduler_, std::move(accepted), kUsualInput, thrift::kFrameHead + side.bounds_.frame,
+                    side.unsent_) {}
+  ~Session() {
+    while (!open_.empty()) leave(open_.begin()->first);
+    --side_.connected_;
+    side_.room_.set();
+  }
+
+  transport::Task<> run() {
+    transport::Inbox& input = connection_.input();
+    for (;;) {
+      const bool more = co_await connection_.receive();
+      if (!more) co_return;
+      while (const auto length = thrift::frameLength(input.view())) {
+        const std::size_t whole = thrift::kFrameHead + *length;
+        if (whole > input.most()) throw protocol::Unreadable("a frame of " + std::to_string(*length) + " bytes");
+        if (input.view().size() < whole) {
+          input.expect(whole);
+          break;
+        }
+        frame(input.view().substr(thrift::kFrameHead, *length));
+        input.consume(whole);
+        if (connection_.unsent() > side_.bounds_.unsent) co_await connection_.drained(side_.bounds_.unsent);
+      }
+    }
+  }
+
+ private:
+  void frame(std::string_view bytes) {
+    const thrift::Message message = thrift::readMessage(bytes);
+    const bool call = message.kind == thrift::Kind::call;
+    try {
+      if (message.method == "submit" && call) {
+        submit(message);
+      } else if (message.method == "revoke" && (call || message.kind == thrift::Kind::oneway)) {
+        leave(thrift::readRevoke(message.arguments));
+      } else if (message.method == "heartbeat" && call) {
+        send(thrift::heartbeat(message.sequence, !side_.leaving_));
+      } else if (call) {
+        send(thrift::exception(message.method, message.sequence, thrift::Fault::unknownMethod, "unknown method"));
+      } else {
+        throw protocol::Unreadable("a message that no client sends");
+      }
+    } catch (const protocol::Unreadable& error) {
+      if (!call || open_.count(message.sequence) > 0) throw;  // no answer could be told from another's
+      side_.say_("request", std::string("request not taken: ") + error.what());
+      send(thrift::exception(message.method, message.sequence, thrift::Fault::protocol, error.what()));
+    }
+  }
+
+  void submit(const thrift::Message& message) {
+    if (open_.count(message.sequence) > 0) throw protocol::Unreadable("a sequence number that is in use");
+    if (open_.size() >= kMostOpen) throw protocol::Unreadable("too many open requests on a connection");
+    const thrift::Submit read = thrift::readSubmit(message.arguments);
+    const protocol::Told& told = side_.desk_.told();
+    auto made = std::make_unique<Exchange>();
+    Exchange& exchange = *made;
+    exchange.number = ++side_.taken_;
+    exchange.type = &told.deployment.types[placeOf(told.typeNames, read.type, "service")];
+    exchange.typeName = read.type;
+    if (read.reference.size() != 16 ||
+        read.reference.find_first_not_of("0123456789abcdefABCDEF") != std::string_view::npos)
+      throw protocol::Unreadable("ref: 16 hex digits are wanted");
+    exchange.reference = read.reference;
+    if (!told.customerNames.empty()) exchange.customer = placeOf(told.customerNames, read.customer, "project");
+    exchange.taken = side_.desk_.now();
+    constexpr double kDay = 86400e3, kTerabyte = 1 << 20;
+    exchange.expires = exchange.taken + ofMilliseconds(figure("allow", read.allow, kDay));
+    if (!read.effort.empty()) exchange.toldCost = ofMilliseconds(figure("effort", read.effort, kDay));
+    if (!read.memory.empty()) exchange.toldMemoryMb = figure("ram", read.memory, kTerabyte);
+    exchange.dataSet = protocol::tableGroup(read.statement);
+    exchange.statement = connection_.input().keep(read.statement);
+    exchange.sequence = message.sequence;
+    // More than this process may hold: the client may try again, nothing has run.
+    if (side_.desk_.full()) return send(thrift::shed(message.sequence, std::nullopt));
+    exchange.asker = this;
+    open_.emplace(message.sequence, &exchange);
+    side_.desk_.take(std::move(made));
+  }
+
+  void leave(std::int32_t sequence) {
+    const auto at = open_.find(sequence);
+    if (at == open_.end()) return;
+    Exchange& left = *at->second;
+    open_.erase(at);
+    side_.desk_.left(left);
+  }
+
+  void answered(Exchange& exchange) override {
+    open_.erase(exchange.sequence);
+    switch (exchange.answer) {
+      case Exchange::Answer::done: {
+        std::size_t size = 0;
+        for (const Slice& page : exchange.pages) size += page.size();
+        std::deque<Slice> pieces{Slice(thrift::answerHead(exchange.sequence, size))};
+        pieces.insert(pieces.end(), exchange.pages.begin(), exchange.pages.end());
+        pieces.push_back(Slice::lasting(thrift::answerTail()));
+        return connection_.send(pieces);
+      }
+      case Exchange::Answer::throttled: {
+        const auto wait = std::chrono::ceil<std::chrono::milliseconds>(exchange.comeBackIn).count();
+        return send(thrift::shed(exchange.sequence, wait > 0 ? std::optional(wait) : std::nullopt));
+      }
+      default:
+        return send(thrift::fault(exchange.sequence));
+    }
+  }
+
+  void send(std::string frame) { connection_.send({Slice(std::move(frame))}); }
+
+  ClientSide& side_;
+  transport::Connection connection_;
+  std::unordered_map<std::int32_t, Exchange*> open_;
+};
+
+ClientSide::ClientSide(transport::Scheduler& scheduler, transport::Unsent& unsent,
+                       const transport::Address& address, const Bounds& bounds, Desk& desk, const Say& say)
+    : scheduler_(scheduler),
+      unsent_(unsent),
+      bounds_(bounds),
+      desk_(desk),
+      say_(say),
+      listener_(scheduler, address),
+      room_(scheduler),
+      sessions_(scheduler, [this](const char* what) { say_("client", std::string("connection closed: ") + what); }) {
+  sessions_.spawn(listen());
+}
+
+transport::Task<> ClientSide::listen() {
+  for (;;) {
+    while (connected_ >= bounds_.connections) co_await room_.wait();
+    std::unique_ptr<transport::Descriptor> accepted = co_await listener_.accept();
+    ++connected_;
+    sessions_.spawn(serve(std::move(accepted)));
+  }
+}
+
+transport::Task<> ClientSide::serve(std::unique_ptr<transport::Descriptor> accepted) {
+  Session session(*this, std::move(accepted));
+  co_await session.run();
+}
+
+}  // namespace paddletrack::routing
--- /dev/null
+++ b/src/routing/desk.cpp
@@ -0,0 +1,207 @@
+#include "routing/desk.hpp"
+
+#include <algorithm>
+#include <stdexcept>
+
+namespace paddletrack::routing {
+
+namespace {
+
+// The place of a name in its list, as the settings have it.
+unsigned placeOf(const std::vector<std::string>& names, const std::string& name, const char* what) {
+  const auto at = std::find(names.begin(), names.end(), name);
+  if (at == names.end()) throw protocol::Unreadable(std::string(what) + ": '" + name + "' is not in the settings");
+  return static_cast<unsigned>(at - names.begin());
+}
+
+Exchange& exchangeOf(Job& job) { return static_cast<Exchange&>(job); }
+
+}  // namespace
+
+Desk::Desk(transport::Scheduler& scheduler, transport::Unsent& unsent, const protocol::Told& told,
+           const Bounds& bounds, std::uint64_t seed, const Say& say)
+    : scheduler_(scheduler),
+      told_(told),
+      bounds_(bounds),
+      say_(say),
+      start_(scheduler.now()),
+      startOnClock_(std::chrono::system_clock::now()),
+      tellWithdrawn_(scheduler, [this] { tellWithdrawn(); }),
+      wake_(scheduler,
+            [this] {
+              controller_.woken(now());
+              forgetEnded();
+            }),
+      servers_(scheduler, unsent, bounds.links, *this, say),
+      controller_(*this, told.deployment, seed, Span{0}) {}
+
+Span Desk::now() const { return std::chrono::duration_cast<Span>(scheduler_.now() - start_); }
+
+// ---- what comes in --------------------------------------------------------------------------------------
+
+void Desk::take(std::unique_ptr<Exchange> taken) {
+  Exchange& exchange = *taken;
+  exchange.place = exchanges_.insert(exchanges_.end(), std::move(taken));
+  if (end_) exchange.expires = std::min(exchange.expires, *end_);
+  controller_.take(now(), exchange);
+  forgetEnded();
+}
+
+void Desk::left(Exchange& exchange) {
+  exchange.asker = nullptr;
+  touch(exchange);
+  controller_.gaveUp(now(), exchange);
+  forgetEnded();
+}
+
+void Desk::ended(Sending& sending, Outcome outcome) {
+  // Withdrawn since this end came up: that one is told in its turn, and only one end is.
+  if (std::find(withdrawn_.begin(), withdrawn_.end(), &sending) != withdrawn_.end()) return;
+  Exchange& exchange = sending.exchange;
+  if (outcome == Outcome::done && !exchange.over) {
+    exchange.pages = std::move(sending.pages);
+    answer(exchange, Exchange::Answer::done);
+  }
+  tell(sending, outcome);
+}
+
+void Desk::timedOut(Sending& sending) {
+  servers_.giveUp(sending);
+  tell(sending, Outcome::timedOut);
+}
+
+void Desk::tellWithdrawn() {
+  for (Sending* each : std::exchange(withdrawn_, {})) tell(*each, Outcome::withdrawn);
+}
+
+void Desk::tell(Sending& sending, Outcome outcome) {
+  sending.timeout.cancel();
+  sending.pages.clear();
+  touch(sending.exchange);
+  const bool over = sending.exchange.over || outcome == Outcome::done;
+  controller_.ended(now(), sending.dispatch, outcome, over, std::nullopt, nullptr);
+  forgetEnded();
+}
+
+void Desk::listed(const protocol::Change& change) {
+  Listings listings;
+  for (const protocol::Entry& entry : change.entries) {
+    Listing listing;
+    std::optional<transport::Address> address;
+    try {
+      listing.location = placeOf(told_.locationNames, entry.location, "zone");
+      listing.kind = placeOf(told_.machineNames, entry.kind, "kind");
+      address.emplace(entry.address);
+    } catch (const std::exception& error) {
+      say_("changelog", "executor " + entry.id + " passed over: " + error.what());
+      continue;
+    }
+    listing.cell = entry.cell;
+    listing.standing = entry.standing;
+    if (entry.startedMs > 0) {
+      const std::chrono::system_clock::time_point started{std::chrono::milliseconds(entry.startedMs)};
+      listing.started = std::chrono::duration_cast<Span>(started - startOnClock_);
+    }
+    std::unique_ptr<Executor>& known = executors_[entry.id];
+    if (!known) {
+      known = std::make_unique<Executor>();
+      known->id = entry.id;
+      known->number = static_cast<std::uint32_t>(executors_.size());
+      say_("list", "engine " + std::to_string(known->number) + " is executor " + entry.id);
+    }
+    // Another process answers there now, or none: what is open may still end, nothing new goes that way.
+    const bool same = known->address == address && known->listing.started == listing.started;
+    if (listing.standing != Standing::ready || !same) servers_.retire(*known);
+    known->address = address;
+    listings.emplace_back(known.get(), listing);
+  }
+  controller_.listed(now(), change.whole, listings);
+  forgetEnded();
+}
+
+void Desk::listFailed() {
+  if (!std::exchange(asked_, false)) return;
+  controller_.listFailed(now());
+  forgetEnded();
+}
+
+void Desk::answerBy(Span end) {
+  end_ = end;
+  for (const auto& exchange : exchanges_) {
+    exchange->expires = std::min(exchange->expires, end);
+    for (const auto& sending : exchange->sendings)
+      if (sending->dispatch.out) sending->timeout.at(outside(std::min(sending->dispatch.until, end)));
+  }
+}
+
+// ---- what goes out --------------------------------------------------------------------------------------
+
+void Desk::dispatch(Dispatch& made) {
+  Exchange& exchange = exchangeOf(*made.job);
+  exchange.sendings.push_back(std::make_unique<Sending>(exchange, made, scheduler_));
+  Sending& sending = *exchange.sendings.back();
+  sending.timeout.then([this, &sending] { timedOut(sending); });
+  sending.timeout.at(outside(made.until));
+  servers_.send(sending);
+}
+
+void Desk::terms(Job& job, double grantMb, int priority) {
+  Exchange& exchange = exchangeOf(job);
+  exchange.grantMb = grantMb;
+  if (std::exchange(exchange.priority, priority) == priority) return;
+  for (const auto& each : exchange.sendings)
+    if (each->dispatch.out) servers_.prioritise(*each);
+}
+
+void Desk::throttle(Job& job, Span comeBackIn) {
+  exchangeOf(job).comeBackIn = comeBackIn;
+  answer(exchangeOf(job), Exchange::Answer::throttled);
+}
+
+void Desk::cancelForGood(Job& job) { answer(exchangeOf(job), Exchange::Answer::cancelled); }
+
+void Desk::answer(Exchange& exchange, Exchange::Answer made) {
+  touch(exchange);
+  exchange.answer = made;
+  if (Exchange::Asker* asker = std::exchange(exchange.asker, nullptr)) asker->answered(exchange);
+  exchange.pages.clear();
+}
+
+// An end that is already on its way to be told stays what it is.
+void Desk::withdraw(Dispatch& made) {
+  Sending& sending = *exchangeOf(*made.job).sendings[made.number];
+  if (!sending.dispatch.out) return;
+  if (std::find(withdrawn_.begin(), withdrawn_.end(), &sending) != withdrawn_.end()) return;
+  servers_.giveUp(sending);
+  sending.timeout.cancel();
+  withdrawn_.push_back(&sending);
+  tellWithdrawn_.soon();
+}
+
+void Desk::wakeAt(Span when) { wake_.at(outside(when)); }
+
+void Desk::probe(Engine&) { say_("unsupported", "these pages have no message for probes"); }
+
+void Desk::tellPeers(const std::vector<PeerNote>&) {
+  say_("unsupported", "these pages have no message for peers");
+}
+
+// The change log is always followed; what may fail is told in its time.
+void Desk::watchList() { asked_ = true; }
+
+void Desk::log(std::string_view text) { say_("module", std::string(text)); }
+
+// ---- lives ----------------------------------------------------------------------------------------------
+
+void Desk::touch(Exchange& exchange) {
+  if (!std::exchange(exchange.touched, true)) touched_.push_back(&exchange);
+}
+
+void Desk::forgetEnded() {
+  for (Exchange* each : std::exchange(touched_, {})) {
+    each->touched = false;
+    if (each->over && each->out() == 0) exchanges_.erase(each->place);
+  }
+}
+
+}  // namespace paddletrack::routing
--- /dev/null
+++ b/src/routing/desk.hpp
@@ -0,0 +1,79 @@
+#pragma once
+
+#include <chrono>
+#include <list>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "choice.hpp"
+#include "protocol/change_log.hpp"
+#include "protocol/settings.hpp"
+#include "routing/exchange.hpp"
+#include "routing/server_side.hpp"
+
+namespace paddletrack::routing {
+
+// Where events of the protocols become calls on the Controller, and its answers become messages. Owns the
+// exchanges and the executors. The Controller is called from here only, and never from within its own call.
+class Desk final : private Host, private ServerSide::Ends {
+ public:
+  struct Bounds {
+    std::size_t open = 1;  // requests at once
+    ServerSide::Bounds links;
+  };
+  Desk(transport::Scheduler& scheduler, transport::Unsent& unsent, const protocol::Told& told,
+       const Bounds& bounds, std::uint64_t seed, const Say& say);
+
+  const protocol::Told& told() const { return told_; }
+  Span now() const;
+  std::size_t open() const { return exchanges_.size(); }
+  bool full() const { return exchanges_.size() >= bounds_.open; }
+
+  void take(std::unique_ptr<Exchange> taken);
+  void left(Exchange& exchange);  // its client has
+  void listed(const protocol::Change& change);
+  void listFailed();
+  void answerBy(Span end);  // this process ends then: nothing is awaited for longer
+
+ private:
+  void dispatch(Dispatch& made) override;
+  void terms(Job& job, double grantMb, int priority) override;
+  void throttle(Job& job, Span comeBackIn) override;
+  void cancelForGood(Job& job) override;
+  void withdraw(Dispatch& made) override;
+  void wakeAt(Span when) override;
+  void probe(Engine& engine) override;
+  void tellPeers(const std::vector<PeerNote>& notes) override;
+  void watchList() override;
+  void log(std::string_view text) override;
+
+  void ended(Sending& sending, Outcome outcome) override;
+
+  void tell(Sending& sending, Outcome outcome);
+  void timedOut(Sending& sending);
+  void tellWithdrawn();
+  void answer(Exchange& exchange, Exchange::Answer answer);
+  void touch(Exchange& exchange);
+  void forgetEnded();
+  transport::Moment outside(Span time) const { return start_ + time; }
+
+  transport::Scheduler& scheduler_;
+  const protocol::Told& told_;
+  const Bounds bounds_;
+  const Say& say_;
+  const transport::Moment start_;
+  const std::chrono::system_clock::time_point startOnClock_;
+  std::optional<Span> end_;
+  bool asked_ = false;  // for the list
+  std::list<std::unique_ptr<Exchange>> exchanges_;
+  std::unordered_map<std::string, std::unique_ptr<Executor>> executors_;
+  std::vector<Exchange*> touched_;
+  std::vector<Sending*> withdrawn_;
+  transport::Call tellWithdrawn_, wake_;
+  ServerSide servers_;
+  Controller controller_;
+};
+
+}  // namespace paddletrack::routing
--- /dev/null
+++ b/src/routing/follower.cpp
@@ -0,0 +1,83 @@
+#include "routing/follower.hpp"
+
+#include <cstring>
+#include <stdexcept>
+
+namespace paddletrack::routing {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::size_t kUsualInput = 8 * 1024, kMostInput = 1024 * 1024;
+constexpr milliseconds kBeat{1000};      // a line comes at least so often
+constexpr milliseconds kSilent = 3 * kBeat;
+constexpr milliseconds kFirstWait = kBeat / 10;
+constexpr int kMostDoublings = 4;
+
+}  // namespace
+
+Follower::Follower(transport::Scheduler& scheduler, transport::Unsent& unsent, const transport::Address& log,
+                   std::uint64_t known, std::uint64_t seed, Desk& desk, const Say& say)
+    : scheduler_(scheduler),
+      unsent_(unsent),
+      log_(log),
+      last_(known),
+      desk_(desk),
+      say_(say),
+      dice_(static_cast<std::minstd_rand::result_type>(seed % 2147483646 + 1)),
+      running_(scheduler, [this](const char* what) { say_("changelog", what); }) {
+  running_.spawn(follow());
+}
+
+// Waits between sessions are spread, so that controllers cut off together do not come back together.
+transport::Task<> Follower::follow() {
+  for (;;) {
+    ++failures_;
+    try {
+      co_await session();
+    } catch (const protocol::Unreadable& error) {
+      say_("changelog", std::string("read afresh: ") + error.what());
+      last_ = 0;
+    }
+    desk_.listFailed();
+    const milliseconds most = kFirstWait * (1 << std::min(failures_, kMostDoublings));
+    const milliseconds wait{std::uniform_int_distribution<milliseconds::rep>(most.count() / 2, most.count())(dice_)};
+    co_await scheduler_.sleepUntil(scheduler_.now() + wait);
+  }
+}
+
+transport::Task<> Follower::session() {
+  transport::Dialled dialled = co_await transport::dial(scheduler_, log_, scheduler_.now() + kBeat);
+  if (!dialled.descriptor) {
+    say_("changelog", std::string("out of reach: ") + std::strerror(dialled.error));
+    co_return;
+  }
+  transport::Connection connection(scheduler_, std::move(dialled.descriptor), kUsualInput, kMostInput, unsent_);
+  connection.send({Slice(protocol::since(last_))});
+  transport::Inbox& input = connection.input();
+  for (;;) {
+    const bool more = co_await connection.receive(scheduler_.now() + kSilent);
+    if (!more) break;
+    for (std::size_t end = input.view().find('\n'); end != std::string_view::npos; end = input.view().find('\n')) {
+      line(input.view().substr(0, end));
+      input.consume(end + 1);
+    }
+    if (input.view().size() > 0) input.expect(input.view().size() * 2);
+  }
+  if (input.full()) throw protocol::Unreadable("a line without an end");
+  say_("changelog", connection.end() == transport::Connection::End::none ? "silent: connecting anew"
+                                                                         : "cut: connecting anew");
+}
+
+void Follower::line(std::string_view text) {
+  if (text.ends_with('\r')) text.remove_suffix(1);
+  if (text.empty()) return;
+  const protocol::Line read = protocol::readLine(text);
+  failures_ = 0;
+  if (read.change && read.number > last_) {
+    last_ = read.number;
+    desk_.listed(*read.change);
+  }
+}
+
+}  // namespace paddletrack::routing
--- /dev/null
+++ b/src/routing/server_side.cpp
@@ -0,0 +1,244 @@
+#include "routing/server_side.hpp"
+
+#include <algorithm>
+#include <cerrno>
+#include <cstring>
+
+namespace paddletrack::routing {
+namespace {
+
+using protocol::resp::Word;
+using transport::Connection;
+using transport::Moment;
+
+constexpr std::size_t kUsualInput = 32 * 1024, kMostInput = 128 * 1024;
+constexpr std::uint32_t kMostPages = 64;
+constexpr int kQuietDials = 4;  // dial time-outs without a byte: a working connection is asked whether it lives
+
+std::chrono::milliseconds milliseconds(Span span) { return std::chrono::ceil<std::chrono::milliseconds>(span); }
+
+}  // namespace
+
+ServerSide::ServerSide(transport::Scheduler& scheduler, transport::Unsent& unsent, const Bounds& bounds,
+                       Ends& ends, const Say& say)
+    : scheduler_(scheduler),
+      unsent_(unsent),
+      bounds_(bounds),
+      ends_(ends),
+      say_(say),
+      tellUnplaced_(scheduler,
+                    [this] {
+                      for (Sending* each : std::exchange(unplaced_, {})) end(*each, Outcome::unreachable);
+                    }),
+      running_(scheduler, [this](const char* what) { say_("executor", what); }) {}
+
+ServerSide::~ServerSide() = default;
+
+void ServerSide::send(Sending& sending) {
+  if (links_.size() >= bounds_.links) {
+    const auto& links = static_cast<Executor*>(sending.dispatch.engine)->links;
+    const bool room = std::any_of(links.begin(), links.end(), [&](const Link* link) {
+      return !link->retired && link->load() < bounds_.sharedBy;
+    });
+    if (!room) {
+      say_("descriptors", "no connection is left for another dispatch");
+      unplaced_.push_back(&sending);
+      return tellUnplaced_.soon();
+    }
+  }
+  Link& link = pick(sending);
+  sending.link = &link;
+  sending.linkSerial = link.serial;
+  if (link.connection) {
+    write(link, sending);
+  } else {
+    link.held.push_back(&sending);
+  }
+}
+
+// The connection with most room, rather one that is up. An id goes over a connection once only: the end of an
+// earlier dispatch of the same job, given up, may still be on its way there.
+Link& ServerSide::pick(Sending& sending) {
+  auto& executor = *static_cast<Executor*>(sending.dispatch.engine);
+  Link* best = nullptr;
+  for (Link* link : executor.links) {
+    if (link->retired || link->silent || link->load() >= bounds_.sharedBy) continue;
+    const auto& before = sending.exchange.sendings;
+    if (std::any_of(before.begin(), before.end(), [&](const auto& each) {
+          return each.get() != &sending && each->linkSerial == link->serial;
+        }))
+      continue;
+    const auto rank = [](const Link& each) { return std::pair(!each.connection, each.load()); };
+    if (!best || rank(*link) < rank(*best)) best = link;
+  }
+  if (best) return *best;
+  links_.emplace_front(executor, ++serials_);
+  Link& made = links_.front();
+  made.place = links_.begin();
+  executor.links.push_back(&made);
+  running_.spawn(run(made));
+  return made;
+}
+
+void ServerSide::write(Link& link, Sending& sending) {
+  const Exchange& exchange = sending.exchange;
+  protocol::resp::Terms terms;
+  const auto left = std::chrono::duration_cast<Span>(sending.dispatch.until - sending.dispatch.sent);
+  terms.waitMs = std::max<std::int64_t>(1, milliseconds(left).count());
+  terms.grantMb = exchange.grantMb;
+  terms.priority = exchange.priority;
+  link.open.emplace(exchange.reference, &sending);
+  link.used = scheduler_.now();
+  link.connection->send({Slice(protocol::resp::askHead(exchange.reference, exchange.typeName, terms,
+                                                       exchange.statement.size())),
+                         exchange.statement, Slice::lasting(protocol::resp::kAskTail)});
+  sending.wholeAt = link.connection->queued();
+}
+
+void ServerSide::giveUp(Sending& sending) {
+  Link* link = std::exchange(sending.link, nullptr);
+  std::erase(unplaced_, &sending);
+  if (!link) return;
+  std::erase(link->held, &sending);
+  const std::string& id = sending.exchange.reference;
+  if (link->open.erase(id) > 0)
+    link->connection->send({Slice(sending.pagesWanted > 0 ? protocol::resp::free(id) : protocol::resp::quit(id))});
+}
+
+void ServerSide::prioritise(Sending& sending) {
+  if (sending.link && sending.wholeAt > 0 && sending.pagesWanted == 0 && sending.exchange.priority)
+    sending.link->connection->send(
+        {Slice(protocol::resp::prio(sending.exchange.reference, *sending.exchange.priority))});
+}
+
+void ServerSide::retire(Executor& executor) {
+  for (Link* link : executor.links) {
+    link->retired = true;
+    if (link->connection && link->load() == 0) link->connection->shut();
+  }
+}
+
+// The whole life of a connection.
+transport::Task<> ServerSide::run(Link& link) {
+  const std::string id = link.executor.id;
+  transport::Dialled dialled = co_await transport::dial(scheduler_, *link.executor.address,
+                                                        scheduler_.now() + bounds_.dialTimeout);
+  if (!dialled.descriptor) {
+    say_("dial", "executor " + id + ": no connection: " + std::strerror(dialled.error));
+    lose(link, 0);
+    co_return;
+  }
+  link.connection.emplace(scheduler_, std::move(dialled.descriptor), kUsualInput, kMostInput, unsent_);
+  for (Sending* each : std::exchange(link.held, {})) write(link, *each);
+  // Is a silent neighbour dead, or does the executor answer nobody? The answer comes to heard().
+  const auto& all = link.executor.links;
+  if (std::any_of(all.begin(), all.end(), [](const Link* each) { return each->silent; }))
+    link.connection->send({Slice(protocol::resp::noop("up" + std::to_string(link.serial)))});
+  for (;;) {
+    if (link.load() == 0 && link.retired) break;
+    const bool more = co_await link.connection->receive(scheduler_.now() + bounds_.dialTimeout * kQuietDials);
+    if (more) {
+      heard(link);
+      try {
+        read(link);
+      } catch (const protocol::Unreadable& error) {
+        say_("executor", "executor " + id + ": " + error.what() + "; connection given up");
+        break;
+      }
+    } else if (link.connection->end() != Connection::End::none || link.connection->input().full()) {
+      break;
+    } else if (!quiet(link)) {
+      break;
+    }
+  }
+  lose(link, link.connection->written());
+}
+
+// No byte for a while. An idle connection goes before its executor closes it; one with work is asked whether
+// it lives.
+bool ServerSide::quiet(Link& link) {
+  if (link.load() == 0) {
+    link.asked.reset();
+    return scheduler_.now() - link.used < bounds_.idleClose / 2;
+  }
+  if (link.asked) {
+    if (!link.silent) say_("silent", "executor " + link.executor.id + ": a connection answers nothing");
+    link.silent = true;
+  } else {
+    link.asked = scheduler_.now();
+    link.connection->send({Slice(protocol::resp::noop("is" + std::to_string(link.serial)))});
+  }
+  return true;
+}
+
+// An executor that answers here while an older connection stays silent no longer knows that one: the machine
+// came back, or the path broke. One that answers nowhere may only be slow.
+void ServerSide::heard(Link& link) {
+  link.asked.reset();
+  link.silent = false;
+  for (Link* each : link.executor.links)
+    if (each->silent && each->serial < link.serial) each->connection->shut();
+}
+
+void ServerSide::read(Link& link) {
+  transport::Inbox& input = link.connection->input();
+  for (;;) {
+    const protocol::resp::Array array = protocol::resp::read(input.view());
+    if (array.size == 0) {
+      if (array.wanted > 0) input.expect(array.wanted);
+      return;
+    }
+    answered(link, protocol::resp::readAnswer(array));
+    input.consume(array.size);
+  }
+}
+
+void ServerSide::answered(Link& link, const protocol::resp::Answer& answer) {
+  if (answer.word == Word::alive) return;
+  const auto at = link.open.find(std::string(answer.id));
+  if (at == link.open.end()) return;  // given up meanwhile
+  Sending& sending = *at->second;
+  const auto over = [&](Outcome outcome) {
+    link.open.erase(at);
+    sending.link = nullptr;
+    end(sending, outcome);
+  };
+  switch (answer.word) {
+    case Word::full:
+    case Word::over:
+      return over(Outcome::turnedAway);
+    case Word::ok:
+      if (sending.pagesWanted > 0 || answer.pages < 1 || answer.pages > kMostPages) return over(Outcome::error);
+      sending.pagesWanted = answer.pages;
+      sending.pages.resize(answer.pages);
+      for (std::uint32_t page = 1; page < answer.pages; ++page)
+        link.connection->send({Slice(protocol::resp::next(sending.exchange.reference, page))});
+      break;
+    case Word::chunk:
+      if (answer.page < 1 || answer.page >= sending.pagesWanted || sending.pages[answer.page].view().data()) {
+        say_("executor", "executor " + link.executor.id + ": a page that was not asked for");
+        return;
+      }
+      break;
+    default:
+      return over(Outcome::error);
+  }
+  sending.pages[answer.page] = link.connection->input().keep(answer.body);
+  if (++sending.pagesHeld == sending.pagesWanted) over(Outcome::done);
+}
+
+// What was not wholly written never ran; anything else may have.
+void ServerSide::lose(Link& link, std::size_t written) {
+  std::erase(link.executor.links, &link);
+  std::vector<std::pair<Sending*, Outcome>> ends;
+  for (Sending* each : link.held) ends.emplace_back(each, Outcome::unreachable);
+  for (const auto& [id, each] : link.open)
+    ends.emplace_back(each, each->wholeAt > written ? Outcome::unreachable : Outcome::reset);
+  for (const auto& [each, outcome] : ends) each->link = nullptr;
+  links_.erase(link.place);
+  for (const auto& [each, outcome] : ends) end(*each, outcome);
+}
+
+void ServerSide::end(Sending& sending, Outcome outcome) { ends_.ended(sending, outcome); }
+
+}  // namespace paddletrack::routing
--- /dev/null
+++ b/src/routing/server_side.hpp
@@ -0,0 +1,89 @@
+#pragma once
+
+#include <list>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "model/engine.hpp"
+#include "protocol/resp.hpp"
+#include "routing/exchange.hpp"
+#include "transport/connection.hpp"
+
+namespace paddletrack::routing {
+
+// An engine as it is reached over sockets.
+struct Executor : Engine {
+  std::string id;
+  std::optional<transport::Address> address;
+  std::vector<Link*> links;
+};
+
+// One connection to one executor, from before its dial until it has been given back.
+class Link {
+ public:
+  explicit Link(Executor& to, std::uint64_t number) : executor(to), serial(number) {}
+  Executor& executor;
+  const std::uint64_t serial;
+  std::optional<transport::Connection> connection;  // none: still dialling
+  std::vector<Sending*> held;                       // wait for the dial
+  std::unordered_map<std::string, Sending*> open;
+  transport::Moment used{};                // when it last took a dispatch
+  std::optional<transport::Moment> asked;  // a NOOP is out since then
+  bool silent = false;                     // and was not answered in time
+  bool retired = false;                    // takes nothing new, ends when nothing is open
+  std::list<Link>::iterator place;
+
+  std::size_t load() const { return held.size() + open.size(); }
+};
+
+// Dispatches to executors over connections that many share. What ends by itself is told to Ends, always from
+// the loop and never from within a call made here.
+class ServerSide {
+ public:
+  class Ends {
+   public:
+    virtual ~Ends() = default;
+    virtual void ended(Sending& sending, Outcome outcome) = 0;
+  };
+  struct Bounds {
+    std::size_t sharedBy = 1;  // dispatches on one connection
+    std::size_t links = 1;     // connections in all
+    Span dialTimeout{0}, idleClose{0};
+  };
+
+  ServerSide(transport::Scheduler& scheduler, transport::Unsent& unsent, const Bounds& bounds, Ends& ends,
+             const Say& say);
+  ~ServerSide();
+
+  void send(Sending& sending);
+  void giveUp(Sending& sending);      // nothing more of it will be told
+  void prioritise(Sending& sending);  // as its exchange now says
+  void retire(Executor& executor);    // its connections take nothing new
+
+ private:
+  Link& pick(Sending& sending);
+  void write(Link& link, Sending& sending);
+  transport::Task<> run(Link& link);
+  void heard(Link& link);
+  bool quiet(Link& link);
+  void read(Link& link);
+  void answered(Link& link, const protocol::resp::Answer& answer);
+  void lose(Link& link, std::size_t after);
+  void end(Sending& sending, Outcome outcome);
+
+  transport::Scheduler& scheduler_;
+  transport::Unsent& unsent_;
+  const Bounds bounds_;
+  Ends& ends_;
+  const Say& say_;
+  std::uint64_t serials_ = 0;
+  std::list<Link> links_;
+  std::vector<Sending*> unplaced_;  // no descriptor was left for them
+  transport::Call tellUnplaced_;
+  transport::Group running_;
+};
+
+}  // namespace paddletrack::routing
--- a/src/simwire/door.cpp
+++ b/src/simwire/door.cpp
@@ -40,7 +40,7 @@
            Writer& writer)
     : instance_(instance),
       start_(clock),
-      told_(decode(settings)),
+      told_(protocol::decode(protocol::pathsOfLines(settings))),
       writer_(writer),
       controller_(*this, told_.deployment, seed, Span{0}) {}
 
--- a/src/simwire/door.hpp
+++ b/src/simwire/door.hpp
@@ -7,7 +7,7 @@
 #include <vector>
 
 #include "choice.hpp"
-#include "simwire/deployment.hpp"
+#include "protocol/settings.hpp"
 #include "simwire/frame.hpp"
 
 namespace paddletrack::simwire {
@@ -60,7 +60,7 @@
 
   const std::uint32_t instance_;
   const std::uint64_t start_;
-  const Told told_;
+  const protocol::Told told_;
   Writer& writer_;
   std::unordered_map<std::uint32_t, std::unique_ptr<Job>> jobs_;
   std::unordered_map<std::uint32_t, std::unique_ptr<Engine>> engines_;
--- a/src/simwire/server.cpp
+++ b/src/simwire/server.cpp
@@ -51,6 +51,8 @@
         event(clock, code, fields);
       } catch (const Malformed& error) {
         throw Malformed(which + ": " + error.what());
+      } catch (const protocol::Unreadable& error) {
+        throw Malformed(which + ": " + error.what());
       } catch (const std::exception& error) {
         writer_.record(10, 0).text(which + ": " +
                                    error.what());  // the module broke: the wire's fault message
--- /dev/null
+++ b/src/transport/connection.cpp
@@ -0,0 +1,205 @@
+#include "transport/connection.hpp"
+
+#include <array>
+#include <cerrno>
+#include <charconv>
+#include <stdexcept>
+#include <system_error>
+
+#include <arpa/inet.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <sys/uio.h>
+#include <unistd.h>
+
+namespace paddletrack::transport {
+namespace {
+
+constexpr std::size_t kGathered = 64;  // pieces of one write
+constexpr std::chrono::milliseconds kAcceptRest{20};
+
+int streamSocket() { return ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0); }
+
+void noDelay(int fd) {
+  const int on = 1;
+  ::setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+}
+
+int listening(const Address& address) {
+  const int fd = streamSocket();
+  const int on = 1;
+  if (fd < 0) throw std::system_error(errno, std::generic_category(), "socket");
+  ::setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  if (::bind(fd, reinterpret_cast<const sockaddr*>(&address.raw()), sizeof address.raw()) != 0 ||
+      ::listen(fd, 1024) != 0) {
+    const int error = errno;
+    ::close(fd);
+    throw std::system_error(error, std::generic_category(), "listen");
+  }
+  return fd;
+}
+
+}  // namespace
+
+Address::Address(const std::string& text) {
+  const std::size_t colon = text.rfind(':');
+  unsigned port = 0;
+  const char* end = text.data() + text.size();
+  raw_.sin_family = AF_INET;
+  if (colon == std::string::npos ||
+      ::inet_pton(AF_INET, text.substr(0, colon).c_str(), &raw_.sin_addr) != 1 ||
+      std::from_chars(text.data() + colon + 1, end, port).ptr != end || port == 0 || port > 65535) {
+    throw std::invalid_argument("'" + text + "' is not an IPv4 address and port");
+  }
+  raw_.sin_port = htons(static_cast<std::uint16_t>(port));
+}
+
+Connection::Connection(Scheduler& scheduler, std::unique_ptr<Descriptor> descriptor,
+                       std::size_t usualInput, std::size_t mostInput, Unsent& unsent)
+    : scheduler_(scheduler),
+      descriptor_(std::move(descriptor)),
+      input_(usualInput, mostInput),
+      all_(unsent),
+      wanted_(scheduler),
+      drained_(scheduler),
+      pumping_(pump()) {
+  noDelay(descriptor_->fd());
+  pumping_.start();
+}
+
+Connection::~Connection() { all_.held -= unsent(); }
+
+Task<bool> Connection::receive(std::optional<Moment> until) {
+  co_await scheduler_.turn();  // one peer with much to say does not starve the others
+  for (;;) {
+    if (failed_ || end_ != End::none || input_.full()) co_return false;
+    const auto [at, size] = input_.space();
+    const ssize_t got = ::read(descriptor_->fd(), at, size);
+    if (got > 0) {
+      input_.grew(static_cast<std::size_t>(got));
+      co_return true;
+    }
+    if (got == 0) {
+      end_ = End::closed;
+    } else if (errno == EAGAIN || errno == EWOULDBLOCK) {
+      input_.rest();
+      const bool more = co_await descriptor_->readable.wait(until);
+      if (!more) co_return false;
+    } else if (errno != EINTR) {
+      end_ = End::reset;
+    }
+  }
+}
+
+void Connection::queue(const Slice& piece) {
+  if (failed_ || piece.size() == 0) return;
+  if (all_.held + piece.size() > all_.most) return fail();
+  pieces_.push_back(piece);
+  queued_ += piece.size();
+  all_.held += piece.size();
+  wanted_.set();
+}
+
+void Connection::send(std::initializer_list<Slice> pieces) {
+  for (const Slice& piece : pieces) queue(piece);
+}
+
+void Connection::send(const std::deque<Slice>& pieces) {
+  for (const Slice& piece : pieces) queue(piece);
+}
+
+// The one place where bytes leave. It ends with the connection or at the first error.
+Task<> Connection::pump() {
+  for (;;) {
+    while (pieces_.empty()) co_await wanted_.wait();
+    std::array<iovec, kGathered> gathered;
+    std::size_t count = 0;
+    for (const Slice& piece : pieces_) {
+      if (count == kGathered) break;
+      const std::string_view rest = piece.view().substr(count == 0 ? offset_ : 0);
+      gathered[count++] = {const_cast<char*>(rest.data()), rest.size()};
+    }
+    const ssize_t sent = ::writev(descriptor_->fd(), gathered.data(), static_cast<int>(count));
+    if (sent < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
+      co_await descriptor_->writable.wait();
+      continue;
+    }
+    if (sent < 0 && errno == EINTR) continue;
+    if (sent < 0) {
+      fail();
+      co_return;
+    }
+    written_ += static_cast<std::uint64_t>(sent);
+    all_.held -= static_cast<std::size_t>(sent);
+    for (std::size_t left = static_cast<std::size_t>(sent); left > 0;) {
+      const std::size_t first = pieces_.front().size() - offset_;
+      if (left < first) {
+        offset_ += left;
+        break;
+      }
+      left -= first;
+      offset_ = 0;
+      pieces_.pop_front();
+    }
+    drained_.set();
+    if (!pieces_.empty()) co_await scheduler_.turn();
+  }
+}
+
+Task<> Connection::drained(std::size_t most) {
+  while (!failed_ && unsent() > most) co_await drained_.wait();
+}
+
+void Connection::fail() {
+  failed_ = true;
+  if (end_ == End::none) end_ = End::reset;
+  drained_.set();
+  descriptor_->readable.set();
+}
+
+void Connection::shut() { fail(); }
+
+Listener::Listener(Scheduler& scheduler, const Address& address)
+    : scheduler_(scheduler), descriptor_(scheduler, listening(address)) {}
+
+Task<std::unique_ptr<Descriptor>> Listener::accept() {
+  for (;;) {
+    const int fd = ::accept4(descriptor_.fd(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (fd >= 0) co_return std::make_unique<Descriptor>(scheduler_, fd);
+    if (errno == EAGAIN || errno == EWOULDBLOCK) {
+      co_await descriptor_.readable.wait();
+    } else if (errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM) {
+      // Out of descriptors: what waits in the backlog stays there until some are given back.
+      co_await scheduler_.sleepUntil(scheduler_.now() + kAcceptRest);
+    }
+  }
+}
+
+Task<Dialled> dial(Scheduler& scheduler, Address address, Moment until) {
+  Dialled made;
+  const int fd = streamSocket();
+  if (fd < 0) {
+    made.error = errno;
+    co_return made;
+  }
+  auto descriptor = std::make_unique<Descriptor>(scheduler, fd);
+  const int begun = ::connect(fd, reinterpret_cast<const sockaddr*>(&address.raw()), sizeof(sockaddr_in));
+  if (begun != 0 && errno != EINPROGRESS) {
+    made.error = errno;
+    co_return made;
+  }
+  for (bool up = begun == 0; !up;) {
+    const bool told = co_await descriptor->writable.wait(until);
+    socklen_t length = sizeof made.error;
+    ::getsockopt(fd, SOL_SOCKET, SO_ERROR, &made.error, &length);
+    if (!told && made.error == 0) made.error = ETIMEDOUT;
+    if (made.error != 0) co_return made;
+    sockaddr_in peer{};  // an edge may tell of the time before the connect
+    socklen_t size = sizeof peer;
+    up = ::getpeername(fd, reinterpret_cast<sockaddr*>(&peer), &size) == 0;
+  }
+  made.descriptor = std::move(descriptor);
+  co_return made;
+}
+
+}  // namespace paddletrack::transport
--- /dev/null
+++ b/src/transport/connection.hpp
@@ -0,0 +1,94 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <initializer_list>
+#include <memory>
+#include <string>
+
+#include <netinet/in.h>
+
+#include "transport/scheduler.hpp"
+#include "transport/slice.hpp"
+
+namespace paddletrack::transport {
+
+// An IPv4 address and port, from "10.0.0.4:8443"; throws std::invalid_argument.
+class Address {
+ public:
+  explicit Address(const std::string& text);
+  const sockaddr_in& raw() const { return raw_; }
+  bool operator==(const Address& other) const {
+    return raw_.sin_addr.s_addr == other.raw_.sin_addr.s_addr && raw_.sin_port == other.raw_.sin_port;
+  }
+
+ private:
+  sockaddr_in raw_{};
+};
+
+// Bytes that all connections of the process hold unsent, and the most they may.
+struct Unsent {
+  std::size_t most = 0;
+  std::size_t held = 0;
+};
+
+// A stream socket with bounded buffers. Writes are gathered: all that is sent within a turn leaves together.
+class Connection {
+ public:
+  // How reading came to its end.
+  enum class End { none, closed, reset };
+
+  Connection(Scheduler& scheduler, std::unique_ptr<Descriptor> descriptor, std::size_t usualInput, std::size_t mostInput, Unsent& unsent);
+  ~Connection();
+
+  // Waits for more input (until a moment at most) and says whether there is any.
+  Task<bool> receive(std::optional<Moment> until = std::nullopt);
+  Inbox& input() { return input_; }
+  End end() const { return end_; }
+
+  // Queued as it is; the bytes stay shared. What would pass the bound on all unsent bytes ends the connection.
+  void send(std::initializer_list<Slice> pieces);
+  void send(const std::deque<Slice>& pieces);
+  std::uint64_t queued() const { return queued_; }    // bytes ever given to send
+  std::uint64_t written() const { return written_; }  // of these, taken by the kernel
+  std::size_t unsent() const { return static_cast<std::size_t>(queued_ - written_); }
+  Task<> drained(std::size_t most);  // until no more than so many bytes are unsent, or the end
+  void shut();                       // what comes and goes from now on is dropped; reading ends
+
+ private:
+  void queue(const Slice& piece);
+  Task<> pump();
+  void fail();
+
+  Scheduler& scheduler_;
+  std::unique_ptr<Descriptor> descriptor_;
+  Inbox input_;
+  Unsent& all_;
+  End end_ = End::none;
+  bool failed_ = false;
+  std::deque<Slice> pieces_;
+  std::size_t offset_ = 0;  // of the first piece, already written
+  std::uint64_t queued_ = 0, written_ = 0;
+  Signal wanted_, drained_;
+  Task<> pumping_;
+};
+
+// Where connections come in. Accepting survives a lack of descriptors: it rests for a while.
+class Listener {
+ public:
+  Listener(Scheduler& scheduler, const Address& address);
+  Task<std::unique_ptr<Descriptor>> accept();
+
+ private:
+  Scheduler& scheduler_;
+  Descriptor descriptor_;
+};
+
+// A connected descriptor, or none and why not.
+struct Dialled {
+  std::unique_ptr<Descriptor> descriptor;
+  int error = 0;  // ETIMEDOUT when the moment came first
+};
+Task<Dialled> dial(Scheduler& scheduler, Address address, Moment until);
+
+}  // namespace paddletrack::transport
--- /dev/null
+++ b/src/transport/task.hpp
@@ -0,0 +1,99 @@
+#pragma once
+
+#include <coroutine>
+#include <exception>
+#include <optional>
+#include <utility>
+
+namespace paddletrack::transport {
+
+template <typename T = void>
+class Task;
+
+namespace detail {
+
+struct Promise {
+  std::coroutine_handle<> waiting;  // resumed when this one has ended
+  std::exception_ptr error;
+
+  std::suspend_always initial_suspend() noexcept { return {}; }
+  struct Final {
+    bool await_ready() noexcept { return false; }
+    template <typename P>
+    std::coroutine_handle<> await_suspend(std::coroutine_handle<P> ended) noexcept {
+      const std::coroutine_handle<> next = ended.promise().waiting;
+      return next ? next : std::noop_coroutine();
+    }
+    void await_resume() noexcept {}
+  };
+  Final final_suspend() noexcept { return {}; }
+  void unhandled_exception() { error = std::current_exception(); }
+};
+
+template <typename T>
+struct PromiseOf : Promise {
+  std::optional<T> value;
+  Task<T> get_return_object();
+  void return_value(T made) { value = std::move(made); }
+  T take() { return std::move(*value); }
+};
+
+template <>
+struct PromiseOf<void> : Promise {
+  Task<void> get_return_object();
+  void return_void() {}
+  void take() {}
+};
+
+}  // namespace detail
+
+// A coroutine that starts when it is awaited (or started) and is destroyed with its Task, wherever it
+// waits: what it waits for must take its own entry back on destruction.
+template <typename T>
+class [[nodiscard]] Task {
+ public:
+  using promise_type = detail::PromiseOf<T>;
+  using Handle = std::coroutine_handle<promise_type>;
+
+  Task() = default;
+  explicit Task(Handle handle) : handle_(handle) {}
+  Task(Task&& other) noexcept : handle_(std::exchange(other.handle_, {})) {}
+  Task& operator=(Task&& other) noexcept {
+    std::swap(handle_, other.handle_);
+    return *this;
+  }
+  ~Task() {
+    if (handle_) handle_.destroy();
+  }
+
+  void start() { handle_.resume(); }
+
+  auto operator co_await() noexcept {
+    struct Awaiter {
+      Handle handle;
+      bool await_ready() noexcept { return false; }
+      std::coroutine_handle<> await_suspend(std::coroutine_handle<> waiting) noexcept {
+        handle.promise().waiting = waiting;
+        return handle;
+      }
+      T await_resume() {
+        if (handle.promise().error) std::rethrow_exception(handle.promise().error);
+        return handle.promise().take();
+      }
+    };
+    return Awaiter{handle_};
+  }
+
+ private:
+  Handle handle_;
+};
+
+template <typename T>
+Task<T> detail::PromiseOf<T>::get_return_object() {
+  return Task<T>(Task<T>::Handle::from_promise(*this));
+}
+inline Task<void> detail::PromiseOf<void>::get_return_object() {
+  return Task<void>(Task<void>::Handle::from_promise(*this));
+}
+
+}  // namespace paddletrack::transport
--- a/tests/simwire_test.cpp
+++ b/tests/simwire_test.cpp
@@ -98,8 +98,8 @@
 }
 
 TEST(Wire, BoundTypesAreReadByNameOrIndex) {
-  const Told told =
-      decode(kSite + "zones=east,west\nprofiles.0.confinedTo=west\nprofiles.0.machineTypesOnly=0\n");
+  const protocol::Told told = protocol::decode(protocol::pathsOfLines(
+      kSite + "zones=east,west\nprofiles.0.confinedTo=west\nprofiles.0.machineTypesOnly=0\n"));
   EXPECT_EQ(told.deployment.types[0].locations, std::vector<unsigned>{1});
   EXPECT_EQ(told.deployment.types[0].kinds, std::vector<unsigned>{0});
 }
