--- a/src/model/engine.hpp
+++ b/src/model/engine.hpp
@@ -44,7 +44,7 @@
   Listing listing;
   bool listed = false;
   double cores = 1;  // as good as so many: fewer while cold or slow
-  double rank = 0;  // its place in this controller's own order
+  double rank = 0;   // its place in this controller's own order
 
   std::vector<InFlight> byType;
   std::vector<Dispatch*> out;
--- a/src/program/configuration.cpp
+++ b/src/program/configuration.cpp
@@ -19,7 +19,8 @@
 
 std::size_t atLeast(std::size_t least, const protocol::Json& from, const char* key) {
   const std::size_t value = from.whole(key);
-  if (value < least) throw protocol::Unreadable(std::string(key) + ": at least " + std::to_string(least) + " is wanted");
+  if (value < least)
+    throw protocol::Unreadable(std::string(key) + ": at least " + std::to_string(least) + " is wanted");
   return value;
 }
 
@@ -54,11 +55,14 @@
     inside("known.", [&] {
       const protocol::Json& known = read.at("known");
       node.known = known.whole("seq");
-      for (const protocol::Json& each : known.list("results")) node.changes.push_back(protocol::readChange(each));
+      for (const protocol::Json& each : known.list("results"))
+        node.changes.push_back(protocol::readChange(each));
     });
     node.told = protocol::decode(protocol::pathsOfJson(read.at("settings")));
-    if (node.told.dialTimeout <= Span{0}) throw protocol::Unreadable("settings: limits.dialTimeoutUs: is missing");
-    if (node.told.idleClose <= Span{0}) throw protocol::Unreadable("settings: limits.idleCloseUs: is missing");
+    if (node.told.dialTimeout <= Span{0})
+      throw protocol::Unreadable("settings: limits.dialTimeoutUs: is missing");
+    if (node.told.idleClose <= Span{0})
+      throw protocol::Unreadable("settings: limits.idleCloseUs: is missing");
     return node;
   });
 }
--- a/src/program/log.cpp
+++ b/src/program/log.cpp
@@ -24,7 +24,8 @@
   std::string text = line;
   for (char& each : text)
     if (static_cast<unsigned char>(each) < 0x20) each = ' ';  // peers' bytes make no lines of their own
-  if (topic.leftOut > 0) text += " (" + std::to_string(std::exchange(topic.leftOut, 0)) + " more like it before)";
+  if (topic.leftOut > 0)
+    text += " (" + std::to_string(std::exchange(topic.leftOut, 0)) + " more like it before)";
   std::fprintf(stderr, "%lld.%03lld %s: %s\n", static_cast<long long>(ms / 1000),
                static_cast<long long>(ms % 1000), name, text.c_str());
 }
--- a/src/program/main.cpp
+++ b/src/program/main.cpp
@@ -1,10 +1,9 @@
 // The real controller: paddletrack serve, check-config, version.
+#include <CLI/CLI.hpp>
 #include <cstdio>
 #include <exception>
 #include <string>
 
-#include <CLI/CLI.hpp>
-
 #include "program/configuration.hpp"
 #include "program/serve.hpp"
 
@@ -23,7 +22,8 @@
     return command;
   };
   CLI::App* serve = configured(app.add_subcommand("serve", "serve until SIGTERM"));
-  CLI::App* check = configured(app.add_subcommand("check-config", "read the configuration and name what is wrong"));
+  CLI::App* check =
+      configured(app.add_subcommand("check-config", "read the configuration and name what is wrong"));
   CLI::App* version = app.add_subcommand("version", "print the version");
   CLI11_PARSE(app, argc, argv);
   try {
--- a/src/program/serve.cpp
+++ b/src/program/serve.cpp
@@ -1,11 +1,11 @@
 #include "program/serve.hpp"
 
-#include <csignal>
-#include <cstdio>
-
 #include <sys/signalfd.h>
 #include <unistd.h>
 
+#include <csignal>
+#include <cstdio>
+
 #include "program/log.hpp"
 #include "routing/client_side.hpp"
 #include "routing/desk.hpp"
@@ -21,9 +21,9 @@
 constexpr milliseconds kStillComing{700}, kLongestRest{3000}, kLastStretch{700}, kMargin{300};
 
 // How the limits told are shared out.
-constexpr std::size_t kUnsentShare = 4;     // of the memory: a fourth for bytes on their way out
-constexpr std::size_t kInputShare = 8;      // an eighth for requests that are still coming in
-constexpr std::size_t kOpenBytes = 16384;   // that an open request may cost, with its result; a fourth for all
+constexpr std::size_t kUnsentShare = 4;    // of the memory: a fourth for bytes on their way out
+constexpr std::size_t kInputShare = 8;     // an eighth for requests that are still coming in
+constexpr std::size_t kOpenBytes = 16384;  // that an open request may cost, with its result; a fourth for all
 constexpr std::size_t kOwnDescriptors = 8;  // standard streams, epoll, signals, listener, change log, spare
 
 int signals() {
@@ -44,7 +44,8 @@
   Span longest{0};
   for (const ReservationType& type : node.told.deployment.types) longest = std::max(longest, type.jobTimeout);
   const Span rest = std::min<Span>(longest, kLongestRest) + kLastStretch - kMargin;
-  say("leaving", std::to_string(desk.open()) + " requests open, " + std::to_string(rest.count() / 1000) + " ms at most");
+  say("leaving",
+      std::to_string(desk.open()) + " requests open, " + std::to_string(rest.count() / 1000) + " ms at most");
   clients.leave();
   desk.answerBy(desk.now() + rest - kMargin);
   while (scheduler.now() < told + rest) {
@@ -64,7 +65,8 @@
   transport::Unsent unsent{node.memoryBytes / kUnsentShare, 0};
   const Deployment& site = node.told.deployment;
   if (site.mayProbe || site.mayTellPeers || site.progressPace > Span{0})
-    say("unsupported", "the settings allow probes, peers or notes: there is no message for these, they are not used");
+    say("unsupported",
+        "the settings allow probes, peers or notes: there is no message for these, they are not used");
 
   const std::size_t connections = (node.descriptors - kOwnDescriptors) / 2;
   routing::Desk::Bounds bounds;
--- a/src/protocol/json.cpp
+++ b/src/protocol/json.cpp
@@ -125,7 +125,7 @@
 
   std::string string() {
     std::string read;
-    for (++at_; next() != '"'; ) {
+    for (++at_; next() != '"';) {
       if (!more()) fail("an unfinished string");
       const char each = text_[at_++];
       if (static_cast<unsigned char>(each) < 0x20) fail("a control character in a string");
@@ -197,7 +197,9 @@
   return *found;
 }
 
-const std::string& Json::text(std::string_view name) const { return as<std::string>(*this, name, "a string"); }
+const std::string& Json::text(std::string_view name) const {
+  return as<std::string>(*this, name, "a string");
+}
 double Json::number(std::string_view name) const { return as<double>(*this, name, "a number"); }
 bool Json::flag(std::string_view name) const { return as<bool>(*this, name, "true or false"); }
 const Json::Elements& Json::list(std::string_view name) const { return as<Elements>(*this, name, "a list"); }
--- a/src/protocol/resp.cpp
+++ b/src/protocol/resp.cpp
@@ -46,7 +46,8 @@
   std::uint32_t value = 0;
   const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
   if (error != std::errc{} || end != text.data() + text.size())
-    throw Unreadable("RESP: " + std::string(name) + ": '" + std::string(text.substr(0, 20)) + "' is no number");
+    throw Unreadable("RESP: " + std::string(name) + ": '" + std::string(text.substr(0, 20)) +
+                     "' is no number");
   return value;
 }
 
@@ -119,8 +120,12 @@
 }
 
 std::string quit(std::string_view id) { return command({"QUIT", id}); }
-std::string prio(std::string_view id, int priority) { return command({"PRIO", id, std::to_string(priority)}); }
-std::string next(std::string_view id, std::uint32_t page) { return command({"NEXT", id, std::to_string(page)}); }
+std::string prio(std::string_view id, int priority) {
+  return command({"PRIO", id, std::to_string(priority)});
+}
+std::string next(std::string_view id, std::uint32_t page) {
+  return command({"NEXT", id, std::to_string(page)});
+}
 std::string free(std::string_view id) { return command({"FREE", id}); }
 std::string noop(std::string_view tag) { return command({"NOOP", tag}); }
 
--- a/src/protocol/resp.hpp
+++ b/src/protocol/resp.hpp
@@ -17,7 +17,7 @@
 struct Array {
   std::array<std::string_view, kMostWords> words{};
   std::size_t count = 0;
-  std::size_t size = 0;  // bytes of the whole array; 0: it is not whole yet
+  std::size_t size = 0;    // bytes of the whole array; 0: it is not whole yet
   std::size_t wanted = 0;  // while it is not: the least it takes in all
 };
 Array read(std::string_view input);
--- a/src/protocol/settings.cpp
+++ b/src/protocol/settings.cpp
@@ -71,8 +71,7 @@
   if (const auto* members = std::get_if<Json::Members>(&value.value)) {
     for (const auto& [name, member] : *members) flatten(member, inside + name, out);
   } else if (const auto* elements = std::get_if<Json::Elements>(&value.value)) {
-    const bool objects =
-        !elements->empty() && std::holds_alternative<Json::Members>(elements->front().value);
+    const bool objects = !elements->empty() && std::holds_alternative<Json::Members>(elements->front().value);
     if (objects) out[inside + "count"] = std::to_string(elements->size());
     std::string joined;
     for (std::size_t each = 0; each < elements->size(); ++each) {
@@ -190,8 +189,8 @@
   made.crossLocationPrice = lines.real("prices.crossZone");
   told.locationNames = lines.list("zones");
   told.machineNames = lines.list("machineTypes");
-  told.mostOpen = lines.has("limits.maxOpen") ? lines.whole("limits.maxOpen")
-                                              : std::numeric_limits<std::size_t>::max();
+  told.mostOpen =
+      lines.has("limits.maxOpen") ? lines.whole("limits.maxOpen") : std::numeric_limits<std::size_t>::max();
   told.sharedBy = std::max(1U, lines.whole("limits.streamsPerConn"));
   told.dialTimeout = lines.time("limits.dialTimeoutUs");
   told.idleClose = lines.time("limits.idleCloseUs");
--- a/src/protocol/thrift.cpp
+++ b/src/protocol/thrift.cpp
@@ -6,8 +6,18 @@
 constexpr std::uint32_t kStrict = 0x80010000;
 constexpr int kDeepest = 16;
 enum Type : std::uint8_t {
-  kStop = 0, kBool = 2, kByte = 3, kDouble = 4, kI16 = 6, kI32 = 8, kI64 = 10, kString = 11, kStruct = 12,
-  kMap = 13, kSet = 14, kList = 15,
+  kStop = 0,
+  kBool = 2,
+  kByte = 3,
+  kDouble = 4,
+  kI16 = 6,
+  kI32 = 8,
+  kI64 = 10,
+  kString = 11,
+  kStruct = 12,
+  kMap = 13,
+  kSet = 14,
+  kList = 15,
 };
 
 class Reader {
@@ -85,7 +95,8 @@
 };
 
 void put(std::string& out, std::uint64_t value, int size) {
-  for (int shift = 8 * (size - 1); shift >= 0; shift -= 8) out.push_back(static_cast<char>(value >> shift & 0xff));
+  for (int shift = 8 * (size - 1); shift >= 0; shift -= 8)
+    out.push_back(static_cast<char>(value >> shift & 0xff));
 }
 void put(std::string& out, std::string_view text) {
   put(out, text.size(), 4);
--- a/src/protocol/thrift.hpp
+++ b/src/protocol/thrift.hpp
@@ -34,7 +34,13 @@
 std::int32_t readRevoke(std::string_view arguments);
 
 // Codes of the application exception.
-enum class Fault : std::int32_t { unknownMethod = 1, invalidMessage = 2, badSequence = 4, internal = 6, protocol = 7 };
+enum class Fault : std::int32_t {
+  unknownMethod = 1,
+  invalidMessage = 2,
+  badSequence = 4,
+  internal = 6,
+  protocol = 7
+};
 
 // Whole frames but for the first: an Answer's body of so many bytes belongs between its head and its tail.
 std::string answerHead(std::int32_t sequence, std::size_t body);
--- a/src/routing/client_side.cpp
+++ b/src/routing/client_side.cpp
@@ -26,7 +26,8 @@
 double figure(std::string_view name, std::string_view text, double most) {
   const std::optional<double> read = number(text);
   if (!read || *read < 0 || *read > most)
-    throw protocol::Unreadable(std::string(name) + ": '" + std::string(text.substr(0, 40)) + "' can't be used");
+    throw protocol::Unreadable(std::string(name) + ": '" + std::string(text.substr(0, 40)) +
+                               "' can't be used");
   return *read;
 }
 
@@ -46,8 +47,8 @@
  public:
   Session(ClientSide& side, std::unique_ptr<transport::Descriptor> accepted)
       : side_(side),
-        connection_(side.scheduler_, std::move(accepted), kUsualInput, thrift::kFrameHead + side.bounds_.frame,
-                    side.unsent_) {}
+        connection_(side.scheduler_, std::move(accepted), kUsualInput,
+                    thrift::kFrameHead + side.bounds_.frame, side.unsent_) {}
   ~Session() {
     while (!open_.empty()) leave(open_.begin()->first);
     --side_.connected_;
@@ -61,7 +62,8 @@
       if (!more) co_return;
       while (const auto length = thrift::frameLength(input.view())) {
         const std::size_t whole = thrift::kFrameHead + *length;
-        if (whole > input.most()) throw protocol::Unreadable("a frame of " + std::to_string(*length) + " bytes");
+        if (whole > input.most())
+          throw protocol::Unreadable("a frame of " + std::to_string(*length) + " bytes");
         if (input.view().size() < whole) {
           input.expect(whole);
           break;
@@ -85,7 +87,8 @@
       } else if (message.method == "heartbeat" && call) {
         send(thrift::heartbeat(message.sequence, !side_.leaving_));
       } else if (call) {
-        send(thrift::exception(message.method, message.sequence, thrift::Fault::unknownMethod, "unknown method"));
+        send(thrift::exception(message.method, message.sequence, thrift::Fault::unknownMethod,
+                               "unknown method"));
       } else {
         throw protocol::Unreadable("a message that no client sends");
       }
@@ -110,7 +113,8 @@
         read.reference.find_first_not_of("0123456789abcdefABCDEF") != std::string_view::npos)
       throw protocol::Unreadable("ref: 16 hex digits are wanted");
     exchange.reference = read.reference;
-    if (!told.customerNames.empty()) exchange.customer = placeOf(told.customerNames, read.customer, "project");
+    if (!told.customerNames.empty())
+      exchange.customer = placeOf(told.customerNames, read.customer, "project");
     exchange.taken = side_.desk_.now();
     constexpr double kDay = 86400e3, kTerabyte = 1 << 20;
     exchange.expires = exchange.taken + ofMilliseconds(figure("allow", read.allow, kDay));
@@ -170,7 +174,8 @@
       say_(say),
       listener_(scheduler, address),
       room_(scheduler),
-      sessions_(scheduler, [this](const char* what) { say_("client", std::string("connection closed: ") + what); }) {
+      sessions_(scheduler,
+                [this](const char* what) { say_("client", std::string("connection closed: ") + what); }) {
   sessions_.spawn(listen());
 }
 
--- a/src/routing/desk.cpp
+++ b/src/routing/desk.cpp
@@ -10,7 +10,8 @@
 // The place of a name in its list, as the settings have it.
 unsigned placeOf(const std::vector<std::string>& names, const std::string& name, const char* what) {
   const auto at = std::find(names.begin(), names.end(), name);
-  if (at == names.end()) throw protocol::Unreadable(std::string(what) + ": '" + name + "' is not in the settings");
+  if (at == names.end())
+    throw protocol::Unreadable(std::string(what) + ": '" + name + "' is not in the settings");
   return static_cast<unsigned>(at - names.begin());
 }
 
--- a/src/routing/follower.cpp
+++ b/src/routing/follower.cpp
@@ -9,7 +9,7 @@
 using std::chrono::milliseconds;
 
 constexpr std::size_t kUsualInput = 8 * 1024, kMostInput = 1024 * 1024;
-constexpr milliseconds kBeat{1000};      // a line comes at least so often
+constexpr milliseconds kBeat{1000};  // a line comes at least so often
 constexpr milliseconds kSilent = 3 * kBeat;
 constexpr milliseconds kFirstWait = kBeat / 10;
 constexpr int kMostDoublings = 4;
@@ -41,7 +41,8 @@
     }
     desk_.listFailed();
     const milliseconds most = kFirstWait * (1 << std::min(failures_, kMostDoublings));
-    const milliseconds wait{std::uniform_int_distribution<milliseconds::rep>(most.count() / 2, most.count())(dice_)};
+    const milliseconds wait{
+        std::uniform_int_distribution<milliseconds::rep>(most.count() / 2, most.count())(dice_)};
     co_await scheduler_.sleepUntil(scheduler_.now() + wait);
   }
 }
@@ -52,13 +53,15 @@
     say_("changelog", std::string("out of reach: ") + std::strerror(dialled.error));
     co_return;
   }
-  transport::Connection connection(scheduler_, std::move(dialled.descriptor), kUsualInput, kMostInput, unsent_);
+  transport::Connection connection(scheduler_, std::move(dialled.descriptor), kUsualInput, kMostInput,
+                                   unsent_);
   connection.send({Slice(protocol::since(last_))});
   transport::Inbox& input = connection.input();
   for (;;) {
     const bool more = co_await connection.receive(scheduler_.now() + kSilent);
     if (!more) break;
-    for (std::size_t end = input.view().find('\n'); end != std::string_view::npos; end = input.view().find('\n')) {
+    for (std::size_t end = input.view().find('\n'); end != std::string_view::npos;
+         end = input.view().find('\n')) {
       line(input.view().substr(0, end));
       input.consume(end + 1);
     }
--- a/src/routing/server_side.cpp
+++ b/src/routing/server_side.cpp
@@ -13,9 +13,12 @@
 
 constexpr std::size_t kUsualInput = 32 * 1024, kMostInput = 128 * 1024;
 constexpr std::uint32_t kMostPages = 64;
-constexpr int kQuietDials = 4;  // dial time-outs without a byte: a working connection is asked whether it lives
+constexpr int kQuietDials =
+    4;  // dial time-outs without a byte: a working connection is asked whether it lives
 
-std::chrono::milliseconds milliseconds(Span span) { return std::chrono::ceil<std::chrono::milliseconds>(span); }
+std::chrono::milliseconds milliseconds(Span span) {
+  return std::chrono::ceil<std::chrono::milliseconds>(span);
+}
 
 }  // namespace
 
@@ -102,7 +105,8 @@
   std::erase(link->held, &sending);
   const std::string& id = sending.exchange.reference;
   if (link->open.erase(id) > 0)
-    link->connection->send({Slice(sending.pagesWanted > 0 ? protocol::resp::free(id) : protocol::resp::quit(id))});
+    link->connection->send(
+        {Slice(sending.pagesWanted > 0 ? protocol::resp::free(id) : protocol::resp::quit(id))});
 }
 
 void ServerSide::prioritise(Sending& sending) {
@@ -121,8 +125,8 @@
 // The whole life of a connection.
 transport::Task<> ServerSide::run(Link& link) {
   const std::string id = link.executor.id;
-  transport::Dialled dialled = co_await transport::dial(scheduler_, *link.executor.address,
-                                                        scheduler_.now() + bounds_.dialTimeout);
+  transport::Dialled dialled =
+      co_await transport::dial(scheduler_, *link.executor.address, scheduler_.now() + bounds_.dialTimeout);
   if (!dialled.descriptor) {
     say_("dial", "executor " + id + ": no connection: " + std::strerror(dialled.error));
     lose(link, 0);
@@ -208,7 +212,8 @@
     case Word::over:
       return over(Outcome::turnedAway);
     case Word::ok:
-      if (sending.pagesWanted > 0 || answer.pages < 1 || answer.pages > kMostPages) return over(Outcome::error);
+      if (sending.pagesWanted > 0 || answer.pages < 1 || answer.pages > kMostPages)
+        return over(Outcome::error);
       sending.pagesWanted = answer.pages;
       sending.pages.resize(answer.pages);
       for (std::uint32_t page = 1; page < answer.pages; ++page)
--- a/src/transport/connection.cpp
+++ b/src/transport/connection.cpp
@@ -1,17 +1,17 @@
 #include "transport/connection.hpp"
 
-#include <array>
-#include <cerrno>
-#include <charconv>
-#include <stdexcept>
-#include <system_error>
-
 #include <arpa/inet.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <sys/uio.h>
 #include <unistd.h>
 
+#include <array>
+#include <cerrno>
+#include <charconv>
+#include <stdexcept>
+#include <system_error>
+
 namespace paddletrack::transport {
 namespace {
 
@@ -54,8 +54,8 @@
   raw_.sin_port = htons(static_cast<std::uint16_t>(port));
 }
 
-Connection::Connection(Scheduler& scheduler, std::unique_ptr<Descriptor> descriptor,
-                       std::size_t usualInput, std::size_t mostInput, Unsent& unsent)
+Connection::Connection(Scheduler& scheduler, std::unique_ptr<Descriptor> descriptor, std::size_t usualInput,
+                       std::size_t mostInput, Unsent& unsent)
     : scheduler_(scheduler),
       descriptor_(std::move(descriptor)),
       input_(usualInput, mostInput),
--- a/src/transport/connection.hpp
+++ b/src/transport/connection.hpp
@@ -1,13 +1,13 @@
 #pragma once
 
+#include <netinet/in.h>
+
 #include <cstdint>
 #include <deque>
 #include <initializer_list>
 #include <memory>
 #include <string>
 
-#include <netinet/in.h>
-
 #include "transport/scheduler.hpp"
 #include "transport/slice.hpp"
 
@@ -38,7 +38,8 @@
   // How reading came to its end.
   enum class End { none, closed, reset };
 
-  Connection(Scheduler& scheduler, std::unique_ptr<Descriptor> descriptor, std::size_t usualInput, std::size_t mostInput, Unsent& unsent);
+  Connection(Scheduler& scheduler, std::unique_ptr<Descriptor> descriptor, std::size_t usualInput,
+             std::size_t mostInput, Unsent& unsent);
   ~Connection();
 
   // Waits for more input (until a moment at most) and says whether there is any.
@@ -46,7 +47,8 @@
   Inbox& input() { return input_; }
   End end() const { return end_; }
 
-  // Queued as it is; the bytes stay shared. What would pass the bound on all unsent bytes ends the connection.
+  // Queued as it is; the bytes stay shared. What would pass the bound on all unsent bytes ends the
+  // connection.
   void send(std::initializer_list<Slice> pieces);
   void send(const std::deque<Slice>& pieces);
   std::uint64_t queued() const { return queued_; }    // bytes ever given to send
--- a/src/transport/scheduler.cpp
+++ b/src/transport/scheduler.cpp
@@ -1,11 +1,11 @@
 #include "transport/scheduler.hpp"
 
+#include <unistd.h>
+
 #include <algorithm>
 #include <cerrno>
 #include <system_error>
 
-#include <unistd.h>
-
 namespace paddletrack::transport {
 
 void Call::soon() {
@@ -89,7 +89,8 @@
     wait = static_cast<int>(std::clamp<long long>(left, 0, 1000));
   }
   eventCount_ = ::epoll_wait(epoll_, events_.data(), static_cast<int>(events_.size()), wait);
-  if (eventCount_ < 0 && errno != EINTR) throw std::system_error(errno, std::generic_category(), "epoll_wait");
+  if (eventCount_ < 0 && errno != EINTR)
+    throw std::system_error(errno, std::generic_category(), "epoll_wait");
   for (int each = 0; each < eventCount_; ++each) {
     const epoll_event& event = events_[static_cast<std::size_t>(each)];
     auto* descriptor = static_cast<Descriptor*>(event.data.ptr);
--- a/src/transport/scheduler.hpp
+++ b/src/transport/scheduler.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <sys/epoll.h>
+
 #include <array>
 #include <chrono>
 #include <coroutine>
@@ -8,8 +10,6 @@
 #include <map>
 #include <optional>
 
-#include <sys/epoll.h>
-
 #include "transport/task.hpp"
 
 namespace paddletrack::transport {
@@ -155,7 +155,8 @@
   struct Root;
   using Roots = std::list<Root>;
   struct Root {
-    Root(Scheduler& scheduler, Task<> made) : task(std::move(made)), begin(scheduler, [this] { run.start(); }) {}
+    Root(Scheduler& scheduler, Task<> made)
+        : task(std::move(made)), begin(scheduler, [this] { run.start(); }) {}
     Task<> task;
     Task<> run;
     Call begin;
--- a/src/transport/slice.hpp
+++ b/src/transport/slice.hpp
@@ -12,7 +12,8 @@
 class Slice {
  public:
   Slice() = default;
-  Slice(std::shared_ptr<const void> owner, std::string_view bytes) : owner_(std::move(owner)), bytes_(bytes) {}
+  Slice(std::shared_ptr<const void> owner, std::string_view bytes)
+      : owner_(std::move(owner)), bytes_(bytes) {}
   explicit Slice(std::string made) {
     auto kept = std::make_shared<const std::string>(std::move(made));
     bytes_ = *kept;
