--- a/src/program/serve.cpp
+++ b/src/program/serve.cpp
@@ -18,6 +18,7 @@
 
 // A planned restart: connections and requests go on coming for a while after SIGTERM, and SIGKILL comes no
 // sooner than the longest job timeout, at most so long, and a last stretch.
+constexpr milliseconds kCounted{1000};
 constexpr milliseconds kStillComing{700}, kLongestRest{3000}, kLastStretch{700}, kMargin{300};
 
 // How the limits told are shared out.
@@ -36,6 +37,13 @@
   return ::signalfd(-1, &wanted, SFD_NONBLOCK | SFD_CLOEXEC);
 }
 
+transport::Task<> count(transport::Scheduler& scheduler, routing::Desk& desk, const routing::Say& say) {
+  for (;;) {
+    co_await scheduler.sleepUntil(scheduler.now() + kCounted);
+    say("counts", desk.counts());
+  }
+}
+
 transport::Task<> leaveOnSignal(transport::Scheduler& scheduler, transport::Descriptor& signal,
                                 const Node& node, routing::Desk& desk, routing::ClientSide& clients,
                                 const routing::Say& say) {
@@ -81,6 +89,7 @@
   transport::Descriptor signal(scheduler, signals());
   transport::Group running(scheduler, [&](const char* what) { say("leaving", what); });
   running.spawn(leaveOnSignal(scheduler, signal, node, desk, clients, say));
+  running.spawn(count(scheduler, desk, say));
   say("serving", node.name + ", " + std::to_string(site.types.size()) + " reservation types, " +
                      std::to_string(node.changes.size()) + " known changes");
   scheduler.run();
--- a/src/routing/desk.cpp
+++ b/src/routing/desk.cpp
@@ -44,12 +44,14 @@
   Exchange& exchange = *taken;
   exchange.place = exchanges_.insert(exchanges_.end(), std::move(taken));
   if (end_) exchange.expires = std::min(exchange.expires, *end_);
+  ++counts_.taken;
   controller_.take(now(), exchange);
   forgetEnded();
 }
 
 void Desk::left(Exchange& exchange) {
   exchange.asker = nullptr;
+  ++counts_.left;
   touch(exchange);
   controller_.gaveUp(now(), exchange);
   forgetEnded();
@@ -78,6 +80,7 @@
 void Desk::tell(Sending& sending, Outcome outcome) {
   sending.timeout.cancel();
   sending.pages.clear();
+  ++counts_.ends[static_cast<std::size_t>(outcome)];
   touch(sending.exchange);
   const bool over = sending.exchange.over || outcome == Outcome::done;
   controller_.ended(now(), sending.dispatch, outcome, over, std::nullopt, nullptr);
@@ -126,6 +129,19 @@
   forgetEnded();
 }
 
+std::string Desk::counts() const {
+  static constexpr std::array<const char*, 8> kEnds{"done",        "error", "turned away", "timed out",
+                                                    "unreachable", "reset", "withdrawn",   "never sent"};
+  std::string line = std::to_string(exchanges_.size()) + " open, " + std::to_string(counts_.taken) +
+                     " taken, " + std::to_string(counts_.answers[1]) + " done, " +
+                     std::to_string(counts_.answers[2]) + " throttled, " +
+                     std::to_string(counts_.answers[3]) + " cancelled, " + std::to_string(counts_.left) +
+                     " left; dispatches:";
+  for (std::size_t each = 0; each < kEnds.size(); ++each)
+    if (counts_.ends[each] > 0) line += " " + std::to_string(counts_.ends[each]) + " " + kEnds[each];
+  return line + "; " + servers_.counts();
+}
+
 void Desk::answerBy(Span end) {
   end_ = end;
   for (const auto& exchange : exchanges_) {
@@ -164,6 +180,7 @@
 void Desk::answer(Exchange& exchange, Exchange::Answer made) {
   touch(exchange);
   exchange.answer = made;
+  ++counts_.answers[static_cast<std::size_t>(made)];
   if (Exchange::Asker* asker = std::exchange(exchange.asker, nullptr)) asker->answered(exchange);
   exchange.pages.clear();
 }
--- a/src/routing/desk.hpp
+++ b/src/routing/desk.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <chrono>
 #include <list>
 #include <memory>
@@ -35,7 +36,8 @@
   void left(Exchange& exchange);  // its client has
   void listed(const protocol::Change& change);
   void listFailed();
-  void answerBy(Span end);  // this process ends then: nothing is awaited for longer
+  std::string counts() const;  // for the log
+  void answerBy(Span end);     // this process ends then: nothing is awaited for longer
 
  private:
   void dispatch(Dispatch& made) override;
@@ -67,6 +69,11 @@
   const std::chrono::system_clock::time_point startOnClock_;
   std::optional<Span> end_;
   bool asked_ = false;  // for the list
+  struct Counts {
+    std::uint64_t taken = 0, left = 0;
+    std::array<std::uint64_t, 4> answers{};  // as Exchange::Answer
+    std::array<std::uint64_t, 8> ends{};     // as Outcome
+  } counts_;
   std::list<std::unique_ptr<Exchange>> exchanges_;
   std::unordered_map<std::string, std::unique_ptr<Executor>> executors_;
   std::vector<Exchange*> touched_;
--- a/src/routing/server_side.cpp
+++ b/src/routing/server_side.cpp
@@ -115,6 +115,10 @@
         {Slice(protocol::resp::prio(sending.exchange.reference, *sending.exchange.priority))});
 }
 
+std::string ServerSide::counts() const {
+  return std::to_string(links_.size()) + " connections, " + std::to_string(serials_) + " dialled";
+}
+
 void ServerSide::retire(Executor& executor) {
   for (Link* link : executor.links) {
     link->retired = true;
--- a/src/routing/server_side.hpp
+++ b/src/routing/server_side.hpp
@@ -61,7 +61,8 @@
   void send(Sending& sending);
   void giveUp(Sending& sending);      // nothing more of it will be told
   void prioritise(Sending& sending);  // as its exchange now says
-  void retire(Executor& executor);    // its connections take nothing new
+  std::string counts() const;
+  void retire(Executor& executor);  // its connections take nothing new
 
  private:
   Link& pick(Sending& sending);
