--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -651,8 +651,8 @@
   const double bad = engine.bad.sum(now_), good = engine.good.sum(now_);
   bool ill = bad >= 2 && bad > kIllShare * (bad + good);
   for (const Dispatch* each : engine.out) {
-    const bool overdue = age(*each) > slaSeconds(*each->job);
-    ill = ill || (overdue && (!engine.lastGood || *engine.lastGood < each->sent));
+    const bool noSign = !engine.lastGood || *engine.lastGood < each->sent;
+    ill = ill || (noSign && age(*each) > slaSeconds(*each->job));
   }
   if (ill && !engine.trialAt) engine.trialAt = now_ + shortest_->slaTime * kTrialSlas;
   return engine.trialAt.has_value();
--- a/src/transport/connection.cpp
+++ b/src/transport/connection.cpp
@@ -70,21 +70,29 @@
 Connection::~Connection() { all_.held -= unsent(); }
 
 Task<bool> Connection::receive(std::optional<Moment> until) {
-  co_await scheduler_.turn();  // one peer with much to say does not starve the others
+  if (!dry_) co_await scheduler_.turn();  // one peer with much to say does not starve the others
   for (;;) {
     if (failed_ || end_ != End::none || input_.full()) co_return false;
+    // A read that did not fill its room has emptied the socket: no second one only to be told so.
+    if (dry_ && !descriptor_->hungUp()) {
+      input_.rest();
+      const bool more = co_await descriptor_->readable.wait(until);
+      if (!more) co_return false;
+      dry_ = false;
+      continue;
+    }
     const auto [at, size] = input_.space();
     const ssize_t got = ::read(descriptor_->fd(), at, size);
     if (got > 0) {
       input_.grew(static_cast<std::size_t>(got));
+      dry_ = static_cast<std::size_t>(got) < size;
       co_return true;
     }
     if (got == 0) {
       end_ = End::closed;
     } else if (errno == EAGAIN || errno == EWOULDBLOCK) {
-      input_.rest();
-      const bool more = co_await descriptor_->readable.wait(until);
-      if (!more) co_return false;
+      dry_ = true;
+      descriptor_->clearHungUp();  // a sign from before it was connected
     } else if (errno != EINTR) {
       end_ = End::reset;
     }
--- a/src/transport/connection.hpp
+++ b/src/transport/connection.hpp
@@ -68,6 +68,7 @@
   Unsent& all_;
   End end_ = End::none;
   bool failed_ = false;
+  bool dry_ = true;  // nothing to read until the next sign
   std::deque<Slice> pieces_;
   std::size_t offset_ = 0;  // of the first piece, already written
   std::uint64_t queued_ = 0, written_ = 0;
--- a/src/transport/scheduler.cpp
+++ b/src/transport/scheduler.cpp
@@ -94,6 +94,7 @@
   for (int each = 0; each < eventCount_; ++each) {
     const epoll_event& event = events_[static_cast<std::size_t>(each)];
     auto* descriptor = static_cast<Descriptor*>(event.data.ptr);
+    if (event.events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) descriptor->hungUp_ = true;
     if (event.events & ~static_cast<std::uint32_t>(EPOLLOUT)) descriptor->readable.set();
     if (event.events & (EPOLLOUT | EPOLLHUP | EPOLLERR)) descriptor->writable.set();
   }
--- a/src/transport/scheduler.hpp
+++ b/src/transport/scheduler.hpp
@@ -136,11 +136,15 @@
   ~Descriptor();
 
   int fd() const { return fd_; }
+  bool hungUp() const { return hungUp_; }  // the peer has ended: what is left to read ends too
+  void clearHungUp() { hungUp_ = false; }
   Signal readable, writable;
 
  private:
+  friend class Scheduler;
   Scheduler& scheduler_;
   int fd_;
+  bool hungUp_ = false;
 };
 
 // Coroutines that run by themselves. Each is destroyed when it has ended, all of them with the group.
