--- a/src/program/serve.cpp
+++ b/src/program/serve.cpp
@@ -22,9 +22,9 @@
 constexpr milliseconds kStillComing{700}, kLongestRest{3000}, kLastStretch{700}, kMargin{300};
 
 // How the limits told are shared out.
-constexpr std::size_t kUnsentShare = 4;    // of the memory: a fourth for bytes on their way out
-constexpr std::size_t kInputShare = 8;     // an eighth for requests that are still coming in
-constexpr std::size_t kOpenBytes = 16384;  // that an open request may cost, with its result; a fourth for all
+constexpr std::size_t kUnsentShare = 4;   // of the memory: a fourth for bytes on their way out
+constexpr std::size_t kInputShare = 8;    // an eighth for requests that are still coming in
+constexpr std::size_t kOpenBytes = 8192;  // that an open request may cost, with its result; a fourth for all
 constexpr std::size_t kOwnDescriptors = 8;  // standard streams, epoll, signals, listener, change log, spare
 
 int signals() {
--- a/src/routing/client_side.cpp
+++ b/src/routing/client_side.cpp
@@ -48,7 +48,9 @@
   Session(ClientSide& side, std::unique_ptr<transport::Descriptor> accepted)
       : side_(side),
         connection_(side.scheduler_, std::move(accepted), kUsualInput,
-                    thrift::kFrameHead + side.bounds_.frame, side.unsent_) {}
+                    thrift::kFrameHead + side.bounds_.frame, side.unsent_) {
+    ++side_.connected_;
+  }
   ~Session() {
     while (!open_.empty()) leave(open_.begin()->first);
     --side_.connected_;
@@ -182,9 +184,13 @@
 transport::Task<> ClientSide::listen() {
   for (;;) {
     while (connected_ >= bounds_.connections) co_await room_.wait();
-    std::unique_ptr<transport::Descriptor> accepted = co_await listener_.accept();
-    ++connected_;
-    sessions_.spawn(serve(std::move(accepted)));
+    try {
+      std::unique_ptr<transport::Descriptor> accepted = co_await listener_.accept();
+      sessions_.spawn(serve(std::move(accepted)));
+    } catch (const std::exception& error) {  // one connection could not be had: the next may
+      say_("client", error.what());
+    }
+    co_await scheduler_.turn();
   }
 }
 
--- a/src/routing/desk.cpp
+++ b/src/routing/desk.cpp
@@ -158,7 +158,8 @@
   exchange.sendings.push_back(std::make_unique<Sending>(exchange, made, scheduler_));
   Sending& sending = *exchange.sendings.back();
   sending.timeout.then([this, &sending] { timedOut(sending); });
-  sending.timeout.at(outside(made.until));
+  sending.until = outside(made.until);
+  sending.timeout.at(sending.until);
   servers_.send(sending);
 }
 
--- a/src/routing/exchange.hpp
+++ b/src/routing/exchange.hpp
@@ -26,6 +26,7 @@
   Exchange& exchange;
   Dispatch& dispatch;
   transport::Call timeout;
+  transport::Moment until{};
 
   // Of the server side, which alone reads and writes it. No link: it is over there.
   Link* link = nullptr;
--- a/src/routing/follower.cpp
+++ b/src/routing/follower.cpp
@@ -1,7 +1,7 @@
 #include "routing/follower.hpp"
 
 #include <cstring>
-#include <stdexcept>
+#include <exception>
 
 namespace paddletrack::routing {
 namespace {
@@ -38,6 +38,8 @@
     } catch (const protocol::Unreadable& error) {
       say_("changelog", std::string("read afresh: ") + error.what());
       last_ = 0;
+    } catch (const std::exception& error) {
+      say_("changelog", error.what());
     }
     desk_.listFailed();
     const milliseconds most = kFirstWait * (1 << std::min(failures_, kMostDoublings));
--- a/src/routing/server_side.cpp
+++ b/src/routing/server_side.cpp
@@ -16,10 +16,6 @@
 constexpr int kQuietDials =
     4;  // dial time-outs without a byte: a working connection is asked whether it lives
 
-std::chrono::milliseconds milliseconds(Span span) {
-  return std::chrono::ceil<std::chrono::milliseconds>(span);
-}
-
 }  // namespace
 
 ServerSide::ServerSide(transport::Scheduler& scheduler, transport::Unsent& unsent, const Bounds& bounds,
@@ -66,6 +62,7 @@
   Link* best = nullptr;
   for (Link* link : executor.links) {
     if (link->retired || link->silent || link->load() >= bounds_.sharedBy) continue;
+    if (link->open.count(sending.exchange.reference) > 0) continue;
     const auto& before = sending.exchange.sendings;
     if (std::any_of(before.begin(), before.end(), [&](const auto& each) {
           return each.get() != &sending && each->linkSerial == link->serial;
@@ -86,8 +83,8 @@
 void ServerSide::write(Link& link, Sending& sending) {
   const Exchange& exchange = sending.exchange;
   protocol::resp::Terms terms;
-  const auto left = std::chrono::duration_cast<Span>(sending.dispatch.until - sending.dispatch.sent);
-  terms.waitMs = std::max<std::int64_t>(1, milliseconds(left).count());
+  const auto left = std::chrono::ceil<std::chrono::milliseconds>(sending.until - scheduler_.now());
+  terms.waitMs = std::max<std::int64_t>(1, left.count());
   terms.grantMb = exchange.grantMb;
   terms.priority = exchange.priority;
   link.open.emplace(exchange.reference, &sending);
@@ -126,14 +123,21 @@
   }
 }
 
-// The whole life of a connection.
+// The whole life of a connection, whatever ends it.
 transport::Task<> ServerSide::run(Link& link) {
-  const std::string id = link.executor.id;
+  try {
+    co_await work(link);
+  } catch (const std::exception& error) {
+    say_("executor", "executor " + link.executor.id + ": " + error.what() + "; connection given up");
+  }
+  lose(link);
+}
+
+transport::Task<> ServerSide::work(Link& link) {
   transport::Dialled dialled =
       co_await transport::dial(scheduler_, *link.executor.address, scheduler_.now() + bounds_.dialTimeout);
   if (!dialled.descriptor) {
-    say_("dial", "executor " + id + ": no connection: " + std::strerror(dialled.error));
-    lose(link, 0);
+    say_("dial", "executor " + link.executor.id + ": no connection: " + std::strerror(dialled.error));
     co_return;
   }
   link.connection.emplace(scheduler_, std::move(dialled.descriptor), kUsualInput, kMostInput, unsent_);
@@ -147,19 +151,13 @@
     const bool more = co_await link.connection->receive(scheduler_.now() + bounds_.dialTimeout * kQuietDials);
     if (more) {
       heard(link);
-      try {
-        read(link);
-      } catch (const protocol::Unreadable& error) {
-        say_("executor", "executor " + id + ": " + error.what() + "; connection given up");
-        break;
-      }
+      read(link);
     } else if (link.connection->end() != Connection::End::none || link.connection->input().full()) {
       break;
     } else if (!quiet(link)) {
       break;
     }
   }
-  lose(link, link.connection->written());
 }
 
 // No byte for a while. An idle connection goes before its executor closes it; one with work is asked whether
@@ -237,7 +235,8 @@
 }
 
 // What was not wholly written never ran; anything else may have.
-void ServerSide::lose(Link& link, std::size_t written) {
+void ServerSide::lose(Link& link) {
+  const std::uint64_t written = link.connection ? link.connection->written() : 0;
   std::erase(link.executor.links, &link);
   std::vector<std::pair<Sending*, Outcome>> ends;
   for (Sending* each : link.held) ends.emplace_back(each, Outcome::unreachable);
--- a/src/routing/server_side.hpp
+++ b/src/routing/server_side.hpp
@@ -68,11 +68,12 @@
   Link& pick(Sending& sending);
   void write(Link& link, Sending& sending);
   transport::Task<> run(Link& link);
+  transport::Task<> work(Link& link);
   void heard(Link& link);
   bool quiet(Link& link);
   void read(Link& link);
   void answered(Link& link, const protocol::resp::Answer& answer);
-  void lose(Link& link, std::size_t after);
+  void lose(Link& link);
   void end(Sending& sending, Outcome outcome);
 
   transport::Scheduler& scheduler_;
--- a/src/transport/connection.hpp
+++ b/src/transport/connection.hpp
@@ -26,8 +26,10 @@
   sockaddr_in raw_{};
 };
 
-// Bytes that all connections of the process hold unsent, and the most they may.
+// Bytes that all connections of the process hold unsent, and the most they may. Once it is reached the
+// connections that hold more than a fair part of it are ended: peers that do not read.
 struct Unsent {
+  static constexpr std::size_t kFairParts = 64;
   std::size_t most = 0;
   std::size_t held = 0;
 };
@@ -47,8 +49,7 @@
   Inbox& input() { return input_; }
   End end() const { return end_; }
 
-  // Queued as it is; the bytes stay shared. What would pass the bound on all unsent bytes ends the
-  // connection.
+  // Queued as it is; the bytes stay shared.
   void send(std::initializer_list<Slice> pieces);
   void send(const std::deque<Slice>& pieces);
   std::uint64_t queued() const { return queued_; }    // bytes ever given to send
--- a/src/transport/scheduler.cpp
+++ b/src/transport/scheduler.cpp
@@ -50,6 +50,7 @@
 Scheduler::~Scheduler() { ::close(epoll_); }
 
 void Scheduler::run() {
+  stopped_ = false;
   while (!stopped_) {
     runReady();
     fireDue();
--- /dev/null
+++ b/tests/routing_test.cpp
@@ -0,0 +1,386 @@
+// A whole front on loopback: client, executors and change log are scripted peers in the same loop.
+#include <gtest/gtest.h>
+
+#include "routing/client_side.hpp"
+#include "routing/desk.hpp"
+#include "routing/follower.hpp"
+
+namespace paddletrack::routing {
+namespace {
+
+using namespace std::chrono_literals;
+using transport::Address;
+using transport::Connection;
+using transport::Task;
+
+std::string bytes(std::uint64_t value, int size) {
+  std::string out;
+  for (int shift = 8 * (size - 1); shift >= 0; shift -= 8) out += static_cast<char>(value >> shift & 0xff);
+  return out;
+}
+std::string text(const std::string& value) { return bytes(value.size(), 4) + value; }
+std::string frame(int kind, const std::string& method, int sequence, const std::string& arguments) {
+  return text(bytes(0x80010000U | static_cast<unsigned>(kind), 4) + text(method) +
+              bytes(static_cast<unsigned>(sequence), 4) + arguments);
+}
+std::string submit(int sequence, int allowMs = 2000, const std::string& type = "q",
+                   const std::string& reference = "00000000000000a") {
+  std::string fields;
+  int count = 0;
+  for (const auto& [name, value] : {std::pair<std::string, std::string>{"service", type},
+                                    {"ref", reference + std::to_string(sequence % 10)},
+                                    {"allow", std::to_string(allowMs)},
+                                    {"effort", "20.5"}}) {
+    fields += text(name) + text(value);
+    ++count;
+  }
+  return frame(1, "submit", sequence,
+               bytes(13, 1) + bytes(1, 2) + bytes(11, 1) + bytes(11, 1) +
+                   bytes(static_cast<unsigned>(count), 4) + fields + bytes(11, 1) + bytes(2, 2) +
+                   text("select * from s_3.t") + bytes(0, 1));
+}
+std::string revoke(int sequence) {
+  return frame(4, "revoke", 99,
+               bytes(8, 1) + bytes(1, 2) + bytes(static_cast<unsigned>(sequence), 4) + bytes(0, 1));
+}
+
+// Accepts connections at an address, keeps what it hears and says what its script makes of it.
+struct Peer {
+  using Script = std::function<void(Peer&, Connection&, const std::string& word, const std::string& id)>;
+  Peer(transport::Scheduler& loop, transport::Unsent& unsent, const std::string& at, Script made)
+      : scheduler(loop), all(unsent), script(std::move(made)), group(loop, [](const char*) {}) {
+    listener.emplace(loop, Address(at));
+    group.spawn(listen());
+  }
+  Task<> listen() {
+    for (;;) {
+      auto accepted = co_await listener->accept();
+      group.spawn(serve(std::move(accepted)));
+    }
+  }
+  Task<> serve(std::unique_ptr<transport::Descriptor> accepted) {
+    Connection connection(scheduler, std::move(accepted), 4096, 65536, all);
+    connections.push_back(&connection);  // to be told apart by; not all of them still are
+    for (;;) {
+      const bool more = co_await connection.receive();
+      if (!more) co_return;
+      for (;;) {
+        const protocol::resp::Array array = protocol::resp::read(connection.input().view());
+        if (array.size == 0) break;
+        const std::string word(array.words[0]), id(array.words[1]);
+        word == "NOOP" ? void(++noops) : void(heard += word + " ");
+        if (word == "NEXT") heard += std::string(array.words[2]) + " ";
+        connection.input().consume(array.size);
+        script(*this, connection, word, id);
+      }
+    }
+  }
+  static void say(Connection& to, std::initializer_list<std::string> words) {
+    std::string out = "*" + std::to_string(words.size()) + "\r\n";
+    for (const std::string& word : words) out += "$" + std::to_string(word.size()) + "\r\n" + word + "\r\n";
+    to.send({Slice(std::move(out))});
+  }
+  transport::Scheduler& scheduler;
+  transport::Unsent& all;
+  Script script;
+  std::string heard;
+  int noops = 0;
+  std::optional<transport::Listener> listener;
+  std::vector<const Connection*> connections;
+  transport::Group group;
+};
+
+void answers(Peer&, Connection& connection, const std::string& word, const std::string& id) {
+  if (word == "ASK") Peer::say(connection, {id, "200", "batches=1", "row\n"});
+}
+void silence(Peer&, Connection&, const std::string&, const std::string&) {}
+
+const std::string kSite =
+    "balancers=1\nzones=a\nmachineTypes=m\nfamilyInfo.kindCores=8\nprofiles.count=1\nprofiles.0.name=q\n"
+    "profiles.0.idempotency=retryable\nprofiles.0.onTimeUs=400000\nprofiles.0.giveUpUs=2000000\n"
+    "limits.mostTries=3\nlimits.retryAfter=true\nlimits.maxRetryAfterUs=1000000\nlimits.cancelling=true\n"
+    "limits.streamsPerConn=4\nlimits.dialTimeoutUs=20000\nlimits.idleCloseUs=400000\ntickUs=5000\n";
+
+struct Front : transport::Scheduler {
+  explicit Front(const std::string& site = kSite) : told(protocol::decode(protocol::pathsOfLines(site))) {}
+
+  Peer& executor(int number, Peer::Script script) {
+    peers.push_back(std::make_unique<Peer>(*this, unsent, at(number), std::move(script)));
+    return *peers.back();
+  }
+  static std::string at(int number) { return "127.0.77." + std::to_string(number) + ":18443"; }
+  void list(std::initializer_list<int> numbers, bool whole = true, Standing standing = Standing::ready) {
+    protocol::Change change;
+    change.whole = whole;
+    for (const int each : numbers)
+      change.entries.push_back({"s-" + std::to_string(each), at(each), "a", "m", 0, standing, 0});
+    desk.listed(change);
+  }
+  // Says bytes as a client and waits for what comes back.
+  std::string asked(const std::string& sent, std::chrono::milliseconds time = 60ms) {
+    if (!client) {
+      const auto dialling = [this]() -> Task<> {
+        transport::Dialled made = co_await transport::dial(*this, Address(kListen), now() + 1s);
+        client = std::make_unique<Connection>(*this, std::move(made.descriptor), 4096, 65536, unsent);
+        group.spawn(hearing());
+      };
+      group.spawn(dialling());
+      pass(10ms);
+    }
+    client->send({Slice(sent)});
+    pass(time);
+    return std::exchange(heard, "");
+  }
+  Task<> hearing() {
+    for (;;) {
+      const bool more = co_await client->receive();
+      if (!more) break;
+      heard += client->input().view();
+      client->input().consume(client->input().view().size());
+    }
+    heard += "<closed>";
+  }
+  void pass(std::chrono::milliseconds time) {
+    transport::Call end(*this, [this] { stop(); });
+    end.at(now() + time);
+    run();
+  }
+  bool has(const std::string& answer, const std::string& part) {
+    return answer.find(part) != std::string::npos;
+  }
+
+  static constexpr const char* kListen = "127.0.77.200:18443";
+  std::string logged;
+  const Say say = [this](const char* topic, const std::string& line) {
+    logged += std::string(topic) + ": " + line + "\n";
+  };
+  transport::Unsent unsent{4 << 20, 0};
+  protocol::Told told;
+  Desk desk{*this, unsent, told, {100, {told.sharedBy, 20, told.dialTimeout, told.idleClose}}, 7, say};
+  ClientSide clients{*this, unsent, Address(kListen), {10, 4096, 65536}, desk, say};
+  std::vector<std::unique_ptr<Peer>> peers;
+  std::string heard;
+  std::unique_ptr<Connection> client;
+  transport::Group group{*this, [](const char*) {}};
+};
+
+TEST(Routing, AHeartbeatIsGoodUntilTheProcessLeaves) {
+  Front front;
+  const std::string yes = front.asked(frame(1, "heartbeat", 1, bytes(0, 1)));
+  front.clients.leave();
+  const std::string no = front.asked(frame(1, "heartbeat", 2, bytes(0, 1)));
+  ASSERT_EQ(yes.size(), no.size());
+  EXPECT_EQ(yes[yes.size() - 3], 1);
+  EXPECT_EQ(no[no.size() - 3], 0);
+}
+
+TEST(Routing, PagesComeInAnyOrderAndLeaveInTheirs) {
+  Front front;
+  Peer& peer = front.executor(1, [](Peer&, Connection& to, const std::string& word, const std::string& id) {
+    if (word == "ASK") Peer::say(to, {id, "200", "batches=3", "one\n"});
+    if (word != "NEXT") return;
+    static int asked = 0;
+    if (++asked < 2) return;
+    Peer::say(to, {id, "chunk", "batch=2", "three\n"});
+    Peer::say(to, {id, "chunk", "batch=2", "again\n"});
+    Peer::say(to, {id, "chunk", "batch=1", "two\n"});
+  });
+  front.list({1});
+  EXPECT_TRUE(front.has(front.asked(submit(1)), "one\ntwo\nthree\n"));
+  EXPECT_EQ(peer.heard, "ASK NEXT 1 NEXT 2 ");
+  EXPECT_TRUE(front.has(front.logged, "not asked for"));
+}
+
+// A page that its executor has lost: the whole dispatch has failed, and a restartable job is sent again.
+TEST(Routing, ALostPageFailsTheDispatch) {
+  Front front;
+  int asks = 0;
+  Peer& peer = front.executor(1, [&](Peer&, Connection& to, const std::string& word, const std::string& id) {
+    if (word == "ASK" && ++asks == 1) return Peer::say(to, {id, "200", "batches=2", "old\n"});
+    if (word == "ASK") return Peer::say(to, {id, "200", "batches=1", "new\n"});
+    Peer::say(to, {id, "500", "-", ""});
+  });
+  front.list({1});
+  const std::string answer = front.asked(submit(1), 150ms);
+  EXPECT_TRUE(front.has(answer, "new\n"));
+  EXPECT_FALSE(front.has(answer, "old\n"));
+  EXPECT_EQ(peer.connections.size(), 2U);  // the id goes over a connection once
+}
+
+TEST(Routing, ARefusedDialIsUnrunAndAResetIsSentAgain) {
+  Front front;
+  int asks = 0;
+  front.executor(2, [&](Peer& peer, Connection& to, const std::string& word, const std::string& id) {
+    if (word == "ASK" && ++asks == 1) return to.shut();
+    answers(peer, to, word, id);
+  });
+  front.list({1, 2});  // nobody listens at the first
+  for (int each = 1; each <= 4; ++each)
+    EXPECT_TRUE(front.has(front.asked(submit(each), 150ms), "row\n")) << each;
+  EXPECT_TRUE(front.has(front.desk.counts(), "unreachable"));
+  EXPECT_TRUE(front.has(front.desk.counts(), "1 reset"));
+}
+
+TEST(Routing, AFullExecutorIsPassedOver) {
+  Front front;
+  front.executor(1, [](Peer&, Connection& to, const std::string& word, const std::string& id) {
+    if (word == "ASK") Peer::say(to, {id, "503", "-", ""});
+  });
+  front.executor(2, answers);
+  front.list({1, 2});
+  for (int each = 1; each <= 4; ++each) EXPECT_TRUE(front.has(front.asked(submit(each)), "row\n"));
+}
+
+TEST(Routing, AJobNotAnsweredInItsTimeIsQuitAndThrottledThen) {
+  Front front;
+  Peer& peer = front.executor(1, silence);
+  front.list({1});
+  EXPECT_FALSE(front.has(front.asked(submit(1, 150), 120ms), "cooldown"));
+  EXPECT_TRUE(front.has(front.asked("", 60ms), "cooldown"));
+  EXPECT_EQ(peer.heard, "ASK QUIT ");
+  EXPECT_EQ(front.desk.open(), 0U);
+}
+
+TEST(Routing, ARevokedOrLostClientIsOwedNothing) {
+  Front front;
+  Peer& peer = front.executor(1, silence);
+  front.list({1});
+  front.asked(submit(1));
+  EXPECT_EQ(front.asked(revoke(1)), "");
+  EXPECT_EQ(peer.heard, "ASK QUIT ");
+  EXPECT_EQ(front.asked(revoke(1) + revoke(7)), "");
+  front.asked(submit(2));
+  front.client->shut();
+  front.pass(5ms);
+  front.client.reset();
+  front.pass(20ms);
+  EXPECT_EQ(peer.heard, "ASK QUIT ASK QUIT ");
+  EXPECT_EQ(front.desk.open(), 0U);
+}
+
+TEST(Routing, WhatCanBeTrustedGetsAnExceptionAndOthersGoOn) {
+  Front front;
+  front.executor(1, answers);
+  front.list({1});
+  EXPECT_TRUE(front.has(front.asked(frame(1, "drop", 1, bytes(0, 1))), "unknown method"));
+  EXPECT_TRUE(front.has(front.asked(submit(2, 2000, "unknown")), "service: 'unknown' is unknown"));
+  EXPECT_TRUE(front.has(front.asked(submit(3, -5)), "allow: '-5' can't be used"));
+  EXPECT_TRUE(front.has(front.asked(submit(4, 2000, "q", "short")), "16 hex digits"));
+  EXPECT_TRUE(front.has(front.asked(frame(1, "submit", 5, bytes(9, 1))), "the frame ends early"));
+  EXPECT_TRUE(front.has(front.asked(submit(6)), "row\n"));
+}
+
+TEST(Routing, WhatCantBeTrustedClosesItsConnectionAlone) {
+  for (const std::string& bad : {text("GET / HTTP/1.1"), bytes(0x7fffffff, 4), submit(1) + submit(1),
+                                 frame(2, "submit", 1, ""), frame(4, "revoke", 1, bytes(0, 1))}) {
+    Front front;
+    front.executor(1, silence);
+    front.list({1});
+    EXPECT_TRUE(front.has(front.asked(bad), "<closed>"));
+    front.client.reset();
+    EXPECT_FALSE(front.asked(frame(1, "heartbeat", 1, bytes(0, 1))).empty());
+    EXPECT_EQ(front.desk.open(), 0U);
+  }
+}
+
+TEST(Routing, AnExecutorThatCantBeReadLosesItsConnection) {
+  Front front;
+  int asks = 0;
+  front.executor(1, [&](Peer& peer, Connection& to, const std::string& word, const std::string& id) {
+    if (word == "ASK" && ++asks == 1) return to.send({Slice(std::string("HTTP/1.1 200 OK\r\n\r\n"))});
+    answers(peer, to, word, id);
+  });
+  front.list({1});
+  EXPECT_TRUE(front.has(front.asked(submit(1), 150ms), "row\n"));
+  EXPECT_TRUE(front.has(front.logged, "connection given up"));
+}
+
+// A machine that vanished and came back says nothing on its old connections; a slow one says nothing at all.
+TEST(Routing, ASilentConnectionIsGivenUpOnlyWhenItsExecutorAnswersElsewhere) {
+  Front front;
+  bool lively = false;
+  Peer& peer =
+      front.executor(1, [&](Peer& self, Connection& to, const std::string& word, const std::string& id) {
+        if (!lively || &to == self.connections.front()) return;
+        if (word == "NOOP") Peer::say(to, {id, "alive", "-", ""});
+        answers(self, to, word, id);
+      });
+  front.list({1});
+  front.asked(submit(1), 250ms);
+  EXPECT_GT(peer.noops, 0);
+  EXPECT_FALSE(front.has(front.desk.counts(), "reset"));
+  lively = true;
+  front.asked(submit(2), 600ms);
+  EXPECT_TRUE(front.has(front.desk.counts(), "1 reset"));
+}
+
+TEST(Routing, IdleAndRetiredConnectionsAreGivenBack) {
+  Front front;
+  front.executor(1, answers);
+  front.list({1});
+  for (int each = 1; each <= 9; ++each) front.asked(submit(each), 10ms);
+  EXPECT_TRUE(front.has(front.desk.counts(), "1 connections, 1 dialled"));
+  front.pass(400ms);
+  EXPECT_TRUE(front.has(front.desk.counts(), "0 connections"));
+  front.asked(submit(1), 10ms);
+  front.list({1}, false, Standing::gone);
+  front.pass(10ms);
+  EXPECT_TRUE(front.has(front.desk.counts(), "0 connections"));
+}
+
+TEST(Routing, WithoutADescriptorADispatchIsUnrunAndTheLoopGoesOn) {
+  Front front(kSite + "limits.streamsPerConn=1\n");
+  front.executor(1, silence);
+  front.list({1});
+  std::string many;
+  for (int each = 1; each <= 30; ++each)
+    many += submit(each, 300, "q", "0000000000000" + std::to_string(each / 10) + "b");
+  front.asked(many, 30ms);
+  EXPECT_EQ(front.asked(frame(1, "heartbeat", 90, bytes(0, 1)), 10ms).empty(), false);
+  front.pass(500ms);
+  EXPECT_EQ(front.desk.open(), 0U);
+}
+
+TEST(Routing, AtTheEndOfTheProcessAllIsAnswered) {
+  Front front;
+  front.executor(1, silence);
+  front.list({1});
+  front.asked(submit(1, 2000));
+  front.desk.answerBy(front.desk.now() + 50ms);
+  EXPECT_TRUE(front.has(front.asked(submit(2, 2000), 100ms), "cooldown"));
+  EXPECT_EQ(front.desk.open(), 0U);
+}
+
+TEST(ChangeLog, IsResumedAfterACutAndReadAfreshAfterNonsense) {
+  Front front;
+  const std::string server =
+      R"("id":"s-1","addr":"127.0.77.1:18443","zone":"a","kind":"m","cell":0,"started_ms":0,"state":)";
+  const auto event = [&](int seq, const char* state) {
+    return "{\"seq\":" + std::to_string(seq) + ",\"fleet\":{\"version\":1,\"full\":false,\"servers\":[{" +
+           server + "\"" + state + "\"}]}}\n";
+  };
+  std::vector<std::string> lines;
+  transport::Listener listener(front, Address("127.0.77.100:18443"));
+  const auto log = [&]() -> Task<> {
+    for (const std::string& said : {event(4, "active") + event(4, "left") + "4\n",
+                                    event(5, "active") + "nonsense\n", std::string("5\n")}) {
+      auto accepted = co_await listener.accept();
+      Connection connection(front, std::move(accepted), 4096, 65536, front.unsent);
+      const bool asked = co_await connection.receive();
+      if (asked) lines.emplace_back(connection.input().view());
+      connection.send({Slice(said)});
+      co_await front.sleepUntil(front.now() + 20ms);
+    }
+  };
+  front.group.spawn(log());
+  Follower follower(front, front.unsent, Address("127.0.77.100:18443"), 3, 7, front.desk, front.say);
+  front.executor(1, answers);
+  front.pass(100ms);
+  EXPECT_TRUE(front.has(front.asked(submit(1)), "row\n"));  // the repeat of 4 did not take the executor away
+  front.pass(800ms);
+  EXPECT_EQ(lines, (std::vector<std::string>{"since 3\n", "since 4\n", "since 0\n"}));
+  EXPECT_TRUE(front.has(front.logged, "nonsense"));
+}
+
+}  // namespace
+}  // namespace paddletrack::routing
