--- a/src/protocol/resp.cpp
+++ b/src/protocol/resp.cpp
@@ -89,7 +89,8 @@
   } else if (word == "chunk") {
     read.word = Word::chunk;
   } else if (word != "alive") {
-    throw Unreadable("RESP: the answer '" + std::string(word.substr(0, 20)) + "' is unknown");
+    read.word = Word::other;  // of a page that we have not: what it may carry is not looked at
+    return read;
   }
   std::string_view fields = array.count > 2 ? array.words[2] : "-";
   if (array.count > 3) read.body = array.words[3];
--- a/src/protocol/resp.hpp
+++ b/src/protocol/resp.hpp
@@ -22,7 +22,7 @@
 };
 Array read(std::string_view input);
 
-enum class Word { ok, full, error, over, alive, chunk };
+enum class Word { ok, full, error, over, alive, chunk, other };
 
 struct Answer {
   std::string_view id;  // or the tag of a NOOP
--- a/src/routing/server_side.cpp
+++ b/src/routing/server_side.cpp
@@ -194,28 +194,32 @@
       if (array.wanted > 0) input.expect(array.wanted);
       return;
     }
-    answered(link, protocol::resp::readAnswer(array));
+    try {
+      answered(link, protocol::resp::readAnswer(array));
+    } catch (const protocol::Unreadable& error) {
+      // Framed well, but no answer to what was asked: that one dispatch has failed, the others go on.
+      say_("executor", "executor " + link.executor.id + ": " + error.what());
+      const auto at = array.count > 0 ? link.open.find(std::string(array.words[0])) : link.open.end();
+      if (at != link.open.end()) over(link, *at->second, Outcome::error);
+    }
     input.consume(array.size);
   }
 }
 
 void ServerSide::answered(Link& link, const protocol::resp::Answer& answer) {
   if (answer.word == Word::alive) return;
+  if (answer.word == Word::other)
+    return say_("unsupported", "executors send messages that have no page; dropped");
   const auto at = link.open.find(std::string(answer.id));
   if (at == link.open.end()) return;  // given up meanwhile
   Sending& sending = *at->second;
-  const auto over = [&](Outcome outcome) {
-    link.open.erase(at);
-    sending.link = nullptr;
-    end(sending, outcome);
-  };
   switch (answer.word) {
     case Word::full:
     case Word::over:
-      return over(Outcome::turnedAway);
+      return over(link, sending, Outcome::turnedAway);
     case Word::ok:
       if (sending.pagesWanted > 0 || answer.pages < 1 || answer.pages > kMostPages)
-        return over(Outcome::error);
+        return over(link, sending, Outcome::error);
       sending.pagesWanted = answer.pages;
       sending.pages.resize(answer.pages);
       for (std::uint32_t page = 1; page < answer.pages; ++page)
@@ -228,10 +232,16 @@
       }
       break;
     default:
-      return over(Outcome::error);
+      return over(link, sending, Outcome::error);
   }
   sending.pages[answer.page] = link.connection->input().keep(answer.body);
-  if (++sending.pagesHeld == sending.pagesWanted) over(Outcome::done);
+  if (++sending.pagesHeld == sending.pagesWanted) over(link, sending, Outcome::done);
+}
+
+void ServerSide::over(Link& link, Sending& sending, Outcome outcome) {
+  link.open.erase(sending.exchange.reference);
+  sending.link = nullptr;
+  end(sending, outcome);
 }
 
 // What was not wholly written never ran; anything else may have.
--- a/src/routing/server_side.hpp
+++ b/src/routing/server_side.hpp
@@ -73,6 +73,7 @@
   bool quiet(Link& link);
   void read(Link& link);
   void answered(Link& link, const protocol::resp::Answer& answer);
+  void over(Link& link, Sending& sending, Outcome outcome);
   void lose(Link& link);
   void end(Sending& sending, Outcome outcome);
 
--- a/tests/routing_test.cpp
+++ b/tests/routing_test.cpp
@@ -295,6 +295,23 @@
   EXPECT_TRUE(front.has(front.logged, "connection given up"));
 }
 
+// Notes of progress, on which there is no page, once cost every connection that carried one.
+TEST(Routing, AMessageWithoutAPageIsDroppedAndABadAnswerFailsItsDispatchAlone) {
+  Front front;
+  int asks = 0;
+  Peer& peer =
+      front.executor(1, [&](Peer& self, Connection& to, const std::string& word, const std::string& id) {
+        Peer::say(to, {id, "status", "odd", ""});
+        if (word == "ASK" && ++asks == 1) return Peer::say(to, {id, "200", "batches=many", ""});
+        answers(self, to, word, id);
+      });
+  front.list({1});
+  EXPECT_TRUE(front.has(front.asked(submit(1), 150ms), "row\n"));
+  EXPECT_TRUE(front.has(front.asked(submit(2), 150ms), "row\n"));
+  EXPECT_TRUE(front.has(front.desk.counts(), "2 done 1 error"));
+  EXPECT_EQ(peer.connections.size(), 2U);  // the second for the id that went over the first
+}
+
 // A machine that vanished and came back says nothing on its old connections; a slow one says nothing at all.
 TEST(Routing, ASilentConnectionIsGivenUpOnlyWhenItsExecutorAnswersElsewhere) {
   Front front;
