--- a/src/transport/scheduler.cpp
+++ b/src/transport/scheduler.cpp
@@ -68,6 +68,7 @@
 void Scheduler::fireDue() {
   const Moment due = now();
   while (!stopped_ && !timers_.empty() && timers_.begin()->first <= due) {
+    worstLateness_ = std::max(worstLateness_, now() - timers_.begin()->first);
     fire(*timers_.begin()->second);
     if (now() > due + std::chrono::milliseconds(5)) return;  // sockets are served in between
   }
--- a/src/transport/scheduler.hpp
+++ b/src/transport/scheduler.hpp
@@ -89,6 +89,9 @@
   void run();  // until stop
   void stop() { stopped_ = true; }
 
+  // How late a timer has been at most since this was last asked.
+  Clock::duration worstLateness() { return std::exchange(worstLateness_, {}); }
+
   // Lets all others that are ready have their turn.
   auto turn() { return Pause(*this, std::nullopt); }
   auto sleepUntil(Moment moment) { return Pause(*this, moment); }
@@ -125,6 +128,7 @@
   std::multimap<Moment, Call*> timers_;
   std::array<epoll_event, 64> events_{};
   int eventCount_ = 0;
+  Clock::duration worstLateness_{};
 };
 
 // One open file descriptor and its place in the loop; both end with it.
