Beside a silent connection a new one must show a sign of life before it takes statements

The kernel takes connections and bytes for a process that reads none, so every new connection to a silent executor took 32 more (ServerSide::pick, run). Now one connection at a time asks; what finds no room is told as unreachable, which it is. Silence is seen after two dial time-outs rather than eight.

--- a/src/routing/server_side.cpp
+++ b/src/routing/server_side.cpp
@@ -13,8 +13,9 @@
 
 constexpr std::size_t kUsualInput = 32 * 1024, kMostInput = 128 * 1024;
 constexpr std::uint32_t kMostPages = 64;
-constexpr int kQuietDials =
-    4;  // dial time-outs without a byte: a working connection is asked whether it lives
+// In dial time-outs: so long without a byte, and a connection with work is asked whether it lives; so long
+// asked while a younger one answers, and it is dead.
+constexpr int kQuietDials = 1, kDeadDials = 8;
 
 }  // namespace
 
@@ -34,50 +35,60 @@
 ServerSide::~ServerSide() = default;
 
 void ServerSide::send(Sending& sending) {
-  if (links_.size() >= bounds_.links) {
-    const auto& links = static_cast<Executor*>(sending.dispatch.engine)->links;
-    const bool room = std::any_of(links.begin(), links.end(), [&](const Link* link) {
-      return !link->retired && link->load() < bounds_.sharedBy;
-    });
-    if (!room) {
-      say_("descriptors", "no connection is left for another dispatch");
-      unplaced_.push_back(&sending);
-      return tellUnplaced_.soon();
-    }
+  Link* link = pick(sending);
+  if (!link) {
+    unplaced_.push_back(&sending);
+    return tellUnplaced_.soon();
   }
-  Link& link = pick(sending);
-  sending.link = &link;
-  sending.linkSerial = link.serial;
-  if (link.connection) {
-    write(link, sending);
+  sending.link = link;
+  sending.linkSerial = link->serial;
+  if (link->proven) {
+    write(*link, sending);
   } else {
-    link.held.push_back(&sending);
+    link->held.push_back(&sending);
   }
 }
 
-// The connection with most room, rather one that is up. An id goes over a connection once only: the end of an
-// earlier dispatch of the same job, given up, may still be on its way there.
-Link& ServerSide::pick(Sending& sending) {
+// An id goes over a connection once only: the end of an earlier dispatch of the same job, given up, may still
+// be on its way there.
+bool ServerSide::usable(const Link& link, const Sending& sending) const {
+  if (link.retired || link.silent || link.load() >= bounds_.sharedBy) return false;
+  if (link.open.count(sending.exchange.reference) > 0) return false;
+  const auto& before = sending.exchange.sendings;
+  return std::none_of(before.begin(), before.end(), [&](const auto& each) {
+    return each.get() != &sending && each->linkSerial == link.serial;
+  });
+}
+
+// The connection with most room, rather one that is up, else a new one. Where the executor is silent one
+// connection at a time finds out whether it answers; what finds no room there is not sent.
+Link* ServerSide::pick(Sending& sending) {
   auto& executor = *static_cast<Executor*>(sending.dispatch.engine);
   Link* best = nullptr;
+  bool silent = false, proving = false;
   for (Link* link : executor.links) {
-    if (link->retired || link->silent || link->load() >= bounds_.sharedBy) continue;
-    if (link->open.count(sending.exchange.reference) > 0) continue;
-    const auto& before = sending.exchange.sendings;
-    if (std::any_of(before.begin(), before.end(), [&](const auto& each) {
-          return each.get() != &sending && each->linkSerial == link->serial;
-        }))
-      continue;
-    const auto rank = [](const Link& each) { return std::pair(!each.connection, each.load()); };
+    silent = silent || link->silent;
+    proving = proving || !link->proven;
+    if (!usable(*link, sending)) continue;
+    const auto rank = [](const Link& each) { return std::pair(!each.proven, each.load()); };
     if (!best || rank(*link) < rank(*best)) best = link;
   }
-  if (best) return *best;
+  if (best || (silent && proving)) return best;
+  if (links_.size() >= bounds_.links) {
+    say_("descriptors", "no connection is left for another dispatch");
+    return nullptr;
+  }
   links_.emplace_front(executor, ++serials_);
-  Link& made = links_.front();
-  made.place = links_.begin();
-  executor.links.push_back(&made);
-  running_.spawn(run(made));
-  return made;
+  best = &links_.front();
+  best->place = links_.begin();
+  executor.links.push_back(best);
+  running_.spawn(run(*best));
+  return best;
+}
+
+void ServerSide::prove(Link& link) {
+  link.proven = true;
+  for (Sending* each : std::exchange(link.held, {})) write(link, *each);
 }
 
 void ServerSide::write(Link& link, Sending& sending) {
@@ -141,17 +152,23 @@
     co_return;
   }
   link.connection.emplace(scheduler_, std::move(dialled.descriptor), kUsualInput, kMostInput, unsent_);
-  for (Sending* each : std::exchange(link.held, {})) write(link, *each);
-  // Is a silent neighbour dead, or does the executor answer nobody? The answer comes to heard().
+  // The kernel of a machine takes connections and bytes for a process that reads none. What would pile up
+  // there could run long after its job was answered otherwise: beside a silent neighbour a sign of life comes
+  // first.
   const auto& all = link.executor.links;
-  if (std::any_of(all.begin(), all.end(), [](const Link* each) { return each->silent; }))
+  if (std::any_of(all.begin(), all.end(), [](const Link* each) { return each->silent; })) {
     link.connection->send({Slice(protocol::resp::noop("up" + std::to_string(link.serial)))});
+    const bool sign = co_await link.connection->receive(scheduler_.now() + bounds_.dialTimeout);
+    if (!sign) co_return;
+    heard(link);
+  }
+  prove(link);
   for (;;) {
+    read(link);
     if (link.load() == 0 && link.retired) break;
     const bool more = co_await link.connection->receive(scheduler_.now() + bounds_.dialTimeout * kQuietDials);
     if (more) {
       heard(link);
-      read(link);
     } else if (link.connection->end() != Connection::End::none || link.connection->input().full()) {
       break;
     } else if (!quiet(link)) {
@@ -164,7 +181,7 @@
 // it lives.
 bool ServerSide::quiet(Link& link) {
   if (link.load() == 0) {
-    link.asked.reset();
+    if (!link.silent) link.asked.reset();
     return scheduler_.now() - link.used < bounds_.idleClose / 2;
   }
   if (link.asked) {
@@ -183,7 +200,9 @@
   link.asked.reset();
   link.silent = false;
   for (Link* each : link.executor.links)
-    if (each->silent && each->serial < link.serial) each->connection->shut();
+    if (each->silent && each->asked && each->serial < link.serial &&
+        scheduler_.now() - *each->asked > bounds_.dialTimeout * kDeadDials)
+      each->connection->shut();
 }
 
 void ServerSide::read(Link& link) {
--- a/src/routing/server_side.hpp
+++ b/src/routing/server_side.hpp
@@ -32,7 +32,8 @@
   std::unordered_map<std::string, Sending*> open;
   transport::Moment used{};                // when it last took a dispatch
   std::optional<transport::Moment> asked;  // a NOOP is out since then
-  bool silent = false;                     // and was not answered in time
+  bool silent = false;                     // and was not answered in time: takes nothing new
+  bool proven = false;                     // it is up, and if others were silent, something came over it
   bool retired = false;                    // takes nothing new, ends when nothing is open
   std::list<Link>::iterator place;
 
@@ -65,12 +66,14 @@
   void retire(Executor& executor);  // its connections take nothing new
 
  private:
-  Link& pick(Sending& sending);
+  Link* pick(Sending& sending);
   void write(Link& link, Sending& sending);
   transport::Task<> run(Link& link);
   transport::Task<> work(Link& link);
   void heard(Link& link);
   bool quiet(Link& link);
+  bool usable(const Link& link, const Sending& sending) const;
+  void prove(Link& link);
   void read(Link& link);
   void answered(Link& link, const protocol::resp::Answer& answer);
   void over(Link& link, Sending& sending, Outcome outcome);
--- a/tests/routing_test.cpp
+++ b/tests/routing_test.cpp
@@ -344,6 +344,18 @@
   EXPECT_TRUE(front.has(front.desk.counts(), "1 reset"));
 }
 
+// The kernel takes what a standing process does not read. Thousands of statements once piled up there, and
+// were read after their jobs had been answered otherwise.
+TEST(Routing, NothingMoreIsWrittenToAnExecutorThatAnswersNowhere) {
+  Front front;
+  Peer& peer = front.executor(1, silence);
+  front.list({1});
+  front.asked(submit(1), 100ms);
+  front.asked(submit(2) + submit(3) + submit(4), 100ms);
+  EXPECT_EQ(peer.heard, "ASK ");
+  EXPECT_TRUE(front.has(front.desk.counts(), "unreachable"));
+}
+
 TEST(Routing, IdleAndRetiredConnectionsAreGivenBack) {
   Front front;
   front.executor(1, answers);
