--- a/src/protocol/settings.cpp
+++ b/src/protocol/settings.cpp
@@ -39,8 +39,15 @@
   }
   // An absent number is zero, as the wire has it for every absent value.
   double real(const std::string& key) const { return text(key).empty() ? 0 : number(key, text(key)); }
-  unsigned whole(const std::string& key) const { return static_cast<unsigned>(real(key)); }
-  Span time(const std::string& key) const { return Span{static_cast<std::int64_t>(real(key))}; }
+  unsigned whole(const std::string& key) const { return static_cast<unsigned>(within(key, 0, 4e9)); }
+  Span time(const std::string& key) const {
+    return Span{static_cast<std::int64_t>(within(key, -1e15, 1e15))};
+  }
+  double within(const std::string& key, double least, double most) const {
+    const double value = real(key);
+    if (value >= least && value <= most) return value;
+    throw Unreadable("settings: " + key + ": '" + text(key) + "' is out of range");
+  }
   bool yes(const std::string& key) const { return text(key) == "true"; }
   std::vector<std::string> list(const std::string& key) const { return split(text(key), ','); }
   double realAt(const std::string& key, std::size_t index) const {
--- a/tests/protocol_test.cpp
+++ b/tests/protocol_test.cpp
@@ -155,6 +155,18 @@
       "odd"));
 }
 
+TEST(Settings, AFigureThatCantBeMeantIsNamed) {
+  for (const char* line : {"balancers=-1", "tickUs=1e300", "limits.streamsPerConn=nan", "zone=x"}) {
+    const std::string key = std::string(line).substr(0, std::string(line).find('='));
+    try {
+      decode(pathsOfLines("profiles.count=1\nprofiles.0.idempotency=retryable\n" + std::string(line) + "\n"));
+      ADD_FAILURE() << line;
+    } catch (const Unreadable& error) {
+      EXPECT_NE(std::string(error.what()).find(key), std::string::npos) << error.what();
+    }
+  }
+}
+
 TEST(Settings, BothFormsDecodeAlike) {
   const Told lines = decode(pathsOfLines(
       "balancers=2\nzones=a,b\nmachineTypes=m\nfamilyInfo.kindCores=8\nprofiles.count=1\nprofiles.0.name=q\n"
