Folded: one big-endian reader and writer, one look-up of names, no dead members

Read over once more. simwire and Thrift shared their number code to the letter; both now call base/big_endian.hpp. The place of a name was looked up twice in routing; the one in settings serves both, so the log says 'is unknown' of an executor's location or kind where it said 'is not in the settings'. Gone: Call::asked, the members of Scheduler that held events between calls, Connection::fail beside shut, ServerSide::end, an unused alias; the comment on restarts stands with its constants. No other behaviour changes; tests keep their assertions.

--- /dev/null
+++ b/src/base/big_endian.hpp
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace paddletrack {
+
+// Whole numbers, highest byte first, as both the simulator's wire and Thrift write them.
+inline std::uint64_t bigEndian(std::string_view bytes) {
+  std::uint64_t value = 0;
+  for (const char each : bytes) value = value << 8 | static_cast<std::uint8_t>(each);
+  return value;
+}
+
+inline void put(std::string& out, std::uint64_t value, int size) {
+  for (int shift = 8 * (size - 1); shift >= 0; shift -= 8)
+    out.push_back(static_cast<char>(value >> shift & 0xff));
+}
+
+}  // namespace paddletrack
--- a/src/program/serve.cpp
+++ b/src/program/serve.cpp
@@ -16,9 +16,10 @@
 
 using std::chrono::milliseconds;
 
+constexpr milliseconds kCounted{10000};  // between lines of counts
+
 // A planned restart: connections and requests go on coming for a while after SIGTERM, and SIGKILL comes no
 // sooner than the longest job timeout, at most so long, and a last stretch.
-constexpr milliseconds kCounted{10000};
 constexpr milliseconds kStillComing{700}, kLongestRest{3000}, kLastStretch{700}, kMargin{300};
 
 // How the limits told are shared out.
--- a/src/protocol/settings.cpp
+++ b/src/protocol/settings.cpp
@@ -206,4 +206,11 @@
   return told;
 }
 
+std::size_t placeOf(const std::vector<std::string>& names, std::string_view name, const char* what) {
+  const auto at = std::find(names.begin(), names.end(), name);
+  if (at == names.end())
+    throw Unreadable(std::string(what) + ": '" + std::string(name.substr(0, 40)) + "' is unknown");
+  return static_cast<std::size_t>(at - names.begin());
+}
+
 }  // namespace paddletrack::protocol
--- a/src/protocol/settings.hpp
+++ b/src/protocol/settings.hpp
@@ -29,4 +29,7 @@
 
 Told decode(const Paths& paths);
 
+// The place of a name in one of these lists; throws with what it should have been.
+std::size_t placeOf(const std::vector<std::string>& names, std::string_view name, const char* what);
+
 }  // namespace paddletrack::protocol
--- a/src/protocol/thrift.cpp
+++ b/src/protocol/thrift.cpp
@@ -1,5 +1,7 @@
 #include "protocol/thrift.hpp"
 
+#include "base/big_endian.hpp"
+
 namespace paddletrack::protocol::thrift {
 namespace {
 
@@ -85,19 +87,12 @@
     bytes_.remove_prefix(count);
     return taken;
   }
-  std::uint64_t number(std::size_t size) {
-    std::uint64_t value = 0;
-    for (const char each : take(size)) value = value << 8 | static_cast<std::uint8_t>(each);
-    return value;
-  }
+  std::uint64_t number(std::size_t size) { return bigEndian(take(size)); }
 
   std::string_view bytes_;
 };
 
-void put(std::string& out, std::uint64_t value, int size) {
-  for (int shift = 8 * (size - 1); shift >= 0; shift -= 8)
-    out.push_back(static_cast<char>(value >> shift & 0xff));
-}
+using paddletrack::put;
 void put(std::string& out, std::string_view text) {
   put(out, text.size(), 4);
   out += text;
--- a/src/routing/client_side.cpp
+++ b/src/routing/client_side.cpp
@@ -39,13 +39,6 @@
   return *read;
 }
 
-std::size_t placeOf(const std::vector<std::string>& names, std::string_view name, const char* what) {
-  const auto at = std::find(names.begin(), names.end(), name);
-  if (at == names.end())
-    throw protocol::Unreadable(std::string(what) + ": '" + std::string(name.substr(0, 40)) + "' is unknown");
-  return static_cast<std::size_t>(at - names.begin());
-}
-
 Span ofMilliseconds(double value) { return Span{std::llround(value * 1000)}; }
 
 }  // namespace
@@ -119,14 +112,14 @@
     auto made = std::make_unique<Exchange>();
     Exchange& exchange = *made;
     exchange.number = ++side_.taken_;
-    exchange.type = &told.deployment.types[placeOf(told.typeNames, read.type, "service")];
+    exchange.type = &told.deployment.types[protocol::placeOf(told.typeNames, read.type, "service")];
     exchange.typeName = read.type;
     if (read.reference.size() != 16 ||
         read.reference.find_first_not_of("0123456789abcdefABCDEF") != std::string_view::npos)
       throw protocol::Unreadable("ref: 16 hex digits are wanted");
     exchange.reference = read.reference;
     if (!told.customerNames.empty())
-      exchange.customer = placeOf(told.customerNames, read.customer, "project");
+      exchange.customer = protocol::placeOf(told.customerNames, read.customer, "project");
     exchange.taken = side_.desk_.now();
     constexpr double kDay = 86400e3, kTerabyte = 1 << 20;
     const Span allowed = ofMilliseconds(figure("allow", read.allow, kDay));
--- a/src/routing/desk.cpp
+++ b/src/routing/desk.cpp
@@ -1,20 +1,12 @@
 #include "routing/desk.hpp"
 
 #include <algorithm>
-#include <stdexcept>
+#include <exception>
 
 namespace paddletrack::routing {
 
 namespace {
 
-// The place of a name in its list, as the settings have it.
-unsigned placeOf(const std::vector<std::string>& names, const std::string& name, const char* what) {
-  const auto at = std::find(names.begin(), names.end(), name);
-  if (at == names.end())
-    throw protocol::Unreadable(std::string(what) + ": '" + name + "' is not in the settings");
-  return static_cast<unsigned>(at - names.begin());
-}
-
 Exchange& exchangeOf(Job& job) { return static_cast<Exchange&>(job); }
 
 }  // namespace
@@ -93,8 +85,9 @@
     Listing listing;
     std::optional<transport::Address> address;
     try {
-      listing.location = placeOf(told_.locationNames, entry.location, "zone");
-      listing.kind = placeOf(told_.machineNames, entry.kind, "kind");
+      listing.location =
+          static_cast<unsigned>(protocol::placeOf(told_.locationNames, entry.location, "zone"));
+      listing.kind = static_cast<unsigned>(protocol::placeOf(told_.machineNames, entry.kind, "kind"));
       address.emplace(entry.address);
     } catch (const std::exception& error) {
       say_("changelog", "executor " + entry.id + " passed over: " + error.what());
--- a/src/routing/server_side.cpp
+++ b/src/routing/server_side.cpp
@@ -9,7 +9,6 @@
 
 using protocol::resp::Word;
 using transport::Connection;
-using transport::Moment;
 
 constexpr std::size_t kUsualInput = 32 * 1024, kMostInput = 128 * 1024;
 constexpr std::uint32_t kMostPages = 64;
@@ -28,12 +27,11 @@
       say_(say),
       tellUnplaced_(scheduler,
                     [this] {
-                      for (Sending* each : std::exchange(unplaced_, {})) end(*each, Outcome::unreachable);
+                      for (Sending* each : std::exchange(unplaced_, {}))
+                        ends_.ended(*each, Outcome::unreachable);
                     }),
       running_(scheduler, [this](const char* what) { say_("executor", what); }) {}
 
-ServerSide::~ServerSide() = default;
-
 void ServerSide::send(Sending& sending) {
   Link* link = pick(sending);
   if (!link) {
@@ -260,7 +258,7 @@
 void ServerSide::over(Link& link, Sending& sending, Outcome outcome) {
   link.open.erase(sending.exchange.reference);
   sending.link = nullptr;
-  end(sending, outcome);
+  ends_.ended(sending, outcome);
 }
 
 // What was not wholly written never ran; anything else may have.
@@ -273,9 +271,7 @@
     ends.emplace_back(each, each->wholeAt > written ? Outcome::unreachable : Outcome::reset);
   for (const auto& [each, outcome] : ends) each->link = nullptr;
   links_.erase(link.place);
-  for (const auto& [each, outcome] : ends) end(*each, outcome);
+  for (const auto& [each, outcome] : ends) ends_.ended(*each, outcome);
 }
 
-void ServerSide::end(Sending& sending, Outcome outcome) { ends_.ended(sending, outcome); }
-
 }  // namespace paddletrack::routing
--- a/src/routing/server_side.hpp
+++ b/src/routing/server_side.hpp
@@ -57,7 +57,6 @@
 
   ServerSide(transport::Scheduler& scheduler, transport::Unsent& unsent, const Bounds& bounds, Ends& ends,
              const Say& say);
-  ~ServerSide();
 
   void send(Sending& sending);
   void giveUp(Sending& sending);      // nothing more of it will be told
@@ -78,7 +77,6 @@
   void answered(Link& link, const protocol::resp::Answer& answer);
   void over(Link& link, Sending& sending, Outcome outcome);
   void lose(Link& link);
-  void end(Sending& sending, Outcome outcome);
 
   transport::Scheduler& scheduler_;
   transport::Unsent& unsent_;
--- a/src/simwire/frame.hpp
+++ b/src/simwire/frame.hpp
@@ -6,6 +6,8 @@
 #include <string>
 #include <string_view>
 
+#include "base/big_endian.hpp"
+
 namespace paddletrack::simwire {
 
 // What was read does not follow the wire page. The text says what and where.
@@ -38,21 +40,12 @@
   }
 
  private:
-  std::uint64_t number(std::size_t size) {
-    std::uint64_t value = 0;
-    for (const char each : bytes(size)) value = value << 8 | static_cast<std::uint8_t>(each);
-    return value;
-  }
+  std::uint64_t number(std::size_t size) { return bigEndian(bytes(size)); }
 
   std::string_view bytes_;
   std::string what_;
 };
 
-inline void put(std::string& out, std::uint64_t value, int size) {
-  for (int shift = 8 * (size - 1); shift >= 0; shift -= 8)
-    out.push_back(static_cast<char>(value >> shift & 0xff));
-}
-
 // The records of one reply. A record's length is filled in when the next one begins or the reply ends.
 class Writer {
  public:
--- a/src/transport/connection.cpp
+++ b/src/transport/connection.cpp
@@ -102,7 +102,7 @@
 void Connection::queue(const Slice& piece) {
   if (failed_ || piece.size() == 0) return;
   const bool unfair = unsent() + piece.size() > all_.most / Unsent::kFairParts;
-  if (all_.held + piece.size() > (unfair ? all_.most : 2 * all_.most)) return fail();
+  if (all_.held + piece.size() > (unfair ? all_.most : 2 * all_.most)) return shut();
   pieces_.push_back(piece);
   queued_ += piece.size();
   all_.held += piece.size();
@@ -135,7 +135,7 @@
     }
     if (sent < 0 && errno == EINTR) continue;
     if (sent < 0) {
-      fail();
+      shut();
       co_return;
     }
     written_ += static_cast<std::uint64_t>(sent);
@@ -159,15 +159,13 @@
   while (!failed_ && unsent() > most) co_await drained_.wait();
 }
 
-void Connection::fail() {
+void Connection::shut() {
   failed_ = true;
   if (end_ == End::none) end_ = End::reset;
   drained_.set();
   descriptor_->readable.set();
 }
 
-void Connection::shut() { fail(); }
-
 Listener::Listener(Scheduler& scheduler, const Address& address)
     : scheduler_(scheduler), descriptor_(scheduler, listening(address)) {}
 
--- a/src/transport/connection.hpp
+++ b/src/transport/connection.hpp
@@ -61,7 +61,6 @@
  private:
   void queue(const Slice& piece);
   Task<> pump();
-  void fail();
 
   Scheduler& scheduler_;
   std::unique_ptr<Descriptor> descriptor_;
--- a/src/transport/scheduler.cpp
+++ b/src/transport/scheduler.cpp
@@ -1,8 +1,10 @@
 #include "transport/scheduler.hpp"
 
+#include <sys/epoll.h>
 #include <unistd.h>
 
 #include <algorithm>
+#include <array>
 #include <cerrno>
 #include <system_error>
 
@@ -90,11 +92,11 @@
     const auto left = std::chrono::ceil<std::chrono::milliseconds>(timers_.begin()->first - now()).count();
     wait = static_cast<int>(std::clamp<long long>(left, 0, 1000));
   }
-  eventCount_ = ::epoll_wait(epoll_, events_.data(), static_cast<int>(events_.size()), wait);
-  if (eventCount_ < 0 && errno != EINTR)
-    throw std::system_error(errno, std::generic_category(), "epoll_wait");
-  for (int each = 0; each < eventCount_; ++each) {
-    const epoll_event& event = events_[static_cast<std::size_t>(each)];
+  std::array<epoll_event, 64> events;
+  const int count = ::epoll_wait(epoll_, events.data(), static_cast<int>(events.size()), wait);
+  if (count < 0 && errno != EINTR) throw std::system_error(errno, std::generic_category(), "epoll_wait");
+  for (int each = 0; each < count; ++each) {
+    const epoll_event& event = events[static_cast<std::size_t>(each)];
     auto* descriptor = static_cast<Descriptor*>(event.data.ptr);
     if (event.events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) descriptor->hungUp_ = true;
     if (event.events & ~static_cast<std::uint32_t>(EPOLLOUT)) descriptor->readable.set();
--- a/src/transport/scheduler.hpp
+++ b/src/transport/scheduler.hpp
@@ -1,8 +1,5 @@
 #pragma once
 
-#include <sys/epoll.h>
-
-#include <array>
 #include <chrono>
 #include <coroutine>
 #include <functional>
@@ -35,7 +32,6 @@
   void soon();
   void at(Moment moment);
   void cancel();
-  bool asked() const { return soon_.has_value() || later_.has_value(); }
 
  private:
   friend class Scheduler;
@@ -126,8 +122,6 @@
   bool stopped_ = false;
   std::list<Call*> ready_;
   std::multimap<Moment, Call*> timers_;
-  std::array<epoll_event, 64> events_{};
-  int eventCount_ = 0;
   Clock::duration worstLateness_{};
 };
 
