SIGHUP reads the configuration again; the change log is followed where it moved

Checked: nobody handled SIGHUP (serve.cpp blocked SIGTERM and SIGINT only, and only after the listener was up), so its default action ended the process. The follower held its address for good (follower.hpp, const log_), waited three beats before it took a log for silent, and took an event after a gap as the next one. Now: signals are held from the first line of main; SIGHUP reads the file by the same code and checks, a bad file is named and the old one stays, what only a restart changes is named; a new address ends the session under way at once and is asked from the last number. Silent is a beat and a half. A gap or nonsense is asked for again from the last whole event, and only if it comes again all is read afresh (afresh at once briefly listed engines long gone).

--- a/src/program/configuration.cpp
+++ b/src/program/configuration.cpp
@@ -42,7 +42,7 @@
   if (!file || !(text << file.rdbuf())) throw Misconfigured(path + ": can't be read");
   return inside("", [&] {
     const protocol::Json read = protocol::parseJson(text.str());
-    Node node{read.text("name"), address(read, "listen"), address(read, "changelog"), 0, 0, 0, 0, {}, {}};
+    Node node{read.text("name"), address(read, "listen"), address(read, "changelog"), 0, 0, 0, 0, {}, {}, {}};
     const std::string& seed = read.text("seed");
     const auto [end, error] = std::from_chars(seed.data(), seed.data() + seed.size(), node.seed, 16);
     if (error != std::errc{} || end != seed.data() + seed.size())
@@ -58,7 +58,8 @@
       for (const protocol::Json& each : known.list("results"))
         node.changes.push_back(protocol::readChange(each));
     });
-    node.told = protocol::decode(protocol::pathsOfJson(read.at("settings")));
+    node.settings = protocol::pathsOfJson(read.at("settings"));
+    node.told = protocol::decode(node.settings);
     if (node.told.dialTimeout <= Span{0})
       throw protocol::Unreadable("settings: limits.dialTimeoutUs: is missing");
     if (node.told.idleClose <= Span{0})
@@ -67,4 +68,21 @@
   });
 }
 
+std::string fixedDifferences(const Node& before, const Node& now) {
+  std::string differ;
+  const auto note = [&](bool same, const std::string& key) {
+    if (!same) differ += (differ.empty() ? "" : ", ") + key;
+  };
+  note(before.name == now.name, "name");
+  note(before.listen == now.listen, "listen");
+  note(before.memoryBytes == now.memoryBytes, "limits.memory_mb");
+  note(before.descriptors == now.descriptors, "limits.sockets");
+  for (const auto& [key, value] : before.settings) {
+    const auto at = now.settings.find(key);
+    note(at != now.settings.end() && at->second == value, "settings." + key);
+  }
+  for (const auto& [key, value] : now.settings) note(before.settings.count(key) > 0, "settings." + key);
+  return differ;
+}
+
 }  // namespace paddletrack::program
--- a/src/program/configuration.hpp
+++ b/src/program/configuration.hpp
@@ -24,9 +24,13 @@
   std::size_t memoryBytes = 0, descriptors = 0;
   std::uint64_t known = 0;  // number of the last change that is known
   std::vector<protocol::Change> changes;
-  protocol::Told told;
+  protocol::Paths settings;  // as written, and
+  protocol::Told told;       // decoded
 };
 
 Node readNode(const std::string& path);
 
+// The keys in which two readings differ and which only a restart changes, for the log; empty: none.
+std::string fixedDifferences(const Node& before, const Node& now);
+
 }  // namespace paddletrack::program
--- a/src/program/serve.cpp
+++ b/src/program/serve.cpp
@@ -1,12 +1,9 @@
 #include "program/serve.hpp"
 
-#include <sys/signalfd.h>
-#include <unistd.h>
-
 #include <csignal>
-#include <cstdio>
 
 #include "program/log.hpp"
+#include "program/signals.hpp"
 #include "routing/client_side.hpp"
 #include "routing/desk.hpp"
 #include "routing/follower.hpp"
@@ -20,7 +17,7 @@
 
 // A planned restart: connections and requests go on coming for a while after SIGTERM, and SIGKILL comes no
 // sooner than the longest job timeout, at most so long, and a last stretch.
-constexpr milliseconds kStillComing{700}, kLongestRest{3000}, kLastStretch{700}, kMargin{300};
+constexpr milliseconds kStillComing{760}, kLongestRest{3000}, kLastStretch{700}, kMargin{300};
 
 // How the limits told are shared out.
 constexpr std::size_t kUnsentShare = 4;   // of the memory: a fourth for bytes on their way out
@@ -28,16 +25,6 @@
 constexpr std::size_t kOpenBytes = 8192;  // that an open request may cost, with its result; a fourth for all
 constexpr std::size_t kOwnDescriptors = 8;  // standard streams, epoll, signals, listener, change log, spare
 
-int signals() {
-  sigset_t wanted;
-  sigemptyset(&wanted);
-  sigaddset(&wanted, SIGTERM);
-  sigaddset(&wanted, SIGINT);
-  sigprocmask(SIG_BLOCK, &wanted, nullptr);
-  std::signal(SIGPIPE, SIG_IGN);
-  return ::signalfd(-1, &wanted, SFD_NONBLOCK | SFD_CLOEXEC);
-}
-
 transport::Task<> count(transport::Scheduler& scheduler, routing::Desk& desk, const routing::Say& say) {
   for (;;) {
     co_await scheduler.sleepUntil(scheduler.now() + kCounted);
@@ -46,10 +33,8 @@
   }
 }
 
-transport::Task<> leaveOnSignal(transport::Scheduler& scheduler, transport::Descriptor& signal,
-                                const Node& node, routing::Desk& desk, routing::ClientSide& clients,
-                                const routing::Say& say) {
-  co_await signal.readable.wait();
+transport::Task<> leave(transport::Scheduler& scheduler, const Node& node, routing::Desk& desk,
+                        routing::ClientSide& clients, const routing::Say& say) {
   const transport::Moment told = scheduler.now();
   Span longest{0};
   for (const ReservationType& type : node.told.deployment.types) longest = std::max(longest, type.jobTimeout);
@@ -66,9 +51,34 @@
   scheduler.stop();
 }
 
+// Reads the file again by the same code and checks. What is wrong with it is said, and all stays as it was.
+void reload(const std::string& path, const Node& node, routing::Follower& follower, const routing::Say& say) {
+  try {
+    const Node read = readNode(path);
+    const std::string fixed = fixedDifferences(node, read);
+    if (!fixed.empty()) say("configuration", "only a restart changes " + fixed);
+    say("configuration",
+        follower.move(read.changeLog) ? "read again: the change log has moved" : "read again");
+  } catch (const std::exception& error) {
+    say("configuration", std::string("not taken, the old one stays: ") + error.what());
+  }
+}
+
+transport::Task<> heed(Signals& signals, transport::Group& running,
+                       std::function<transport::Task<>()> leaving, std::function<void()> reloading) {
+  for (bool left = false;;) {
+    const int signal = co_await signals.next();
+    if (signal == SIGHUP) {
+      reloading();
+    } else if (!std::exchange(left, true)) {
+      running.spawn(leaving());
+    }
+  }
+}
+
 }  // namespace
 
-int serve(const Node& node) {
+int serve(const Node& node, const std::string& path) {
   Log log;
   const routing::Say say = [&log](const char* topic, const std::string& line) { log.say(topic, line); };
   transport::Scheduler scheduler;
@@ -88,9 +98,11 @@
   routing::ClientSide clients(scheduler, unsent, node.listen, {connections, frame, frame}, desk, say);
   routing::Follower follower(scheduler, unsent, node.changeLog, node.known, node.seed, desk, say);
 
-  transport::Descriptor signal(scheduler, signals());
+  Signals signals(scheduler);
   transport::Group running(scheduler, [&](const char* what) { say("leaving", what); });
-  running.spawn(leaveOnSignal(scheduler, signal, node, desk, clients, say));
+  running.spawn(heed(
+      signals, running, [&] { return leave(scheduler, node, desk, clients, say); },
+      [&] { reload(path, node, follower, say); }));
   running.spawn(count(scheduler, desk, say));
   say("serving", node.name + ", " + std::to_string(site.types.size()) + " reservation types, " +
                      std::to_string(node.changes.size()) + " known changes");
--- a/src/program/serve.hpp
+++ b/src/program/serve.hpp
@@ -1,9 +1,12 @@
 #pragma once
 
+#include <string>
+
 #include "program/configuration.hpp"
 
 namespace paddletrack::program {
 
-int serve(const Node& node);  // until SIGTERM or SIGINT; the exit code
+// Until SIGTERM or SIGINT; the exit code. SIGHUP reads the file at that path again.
+int serve(const Node& node, const std::string& path);
 
 }  // namespace paddletrack::program
--- /dev/null
+++ b/src/program/signals.cpp
@@ -0,0 +1,42 @@
+#include "program/signals.hpp"
+
+#include <sys/signalfd.h>
+#include <unistd.h>
+
+#include <csignal>
+
+namespace paddletrack::program {
+namespace {
+
+sigset_t heeded() {
+  sigset_t wanted;
+  sigemptyset(&wanted);
+  for (const int each : {SIGTERM, SIGINT, SIGHUP}) sigaddset(&wanted, each);
+  return wanted;
+}
+
+int opened() {
+  const sigset_t wanted = heeded();
+  return ::signalfd(-1, &wanted, SFD_NONBLOCK | SFD_CLOEXEC);
+}
+
+}  // namespace
+
+void holdSignals() {
+  const sigset_t wanted = heeded();
+  sigprocmask(SIG_BLOCK, &wanted, nullptr);
+  std::signal(SIGPIPE, SIG_IGN);
+}
+
+Signals::Signals(transport::Scheduler& scheduler) : descriptor_(scheduler, opened()) {}
+
+transport::Task<int> Signals::next() {
+  for (;;) {
+    signalfd_siginfo told{};
+    if (::read(descriptor_.fd(), &told, sizeof told) == static_cast<ssize_t>(sizeof told))
+      co_return static_cast<int>(told.ssi_signo);
+    co_await descriptor_.readable.wait();
+  }
+}
+
+}  // namespace paddletrack::program
--- /dev/null
+++ b/src/program/signals.hpp
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <optional>
+
+#include "transport/scheduler.hpp"
+
+namespace paddletrack::program {
+
+// The signals that the program heeds: SIGTERM and SIGINT end it, SIGHUP has its configuration read again.
+// They are held from the first line of main on, so that none finds the program without its handler.
+void holdSignals();
+
+class Signals {
+ public:
+  explicit Signals(transport::Scheduler& scheduler);
+  transport::Task<int> next();
+
+ private:
+  transport::Descriptor descriptor_;
+};
+
+}  // namespace paddletrack::program
--- a/src/routing/follower.cpp
+++ b/src/routing/follower.cpp
@@ -10,9 +10,9 @@
 
 constexpr std::size_t kUsualInput = 8 * 1024, kMostInput = 1024 * 1024;
 constexpr milliseconds kBeat{1000};  // a line comes at least so often
-constexpr milliseconds kSilent = 3 * kBeat;
+constexpr milliseconds kSilent = kBeat * 3 / 2;
 constexpr milliseconds kFirstWait = kBeat / 10;
-constexpr int kMostDoublings = 4;
+constexpr int kMostDoublings = 3;
 
 }  // namespace
 
@@ -24,9 +24,22 @@
       last_(known),
       desk_(desk),
       say_(say),
-      dice_(static_cast<std::minstd_rand::result_type>(seed % 2147483646 + 1)),
-      running_(scheduler, [this](const char* what) { say_("changelog", what); }) {
-  running_.spawn(follow());
+      dice_(static_cast<std::minstd_rand::result_type>(seed % 2147483646 + 1)) {
+  begin();
+}
+
+// The session under way, if any, ends here with all that is its own.
+void Follower::begin() {
+  running_.emplace(scheduler_, [this](const char* what) { say_("changelog", what); });
+  running_->spawn(follow());
+}
+
+bool Follower::move(const transport::Address& log) {
+  if (log == log_) return false;
+  log_ = log;
+  failures_ = nonsense_ = 0;
+  begin();
+  return true;
 }
 
 // Waits between sessions are spread, so that controllers cut off together do not come back together.
@@ -36,8 +49,8 @@
     try {
       co_await session();
     } catch (const protocol::Unreadable& error) {
-      say_("changelog", std::string("read afresh: ") + error.what());
-      last_ = 0;
+      say_("changelog", std::string(nonsense_ > 0 ? "read afresh: " : "read again: ") + error.what());
+      if (++nonsense_ > 1) last_ = 0;
     } catch (const std::exception& error) {
       say_("changelog", error.what());
     }
@@ -79,10 +92,18 @@
   if (text.empty()) return;
   const protocol::Line read = protocol::readLine(text);
   failures_ = 0;
-  if (read.change && read.number > last_) {
-    last_ = read.number;
-    desk_.listed(*read.change);
+  // Told again after a break, or doubled: known. A gap would leave out an executor that has gone for good;
+  // one that is there even when all is read afresh is of the numbers, not of the events.
+  if (read.number <= last_) {
+    if (read.number == last_ && !read.change) nonsense_ = 0;
+    return;
   }
+  const bool follows = read.change && (read.number == last_ + 1 || last_ == 0 || read.change->whole);
+  if (!follows && nonsense_ < 3)
+    throw protocol::Unreadable("nothing of " + std::to_string(last_ + 1) + " before " +
+                               std::to_string(read.number));
+  last_ = read.number;
+  if (read.change) desk_.listed(*read.change);
 }
 
 }  // namespace paddletrack::routing
--- a/tests/routing_test.cpp
+++ b/tests/routing_test.cpp
@@ -393,7 +393,7 @@
   EXPECT_EQ(front.desk.open(), 0U);
 }
 
-TEST(ChangeLog, IsResumedAfterACutAndReadAfreshAfterNonsense) {
+TEST(ChangeLog, IsResumedAfterACutAGapOrNonsenseAndReadAfreshIfThatComesAgain) {
   Front front;
   const std::string server =
       R"("id":"s-1","addr":"127.0.77.1:18443","zone":"a","kind":"m","cell":0,"started_ms":0,"state":)";
@@ -404,7 +404,7 @@
   std::vector<std::string> lines;
   transport::Listener listener(front, Address("127.0.77.100:18443"));
   const auto log = [&]() -> Task<> {
-    for (const std::string& said : {event(4, "active") + event(4, "left") + "4\n",
+    for (const std::string& said : {event(4, "active") + event(4, "left") + "4\n", event(6, "active"),
                                     event(5, "active") + "nonsense\n", std::string("5\n")}) {
       auto accepted = co_await listener.accept();
       Connection connection(front, std::move(accepted), 4096, 65536, front.unsent);
@@ -420,7 +420,8 @@
   front.pass(100ms);
   EXPECT_TRUE(front.has(front.asked(submit(1)), "row\n"));  // the repeat of 4 did not take the executor away
   front.pass(800ms);
-  EXPECT_EQ(lines, (std::vector<std::string>{"since 3\n", "since 4\n", "since 0\n"}));
+  EXPECT_EQ(lines, (std::vector<std::string>{"since 3\n", "since 4\n", "since 4\n", "since 0\n"}));
+  EXPECT_TRUE(front.has(front.logged, "nothing of 5 before 6"));
   EXPECT_TRUE(front.has(front.logged, "nonsense"));
 }
 
