Connections without a whole message end in time; the least useful goes from a full house

Ruled out: slow answers (median 0.1 ms to the first dispatch), lack of memory (1 MB of 48). Now: a message has to be whole within 1.5 s of its connection's start or of its first byte, however it drips; idle connections go after 5 s (clients close theirs after 4); in a full house the connection that has shown least for longest goes. Clients get two thirds of the descriptors. At the door: no field twice or empty, no empty statement, no bytes behind the end, no reference whose job is alive on any connection; nine unusable requests in a row close. Sockets are written without SIGPIPE. Could harm a usual client that needs over 1.5 s to send one statement.

--- a/src/program/serve.cpp
+++ b/src/program/serve.cpp
@@ -25,10 +25,12 @@
 constexpr std::size_t kOpenBytes = 8192;  // that an open request may cost, with its result; a fourth for all
 constexpr std::size_t kOwnDescriptors = 8;  // standard streams, epoll, signals, listener, change log, spare
 
-transport::Task<> count(transport::Scheduler& scheduler, routing::Desk& desk, const routing::Say& say) {
+transport::Task<> count(transport::Scheduler& scheduler, const routing::Desk& desk,
+                        const routing::ClientSide& clients, const routing::Say& say) {
   for (;;) {
     co_await scheduler.sleepUntil(scheduler.now() + kCounted);
     const auto late = std::chrono::duration_cast<milliseconds>(scheduler.worstLateness()).count();
+    say("counts", clients.counts());
     say("counts", desk.counts() + "; a timer " + std::to_string(late) + " ms late at most");
   }
 }
@@ -88,10 +90,12 @@
     say("unsupported",
         "the settings allow probes, peers or notes: there is no message for these, they are not used");
 
-  const std::size_t connections = (node.descriptors - kOwnDescriptors) / 2;
+  // Usual clients hold a third of the descriptors, executors are few: the rest is room for the others.
+  const std::size_t connections = (node.descriptors - kOwnDescriptors) * 2 / 3;
+  const std::size_t links = node.descriptors - kOwnDescriptors - connections;
   routing::Desk::Bounds bounds;
   bounds.open = std::min(node.told.mostOpen, node.memoryBytes / 4 / kOpenBytes);
-  bounds.links = {node.told.sharedBy, connections, node.told.dialTimeout, node.told.idleClose};
+  bounds.links = {node.told.sharedBy, links, node.told.dialTimeout, node.told.idleClose};
   routing::Desk desk(scheduler, unsent, node.told, bounds, node.seed, say);
   for (const protocol::Change& change : node.changes) desk.listed(change);
   const std::size_t frame = std::min<std::size_t>(1 << 20, node.memoryBytes / kInputShare / connections);
@@ -103,7 +107,7 @@
   running.spawn(heed(
       signals, running, [&] { return leave(scheduler, node, desk, clients, say); },
       [&] { reload(path, node, follower, say); }));
-  running.spawn(count(scheduler, desk, say));
+  running.spawn(count(scheduler, desk, clients, say));
   say("serving", node.name + ", " + std::to_string(site.types.size()) + " reservation types, " +
                      std::to_string(node.changes.size()) + " known changes");
   scheduler.run();
--- a/src/program/signals.cpp
+++ b/src/program/signals.cpp
@@ -25,7 +25,7 @@
 void holdSignals() {
   const sigset_t wanted = heeded();
   sigprocmask(SIG_BLOCK, &wanted, nullptr);
-  std::signal(SIGPIPE, SIG_IGN);
+  std::signal(SIGPIPE, SIG_IGN);  // for the log; sockets do without
 }
 
 Signals::Signals(transport::Scheduler& scheduler) : descriptor_(scheduler, opened()) {}
--- a/src/protocol/thrift.cpp
+++ b/src/protocol/thrift.cpp
@@ -1,5 +1,7 @@
 #include "protocol/thrift.hpp"
 
+#include <utility>
+
 #include "base/big_endian.hpp"
 
 namespace paddletrack::protocol::thrift {
@@ -198,14 +200,18 @@
       if (count > 0 && (key != kString || value != kString)) throw Unreadable("fields: text is wanted");
       for (std::uint32_t left = count; left > 0; --left) {
         const std::string_view name = in.text(), said = in.text();
-        if (name == "service") read.type = said;
-        if (name == "ref") read.reference = said;
-        if (name == "allow") read.allow = said;
-        if (name == "project") read.customer = said;
-        if (name == "effort") read.effort = said;
-        if (name == "ram") read.memory = said;
+        for (const auto& [known, kept] : {std::pair("service", &read.type),
+                                           {"ref", &read.reference},
+                                           {"allow", &read.allow},
+                                           {"project", &read.customer},
+                                           {"effort", &read.effort},
+                                           {"ram", &read.memory}}) {
+          if (name != known) continue;
+          if (said.empty() || !kept->empty()) throw Unreadable("fields: each has one value");
+          *kept = said;
+        }
       }
-    } else if (id == 2 && type == kString) {
+    } else if (id == 2 && type == kString && !body) {
       read.statement = in.text();
       body = true;
     } else if (id == 1 || id == 2) {
@@ -214,7 +220,8 @@
       in.skip(type);
     }
   }
-  if (!body) throw Unreadable("body is missing");
+  if (read.statement.empty()) throw Unreadable("body: a statement is wanted");
+  if (!in.rest().empty()) throw Unreadable("more bytes than the message");
   return read;
 }
 
--- a/src/routing/client_side.cpp
+++ b/src/routing/client_side.cpp
@@ -19,9 +19,10 @@
 // time ends so many slacks of the rule before its client's.
 constexpr int kAheadSlacks = 3;
 
-// Clients close what they do not use within 4 s. One that is silent for longer with nothing open has
-// vanished, or sends a request a byte at a time.
-constexpr std::chrono::seconds kVanished{10};
+constexpr std::chrono::milliseconds kRoomRest{20};
+
+// So many requests in a row that can't be used, and the connection is not one of a client.
+constexpr int kMostUnusable = 8;
 
 std::optional<double> number(std::string_view text) {
   double value = 0;
@@ -50,21 +51,29 @@
       : side_(side),
         connection_(side.scheduler_, std::move(accepted), kUsualInput,
                     thrift::kFrameHead + side.bounds_.frame, side.unsent_) {
-    ++side_.connected_;
+    place_ = side_.connected_.insert(side_.connected_.end(), this);
+    ++side_.counts_.accepted;
   }
   ~Session() {
     while (!open_.empty()) leave(open_.begin()->first);
-    --side_.connected_;
+    side_.connected_.erase(place_);
     side_.room_.set();
   }
 
   transport::Task<> run() {
     transport::Inbox& input = connection_.input();
+    since_ = side_.scheduler_.now();
     for (;;) {
-      const bool more = co_await connection_.receive(side_.scheduler_.now() + kVanished);
-      const bool waits = connection_.end() == transport::Connection::End::none && !open_.empty();
-      if (!more && waits && !input.full()) continue;
-      if (!more) co_return;
+      const bool more = co_await connection_.receive(patience());
+      if (connection_.end() != transport::Connection::End::none) co_return;
+      if (!more && !input.full()) {
+        if (side_.scheduler_.now() < patience()) continue;
+        ++(midway() ? side_.counts_.unfinished : side_.counts_.idle);
+        co_return;
+      }
+      const bool fresh = input.view().size() > 0 && !begun_;
+      if (fresh) since_ = side_.scheduler_.now();
+      begun_ = true;
       while (const auto length = thrift::frameLength(input.view())) {
         const std::size_t whole = thrift::kFrameHead + *length;
         if (whole > input.most())
@@ -75,12 +84,32 @@
         }
         frame(input.view().substr(thrift::kFrameHead, *length));
         input.consume(whole);
+        since_ = side_.scheduler_.now();
         if (connection_.unsent() > side_.bounds_.unsent) co_await connection_.drained(side_.bounds_.unsent);
       }
+      begun_ = input.view().size() > 0;
     }
   }
 
+  // What of it could be missed least, lowest first: it never sent a request that was taken, then one that
+  // stays idle. With a request open it is never ended for another.
+  bool spare() const { return open_.empty() && !ending_; }
+  bool served() const { return served_; }
+  transport::Moment since() const { return since_; }
+  void end() {
+    ending_ = true;
+    connection_.shut();
+  }
+
  private:
+  bool midway() const { return begun_ || !served_; }
+  // Until when it may go on without a whole message. Bytes that drip in do not prolong it.
+  transport::Moment patience() const {
+    if (begun_) return since_ + side_.bounds_.whole;
+    if (!open_.empty()) return side_.scheduler_.now() + side_.bounds_.whole;
+    return since_ + (served_ ? side_.bounds_.idle : side_.bounds_.whole);
+  }
+
   void frame(std::string_view bytes) {
     const thrift::Message message = thrift::readMessage(bytes);
     const bool call = message.kind == thrift::Kind::call;
@@ -90,6 +119,7 @@
       } else if (message.method == "revoke" && (call || message.kind == thrift::Kind::oneway)) {
         leave(thrift::readRevoke(message.arguments));
       } else if (message.method == "heartbeat" && call) {
+        served_ = true;
         send(thrift::heartbeat(message.sequence, !side_.leaving_ && side_.desk_.ready()));
       } else if (call) {
         send(thrift::exception(message.method, message.sequence, thrift::Fault::unknownMethod,
@@ -99,6 +129,8 @@
       }
     } catch (const protocol::Unreadable& error) {
       if (!call || open_.count(message.sequence) > 0) throw;  // no answer could be told from another's
+      if (++unusable_ > kMostUnusable) throw;
+      ++side_.counts_.refused;
       side_.say_("request", std::string("request not taken: ") + error.what());
       send(thrift::exception(message.method, message.sequence, thrift::Fault::protocol, error.what()));
     }
@@ -118,6 +150,7 @@
         read.reference.find_first_not_of("0123456789abcdefABCDEF") != std::string_view::npos)
       throw protocol::Unreadable("ref: 16 hex digits are wanted");
     exchange.reference = read.reference;
+    if (side_.desk_.holds(exchange.reference)) throw protocol::Unreadable("ref: it is in use");
     if (!told.customerNames.empty())
       exchange.customer = protocol::placeOf(told.customerNames, read.customer, "project");
     exchange.taken = side_.desk_.now();
@@ -131,6 +164,8 @@
     exchange.sequence = message.sequence;
     // More than this process may hold: the client may try again, nothing has run.
     if (side_.desk_.full()) return send(thrift::shed(message.sequence, std::nullopt));
+    served_ = true;
+    unusable_ = 0;
     exchange.asker = this;
     open_.emplace(message.sequence, &exchange);
     side_.desk_.take(std::move(made));
@@ -146,6 +181,7 @@
 
   void answered(Exchange& exchange) override {
     open_.erase(exchange.sequence);
+    since_ = side_.scheduler_.now();
     switch (exchange.answer) {
       case Exchange::Answer::done: {
         std::size_t size = 0;
@@ -169,6 +205,12 @@
   ClientSide& side_;
   transport::Connection connection_;
   std::unordered_map<std::int32_t, Exchange*> open_;
+  std::list<Session*>::iterator place_;
+  transport::Moment since_{};  // its start, the first byte of what is not whole, or its last sign
+  bool begun_ = false;         // a message is not whole
+  bool served_ = false;        // something that only clients send has come
+  bool ending_ = false;
+  int unusable_ = 0;  // requests in a row
 };
 
 ClientSide::ClientSide(transport::Scheduler& scheduler, transport::Unsent& unsent,
@@ -180,14 +222,19 @@
       say_(say),
       listener_(scheduler, address),
       room_(scheduler),
-      sessions_(scheduler,
-                [this](const char* what) { say_("client", std::string("connection closed: ") + what); }) {
+      sessions_(scheduler, [this](const char* what) {
+        ++counts_.unreadable;
+        say_("client", std::string("connection closed: ") + what);
+      }) {
   sessions_.spawn(listen());
 }
 
 transport::Task<> ClientSide::listen() {
   for (;;) {
-    while (connected_ >= bounds_.connections) co_await room_.wait();
+    while (connected_.size() >= bounds_.connections) {
+      makeRoom();
+      co_await room_.wait(scheduler_.now() + kRoomRest);  // or until one has become idle
+    }
     try {
       std::unique_ptr<transport::Descriptor> accepted = co_await listener_.accept();
       sessions_.spawn(serve(std::move(accepted)));
@@ -198,6 +245,27 @@
   }
 }
 
+// A full house must not keep usual clients in the backlog: who has shown least for longest goes.
+void ClientSide::makeRoom() {
+  Session* least = nullptr;
+  for (Session* each : connected_) {
+    if (!each->spare()) continue;
+    if (!least || std::pair(each->served(), each->since()) < std::pair(least->served(), least->since()))
+      least = each;
+  }
+  if (!least) return;
+  ++counts_.pushedOut;
+  least->end();
+}
+
+std::string ClientSide::counts() const {
+  return "clients: " + std::to_string(connected_.size()) + " connected of " +
+         std::to_string(counts_.accepted) + ", requests refused " + std::to_string(counts_.refused) +
+         ", closed unreadable " + std::to_string(counts_.unreadable) + ", unfinished " +
+         std::to_string(counts_.unfinished) + ", idle " + std::to_string(counts_.idle) + ", for others " +
+         std::to_string(counts_.pushedOut);
+}
+
 transport::Task<> ClientSide::serve(std::unique_ptr<transport::Descriptor> accepted) {
   Session session(*this, std::move(accepted));
   co_await session.run();
--- a/src/routing/client_side.hpp
+++ b/src/routing/client_side.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <list>
 #include <memory>
 #include <optional>
 #include <unordered_map>
@@ -18,16 +19,21 @@
     std::size_t connections = 1;
     std::size_t frame = 0;   // bytes of one request
     std::size_t unsent = 0;  // bytes of answers beyond which a connection's next requests wait
+    // A connection has proven useless when it has sent no whole message for so long, from its start or from
+    // a message's first byte; and when it was idle for longer than clients keep what they do not use.
+    Span whole{std::chrono::milliseconds(1500)}, idle{std::chrono::seconds(5)};
   };
   ClientSide(transport::Scheduler& scheduler, transport::Unsent& unsent, const transport::Address& address,
              const Bounds& bounds, Desk& desk, const Say& say);
 
   void leave() { leaving_ = true; }  // heartbeats are no longer good
   std::size_t unsent() const { return unsent_.held; }
+  std::string counts() const;  // for the log
 
  private:
   class Session;
   transport::Task<> listen();
+  void makeRoom();
   transport::Task<> serve(std::unique_ptr<transport::Descriptor> accepted);
 
   transport::Scheduler& scheduler_;
@@ -38,8 +44,11 @@
   bool leaving_ = false;
   std::uint32_t taken_ = 0;
   transport::Listener listener_;
-  std::size_t connected_ = 0;
+  std::list<Session*> connected_;  // in the order they came
   transport::Signal room_;
+  struct Counts {
+    std::uint64_t accepted = 0, refused = 0, unreadable = 0, unfinished = 0, idle = 0, pushedOut = 0;
+  } counts_;
   transport::Group sessions_;
 };
 
--- a/src/routing/desk.cpp
+++ b/src/routing/desk.cpp
@@ -34,6 +34,7 @@
 
 void Desk::take(std::unique_ptr<Exchange> taken) {
   Exchange& exchange = *taken;
+  held_.insert(exchange.reference);
   exchange.place = exchanges_.insert(exchanges_.end(), std::move(taken));
   if (end_) exchange.expires = std::min(exchange.expires, *end_);
   ++counts_.taken;
@@ -212,7 +213,9 @@
 void Desk::forgetEnded() {
   for (Exchange* each : std::exchange(touched_, {})) {
     each->touched = false;
-    if (each->over && each->out() == 0) exchanges_.erase(each->place);
+    if (!each->over || each->out() > 0) continue;
+    held_.erase(each->reference);
+    exchanges_.erase(each->place);
   }
 }
 
--- a/src/routing/desk.hpp
+++ b/src/routing/desk.hpp
@@ -6,6 +6,7 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "choice.hpp"
@@ -32,6 +33,9 @@
   std::size_t open() const { return exchanges_.size(); }
   bool ready() const { return !executors_.empty(); }  // it knows where jobs could go
   bool full() const { return exchanges_.size() >= bounds_.open; }
+  bool holds(const std::string& reference) const {
+    return held_.count(reference) > 0;
+  }  // a job of it is alive
 
   void take(std::unique_ptr<Exchange> taken);
   void left(Exchange& exchange);  // its client has
@@ -76,6 +80,7 @@
     std::array<std::uint64_t, 8> ends{};     // as Outcome
   } counts_;
   std::list<std::unique_ptr<Exchange>> exchanges_;
+  std::unordered_set<std::string> held_;  // their references
   std::unordered_map<std::string, std::unique_ptr<Executor>> executors_;
   std::vector<Exchange*> touched_;
   std::vector<Sending*> withdrawn_;
--- a/src/transport/connection.cpp
+++ b/src/transport/connection.cpp
@@ -128,7 +128,10 @@
       const std::string_view rest = piece.view().substr(count == 0 ? offset_ : 0);
       gathered[count++] = {const_cast<char*>(rest.data()), rest.size()};
     }
-    const ssize_t sent = ::writev(descriptor_->fd(), gathered.data(), static_cast<int>(count));
+    msghdr message{};
+    message.msg_iov = gathered.data();
+    message.msg_iovlen = count;
+    const ssize_t sent = ::sendmsg(descriptor_->fd(), &message, MSG_NOSIGNAL);
     if (sent < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
       co_await descriptor_->writable.wait();
       continue;
--- a/tests/protocol_test.cpp
+++ b/tests/protocol_test.cpp
@@ -53,6 +53,11 @@
   refused(whole(11, 1) + whole(2, 2) + whole(0x7fffffff, 4) + "x");
   refused(whole(15, 1) + whole(9, 2) + whole(12, 1) + whole(0x7fffffff, 4));
   refused(whole(8, 1) + whole(2, 2) + whole(1, 4) + whole(0, 1));
+  refused(kSubmit + "x");                                        // bytes behind the end
+  refused(kSubmit.substr(0, kSubmit.size() - 1) + kSubmit);      // all fields twice
+  refused(whole(11, 1) + whole(2, 2) + text("") + whole(0, 1));  // no statement
+  std::string empty = kSubmit;
+  refused(empty.replace(empty.find(text("1500")), 8, text("")));
   std::string deep = whole(12, 1) + whole(9, 2);
   for (int level = 0; level < 1000; ++level) deep += whole(12, 1) + whole(1, 2);
   refused(deep);
--- a/tests/routing_test.cpp
+++ b/tests/routing_test.cpp
@@ -116,16 +116,21 @@
       change.entries.push_back({"s-" + std::to_string(each), at(each), "a", "m", 0, standing, 0});
     desk.listed(change);
   }
+  std::unique_ptr<Connection> connected() {
+    std::unique_ptr<Connection> made;
+    const auto dialling = [&]() -> Task<> {
+      transport::Dialled dialled = co_await transport::dial(*this, Address(kListen), now() + 1s);
+      made = std::make_unique<Connection>(*this, std::move(dialled.descriptor), 4096, 65536, unsent);
+    };
+    group.spawn(dialling());
+    pass(5ms);
+    return made;
+  }
   // Says bytes as a client and waits for what comes back.
   std::string asked(const std::string& sent, std::chrono::milliseconds time = 60ms) {
     if (!client) {
-      const auto dialling = [this]() -> Task<> {
-        transport::Dialled made = co_await transport::dial(*this, Address(kListen), now() + 1s);
-        client = std::make_unique<Connection>(*this, std::move(made.descriptor), 4096, 65536, unsent);
-        group.spawn(hearing());
-      };
-      group.spawn(dialling());
-      pass(10ms);
+      client = connected();
+      group.spawn(hearing());
     }
     client->send({Slice(sent)});
     pass(time);
@@ -157,10 +162,10 @@
   transport::Unsent unsent{4 << 20, 0};
   protocol::Told told;
   Desk desk{*this, unsent, told, {100, {told.sharedBy, 20, told.dialTimeout, told.idleClose}}, 7, say};
-  ClientSide clients{*this, unsent, Address(kListen), {10, 4096, 65536}, desk, say};
+  ClientSide clients{*this, unsent, Address(kListen), {10, 4096, 65536, 100ms, 700ms}, desk, say};
   std::vector<std::unique_ptr<Peer>> peers;
   std::string heard;
-  std::unique_ptr<Connection> client;
+  std::unique_ptr<Connection> client, parked;
   transport::Group group{*this, [](const char*) {}};
 };
 
@@ -296,6 +301,50 @@
   }
 }
 
+// Silent connections once stayed for good, and a byte now and then kept half a message alive.
+TEST(Routing, AConnectionWithoutAWholeMessageIsEndedInTime) {
+  Front front;
+  front.executor(1, answers);
+  front.list({1});
+  EXPECT_EQ(front.asked("", 60ms), "");
+  EXPECT_EQ(front.asked("", 80ms), "<closed>");
+  front.client.reset();
+  EXPECT_TRUE(front.has(front.asked(submit(1)), "row\n"));
+  std::string dripped;
+  for (const char each : text("0123")) dripped += front.asked(std::string(1, each), 30ms);
+  EXPECT_EQ(dripped, "<closed>");
+  front.client.reset();
+  EXPECT_TRUE(front.has(front.asked(submit(2)), "row\n"));
+  EXPECT_EQ(front.asked("", 500ms), "");  // kept while clients keep theirs
+  EXPECT_EQ(front.asked("", 300ms), "<closed>");
+  EXPECT_TRUE(front.has(front.clients.counts(), "unfinished 2, idle 1"));
+}
+
+TEST(Routing, AFullHouseEndsWhoHasShownLeast) {
+  Front front;
+  front.executor(1, answers);
+  front.list({1});
+  EXPECT_TRUE(front.has(front.asked(submit(1)), "row\n"));
+  std::vector<std::unique_ptr<Connection>> silent;
+  for (int each = 0; each < 12; ++each) silent.push_back(front.connected());
+  EXPECT_TRUE(front.has(front.asked(submit(2)), "row\n"));  // it came first, but it asked
+  EXPECT_TRUE(front.has(front.clients.counts(), "for others 4"));
+}
+
+// Executors call a second statement under an id an error, whichever connection it came over.
+TEST(Routing, AReferenceInUseIsRefusedOnEveryConnection) {
+  Front front;
+  Peer& peer = front.executor(1, silence);
+  front.list({1});
+  front.asked(submit(1), 20ms);
+  front.parked = std::move(front.client);
+  EXPECT_TRUE(front.has(front.asked(submit(11), 20ms), "in use"));
+  EXPECT_EQ(peer.heard, "ASK ");
+  std::string many;
+  for (int each = 1; each <= 9; ++each) many += submit(each * 10 + 1);
+  EXPECT_TRUE(front.has(front.asked(many, 20ms), "<closed>"));  // the same again and again
+}
+
 TEST(Routing, AnExecutorThatCantBeReadLosesItsConnection) {
   Front front;
   int asks = 0;
@@ -378,7 +427,7 @@
   for (int each = 1; each <= 30; ++each)
     many += submit(each, 300, "q", "0000000000000" + std::to_string(each / 10) + "b");
   front.asked(many, 30ms);
-  EXPECT_EQ(front.asked(frame(1, "heartbeat", 90, bytes(0, 1)), 10ms).empty(), false);
+  EXPECT_EQ(front.asked(frame(1, "heartbeat", 90, bytes(0, 1)), 40ms).empty(), false);
   front.pass(500ms);
   EXPECT_EQ(front.desk.open(), 0U);
 }
