A dispatch has a connection of its own; spoilt ones end at once; gone executors are forgotten

Checked: the resets are all dispatches that shared the spoilt connections, about ten each; log and counts show the engine doubted 16 ms after its connection was given up. An answer framed well but not usable left its connection open, though nothing more comes over it; a message that stops midway was never noticed (server_side.cpp, read and quiet); a second copy while pages were out ended the dispatch as an error; executors that left stayed with the desk and in every choice of the module for good (desk.cpp executors_, choice.cpp engines_). Ruled out: errors that executors answer themselves (1 in 30 s). Now: what can't be used, pages not of whole rows or too large, and a message that stands still for a dial time-out end the connection; the dispatches on it end as spoilt, which the module takes for no evidence against the engine; resets together are one sign, not many. Copies and answers ahead are passed over. Dispatches share a connection only when three quarters of the links are up. An engine is forgotten once it is off the list, without connections, and no living job was sent to it. Could harm where handshakes are dear: bursts dial more.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -133,8 +133,8 @@
   settle(dispatch);
   if (report) read(*dispatch.engine, *report);
   learn(dispatch, outcome, cost);
-  const bool mayStillRun =
-      outcome == Outcome::timedOut || outcome == Outcome::reset || outcome == Outcome::withdrawn;
+  const bool mayStillRun = outcome == Outcome::timedOut || outcome == Outcome::reset ||
+                           outcome == Outcome::withdrawn || outcome == Outcome::spoilt;
   if (job.type->inOrder && job.key && mayStillRun) turns_[job.key].restsUntil = now + site_.keyRest;
   if (jobOver && !job.over) finish(job);
   if (!job.over) judge(job);
@@ -201,9 +201,8 @@
       engine->byType.resize(site_.types.size());
       if (peersTell()) engine->byPeer.resize(site_.controllers, {0, 0, now});
       const Span bucket = shortest_->slaTime * 4 / 7;
-      for (BucketRing<double>* ring : {&engine->good, &engine->bad, &engine->spent, &engine->workDone}) {
+      for (BucketRing<double>* ring : {&engine->good, &engine->bad, &engine->spent, &engine->workDone})
         *ring = BucketRing<double>(bucket);
-      }
       engine->coldSent = BucketRing<double>(site_.fallSpan / 7 + Span{1});
     }
     // A process started anew has none of the old one's faults, nor its data sets.
@@ -386,7 +385,11 @@
   Engine& engine = *dispatch.engine;
   const Job& job = *dispatch.job;
   TypeLore& lore = lore_[job.type->index];
-  if (outcome == Outcome::withdrawn || outcome == Outcome::neverSent) return;
+  // A bad connection is no bad engine: peers spoil what any engine says, and a reset takes all along that was
+  // out there, which is one sign, not many. An engine that has died is told by what is dispatched next.
+  if (outcome == Outcome::withdrawn || outcome == Outcome::neverSent || outcome == Outcome::spoilt) return;
+  const auto reset = outcome == Outcome::reset ? std::exchange(engine.lastReset, now_) : std::nullopt;
+  if (reset && now_ - *reset < site_.tick) return;
   ease(dispatch, outcome);
   if (outcome != Outcome::done) {
     engine.bad.add(now_, 1);
@@ -452,12 +455,9 @@
 void Controller::giveUp(Job& job) {
   const bool harmless = mayThrottle(job);
   finish(job);
-  if (harmless) {
-    const Span comeBack = span(slaSeconds(job) / 4 * (0.5 + chance()));
-    host_.throttle(job, site_.comeBackHeard ? std::min(comeBack, site_.longestComeBack) : Span{0});
-  } else {
-    host_.cancelForGood(job);
-  }
+  const Span comeBack = span(slaSeconds(job) / 4 * (0.5 + chance()));
+  const Span told = site_.comeBackHeard ? std::min(comeBack, site_.longestComeBack) : Span{0};
+  harmless ? host_.throttle(job, told) : host_.cancelForGood(job);
   leaveLine(job);
 }
 
@@ -466,9 +466,8 @@
   if (job.waiting) std::erase_if(draws_, [&](const auto& each) { return each.second == &job; });
   job.waiting = false;
   if (!site_.mayWithdraw || job.streaming) return;
-  for (const auto& each : job.dispatches) {
+  for (const auto& each : job.dispatches)
     if (each->out) host_.withdraw(*each);
-  }
 }
 
 void Controller::leaveLine(Job& job) {
--- a/src/choice.hpp
+++ b/src/choice.hpp
@@ -41,8 +41,8 @@
 using Listings = std::vector<std::pair<Engine*, Listing>>;
 
 // One controller: told what happens, in the order it happens; answers through its Host.
-// Jobs and engines belong to the caller. An engine stays valid for the controller's life, a job until
-// it is over and has no dispatch out.
+// Jobs and engines belong to the caller. A job stays valid until it is over and has no dispatch out, an
+// engine until it is forgotten: off the list, and no valid job has ever been dispatched to it.
 class Controller {
  public:
   Controller(Host& host, const Deployment& deployment, std::uint64_t seed, Span now);
@@ -56,6 +56,7 @@
   void probed(Span now, Engine& engine, bool answered, const LoadReport* report);
   void heard(Span now, unsigned peer, const std::vector<PeerNote>& notes);
   void listed(Span now, bool whole, const Listings& listings);
+  void forget(Engine& engine) { std::erase(engines_, &engine); }
   void listFailed(Span now);
   void woken(Span now);
 
--- a/src/model/engine.hpp
+++ b/src/model/engine.hpp
@@ -64,7 +64,7 @@
   BucketRing<double> spent, workDone;  // threads x latency against work: how slow it is
   BucketRing<double> coldSent;         // work sent in the window of the cold rule
   Easing easing;
-  std::optional<Span> lastGood;
+  std::optional<Span> lastGood, lastReset;
   std::optional<Span> trialAt;  // when a doubted engine may be tried next
   bool doubtLogged = false;
   std::vector<std::uint32_t> warmSets;  // data sets read last, latest first
--- a/src/model/job.hpp
+++ b/src/model/job.hpp
@@ -10,7 +10,9 @@
 
 namespace paddletrack {
 
-enum class Outcome { done, error, turnedAway, timedOut, unreachable, reset, withdrawn, neverSent };
+// Spoilt: its connection brought what can't be used, or stood still midway, and was ended for it. It may have
+// run.
+enum class Outcome { done, error, turnedAway, timedOut, unreachable, reset, withdrawn, neverSent, spoilt };
 enum class Note { progress, spilling, waiting };
 
 struct Job;
--- a/src/protocol/resp.cpp
+++ b/src/protocol/resp.cpp
@@ -3,6 +3,7 @@
 #include <charconv>
 #include <cmath>
 #include <initializer_list>
+#include <utility>
 
 namespace paddletrack::protocol::resp {
 namespace {
@@ -89,6 +90,8 @@
   } else if (word == "chunk") {
     read.word = Word::chunk;
   } else if (word != "alive") {
+    if (word.empty() || word.find_first_not_of("abcdefghijklmnopqrstuvwxyz_-") != std::string_view::npos)
+      throw Unreadable("RESP: an answer that is noise");
     read.word = Word::other;  // of a page that we have not: what it may carry is not looked at
     return read;
   }
@@ -109,6 +112,20 @@
   return read;
 }
 
+bool wholeRows(std::string_view page) {
+  int tabs = 0;
+  for (const char each : page) {
+    if (each == '\n') {
+      if (std::exchange(tabs, 0) != 2) return false;
+    } else if (each == '\t') {
+      ++tabs;
+    } else if (static_cast<unsigned char>(each) < 0x20 || each == 0x7f) {
+      return false;
+    }
+  }
+  return tabs == 0 && (page.empty() || page.back() == '\n');
+}
+
 std::string askHead(std::string_view id, std::string_view type, const Terms& terms, std::size_t statement) {
   std::string fields = "class=" + std::string(type) + ",wait=" + std::to_string(terms.waitMs);
   if (terms.grantMb >= 1) fields += ",mb=" + std::to_string(static_cast<long long>(std::ceil(terms.grantMb)));
--- a/src/protocol/resp.hpp
+++ b/src/protocol/resp.hpp
@@ -12,7 +12,8 @@
 namespace paddletrack::protocol::resp {
 
 constexpr std::size_t kMostWords = 8;
-constexpr std::size_t kLongestWord = 64 * 1024;
+constexpr std::size_t kLongestPage = 6000, kLongestResult = 48000;
+constexpr std::size_t kLongestWord = kLongestPage;
 
 struct Array {
   std::array<std::string_view, kMostWords> words{};
@@ -32,6 +33,7 @@
   std::string_view body;
 };
 Answer readAnswer(const Array& array);
+bool wholeRows(std::string_view page);  // of three columns each, as text
 
 // An ASK is its head, the statement and the tail; the rest are whole.
 struct Terms {
--- a/src/routing/desk.cpp
+++ b/src/routing/desk.cpp
@@ -104,15 +104,27 @@
     if (!known) {
       known = std::make_unique<Executor>();
       known->id = entry.id;
-      known->number = static_cast<std::uint32_t>(executors_.size());
+      known->number = ++numbers_;
       say_("list", "engine " + std::to_string(known->number) + " is executor " + entry.id);
     }
     // Another process answers there now, or none: what is open may still end, nothing new goes that way.
     const bool same = known->address == address && known->listing.started == listing.started;
     if (listing.standing != Standing::ready || !same) servers_.retire(*known);
     known->address = address;
+    std::erase(gone_, known.get());
+    if (listing.standing == Standing::gone) gone_.push_back(known.get());
     listings.emplace_back(known.get(), listing);
   }
+  // What a whole list leaves out has gone as well.
+  const auto named = [&](const Executor* each) {
+    return std::any_of(listings.begin(), listings.end(), [&](const auto& at) { return at.first == each; });
+  };
+  for (const auto& [id, known] : executors_) {
+    if (!change.whole || named(known.get())) continue;
+    servers_.retire(*known);
+    std::erase(gone_, known.get());
+    gone_.push_back(known.get());
+  }
   controller_.listed(now(), change.whole, listings);
   forgetEnded();
 }
@@ -124,8 +136,9 @@
 }
 
 std::string Desk::counts() const {
-  static constexpr std::array<const char*, 8> kEnds{"done",        "error", "turned away", "timed out",
-                                                    "unreachable", "reset", "withdrawn",   "never sent"};
+  static constexpr std::array<const char*, 9> kEnds{"done",      "error",       "turned away",
+                                                    "timed out", "unreachable", "reset",
+                                                    "withdrawn", "never sent",  "spoilt"};
   std::string line = std::to_string(exchanges_.size()) + " open, " + std::to_string(counts_.taken) +
                      " taken, " + std::to_string(counts_.answers[1]) + " done, " +
                      std::to_string(counts_.answers[2]) + " throttled, " +
@@ -133,7 +146,8 @@
                      " left; dispatches:";
   for (std::size_t each = 0; each < kEnds.size(); ++each)
     if (counts_.ends[each] > 0) line += " " + std::to_string(counts_.ends[each]) + " " + kEnds[each];
-  return line + "; " + servers_.counts();
+  return line + "; " + std::to_string(executors_.size()) + " executors known of " + std::to_string(numbers_) +
+         ", " + servers_.counts();
 }
 
 void Desk::answerBy(Span end) {
@@ -154,6 +168,7 @@
   sending.timeout.then([this, &sending] { timedOut(sending); });
   sending.until = outside(made.until);
   sending.timeout.at(sending.until);
+  ++static_cast<Executor*>(made.engine)->known;
   servers_.send(sending);
 }
 
@@ -215,8 +230,15 @@
     each->touched = false;
     if (!each->over || each->out() > 0) continue;
     held_.erase(each->reference);
+    for (const auto& sending : each->sendings) --static_cast<Executor*>(sending->dispatch.engine)->known;
     exchanges_.erase(each->place);
   }
+  std::erase_if(gone_, [this](Executor* each) {
+    if (each->known > 0 || !each->links.empty()) return false;
+    controller_.forget(*each);
+    executors_.erase(std::string(each->id));
+    return true;
+  });
 }
 
 }  // namespace paddletrack::routing
--- a/src/routing/desk.hpp
+++ b/src/routing/desk.hpp
@@ -77,11 +77,13 @@
   struct Counts {
     std::uint64_t taken = 0, left = 0;
     std::array<std::uint64_t, 4> answers{};  // as Exchange::Answer
-    std::array<std::uint64_t, 8> ends{};     // as Outcome
+    std::array<std::uint64_t, 9> ends{};     // as Outcome
   } counts_;
   std::list<std::unique_ptr<Exchange>> exchanges_;
   std::unordered_set<std::string> held_;  // their references
   std::unordered_map<std::string, std::unique_ptr<Executor>> executors_;
+  std::vector<Executor*> gone_;  // off the list, to be forgotten once nothing knows them any more
+  std::uint32_t numbers_ = 0;    // of executors ever known
   std::vector<Exchange*> touched_;
   std::vector<Sending*> withdrawn_;
   transport::Call tellWithdrawn_, wake_;
--- a/src/routing/server_side.cpp
+++ b/src/routing/server_side.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cerrno>
 #include <cstring>
+#include <tuple>
 
 namespace paddletrack::routing {
 namespace {
@@ -10,11 +11,12 @@
 using protocol::resp::Word;
 using transport::Connection;
 
-constexpr std::size_t kUsualInput = 32 * 1024, kMostInput = 128 * 1024;
+constexpr std::size_t kUsualInput = 32 * 1024, kMostInput = 64 * 1024;
 constexpr std::uint32_t kMostPages = 64;
+constexpr std::size_t kSpareParts = 4;  // of the connections, for executors that have none
 // In dial time-outs: so long without a byte, and a connection with work is asked whether it lives; so long
-// asked while a younger one answers, and it is dead.
-constexpr int kQuietDials = 1, kDeadDials = 8;
+// asked while a younger one answers, and it is dead; so long midway in a message, and the rest never comes.
+constexpr int kQuietDials = 1, kDeadDials = 2, kMidwayDials = 1;
 
 }  // namespace
 
@@ -58,8 +60,10 @@
   });
 }
 
-// The connection with most room, rather one that is up, else a new one. Where the executor is silent one
-// connection at a time finds out whether it answers; what finds no room there is not sent.
+// A connection that ends takes all along that is open on it, so dispatches share one only when descriptors
+// run short: an idle one that is up and was used last (the others may end), else a new one while some are
+// left for executors without, else the one with most room. Where the executor is silent one connection at a
+// time finds out whether it answers; what finds no room there is not sent.
 Link* ServerSide::pick(Sending& sending) {
   auto& executor = *static_cast<Executor*>(sending.dispatch.engine);
   Link* best = nullptr;
@@ -68,10 +72,13 @@
     silent = silent || link->silent;
     proving = proving || !link->proven;
     if (!usable(*link, sending)) continue;
-    const auto rank = [](const Link& each) { return std::pair(!each.proven, each.load()); };
+    const auto rank = [](const Link& each) {
+      return std::tuple(each.load(), !each.proven, -each.used.time_since_epoch());
+    };
     if (!best || rank(*link) < rank(*best)) best = link;
   }
-  if (best || (silent && proving)) return best;
+  if ((best && best->load() == 0) || (silent && proving)) return best;
+  if (best && links_.size() >= bounds_.links - bounds_.links / kSpareParts) return best;
   if (links_.size() >= bounds_.links) {
     say_("descriptors", "no connection is left for another dispatch");
     return nullptr;
@@ -122,7 +129,8 @@
 }
 
 std::string ServerSide::counts() const {
-  return std::to_string(links_.size()) + " connections, " + std::to_string(serials_) + " dialled";
+  return std::to_string(links_.size()) + " connections, " + std::to_string(serials_) + " dialled, " +
+         std::to_string(spoilt_) + " spoilt";
 }
 
 void ServerSide::retire(Executor& executor) {
@@ -138,6 +146,7 @@
     co_await work(link);
   } catch (const std::exception& error) {
     say_("executor", "executor " + link.executor.id + ": " + error.what() + "; connection given up");
+    spoil(link);
   }
   lose(link);
 }
@@ -164,6 +173,8 @@
   for (;;) {
     read(link);
     if (link.load() == 0 && link.retired) break;
+    if (link.midway && scheduler_.now() - *link.midway > bounds_.dialTimeout * kMidwayDials)
+      throw protocol::Unreadable("stood still within a message");
     const bool more = co_await link.connection->receive(scheduler_.now() + bounds_.dialTimeout * kQuietDials);
     if (more) {
       heard(link);
@@ -200,7 +211,11 @@
   for (Link* each : link.executor.links)
     if (each->silent && each->asked && each->serial < link.serial &&
         scheduler_.now() - *each->asked > bounds_.dialTimeout * kDeadDials)
-      each->connection->shut();
+      spoil(*each), each->connection->shut();
+}
+
+void ServerSide::spoil(Link& link) {
+  if (!std::exchange(link.spoilt, true)) ++spoilt_;
 }
 
 void ServerSide::read(Link& link) {
@@ -209,16 +224,15 @@
     const protocol::resp::Array array = protocol::resp::read(input.view());
     if (array.size == 0) {
       if (array.wanted > 0) input.expect(array.wanted);
+      if (input.view().empty()) {
+        link.midway.reset();
+      } else if (!link.midway) {
+        link.midway = scheduler_.now();
+      }
       return;
     }
-    try {
-      answered(link, protocol::resp::readAnswer(array));
-    } catch (const protocol::Unreadable& error) {
-      // Framed well, but no answer to what was asked: that one dispatch has failed, the others go on.
-      say_("executor", "executor " + link.executor.id + ": " + error.what());
-      const auto at = array.count > 0 ? link.open.find(std::string(array.words[0])) : link.open.end();
-      if (at != link.open.end()) over(link, *at->second, Outcome::error);
-    }
+    link.midway.reset();
+    answered(link, protocol::resp::readAnswer(array));
     input.consume(array.size);
   }
 }
@@ -230,27 +244,34 @@
   const auto at = link.open.find(std::string(answer.id));
   if (at == link.open.end()) return;  // given up meanwhile
   Sending& sending = *at->second;
+  const auto room = [&] {
+    std::size_t held = answer.body.size();
+    for (const Slice& page : sending.pages) held += page.size();
+    return held <= protocol::resp::kLongestResult;
+  };
   switch (answer.word) {
     case Word::full:
     case Word::over:
       return over(link, sending, Outcome::turnedAway);
     case Word::ok:
-      if (sending.pagesWanted > 0 || answer.pages < 1 || answer.pages > kMostPages)
-        return over(link, sending, Outcome::error);
+      if (sending.pagesWanted > 0) return;  // a second copy: the first counts
+      if (answer.pages < 1 || answer.pages > kMostPages) throw protocol::Unreadable("a count of pages");
       sending.pagesWanted = answer.pages;
       sending.pages.resize(answer.pages);
       for (std::uint32_t page = 1; page < answer.pages; ++page)
         link.connection->send({Slice(protocol::resp::next(sending.exchange.reference, page))});
       break;
     case Word::chunk:
-      if (answer.page < 1 || answer.page >= sending.pagesWanted || sending.pages[answer.page].view().data()) {
-        say_("executor", "executor " + link.executor.id + ": a page that was not asked for");
-        return;
-      }
+      if (sending.pagesWanted == 0) return;  // ahead of its answer
+      if (answer.page < 1 || answer.page >= sending.pagesWanted)
+        throw protocol::Unreadable("a page that was not asked for");
+      if (sending.pages[answer.page].view().data()) return;  // a second copy
       break;
     default:
       return over(link, sending, Outcome::error);
   }
+  if (!protocol::resp::wholeRows(answer.body) || !room())
+    throw protocol::Unreadable("a page that is not of whole rows, or more than a result holds");
   sending.pages[answer.page] = link.connection->input().keep(answer.body);
   if (++sending.pagesHeld == sending.pagesWanted) over(link, sending, Outcome::done);
 }
@@ -267,8 +288,9 @@
   std::erase(link.executor.links, &link);
   std::vector<std::pair<Sending*, Outcome>> ends;
   for (Sending* each : link.held) ends.emplace_back(each, Outcome::unreachable);
+  const Outcome maybeRun = link.spoilt ? Outcome::spoilt : Outcome::reset;
   for (const auto& [id, each] : link.open)
-    ends.emplace_back(each, each->wholeAt > written ? Outcome::unreachable : Outcome::reset);
+    ends.emplace_back(each, each->wholeAt > written ? Outcome::unreachable : maybeRun);
   for (const auto& [each, outcome] : ends) each->link = nullptr;
   links_.erase(link.place);
   for (const auto& [each, outcome] : ends) ends_.ended(*each, outcome);
--- a/src/routing/server_side.hpp
+++ b/src/routing/server_side.hpp
@@ -19,6 +19,7 @@
   std::string id;
   std::optional<transport::Address> address;
   std::vector<Link*> links;
+  std::size_t known = 0;  // dispatches to it, of exchanges that are alive
 };
 
 // One connection to one executor, from before its dial until it has been given back.
@@ -30,11 +31,13 @@
   std::optional<transport::Connection> connection;  // none: still dialling
   std::vector<Sending*> held;                       // wait for the dial
   std::unordered_map<std::string, Sending*> open;
-  transport::Moment used{};                // when it last took a dispatch
-  std::optional<transport::Moment> asked;  // a NOOP is out since then
-  bool silent = false;                     // and was not answered in time: takes nothing new
-  bool proven = false;                     // it is up, and if others were silent, something came over it
-  bool retired = false;                    // takes nothing new, ends when nothing is open
+  transport::Moment used{};                 // when it last took a dispatch
+  std::optional<transport::Moment> asked;   // a NOOP is out since then
+  bool silent = false;                      // and was not answered in time: takes nothing new
+  bool proven = false;                      // it is up, and if others were silent, something came over it
+  bool retired = false;                     // takes nothing new, ends when nothing is open
+  bool spoilt = false;                      // of no more use, its executor may be well
+  std::optional<transport::Moment> midway;  // the first byte of a message that is not whole came then
   std::list<Link>::iterator place;
 
   std::size_t load() const { return held.size() + open.size(); }
@@ -77,13 +80,14 @@
   void answered(Link& link, const protocol::resp::Answer& answer);
   void over(Link& link, Sending& sending, Outcome outcome);
   void lose(Link& link);
+  void spoil(Link& link);
 
   transport::Scheduler& scheduler_;
   transport::Unsent& unsent_;
   const Bounds bounds_;
   Ends& ends_;
   const Say& say_;
-  std::uint64_t serials_ = 0;
+  std::uint64_t serials_ = 0, spoilt_ = 0;
   std::list<Link> links_;
   std::vector<Sending*> unplaced_;  // no descriptor was left for them
   transport::Call tellUnplaced_;
