--- a/src/routing/client_side.cpp
+++ b/src/routing/client_side.cpp
@@ -85,7 +85,9 @@
         frame(input.view().substr(thrift::kFrameHead, *length));
         input.consume(whole);
         since_ = side_.scheduler_.now();
-        if (connection_.unsent() > side_.bounds_.unsent) co_await connection_.drained(side_.bounds_.unsent);
+        if (connection_.unsent() <= side_.bounds_.unsent) continue;
+        const bool reads = co_await connection_.drained(side_.bounds_.unsent, since_ + side_.bounds_.idle);
+        if (!reads) co_return;
       }
       begun_ = input.view().size() > 0;
     }
--- a/src/routing/follower.cpp
+++ b/src/routing/follower.cpp
@@ -72,13 +72,15 @@
                                    unsent_);
   connection.send({Slice(protocol::since(last_))});
   transport::Inbox& input = connection.input();
+  transport::Moment told = scheduler_.now();  // the last whole line: bytes that drip in are no news
   for (;;) {
-    const bool more = co_await connection.receive(scheduler_.now() + kSilent);
+    const bool more = co_await connection.receive(told + kSilent);
     if (!more) break;
     for (std::size_t end = input.view().find('\n'); end != std::string_view::npos;
          end = input.view().find('\n')) {
       line(input.view().substr(0, end));
       input.consume(end + 1);
+      told = scheduler_.now();
     }
     if (input.view().size() > 0) input.expect(input.view().size() * 2);
   }
--- a/src/transport/connection.cpp
+++ b/src/transport/connection.cpp
@@ -158,8 +158,12 @@
   }
 }
 
-Task<> Connection::drained(std::size_t most) {
-  while (!failed_ && unsent() > most) co_await drained_.wait();
+Task<bool> Connection::drained(std::size_t most, Moment until) {
+  while (!failed_ && unsent() > most) {
+    const bool more = co_await drained_.wait(until);
+    if (!more) co_return false;
+  }
+  co_return true;
 }
 
 void Connection::shut() {
--- a/src/transport/connection.hpp
+++ b/src/transport/connection.hpp
@@ -55,8 +55,9 @@
   std::uint64_t queued() const { return queued_; }    // bytes ever given to send
   std::uint64_t written() const { return written_; }  // of these, taken by the kernel
   std::size_t unsent() const { return static_cast<std::size_t>(queued_ - written_); }
-  Task<> drained(std::size_t most);  // until no more than so many bytes are unsent, or the end
-  void shut();                       // what comes and goes from now on is dropped; reading ends
+  // Until no more than so many bytes are unsent, or the end; false when the moment came first.
+  Task<bool> drained(std::size_t most, Moment until);
+  void shut();  // what comes and goes from now on is dropped; reading ends
 
  private:
   void queue(const Slice& piece);
--- a/tests/routing_test.cpp
+++ b/tests/routing_test.cpp
@@ -539,5 +539,27 @@
   EXPECT_TRUE(front.has(front.logged, "nonsense"));
 }
 
+// A log that goes on with bytes but not with lines once counted as one that tells.
+TEST(ChangeLog, OneThatDripsIsAskedAgain) {
+  Front front;
+  int asked = 0;
+  transport::Listener listener(front, Address("127.0.77.100:18443"));
+  const auto log = [&]() -> Task<> {
+    for (;;) {
+      auto accepted = co_await listener.accept();
+      Connection connection(front, std::move(accepted), 4096, 65536, front.unsent);
+      ++asked;
+      for (int each = 0; each < 10; ++each) {
+        connection.send({Slice(std::string("{"))});
+        co_await front.sleepUntil(front.now() + 200ms);
+      }
+    }
+  };
+  front.group.spawn(log());
+  Follower follower(front, front.unsent, Address("127.0.77.100:18443"), 3, 7, front.desk, front.say);
+  front.pass(2200ms);
+  EXPECT_EQ(asked, 2);
+}
+
 }  // namespace
 }  // namespace paddletrack::routing
--- a/tests/transport_test.cpp
+++ b/tests/transport_test.cpp
@@ -209,6 +209,19 @@
   EXPECT_EQ(quick.hear(), "answer");
 }
 
+// A peer that reads nothing once held the coroutine that waited for it, and its descriptor, for good.
+TEST(Connection, AWaitForAReaderEndsInTime) {
+  Loop loop;
+  loop.unsent.most = 64 << 20;
+  Pair slow(loop);
+  for (int each = 0; each < 16; ++each) slow.near->send({Slice(std::string(1 << 20, 'x'))});
+  std::optional<bool> read;
+  const auto waiting = [&]() -> Task<> { read = co_await slow.near->drained(1 << 20, loop.now() + 30ms); };
+  loop.group.spawn(waiting());
+  loop.runFor(60ms);
+  EXPECT_EQ(read, false);
+}
+
 TEST(Dial, TellsARefusalAndASilence) {
   Loop loop;
   int refused = 0;
