An engine that turns some away is weighed by what a job costs there, not left out

Two engines got nearly everything and their wide jobs came late. Ruled out: engines truly full (own threads there near none), slowness, resets (none). At fault: learn() counted turned away like a failure and doubted() then left the whole engine to one trial job a pause. It never ran, which costs a dispatch, not an engine: now it weighs in the choice (times 1 + turned away / done) and only past four for one done the engine is doubted. Another harm would be an engine that refuses slowly.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -35,6 +35,7 @@
 constexpr double kLooks = 3;       // engines that a controller with thin shares chooses among
 constexpr int kTrialSlas = 2;      // SLA times of the shortest type between trials of a doubted engine
 constexpr double kIllShare = 0.3;  // of recent outcomes: an engine that fails more is doubted
+constexpr double kMostAway = 4;    // turned away for one done: one that turns away more is doubted as well
 
 double seconds(Span span) { return Seconds(span).count(); }
 Span span(double secs) { return std::chrono::duration_cast<Span>(Seconds(secs)); }
@@ -91,11 +92,6 @@
 // How long a dispatch has been out, as far as this controller was there to see it.
 double Controller::age(const Dispatch& sent) const { return seconds(now_ - sent.sent - sent.unseen); }
 
-void Controller::look() {
-  survey();
-  advance();
-}
-
 void Controller::take(Span now, Job& job) {
   clock(now);
   if (site_.furtherSpan > Span{0}) taken_.add(now, 1);
@@ -201,13 +197,13 @@
       engine->byType.resize(site_.types.size());
       if (peersTell()) engine->byPeer.resize(site_.controllers, {0, 0, now});
       const Span bucket = shortest_->slaTime * 4 / 7;
-      for (BucketRing<double>* ring : {&engine->good, &engine->bad, &engine->spent, &engine->workDone})
+      for (auto* ring : {&engine->good, &engine->bad, &engine->away, &engine->spent, &engine->workDone})
         *ring = BucketRing<double>(bucket);
       engine->coldSent = BucketRing<double>(site_.fallSpan / 7 + Span{1});
     }
     // A process started anew has none of the old one's faults, nor its data sets.
     if (listing.started && listing.started != engine->listing.started) {
-      engine->bad.clear();
+      engine->bad.clear(), engine->away.clear();
       engine->spent.clear();
       engine->workDone.clear();
       engine->warmSets.clear();
@@ -294,6 +290,9 @@
       double score =
           markUsed(more, *engine) * (isWarm || thin_ ? 1 : 1.25) * (before ? 2 : 1) * (1 + 0.1 * chance());
       if (engine->listing.location != site_.location) score *= 1 + site_.crossLocationPrice;
+      // One that turns some away costs so many dispatches a job, not the work of those that it takes: left
+      // out whole, three of five that did so left theirs to two, which then had too much.
+      score *= 1 + engine->away.sum(now_) / (engine->good.sum(now_) + 1);
       if (best && score >= bestScore) continue;
       best = engine;
       bestScore = score;
@@ -392,7 +391,7 @@
   if (reset && now_ - *reset < site_.tick) return;
   ease(dispatch, outcome);
   if (outcome != Outcome::done) {
-    engine.bad.add(now_, 1);
+    (outcome == Outcome::turnedAway ? engine.away : engine.bad).add(now_, 1);
     // Turned away, or not answered in all its time: as good as a report of a full engine.
     if (engine.othersSeen && (outcome == Outcome::turnedAway || outcome == Outcome::timedOut)) {
       const Machine& machine = site_.machines[engine.listing.kind];
@@ -648,7 +647,7 @@
 // From then on it gets one short job a pause as a trial, until one comes back done.
 bool Controller::doubted(Engine& engine) {
   const double bad = engine.bad.sum(now_), good = engine.good.sum(now_);
-  bool ill = bad >= 2 && bad > kIllShare * (bad + good);
+  bool ill = (bad >= 2 && bad > kIllShare * (bad + good)) || engine.away.sum(now_) > kMostAway * (good + 1);
   for (const Dispatch* each : engine.out) {
     const bool noSign = !engine.lastGood || *engine.lastGood < each->sent;
     ill = ill || (noSign && age(*each) > slaSeconds(*each->job));
--- a/src/choice.hpp
+++ b/src/choice.hpp
@@ -120,7 +120,7 @@
   void read(Engine& engine, const LoadReport& report);
   void clock(Span now);
   double age(const Dispatch& sent) const;
-  void look();
+  void look() { survey(), advance(); }
   void advance();
   void leaveLine(Job& job);
   Span waitEnd(const Job& job) const;
--- a/src/model/engine.hpp
+++ b/src/model/engine.hpp
@@ -60,7 +60,7 @@
   std::vector<PeerWord> byPeer;
   std::optional<Span> probeSent;
 
-  BucketRing<double> good, bad;        // outcomes
+  BucketRing<double> good, bad, away;  // outcomes; turned away: it never ran, and what did may run well
   BucketRing<double> spent, workDone;  // threads x latency against work: how slow it is
   BucketRing<double> coldSent;         // work sent in the window of the cold rule
   Easing easing;
--- a/tests/choice_test.cpp
+++ b/tests/choice_test.cpp
@@ -245,6 +245,47 @@
   EXPECT_FALSE(host.engines[0].trialAt);  // trusted again, its failures out of sight
 }
 
+// Three of five engines once turned away most short jobs and ran all else well; left out whole, their work
+// was too much for the other two.
+TEST(Health, AnEngineThatTurnsShortJobsAwayStillGetsItsOtherWork) {
+  FakeHost host(2);
+  for (int each = 0; each < 12; ++each) {
+    host.takeMany(2, 0);
+    for (Dispatch* out : std::vector<Dispatch*>(host.sent))
+      if (out->out)
+        host.end(*out, out->engine == &host.engines[0] && each % 3 ? Outcome::turnedAway : Outcome::done);
+    host.pass(20ms);
+  }
+  const std::size_t before = host.sentTo(0);
+  host.takeMany(4, 1, 2s);
+  EXPECT_GT(host.sentTo(0), before);
+  EXPECT_FALSE(host.engines[0].trialAt);
+  for (int each = 0; each < 40; ++each) {  // one that turns nearly all away is left alone all the same
+    host.takeMany(2, 0);
+    for (Dispatch* out : std::vector<Dispatch*>(host.sent))
+      if (out->out && out->job->type->index == 0)
+        host.end(*out, out->engine == &host.engines[0] ? Outcome::turnedAway : Outcome::done);
+  }
+  EXPECT_TRUE(host.engines[0].trialAt);
+}
+
+// A connection that ends takes all that is open on it along; a spoilt one tells of its peers, not of its
+// engine.
+TEST(Health, ABadConnectionIsNoBadEngine) {
+  for (const Outcome outcome : {Outcome::reset, Outcome::spoilt}) {
+    FakeHost host(2);
+    host.takeMany(8, 0);
+    for (Dispatch* each : std::vector<Dispatch*>(host.sent))
+      if (each->engine == &host.engines[0]) host.end(*each, outcome);
+    host.pass(100ms);
+    host.endAll();
+    const std::size_t before = host.sentTo(0);
+    host.takeMany(6, 0);
+    EXPECT_GT(host.sentTo(0), before + 1);
+    EXPECT_FALSE(host.engines[0].trialAt);
+  }
+}
+
 TEST(Health, NeverAllEnginesExcluded) {
   FakeHost host(2);
   host.takeMany(8, 0);
