In a full house a connection that has just come goes last, after the idle ones

Checked by a probe: 249 of 250 connections had been served and were idle, and the one ended for the next was 0 ms old (client_side.cpp, makeRoom: least shown first). Ruled out: silent connections, executors, memory, CPU. Now: first one that had time to ask and did not, then the longest idle, then those that have just come. What is left is refusals while one of three controllers is away.

--- a/src/routing/client_side.cpp
+++ b/src/routing/client_side.cpp
@@ -4,6 +4,7 @@
 #include <charconv>
 #include <cmath>
 #include <deque>
+#include <tuple>
 
 #include "protocol/statement.hpp"
 
@@ -20,6 +21,7 @@
 constexpr int kAheadSlacks = 3;
 
 constexpr std::chrono::milliseconds kRoomRest{20};
+constexpr int kFreshParts = 8;  // of the time for a whole message: so long a connection counts as just come
 
 // So many requests in a row that can't be used, and the connection is not one of a client.
 constexpr int kMostUnusable = 8;
@@ -93,11 +95,14 @@
     }
   }
 
-  // What of it could be missed least, lowest first: it never sent a request that was taken, then one that
-  // stays idle. With a request open it is never ended for another.
+  // With a request open it is never ended for another.
   bool spare() const { return open_.empty() && !ending_; }
-  bool served() const { return served_; }
-  transport::Moment since() const { return since_; }
+  // What could be missed least, lowest first: one that had time to ask and did not, then one that is idle.
+  // One that has just come goes last, else connections that stay for good would keep all others out.
+  auto worth() const {
+    const bool fresh = !served_ && side_.scheduler_.now() - since_ < side_.bounds_.whole / kFreshParts;
+    return std::tuple(fresh, served_, since_);
+  }
   void end() {
     ending_ = true;
     connection_.shut();
@@ -247,13 +252,12 @@
   }
 }
 
-// A full house must not keep usual clients in the backlog: who has shown least for longest goes.
+// A full house must not keep usual clients in the backlog.
 void ClientSide::makeRoom() {
   Session* least = nullptr;
   for (Session* each : connected_) {
     if (!each->spare()) continue;
-    if (!least || std::pair(each->served(), each->since()) < std::pair(least->served(), least->since()))
-      least = each;
+    if (!least || each->worth() < least->worth()) least = each;
   }
   if (!least) return;
   ++counts_.pushedOut;
--- a/tests/routing_test.cpp
+++ b/tests/routing_test.cpp
@@ -130,18 +130,18 @@
   std::string asked(const std::string& sent, std::chrono::milliseconds time = 60ms) {
     if (!client) {
       client = connected();
-      group.spawn(hearing());
+      group.spawn(hearing(*client));
     }
     client->send({Slice(sent)});
     pass(time);
     return std::exchange(heard, "");
   }
-  Task<> hearing() {
+  Task<> hearing(Connection& from) {
     for (;;) {
-      const bool more = co_await client->receive();
+      const bool more = co_await from.receive();
       if (!more) break;
-      heard += client->input().view();
-      client->input().consume(client->input().view().size());
+      heard += from.input().view();
+      from.input().consume(from.input().view().size());
     }
     heard += "<closed>";
   }
@@ -165,7 +165,8 @@
   ClientSide clients{*this, unsent, Address(kListen), {10, 4096, 65536, 100ms, 700ms}, desk, say};
   std::vector<std::unique_ptr<Peer>> peers;
   std::string heard;
-  std::unique_ptr<Connection> client, parked;
+  std::unique_ptr<Connection> client;
+  std::vector<std::unique_ptr<Connection>> kept;  // clients from before
   transport::Group group{*this, [](const char*) {}};
 };
 
@@ -330,13 +331,25 @@
   EXPECT_TRUE(front.has(front.clients.counts(), "for others 4"));
 }
 
+// Connections that asked once and were kept for good filled the house; each new one was ended as the one that
+// had shown least, before it could ask.
+TEST(Routing, AConnectionThatHasJustComeDoesNotGoForAnIdleOne) {
+  Front front;
+  front.executor(1, answers);
+  front.list({1});
+  for (int each = 1; each <= 14; ++each) {
+    EXPECT_TRUE(front.has(front.asked(submit(each), 30ms), "r\to\tw\n")) << each;
+    front.kept.push_back(std::move(front.client));
+  }
+}
+
 // Executors call a second statement under an id an error, whichever connection it came over.
 TEST(Routing, AReferenceInUseIsRefusedOnEveryConnection) {
   Front front;
   Peer& peer = front.executor(1, silence);
   front.list({1});
   front.asked(submit(1), 20ms);
-  front.parked = std::move(front.client);
+  front.kept.push_back(std::move(front.client));
   EXPECT_TRUE(front.has(front.asked(submit(11), 20ms), "in use"));
   EXPECT_EQ(peer.heard, "ASK ");
   std::string many;
