Where all customers send more than a controller's part, none is over its share

Checked by the probe of throttlings: from 7.7 s on nearly all are of jobs over their customer's share, at once, of both customers, with 40 threads out of a part of 50. Ruled out: a customer that sends more than others. At fault: take() held a customer to its quota over the number of controllers; with one away the other two get half as much again each. Now it is also held to its quota's part of what all sent. Could harm where all customers pass their quotas together: the shares then only order them among each other.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -73,10 +73,6 @@
   thin_ = cores * kMark * kOverMark / site_.controllers < widest;
 }
 
-double Controller::chance() {
-  return static_cast<double>(dice_() - dice_.min()) / static_cast<double>(dice_.max() - dice_.min());
-}
-
 // ---- events ---------------------------------------------------------------------------------------------
 
 // A wake far behind its time shows that this controller stood still (stalled process, stolen cores). What it
@@ -99,12 +95,18 @@
   job.dice = chance();
   drawn_.add(now, 1);
   job.tokens = job.toldCost ? seconds(*job.toldCost) * lore.bias : lore.meanCost;
-  // What a customer sends beyond its share is worth little: it gets idle room only.
+  // What a customer sends beyond its share is worth little: it gets idle room only. Where all send more than
+  // this controller's part (another is away) nobody does, or half of what could run would be turned away.
   if (job.customer < customerTaken_.size()) {
-    BucketRing<double>& ring = customerTaken_[job.customer];
-    ring.add(now, 1);
-    const double quota = site_.customers[job.customer].quotaPerSecond / site_.controllers;
-    job.overShare = quota > 0 && ring.sum(now) > quota * 8;
+    double all = 0, quotas = 1e-9;
+    customerTaken_[job.customer].add(now, 1);
+    for (std::size_t each = 0; each < customerTaken_.size(); ++each) {
+      all += site_.customers[each].quotaPerSecond > 0 ? customerTaken_[each].sum(now) : 0;
+      quotas += site_.customers[each].quotaPerSecond;
+    }
+    const double quota = site_.customers[job.customer].quotaPerSecond;
+    const double part = std::max(8.0 / site_.controllers, all / quotas);
+    job.overShare = quota > 0 && customerTaken_[job.customer].sum(now) > quota * part;
   }
   if (job.type->inOrder && job.key) turns_[job.key].line.push_back(&job);
   run(job);
@@ -155,8 +157,7 @@
 void Controller::noted(Span now, Dispatch& dispatch, Note note, double value) {
   clock(now);
   if (note == Note::progress && value > dispatch.progress) {
-    dispatch.progress = value;
-    dispatch.engine->lastGood = now;
+    dispatch.progress = value, dispatch.engine->lastGood = now;
     dispatch.engine->trialAt.reset();  // it lives; what it failed is still held against it
   }
   look();
@@ -402,8 +403,7 @@
     return;
   }
   engine.good.add(now_, 1);
-  engine.lastGood = now_;
-  engine.trialAt.reset();
+  engine.lastGood = now_, engine.trialAt.reset();
   const double took = age(dispatch) * dispatch.threads;
   heldTime_ = heldTime_ * 0.99 + took / dispatch.threads;
   heldSquare_ = heldSquare_ * 0.99 + took * took / dispatch.threads;
--- a/src/choice.hpp
+++ b/src/choice.hpp
@@ -128,7 +128,9 @@
   void rescue();
   void tellPeers();
   void probeUnseen();
-  double chance();
+  double chance() {
+    return static_cast<double>(dice_() - dice_.min()) / static_cast<double>(dice_.max() - dice_.min());
+  }
 
   Host& host_;
   const Deployment& site_;
--- a/tests/choice_test.cpp
+++ b/tests/choice_test.cpp
@@ -157,6 +157,26 @@
   EXPECT_TRUE(host.take(0).waiting);
 }
 
+// With one of three controllers away all customers passed a third of their quota at the other two, which
+// turned away what could have run.
+TEST(Customers, NobodyIsOverItsShareWhereAllSendMore) {
+  FakeHost host;
+  host.site.customers = {{4}, {4}};
+  host.site.controllers = 3;
+  host.open(1);
+  const auto send = [&](std::size_t customer) -> Job& {
+    host.customer = customer;
+    return host.take(0, 1ms);
+  };
+  for (int each = 0; each < 20; ++each) {
+    send(0);
+    EXPECT_FALSE(send(1).overShare);
+  }
+  for (int each = 0; each < 40; ++each) send(0);
+  EXPECT_TRUE(send(0).overShare);
+  EXPECT_FALSE(send(1).overShare);
+}
+
 TEST(Slow, TheMarkShrinksWhileDispatchesOutlastTheirSlaTime) {
   FakeHost host(1);
   for (int each = 0; each < 4; ++each) {
--- a/tests/fake_host.hpp
+++ b/tests/fake_host.hpp
@@ -38,7 +38,8 @@
   std::vector<Job*> throttled, cancelled;
   std::vector<Span> comeBacks;
   int told = 0;
-  double needMb = 0;  // of the jobs to come
+  double needMb = 0;         // of the jobs to come
+  std::size_t customer = 0;  // the same
   std::string story;
   std::unique_ptr<Controller> controller;
 
@@ -64,6 +65,7 @@
     job.toldCost = cost;
     job.key = key;
     job.toldMemoryMb = needMb;
+    job.customer = customer;
     controller->take(now, job);
     return job;
   }
