--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -98,14 +98,14 @@
   // What a customer sends beyond its share is worth little: it gets idle room only. Where all send more than
   // this controller's part (another is away) nobody does, or half of what could run would be turned away.
   if (job.customer < customerTaken_.size()) {
-    double all = 0, quotas = 1e-9;
+    double all = 0, quotas = 0;
     customerTaken_[job.customer].add(now, 1);
     for (std::size_t each = 0; each < customerTaken_.size(); ++each) {
       all += site_.customers[each].quotaPerSecond > 0 ? customerTaken_[each].sum(now) : 0;
       quotas += site_.customers[each].quotaPerSecond;
     }
     const double quota = site_.customers[job.customer].quotaPerSecond;
-    const double part = std::max(8.0 / site_.controllers, all / quotas);
+    const double part = std::max(8.0 / site_.controllers, all / std::max(quotas, 1e-9));
     job.overShare = quota > 0 && customerTaken_[job.customer].sum(now) > quota * part;
   }
   if (job.type->inOrder && job.key) turns_[job.key].line.push_back(&job);
