Read through: sums of customers' jobs kept, one writer of RESP arrays, dead branches out

No change of behaviour is meant. The quotas' sum and what their customers sent are kept, not worked out over all customers for each job. The toy server writes by the same RESP writer as the controller; the test of spoilt answers uses the peer's. A branch that could not be reached (an empty input within a message), a condition that always held (a first byte that came) and a removal before each insert are gone. The test's table owns its words: lists of lists had leant on the lifetime of temporaries.

--- a/examples/toy_server.cpp
+++ b/examples/toy_server.cpp
@@ -60,10 +60,7 @@
     }
   }
   static void say(Connection& to, std::initializer_list<std::string_view> words) {
-    std::string out = "*" + std::to_string(words.size()) + "\r\n";
-    for (const std::string_view word : words)
-      out += "$" + std::to_string(word.size()) + "\r\n" + std::string(word) + "\r\n";
-    to.send({Slice(std::move(out))});
+    to.send({Slice(protocol::resp::array(words))});
   }
 };
 
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -50,6 +50,7 @@
       lore_(deployment.types.size()),
       floors_(deployment.types.size()),
       customerTaken_(deployment.customers.size(), BucketRing<double>(span(1))),
+      quotaTaken_(span(1)),
       taken_(deployment.furtherSpan / 8),
       further_(deployment.furtherSpan / 7 + Span{1}) {
   // Floors fall with the time and threads a type takes: the short, few-threaded hold the largest, loads none.
@@ -68,6 +69,7 @@
   nextAsk_ = now + site_.mustAskWithin / 3;
   copies_ = started_ = BucketRing<double>(shortest_->slaTime);
   drawn_ = probes_ = ownThreads_ = BucketRing<double>(shortest_->slaTime / 2);
+  for (const Customer& each : site_.customers) quotas_ += each.quotaPerSecond;
   for (const Machine& machine : site_.machines) cores = std::max(cores, machine.cores);
   told_ = site_.reportsOnProbe && site_.mayProbe;
   thin_ = cores * kMark * kOverMark / site_.controllers < widest;
@@ -98,15 +100,12 @@
   // What a customer sends beyond its share is worth little: it gets idle room only. Where all send more than
   // this controller's part (another is away) nobody does, or half of what could run would be turned away.
   if (job.customer < customerTaken_.size()) {
-    double all = 0, quotas = 0;
-    customerTaken_[job.customer].add(now, 1);
-    for (std::size_t each = 0; each < customerTaken_.size(); ++each) {
-      all += site_.customers[each].quotaPerSecond > 0 ? customerTaken_[each].sum(now) : 0;
-      quotas += site_.customers[each].quotaPerSecond;
-    }
     const double quota = site_.customers[job.customer].quotaPerSecond;
-    const double part = std::max(8.0 / site_.controllers, all / std::max(quotas, 1e-9));
-    job.overShare = quota > 0 && customerTaken_[job.customer].sum(now) > quota * part;
+    BucketRing<double>& ring = customerTaken_[job.customer];
+    ring.add(now, 1);
+    if (quota > 0) quotaTaken_.add(now, 1);
+    const double part = std::max(8.0 / site_.controllers, quotaTaken_.sum(now) / std::max(quotas_, 1e-9));
+    job.overShare = quota > 0 && ring.sum(now) > quota * part;
   }
   if (job.type->inOrder && job.key) turns_[job.key].line.push_back(&job);
   run(job);
--- a/src/choice.hpp
+++ b/src/choice.hpp
@@ -140,6 +140,8 @@
   std::vector<TypeLore> lore_;
   std::vector<double> floors_;
   std::vector<BucketRing<double>> customerTaken_;
+  BucketRing<double> quotaTaken_;  // of all customers that have a quota, which come to this sum
+  double quotas_ = 0;
   BucketRing<double> taken_, further_;  // for the budget of further dispatches
   BucketRing<double> copies_, drawn_, started_, probes_;
   const ReservationType* shortest_ = nullptr;
--- a/src/protocol/resp.cpp
+++ b/src/protocol/resp.cpp
@@ -2,7 +2,6 @@
 
 #include <charconv>
 #include <cmath>
-#include <initializer_list>
 #include <utility>
 
 namespace paddletrack::protocol::resp {
@@ -37,12 +36,6 @@
   out += "\r\n";
 }
 
-std::string command(std::initializer_list<std::string_view> words) {
-  std::string out = "*" + std::to_string(words.size()) + "\r\n";
-  for (const std::string_view word : words) bulk(out, word);
-  return out;
-}
-
 std::uint32_t number(std::string_view name, std::string_view text) {
   std::uint32_t value = 0;
   const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
@@ -137,14 +130,18 @@
   return out += "$" + std::to_string(statement) + "\r\n";
 }
 
-std::string quit(std::string_view id) { return command({"QUIT", id}); }
-std::string prio(std::string_view id, int priority) {
-  return command({"PRIO", id, std::to_string(priority)});
+std::string array(std::initializer_list<std::string_view> words) {
+  std::string out = "*" + std::to_string(words.size()) + "\r\n";
+  for (const std::string_view word : words) bulk(out, word);
+  return out;
 }
+
+std::string quit(std::string_view id) { return array({"QUIT", id}); }
+std::string prio(std::string_view id, int priority) { return array({"PRIO", id, std::to_string(priority)}); }
 std::string next(std::string_view id, std::uint32_t page) {
-  return command({"NEXT", id, std::to_string(page)});
+  return array({"NEXT", id, std::to_string(page)});
 }
-std::string free(std::string_view id) { return command({"FREE", id}); }
-std::string noop(std::string_view tag) { return command({"NOOP", tag}); }
+std::string free(std::string_view id) { return array({"FREE", id}); }
+std::string noop(std::string_view tag) { return array({"NOOP", tag}); }
 
 }  // namespace paddletrack::protocol::resp
--- a/src/protocol/resp.hpp
+++ b/src/protocol/resp.hpp
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <cstdint>
+#include <initializer_list>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -43,6 +44,7 @@
 };
 std::string askHead(std::string_view id, std::string_view type, const Terms& terms, std::size_t statement);
 constexpr std::string_view kAskTail = "\r\n";
+std::string array(std::initializer_list<std::string_view> words);  // as any side writes it
 std::string quit(std::string_view id);
 std::string prio(std::string_view id, int priority);
 std::string next(std::string_view id, std::uint32_t page);
--- a/src/routing/client_side.cpp
+++ b/src/routing/client_side.cpp
@@ -5,6 +5,7 @@
 #include <cmath>
 #include <deque>
 #include <tuple>
+#include <utility>
 
 #include "protocol/statement.hpp"
 
@@ -70,12 +71,10 @@
       if (connection_.end() != transport::Connection::End::none) co_return;
       if (!more && !input.full()) {
         if (side_.scheduler_.now() < patience()) continue;
-        ++(midway() ? side_.counts_.unfinished : side_.counts_.idle);
+        ++(begun_ || !served_ ? side_.counts_.unfinished : side_.counts_.idle);
         co_return;
       }
-      const bool fresh = input.view().size() > 0 && !begun_;
-      if (fresh) since_ = side_.scheduler_.now();
-      begun_ = true;
+      if (!std::exchange(begun_, true)) since_ = side_.scheduler_.now();
       while (const auto length = thrift::frameLength(input.view())) {
         const std::size_t whole = thrift::kFrameHead + *length;
         if (whole > input.most())
@@ -109,7 +108,6 @@
   }
 
  private:
-  bool midway() const { return begun_ || !served_; }
   // Until when it may go on without a whole message. Bytes that drip in do not prolong it.
   transport::Moment patience() const {
     if (begun_) return since_ + side_.bounds_.whole;
--- a/src/routing/desk.cpp
+++ b/src/routing/desk.cpp
@@ -111,8 +111,8 @@
     const bool same = known->address == address && known->listing.started == listing.started;
     if (listing.standing != Standing::ready || !same) servers_.retire(*known);
     known->address = address;
-    std::erase(gone_, known.get());
-    if (listing.standing == Standing::gone) gone_.push_back(known.get());
+    gone_.erase(known.get());
+    if (listing.standing == Standing::gone) gone_.insert(known.get());
     listings.emplace_back(known.get(), listing);
   }
   // What a whole list leaves out has gone as well.
@@ -122,8 +122,7 @@
   for (const auto& [id, known] : executors_) {
     if (!change.whole || named(known.get())) continue;
     servers_.retire(*known);
-    std::erase(gone_, known.get());
-    gone_.push_back(known.get());
+    gone_.insert(known.get());
   }
   controller_.listed(now(), change.whole, listings);
   forgetEnded();
--- a/src/routing/desk.hpp
+++ b/src/routing/desk.hpp
@@ -82,8 +82,8 @@
   std::list<std::unique_ptr<Exchange>> exchanges_;
   std::unordered_set<std::string> held_;  // their references
   std::unordered_map<std::string, std::unique_ptr<Executor>> executors_;
-  std::vector<Executor*> gone_;  // off the list, to be forgotten once nothing knows them any more
-  std::uint32_t numbers_ = 0;    // of executors ever known
+  std::unordered_set<Executor*> gone_;  // off the list, to be forgotten once nothing knows them any more
+  std::uint32_t numbers_ = 0;           // of executors ever known
   std::vector<Exchange*> touched_;
   std::vector<Sending*> withdrawn_;
   transport::Call tellWithdrawn_, wake_;
--- a/src/routing/server_side.cpp
+++ b/src/routing/server_side.cpp
@@ -224,11 +224,7 @@
     const protocol::resp::Array array = protocol::resp::read(input.view());
     if (array.size == 0) {
       if (array.wanted > 0) input.expect(array.wanted);
-      if (input.view().empty()) {
-        link.midway.reset();
-      } else if (!link.midway) {
-        link.midway = scheduler_.now();
-      }
+      if (!link.midway && !input.view().empty()) link.midway = scheduler_.now();
       return;
     }
     link.midway.reset();
@@ -244,11 +240,6 @@
   const auto at = link.open.find(std::string(answer.id));
   if (at == link.open.end()) return;  // given up meanwhile
   Sending& sending = *at->second;
-  const auto room = [&] {
-    std::size_t held = answer.body.size();
-    for (const Slice& page : sending.pages) held += page.size();
-    return held <= protocol::resp::kLongestResult;
-  };
   switch (answer.word) {
     case Word::full:
     case Word::over:
@@ -270,7 +261,9 @@
     default:
       return over(link, sending, Outcome::error);
   }
-  if (!protocol::resp::wholeRows(answer.body) || !room())
+  std::size_t held = answer.body.size();
+  for (const Slice& page : sending.pages) held += page.size();
+  if (!protocol::resp::wholeRows(answer.body) || held > protocol::resp::kLongestResult)
     throw protocol::Unreadable("a page that is not of whole rows, or more than a result holds");
   sending.pages[answer.page] = link.connection->input().keep(answer.body);
   if (++sending.pagesHeld == sending.pagesWanted) over(link, sending, Outcome::done);
--- a/tests/routing_test.cpp
+++ b/tests/routing_test.cpp
@@ -75,7 +75,7 @@
       }
     }
   }
-  static void say(Connection& to, std::initializer_list<std::string> words) {
+  static void say(Connection& to, const std::vector<std::string>& words) {
     std::string out = "*" + std::to_string(words.size()) + "\r\n";
     for (const std::string& word : words) out += "$" + std::to_string(word.size()) + "\r\n" + word + "\r\n";
     to.send({Slice(std::move(out))});
@@ -384,7 +384,7 @@
 // One spoilt answer leaves its connection of no more use, in silence or with noise. That is no evidence
 // against the executor, and what shares a process but not the connection goes on.
 TEST(Routing, WhatIsSpoiltEndsItsConnectionAndIsSentAgain) {
-  using Words = std::initializer_list<std::string>;
+  using Words = std::vector<std::string>;
   for (const Words& bad :
        {Words{"200", "batches=many", ""}, Words{"2\x01\x7f", "-", ""}, Words{"200", "batches=0", ""},
         Words{"200", "-", "a\tb\n"}, Words{"200", "-", "a\tb\tc"}, Words{"200", "batches=65", "\t\t\n"},
@@ -395,12 +395,10 @@
       if (word != "ASK") return;
       if (++asks == 1) return;  // still runs while the next is spoilt
       if (asks > 2) return answers(self, to, word, id);
-      if (bad.size() == 0) return to.send({Slice("*4\r\n$16\r\n" + id)});  // and no more
-      std::vector<std::string> words(bad);
+      if (bad.empty()) return to.send({Slice("*4\r\n$16\r\n" + id)});  // and no more
+      Words words = bad;
       words.insert(words.begin(), id);
-      std::string out = "*" + std::to_string(words.size()) + "\r\n";
-      for (const std::string& each : words) out += "$" + std::to_string(each.size()) + "\r\n" + each + "\r\n";
-      to.send({Slice(std::move(out))});
+      Peer::say(to, words);
     });
     front.list({1});
     EXPECT_TRUE(front.has(front.asked(submit(1) + submit(2), 120ms), "r\to\tw\n"));
