--- a/examples/ask.cpp
+++ b/examples/ask.cpp
@@ -1,36 +1,35 @@
-// Sends one statement to a controller and prints what comes back. Usage: ask ADDRESS TYPE CUSTOMER STATEMENT
+// Sends one statement to a controller and prints the rows that come back. Exit codes: 0 done, 1 no answer, 2
+// wrong usage, 3 throttled, 4 cancelled for good, 5 not taken.
 #include <cstdio>
 #include <random>
-#include <string>
 
 #include "protocol/thrift.hpp"
+#include "standin/words.hpp"
 #include "transport/connection.hpp"
 
 using namespace paddletrack;
 using namespace std::chrono_literals;
-using transport::Slice;
+using standin::Heard;
 
 namespace {
 
-std::string number(std::uint64_t value, int size) {
-  std::string out;
-  for (int shift = 8 * (size - 1); shift >= 0; shift -= 8) out += static_cast<char>(value >> shift & 0xff);
-  return out;
-}
-std::string text(const std::string& value) { return number(value.size(), 4) + value; }
-
-std::string submit(const std::string& type, const std::string& customer, const std::string& statement) {
-  std::random_device chance;
-  char reference[17];
-  std::snprintf(reference, sizeof reference, "%08x%08x", chance(), chance());
-  std::string fields = number(13, 1) + number(1, 2) + number(11, 1) + number(11, 1) + number(4, 4);
-  for (const auto& [name, value] : {std::pair<std::string, std::string>{"service", type},
-                                    {"ref", reference},
-                                    {"allow", "3000"},
-                                    {"project", customer}})
-    fields += text(name) + text(value);
-  return text(number(0x80010001, 4) + text("submit") + number(1, 4) + fields + number(11, 1) + number(2, 2) +
-              text(statement) + number(0, 1));
+int told(const Heard& heard) {
+  switch (heard.what) {
+    case Heard::What::done:
+      std::fputs(heard.body.c_str(), stdout);
+      return 0;
+    case Heard::What::throttled:
+      std::fprintf(
+          stderr, "throttled: nothing has run%s\n",
+          heard.comeBackMs ? ("; come back in " + std::to_string(*heard.comeBackMs) + " ms").c_str() : "");
+      return 3;
+    case Heard::What::cancelled:
+      std::fputs("cancelled for good: it may have run\n", stderr);
+      return 4;
+    default:
+      std::fprintf(stderr, "not taken: %s\n", heard.body.c_str());
+      return 5;
+  }
 }
 
 transport::Task<> ask(transport::Scheduler& scheduler, transport::Address address, std::string frame,
@@ -39,20 +38,18 @@
   transport::Dialled dialled = co_await transport::dial(scheduler, address, scheduler.now() + 1s);
   if (dialled.descriptor) {
     transport::Connection connection(scheduler, std::move(dialled.descriptor), 4096, 1 << 20, unsent);
-    connection.send({Slice(std::move(frame))});
-    for (bool more = true; more;) {
-      more = co_await connection.receive(scheduler.now() + 4s);
+    connection.send({transport::Slice(std::move(frame))});
+    while (code < 0 && co_await connection.receive(scheduler.now() + 4s)) {
       const auto length = protocol::thrift::frameLength(connection.input().view());
-      if (!length || connection.input().view().size() < protocol::thrift::kFrameHead + *length) continue;
-      // The text of the answer stands between bytes of the protocol: print what can be printed.
-      for (const char each : connection.input().view().substr(protocol::thrift::kFrameHead, *length))
-        if (each == '\n' || each == '\t' || (each >= ' ' && each <= '~')) std::fputc(each, stdout);
-      std::fputc('\n', stdout);
-      code = 0;
-      break;
+      const std::size_t whole = protocol::thrift::kFrameHead + length.value_or(0);
+      if (!length || connection.input().view().size() < whole) {
+        connection.input().expect(whole);
+        continue;
+      }
+      code = told(standin::read(connection.input().view().substr(protocol::thrift::kFrameHead, *length)));
     }
   }
-  if (code != 0) std::fputs("no answer\n", stderr);
+  if (code < 0) std::fputs("no answer\n", stderr);
   scheduler.stop();
 }
 
@@ -63,10 +60,25 @@
     std::fputs("usage: ask ADDRESS TYPE CUSTOMER STATEMENT\n", stderr);
     return 2;
   }
-  int code = 1;
-  transport::Scheduler scheduler;
-  transport::Group running(scheduler, [](const char* what) { std::fprintf(stderr, "ask: %s\n", what); });
-  running.spawn(ask(scheduler, transport::Address(argv[1]), submit(argv[2], argv[3], argv[4]), code));
-  scheduler.run();
-  return code;
+  std::random_device chance;
+  char reference[17];
+  std::snprintf(reference, sizeof reference, "%08x%08x", chance(), chance());
+  int code = -1;
+  try {
+    transport::Scheduler scheduler;
+    transport::Group running(scheduler, [&](const char* what) {
+      std::fprintf(stderr, "ask: %s\n", what);
+      scheduler.stop();
+    });
+    running.spawn(ask(
+        scheduler, transport::Address(argv[1]),
+        standin::submit(
+            1, {{"service", argv[2]}, {"ref", reference}, {"allow", "3000"}, {"project", argv[3]}}, argv[4]),
+        code));
+    scheduler.run();
+  } catch (const std::exception& error) {
+    std::fprintf(stderr, "ask: %s\n", error.what());
+    return 2;
+  }
+  return code < 0 ? 1 : code;
 }
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -230,6 +230,14 @@
   look();
 }
 
+// Each gets its final answer before what that frees can start another.
+void Controller::letGo(Span now, const std::vector<Job*>& jobs) {
+  clock(now);
+  for (Job* each : jobs)
+    if (!each->over) giveUp(*each);
+  look();
+}
+
 // ---- the way in -----------------------------------------------------------------------------------------
 
 // Rule 5: jobs of one key run one at a time, in the order taken.
@@ -451,6 +459,9 @@
 
 // The final answer goes out at once, with a time to come back where the rules let the client try again.
 void Controller::giveUp(Job& job) {
+  // What has not left (its connection is still dialled) can be kept from leaving, and is then proven unrun.
+  for (const auto& each : job.dispatches)
+    if (each->out && !mayThrottle(job)) each->provenUnrun = host_.takeBack(*each);
   const bool harmless = mayThrottle(job);
   finish(job);
   const Span comeBack = span(slaSeconds(job) / 4 * (0.5 + chance()));
--- a/src/choice.hpp
+++ b/src/choice.hpp
@@ -26,6 +26,8 @@
   virtual void throttle(Job&, Span comeBackIn) = 0;
   virtual void cancelForGood(Job&) = 0;
   virtual void withdraw(Dispatch&) = 0;
+  // Keeps a dispatch from leaving; false: some of it may have. What was kept ends as never sent.
+  virtual bool takeBack(Dispatch&) { return false; }
   virtual void wakeAt(Span) = 0;
   virtual void probe(Engine&) = 0;
   virtual void tellPeers(const std::vector<PeerNote>&) = 0;
@@ -59,6 +61,7 @@
   void forget(Engine& engine) { std::erase(engines_, &engine); }
   void listFailed(Span now);
   void woken(Span now);
+  void letGo(Span now, const std::vector<Job*>& jobs);  // they are wanted here no longer
 
  private:
   enum class Step { pass, keep, end };
--- /dev/null
+++ b/src/operating/keeper.hpp
@@ -0,0 +1,81 @@
+// Keeps one controller in or out of service: brings the drain's decisions to the client side and the desk,
+// and what these hold to the drain.
+#pragma once
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "drain/drain.hpp"
+#include "drain/outlook.hpp"
+#include "routing/client_side.hpp"
+#include "routing/desk.hpp"
+
+namespace paddletrack::operating {
+
+// What is to be told of a controller at one instant; figures are those of its books, but for the expected
+// end.
+struct Status {
+  std::string name;
+  std::uint64_t process = 0;
+  drain::State state = drain::State::serving;
+  bool stopping = false;
+  Span up{0};
+  struct Open {
+    std::size_t jobs = 0, dispatches = 0, unsent = 0, connections = 0;
+    std::vector<std::pair<std::string, std::size_t>> byType;
+    Span longestLeft{0};  // until the last open job's time is up
+  } open;
+  std::uint64_t taken = 0, left = 0, done = 0, throttled = 0, cancelled = 0, turnedAway = 0;
+  struct Course {
+    std::uint64_t number = 0;
+    Span askedAgo{0}, deadlineIn{0}, comeBack{0};
+    bool frontTold = false, missed = false, cancelled = false;
+    std::optional<Span> drainedAfter;
+    std::size_t openAtAsk = 0, endedByDeadline = 0;
+    std::uint64_t left = 0, done = 0, throttled = 0, cancelledForGood = 0, turnedAway = 0;  // since the ask
+  };
+  std::optional<Course> drain;
+  std::optional<drain::Outlook::End> expectedEnd;  // an estimate
+};
+
+class Keeper final : public routing::Gate {
+ public:
+  Keeper(transport::Scheduler& scheduler, routing::Desk& desk, routing::ClientSide& clients, std::string name,
+         const drain::Terms& terms, const Say& say, std::function<void()> exit);
+  ~Keeper();
+
+  drain::Refusal ask(std::optional<Span> deadline, std::optional<Span> comeBack, const std::string& by);
+  drain::Refusal cancel(const std::string& by);
+  void stop();  // SIGTERM
+  void change(const drain::Terms& terms) { drain_.change(terms); }
+  const drain::Terms& terms() const { return drain_.terms(); }
+
+  Status status() const;
+  drain::State state() const { return drain_.state(); }
+  void tellChanges(std::function<void()> to) { changed_ = std::move(to); }  // of the state
+  void learnLengths();                                                      // of jobs, for the expected end
+
+ private:
+  bool beat() override;
+  std::optional<Span> turnsAway() override;
+  drain::Books books() const;
+  void look();
+  void enters(drain::State before);
+
+  transport::Scheduler& scheduler_;
+  routing::Desk& desk_;
+  routing::ClientSide& clients_;
+  const std::string name_;
+  const Say& say_;
+  const std::function<void()> exit_;
+  std::function<void()> changed_;
+  drain::Drain drain_;
+  drain::Outlook outlook_;
+  std::uint64_t turnedAway_ = 0;
+  transport::Call look_;
+};
+
+}  // namespace paddletrack::operating
--- /dev/null
+++ b/src/operating/settings.hpp
@@ -0,0 +1,59 @@
+// The operator's own file: what is switched on beside the platform's configuration, and how.
+#pragma once
+
+#include <chrono>
+#include <map>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+#include "base/say.hpp"
+#include "drain/drain.hpp"
+#include "hcl/hcl.hpp"
+
+namespace paddletrack::operating {
+
+// "FILE:LINE:COLUMN: KEY: what was expected".
+struct Miswritten : std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+
+struct DoorTerms {
+  std::string socket;  // path; empty: no door
+  std::size_t clients = 8;
+  std::size_t line = 16 * 1024;                              // bytes of a message from a client
+  std::size_t unsent = 256 * 1024;                           // bytes that one client may leave unread
+  std::chrono::microseconds idle{std::chrono::seconds(10)};  // without a whole message, or without reading
+};
+
+enum class LogForm { text, json };
+
+struct Settings {
+  DoorTerms door;
+  drain::Terms drain;
+  LogForm logForm = LogForm::text;
+  Level logLevel = Level::info;
+  std::map<std::string, Level> topicLevels;
+
+  // Every key with its value in force and where that came from, in the order of the reference.
+  struct Shown {
+    std::string key, value, origin;
+  };
+  std::vector<Shown> shown;
+};
+
+Settings defaults();
+Settings readSettings(const std::string& path);
+Settings settingsOf(const hcl::Body& body, const std::string& path);
+
+// Also for the command line: "20s", "1.5m", "250ms"; throws std::invalid_argument.
+std::chrono::microseconds durationOf(const std::string& text);
+std::string shownDuration(std::chrono::microseconds span);
+std::size_t sizeOf(const std::string& text);  // "4MiB", "16KiB", "512"
+Level levelOf(const std::string& name);
+const char* nameOf(Level level);
+
+// The known name that is nearest to one that is not known; empty: none is near.
+std::string nearest(const std::string& name, const std::vector<std::string>& known);
+
+}  // namespace paddletrack::operating
--- /dev/null
+++ b/src/operating/words.cpp
@@ -0,0 +1,197 @@
+#include "operating/words.hpp"
+
+#include <array>
+#include <nlohmann/json.hpp>
+
+#include "operating/settings.hpp"
+
+namespace paddletrack::operating {
+namespace {
+
+using Json = nlohmann::ordered_json;
+
+constexpr std::array<std::pair<const char*, Wish>, 4> kWishes{
+    {{"status", Wish::status}, {"drain", Wish::drain}, {"cancel", Wish::cancel}, {"watch", Wish::watch}}};
+constexpr Span kLeastEvery{std::chrono::milliseconds(20)}, kMostEvery{std::chrono::hours(1)};
+constexpr std::size_t kLongestId = 64;
+
+std::int64_t ms(Span span) { return std::chrono::duration_cast<std::chrono::milliseconds>(span).count(); }
+
+// Nesting is bounded before the text is parsed: nothing here is deeper than two.
+Json parse(std::string_view line) {
+  int depth = 0;
+  bool text = false;
+  for (std::size_t at = 0; at < line.size(); ++at) {
+    const char each = line[at];
+    if (text && each == '\\') {
+      ++at;
+    } else if (each == '"') {
+      text = !text;
+    } else if (!text && (each == '{' || each == '[')) {
+      if (++depth > 4) throw BadRequest("unreadable", "nested too deep");
+    } else if (!text && (each == '}' || each == ']')) {
+      --depth;
+    }
+  }
+  Json read = Json::parse(line, nullptr, false);
+  if (read.is_discarded() || !read.is_object())
+    throw BadRequest("unreadable", "a JSON object a line is expected");
+  return read;
+}
+
+std::optional<Span> span(const Json& from, const char* key) {
+  const auto at = from.find(key);
+  if (at == from.end() || at->is_null()) return std::nullopt;
+  if (!at->is_number_integer())
+    throw BadRequest("bad_value", std::string(key) + ": whole milliseconds are expected");
+  constexpr std::int64_t kMost = 1000LL * 86400 * 365;
+  const bool huge = at->is_number_unsigned() && at->get<std::uint64_t>() > static_cast<std::uint64_t>(kMost);
+  const std::int64_t value = huge ? kMost : std::max<std::int64_t>(at->get<std::int64_t>(), -1);
+  return std::chrono::milliseconds(std::min(value, kMost));
+}
+
+Json of(const Status& status) {
+  Json open{{"jobs", status.open.jobs}};
+  Json byType = Json::object();
+  for (const auto& [name, count] : status.open.byType) byType[name] = count;
+  open["by_type"] = std::move(byType);
+  open["dispatches"] = status.open.dispatches;
+  open["bytes_unsent"] = status.open.unsent;
+  open["longest_left_ms"] = ms(status.open.longestLeft);
+  Json made{{"name", status.name},
+            {"process", status.process},
+            {"state", nameOf(status.state)},
+            {"stopping", status.stopping},
+            {"up_ms", ms(status.up)},
+            {"connections", status.open.connections},
+            {"open", std::move(open)},
+            {"totals",
+             {{"taken", status.taken},
+              {"done", status.done},
+              {"throttled", status.throttled},
+              {"cancelled", status.cancelled},
+              {"left", status.left},
+              {"turned_away", status.turnedAway}}}};
+  made["expected_end"] = nullptr;
+  if (status.expectedEnd)
+    made["expected_end"] = {{"estimate", true},
+                            {"in_ms", ms(status.expectedEnd->in)},
+                            {"from_answers", status.expectedEnd->from}};
+  made["drain"] = nullptr;
+  if (!status.drain) return made;
+  const Status::Course& drain = *status.drain;
+  made["drain"] = {{"number", drain.number},
+                   {"asked_ms_ago", ms(drain.askedAgo)},
+                   {"deadline_in_ms", ms(drain.deadlineIn)},
+                   {"come_back_ms", ms(drain.comeBack)},
+                   {"front_told", drain.frontTold},
+                   {"open_at_ask", drain.openAtAsk},
+                   {"since_ask",
+                    {{"done", drain.done},
+                     {"throttled", drain.throttled},
+                     {"cancelled", drain.cancelledForGood},
+                     {"left", drain.left},
+                     {"turned_away", drain.turnedAway}}},
+                   {"ended_by_deadline", drain.endedByDeadline},
+                   {"missed", drain.missed},
+                   {"cancelled", drain.cancelled},
+                   {"drained_after_ms", nullptr}};
+  if (drain.drainedAfter) made["drain"]["drained_after_ms"] = ms(*drain.drainedAfter);
+  return made;
+}
+
+std::string line(const Json& json) {
+  return json.dump(-1, ' ', false, Json::error_handler_t::replace) + "\n";
+}
+
+}  // namespace
+
+Request readRequest(std::string_view text, std::string& id) {
+  const Json read = parse(text);
+  Request request;
+  if (const auto at = read.find("id"); at != read.end()) {
+    if (!at->is_string() && !at->is_number_integer() && !at->is_null())
+      throw BadRequest("bad_value", "id: a text or a whole number is expected");
+    id = at->dump(-1, ' ', false, Json::error_handler_t::replace);
+    if (id.size() > kLongestId) {
+      id = "null";
+      throw BadRequest("bad_value", "id: " + std::to_string(kLongestId) + " bytes at most");
+    }
+  }
+  request.id = id;
+  const auto version = read.find("v");
+  if (version == read.end() || !version->is_number_integer())
+    throw BadRequest("bad_version", "v: the version is expected, " + std::to_string(kVersion));
+  if (*version != kVersion)
+    throw BadRequest("bad_version", "v: this door speaks version " + std::to_string(kVersion) + " alone");
+  const auto wish = read.find("do");
+  if (wish == read.end() || !wish->is_string())
+    throw BadRequest("bad_value", "do: what is wanted is expected");
+  const std::string& wanted = wish->get_ref<const std::string&>();
+  const auto* known =
+      std::find_if(kWishes.begin(), kWishes.end(), [&](const auto& each) { return wanted == each.first; });
+  if (known == kWishes.end()) {
+    std::vector<std::string> names;
+    for (const auto& each : kWishes) names.emplace_back(each.first);
+    const std::string near = nearest(wanted.substr(0, 40), names);
+    throw BadRequest("unknown_wish", "do: '" + wanted.substr(0, 40) + "' is unknown" +
+                                         (near.empty() ? "" : "; '" + near + "' is meant?"));
+  }
+  request.wish = known->second;
+  for (const auto& [key, value] : read.items()) {
+    const bool usual = key == "v" || key == "id" || key == "do";
+    const bool ofDrain = request.wish == Wish::drain && (key == "deadline_ms" || key == "come_back_ms");
+    if (!usual && !ofDrain && !(request.wish == Wish::watch && key == "every_ms"))
+      throw BadRequest("unknown_key", "'" + key.substr(0, 40) + "' is not known of " + known->first);
+  }
+  request.deadline = span(read, "deadline_ms");
+  request.comeBack = span(read, "come_back_ms");
+  if (const auto every = span(read, "every_ms")) {
+    if (*every < kLeastEvery || *every > kMostEvery)
+      throw BadRequest("bad_value", "every_ms: from " + std::to_string(ms(kLeastEvery)) + " to " +
+                                        std::to_string(ms(kMostEvery)) + " is expected");
+    request.every = *every;
+  }
+  return request;
+}
+
+std::string reply(const std::string& id, const Status& status) {
+  return line({{"v", kVersion}, {"id", Json::parse(id)}, {"ok", true}, {"status", of(status)}});
+}
+
+std::string progress(const Status& status) {
+  return line({{"v", kVersion}, {"event", "progress"}, {"status", of(status)}});
+}
+
+std::string refusal(const std::string& id, const char* code, const std::string& text) {
+  return line(
+      {{"v", kVersion}, {"id", Json::parse(id)}, {"ok", false}, {"error", {{"code", code}, {"text", text}}}});
+}
+
+std::string refusal(const std::string& id, drain::Refusal refused, const drain::Terms& terms) {
+  const std::string most = "from 0 to " + shownDuration(terms.longest) + " is expected (drain.longest)";
+  switch (refused) {
+    case drain::Refusal::badDeadline:
+      return refusal(id, "bad_deadline", "deadline: " + most);
+    case drain::Refusal::badComeBack:
+      return refusal(id, "bad_come_back", "come back: " + most);
+    case drain::Refusal::stopping:
+      return refusal(id, "stopping", "the process was told to end (SIGTERM) and can't be brought back");
+    default:
+      return refusal(id, "not_draining", "it is not draining: nothing to cancel");
+  }
+}
+
+std::string drainRequest(std::optional<Span> deadline, std::optional<Span> comeBack) {
+  Json made{{"v", kVersion}, {"id", 1}, {"do", "drain"}};
+  if (deadline) made["deadline_ms"] = ms(*deadline);
+  if (comeBack) made["come_back_ms"] = ms(*comeBack);
+  return line(made);
+}
+std::string cancelRequest() { return line({{"v", kVersion}, {"id", 1}, {"do", "cancel"}}); }
+std::string statusRequest() { return line({{"v", kVersion}, {"id", 1}, {"do", "status"}}); }
+std::string watchRequest(Span every) {
+  return line({{"v", kVersion}, {"id", 1}, {"do", "watch"}, {"every_ms", ms(every)}});
+}
+
+}  // namespace paddletrack::operating
--- /dev/null
+++ b/src/operating/words.hpp
@@ -0,0 +1,42 @@
+// What is said at the operators' door: JSON, a message a line, version 1.
+#pragma once
+
+#include <optional>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+
+#include "operating/keeper.hpp"
+
+namespace paddletrack::operating {
+
+constexpr int kVersion = 1;
+
+// A message that can't be used, with a code that stays the same through versions.
+struct BadRequest : std::runtime_error {
+  BadRequest(const char* named, const std::string& what) : std::runtime_error(what), code(named) {}
+  const char* code;
+};
+
+enum class Wish { status, drain, cancel, watch };
+struct Request {
+  std::string id = "null";  // as it was written, for the reply
+  Wish wish = Wish::status;
+  std::optional<Span> deadline, comeBack;      // of a drain
+  Span every{std::chrono::milliseconds(500)};  // of a watch
+};
+// On failure `id` is filled in as far as it could be read.
+Request readRequest(std::string_view line, std::string& id);
+
+std::string reply(const std::string& id, const Status& status);
+std::string progress(const Status& status);
+std::string refusal(const std::string& id, const char* code, const std::string& text);
+std::string refusal(const std::string& id, drain::Refusal refused, const drain::Terms& terms);
+
+// The commands' side.
+std::string drainRequest(std::optional<Span> deadline, std::optional<Span> comeBack);
+std::string cancelRequest();
+std::string statusRequest();
+std::string watchRequest(Span every);
+
+}  // namespace paddletrack::operating
--- a/src/program/serve.cpp
+++ b/src/program/serve.cpp
@@ -2,6 +2,8 @@
 
 #include <csignal>
 
+#include "operating/door.hpp"
+#include "operating/keeper.hpp"
 #include "program/log.hpp"
 #include "program/signals.hpp"
 #include "routing/client_side.hpp"
@@ -15,18 +17,15 @@
 
 constexpr milliseconds kCounted{10000};  // between lines of counts
 
-// A planned restart: connections and requests go on coming for a while after SIGTERM, and SIGKILL comes no
-// sooner than the longest job timeout, at most so long, and a last stretch.
-constexpr milliseconds kStillComing{760}, kLongestRest{3000}, kLastStretch{700}, kMargin{300};
-
 // How the limits told are shared out.
 constexpr std::size_t kUnsentShare = 4;   // of the memory: a fourth for bytes on their way out
 constexpr std::size_t kInputShare = 8;    // an eighth for requests that are still coming in
 constexpr std::size_t kOpenBytes = 8192;  // that an open request may cost, with its result; a fourth for all
+constexpr std::size_t kLeastShared = 16;  // descriptors, for clients and executors
 constexpr std::size_t kOwnDescriptors = 8;  // standard streams, epoll, signals, listener, change log, spare
 
 transport::Task<> count(transport::Scheduler& scheduler, const routing::Desk& desk,
-                        const routing::ClientSide& clients, const routing::Say& say) {
+                        const routing::ClientSide& clients, const Say& say) {
   for (;;) {
     co_await scheduler.sleepUntil(scheduler.now() + kCounted);
     const auto late = std::chrono::duration_cast<milliseconds>(scheduler.worstLateness()).count();
@@ -35,26 +34,9 @@
   }
 }
 
-transport::Task<> leave(transport::Scheduler& scheduler, const Node& node, routing::Desk& desk,
-                        routing::ClientSide& clients, const routing::Say& say) {
-  const transport::Moment told = scheduler.now();
-  Span longest{0};
-  for (const ReservationType& type : node.told.deployment.types) longest = std::max(longest, type.jobTimeout);
-  const Span rest = std::min<Span>(longest, kLongestRest) + kLastStretch - kMargin;
-  say("leaving",
-      std::to_string(desk.open()) + " requests open, " + std::to_string(rest.count() / 1000) + " ms at most");
-  clients.leave();
-  desk.answerBy(desk.now() + rest - kMargin);
-  while (scheduler.now() < told + rest) {
-    if (scheduler.now() >= told + kStillComing && desk.open() == 0 && clients.unsent() == 0) break;
-    co_await scheduler.sleepUntil(scheduler.now() + milliseconds(20));
-  }
-  say("leaving", std::to_string(desk.open()) + " requests open at the end");
-  scheduler.stop();
-}
-
-// Reads the file again by the same code and checks. What is wrong with it is said, and all stays as it was.
-void reload(const std::string& path, const Node& node, routing::Follower& follower, const routing::Say& say) {
+// Reads both files again by the same code and checks. What is wrong with one is said, and all of it stays as
+// it was.
+void reload(const std::string& path, const Node& node, routing::Follower& follower, const Say& say) {
   try {
     const Node read = readNode(path);
     const std::string fixed = fixedDifferences(node, read);
@@ -62,27 +44,42 @@
     say("configuration",
         follower.move(read.changeLog) ? "read again: the change log has moved" : "read again");
   } catch (const std::exception& error) {
-    say("configuration", std::string("not taken, the old one stays: ") + error.what());
+    say("configuration", std::string("not taken, the old one stays: ") + error.what(), {}, Level::warning);
   }
 }
 
-transport::Task<> heed(Signals& signals, transport::Group& running,
-                       std::function<transport::Task<>()> leaving, std::function<void()> reloading) {
-  for (bool left = false;;) {
-    const int signal = co_await signals.next();
-    if (signal == SIGHUP) {
-      reloading();
-    } else if (!std::exchange(left, true)) {
-      running.spawn(leaving());
+void reload(Operator& owner, operating::Keeper& keeper, Log& log, const Say& say) {
+  if (owner.path.empty()) return;
+  try {
+    operating::Settings read = operating::readSettings(owner.path);
+    const auto& was = owner.settings.door;
+    if (read.door.socket != was.socket || read.door.clients != was.clients || read.door.line != was.line ||
+        read.door.unsent != was.unsent || read.door.idle != was.idle) {
+      say("configuration", "only a restart changes the door");
+      read.door = was;
     }
+    owner.settings = std::move(read);
+    keeper.change(owner.settings.drain);
+    log.change(owner.form(), owner.level(), owner.settings.topicLevels);
+    say("configuration", "the operator's file is read again");
+  } catch (const std::exception& error) {
+    say("configuration", std::string("not taken, the old one stays: ") + error.what(), {}, Level::warning);
+  }
+}
+
+transport::Task<> heed(Signals& signals, std::function<void()> leaving, std::function<void()> reloading) {
+  for (;;) {
+    const int signal = co_await signals.next();
+    signal == SIGHUP ? reloading() : leaving();
   }
 }
 
 }  // namespace
 
-int serve(const Node& node, const std::string& path) {
+int serve(const Node& node, const std::string& path, Operator owner) {
   Log log;
-  const routing::Say say = [&log](const char* topic, const std::string& line) { log.say(topic, line); };
+  log.change(owner.form(), owner.level(), owner.settings.topicLevels);
+  const Say say([&log](const Said& said) { log.say(said); });
   transport::Scheduler scheduler;
   transport::Unsent unsent{node.memoryBytes / kUnsentShare, 0};
   const Deployment& site = node.told.deployment;
@@ -91,8 +88,13 @@
         "the settings allow probes, peers or notes: there is no message for these, they are not used");
 
   // Usual clients hold a third of the descriptors, executors are few: the rest is room for the others.
-  const std::size_t connections = (node.descriptors - kOwnDescriptors) * 2 / 3;
-  const std::size_t links = node.descriptors - kOwnDescriptors - connections;
+  const bool hasDoor = !owner.settings.door.socket.empty();
+  const std::size_t own = kOwnDescriptors + (hasDoor ? owner.settings.door.clients + 2 : 0);
+  if (own + kLeastShared > node.descriptors)
+    throw Misconfigured("door.clients: " + std::to_string(owner.settings.door.clients) +
+                        " leave too few of limits.sockets");
+  const std::size_t connections = (node.descriptors - own) * 2 / 3;
+  const std::size_t links = node.descriptors - own - connections;
   routing::Desk::Bounds bounds;
   bounds.open = std::min(node.told.mostOpen, node.memoryBytes / 4 / kOpenBytes);
   bounds.links = {node.told.sharedBy, links, node.told.dialTimeout, node.told.idleClose};
@@ -102,12 +104,24 @@
   routing::ClientSide clients(scheduler, unsent, node.listen, {connections, frame, frame}, desk, say);
   routing::Follower follower(scheduler, unsent, node.changeLog, node.known, node.seed, desk, say);
 
+  operating::Keeper keeper(scheduler, desk, clients, node.name, owner.settings.drain, say,
+                           [&] { scheduler.stop(); });
+  std::optional<operating::Door> door;
+  if (hasDoor) {
+    keeper.learnLengths();
+    door.emplace(scheduler, owner.settings.door, keeper, say);
+  }
+
   Signals signals(scheduler);
-  transport::Group running(scheduler, [&](const char* what) { say("leaving", what); });
+  transport::Group running(scheduler, [&](const char* what) { say("leaving", what, {}, Level::error); });
   running.spawn(heed(
-      signals, running, [&] { return leave(scheduler, node, desk, clients, say); },
-      [&] { reload(path, node, follower, say); }));
+      signals, [&] { keeper.stop(); },
+      [&] {
+        reload(path, node, follower, say);
+        reload(owner, keeper, log, say);
+      }));
   running.spawn(count(scheduler, desk, clients, say));
+  if (hasDoor) say("door", "open at " + owner.settings.door.socket);
   say("serving", node.name + ", " + std::to_string(site.types.size()) + " reservation types, " +
                      std::to_string(node.changes.size()) + " known changes");
   scheduler.run();
--- a/src/routing/client_side.cpp
+++ b/src/routing/client_side.cpp
@@ -95,6 +95,7 @@
   }
 
   // With a request open it is never ended for another.
+  std::size_t unsent() const { return connection_.unsent(); }
   bool spare() const { return open_.empty() && !ending_; }
   // What could be missed least, lowest first: one that had time to ask and did not, then one that is idle.
   // One that has just come goes last, else connections that stay for good would keep all others out.
@@ -125,7 +126,8 @@
         leave(thrift::readRevoke(message.arguments));
       } else if (message.method == "heartbeat" && call) {
         served_ = true;
-        send(thrift::heartbeat(message.sequence, !side_.leaving_ && side_.desk_.ready()));
+        const bool inService = !side_.gate_ || side_.gate_->beat();
+        send(thrift::heartbeat(message.sequence, inService && side_.desk_.ready()));
       } else if (call) {
         send(thrift::exception(message.method, message.sequence, thrift::Fault::unknownMethod,
                                "unknown method"));
@@ -167,6 +169,10 @@
     exchange.dataSet = protocol::tableGroup(read.statement);
     exchange.statement = connection_.input().keep(read.statement);
     exchange.sequence = message.sequence;
+    if (const auto away = side_.gate_ ? side_.gate_->turnsAway() : std::nullopt) {
+      served_ = true;
+      return send(shed(message.sequence, *away));
+    }
     // More than this process may hold: the client may try again, nothing has run.
     if (side_.desk_.full()) return send(thrift::shed(message.sequence, std::nullopt));
     served_ = true;
@@ -197,8 +203,7 @@
         return connection_.send(pieces);
       }
       case Exchange::Answer::throttled: {
-        const auto wait = std::chrono::ceil<std::chrono::milliseconds>(exchange.comeBackIn).count();
-        return send(thrift::shed(exchange.sequence, wait > 0 ? std::optional(wait) : std::nullopt));
+        return send(shed(exchange.sequence, exchange.comeBackIn));
       }
       default:
         return send(thrift::fault(exchange.sequence));
@@ -206,6 +211,10 @@
   }
 
   void send(std::string frame) { connection_.send({Slice(std::move(frame))}); }
+  static std::string shed(std::int32_t sequence, Span comeBackIn) {
+    const auto wait = std::chrono::ceil<std::chrono::milliseconds>(comeBackIn).count();
+    return thrift::shed(sequence, wait > 0 ? std::optional(wait) : std::nullopt);
+  }
 
   ClientSide& side_;
   transport::Connection connection_;
@@ -219,12 +228,14 @@
 };
 
 ClientSide::ClientSide(transport::Scheduler& scheduler, transport::Unsent& unsent,
-                       const transport::Address& address, const Bounds& bounds, Desk& desk, const Say& say)
+                       const transport::Address& address, const Bounds& bounds, Desk& desk, const Say& say,
+                       Gate* gate)
     : scheduler_(scheduler),
       unsent_(unsent),
       bounds_(bounds),
       desk_(desk),
       say_(say),
+      gate_(gate),
       listener_(scheduler, address),
       room_(scheduler),
       sessions_(scheduler, [this](const char* what) {
@@ -262,6 +273,12 @@
   least->end();
 }
 
+std::size_t ClientSide::unsent() const {
+  std::size_t bytes = 0;
+  for (const Session* each : connected_) bytes += each->unsent();
+  return bytes;
+}
+
 std::string ClientSide::counts() const {
   return "clients: " + std::to_string(connected_.size()) + " connected of " +
          std::to_string(counts_.accepted) + ", requests refused " + std::to_string(counts_.refused) +
--- a/src/routing/client_side.hpp
+++ b/src/routing/client_side.hpp
@@ -12,6 +12,16 @@
 
 namespace paddletrack::routing {
 
+// Whether this controller is in service, as its front layer and its clients are to see it.
+class Gate {
+ public:
+  virtual ~Gate() = default;
+  virtual bool beat() = 0;  // a heartbeat is being answered: is it good?
+  // A request has come: none, and it is taken; else it is throttled, to come back after so long (0: not
+  // told).
+  virtual std::optional<Span> turnsAway() = 0;
+};
+
 // Takes requests from clients and writes their answers.
 class ClientSide {
  public:
@@ -24,10 +34,11 @@
     Span whole{std::chrono::milliseconds(1500)}, idle{std::chrono::seconds(5)};
   };
   ClientSide(transport::Scheduler& scheduler, transport::Unsent& unsent, const transport::Address& address,
-             const Bounds& bounds, Desk& desk, const Say& say);
+             const Bounds& bounds, Desk& desk, const Say& say, Gate* gate = nullptr);
 
-  void leave() { leaving_ = true; }  // heartbeats are no longer good
-  std::size_t unsent() const { return unsent_.held; }
+  void guard(Gate* gate) { gate_ = gate; }
+  std::size_t unsent() const;  // bytes of answers that the kernel has not taken
+  std::size_t connected() const { return connected_.size(); }
   std::string counts() const;  // for the log
 
  private:
@@ -41,7 +52,7 @@
   const Bounds bounds_;
   Desk& desk_;
   const Say& say_;
-  bool leaving_ = false;
+  Gate* gate_;
   std::uint32_t taken_ = 0;
   transport::Listener listener_;
   std::list<Session*> connected_;  // in the order they came
--- a/src/routing/desk.cpp
+++ b/src/routing/desk.cpp
@@ -67,7 +67,8 @@
 }
 
 void Desk::tellWithdrawn() {
-  for (Sending* each : std::exchange(withdrawn_, {})) tell(*each, Outcome::withdrawn);
+  for (Sending* each : std::exchange(withdrawn_, {}))
+    tell(*each, each->takenBack ? Outcome::neverSent : Outcome::withdrawn);
 }
 
 void Desk::tell(Sending& sending, Outcome outcome) {
@@ -158,6 +159,20 @@
   }
 }
 
+void Desk::endAll() {
+  std::vector<Job*> jobs;
+  for (const auto& each : exchanges_)
+    if (!each->over) jobs.push_back(each.get());
+  controller_.letGo(now(), jobs);
+  forgetEnded();
+}
+
+std::size_t Desk::dispatchesOut() const {
+  std::size_t out = 0;
+  for (const auto& each : exchanges_) out += static_cast<std::size_t>(each->out());
+  return out;
+}
+
 // ---- what goes out --------------------------------------------------------------------------------------
 
 void Desk::dispatch(Dispatch& made) {
@@ -191,6 +206,7 @@
   exchange.answer = made;
   ++counts_.answers[static_cast<std::size_t>(made)];
   if (Exchange::Asker* asker = std::exchange(exchange.asker, nullptr)) asker->answered(exchange);
+  if (answered_) answered_(exchange);
   exchange.pages.clear();
 }
 
@@ -205,6 +221,18 @@
   tellWithdrawn_.soon();
 }
 
+bool Desk::takeBack(Dispatch& made) {
+  Sending& sending = *exchangeOf(*made.job).sendings[made.number];
+  if (!made.out || std::find(withdrawn_.begin(), withdrawn_.end(), &sending) != withdrawn_.end())
+    return false;
+  if (!servers_.takeBack(sending)) return false;
+  sending.takenBack = true;
+  sending.timeout.cancel();
+  withdrawn_.push_back(&sending);
+  tellWithdrawn_.soon();
+  return true;
+}
+
 void Desk::wakeAt(Span when) { wake_.at(outside(when)); }
 
 void Desk::probe(Engine&) { say_("unsupported", "these pages have no message for probes"); }
--- a/src/routing/desk.hpp
+++ b/src/routing/desk.hpp
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <chrono>
+#include <functional>
 #include <list>
 #include <memory>
 #include <string>
@@ -43,6 +44,23 @@
   void listFailed();
   std::string counts() const;  // for the log
   void answerBy(Span end);     // this process ends then: nothing is awaited for longer
+  void endAll();               // each open job gets its final answer now
+
+  // Told of each job that got one, as soon as that is on its way.
+  using Answered = std::function<void(const Exchange&)>;
+  void tellAnswered(Answered to) { answered_ = std::move(to); }
+  struct Totals {
+    std::uint64_t taken = 0, left = 0;
+    std::array<std::uint64_t, 4> answers{};  // as Exchange::Answer
+    std::array<std::uint64_t, 9> ends{};     // of dispatches, as Outcome
+  };
+  const Totals& totals() const { return counts_; }
+  template <typename Look>
+  void eachOpen(Look look) const {  // of the jobs without a final answer
+    for (const auto& each : exchanges_)
+      if (!each->over) look(*each);
+  }
+  std::size_t dispatchesOut() const;
 
  private:
   void dispatch(Dispatch& made) override;
@@ -50,6 +68,7 @@
   void throttle(Job& job, Span comeBackIn) override;
   void cancelForGood(Job& job) override;
   void withdraw(Dispatch& made) override;
+  bool takeBack(Dispatch& made) override;
   void wakeAt(Span when) override;
   void probe(Engine& engine) override;
   void tellPeers(const std::vector<PeerNote>& notes) override;
@@ -74,11 +93,8 @@
   const std::chrono::system_clock::time_point startOnClock_;
   std::optional<Span> end_;
   bool asked_ = false;  // for the list
-  struct Counts {
-    std::uint64_t taken = 0, left = 0;
-    std::array<std::uint64_t, 4> answers{};  // as Exchange::Answer
-    std::array<std::uint64_t, 9> ends{};     // as Outcome
-  } counts_;
+  Totals counts_;
+  Answered answered_;
   std::list<std::unique_ptr<Exchange>> exchanges_;
   std::unordered_set<std::string> held_;  // their references
   std::unordered_map<std::string, std::unique_ptr<Executor>> executors_;
--- a/src/routing/exchange.hpp
+++ b/src/routing/exchange.hpp
@@ -1,13 +1,13 @@
 #pragma once
 
 #include <cstdint>
-#include <functional>
 #include <list>
 #include <memory>
 #include <optional>
 #include <string>
 #include <vector>
 
+#include "base/say.hpp"
 #include "model/job.hpp"
 #include "transport/scheduler.hpp"
 #include "transport/slice.hpp"
@@ -27,6 +27,7 @@
   Dispatch& dispatch;
   transport::Call timeout;
   transport::Moment until{};
+  bool takenBack = false;  // by the desk, before it left
 
   // Of the server side, which alone reads and writes it. No link: it is over there.
   Link* link = nullptr;
@@ -65,7 +66,4 @@
   bool touched = false;
 };
 
-// What goes to a rate-limited log: a topic, by which lines are counted, and the line.
-using Say = std::function<void(const char* topic, const std::string& line)>;
-
 }  // namespace paddletrack::routing
--- a/src/routing/server_side.cpp
+++ b/src/routing/server_side.cpp
@@ -122,6 +122,24 @@
         {Slice(sending.pagesWanted > 0 ? protocol::resp::free(id) : protocol::resp::quit(id))});
 }
 
+// Held by a dial, or alone on a connection that has not taken all of it: that one is ended, so that its
+// executor never has the whole.
+bool ServerSide::takeBack(Sending& sending) {
+  if (std::erase(unplaced_, &sending) > 0) return true;
+  Link* link = sending.link;
+  if (!link) return false;
+  if (std::erase(link->held, &sending) > 0) {
+    sending.link = nullptr;
+    return true;
+  }
+  if (link->load() > 1 || sending.wholeAt <= link->connection->written()) return false;
+  link->open.clear();
+  sending.link = nullptr;
+  link->retired = true;
+  link->connection->shut();
+  return true;
+}
+
 void ServerSide::prioritise(Sending& sending) {
   if (sending.link && sending.wholeAt > 0 && sending.pagesWanted == 0 && sending.exchange.priority)
     sending.link->connection->send(
--- a/src/routing/server_side.hpp
+++ b/src/routing/server_side.hpp
@@ -63,6 +63,7 @@
 
   void send(Sending& sending);
   void giveUp(Sending& sending);      // nothing more of it will be told
+  bool takeBack(Sending& sending);    // true: nothing whole of it has left, nor will
   void prioritise(Sending& sending);  // as its exchange now says
   std::string counts() const;
   void retire(Executor& executor);  // its connections take nothing new
--- /dev/null
+++ b/src/standin/executor.cpp
@@ -0,0 +1,175 @@
+#include "standin/executor.hpp"
+
+#include <charconv>
+
+#include "protocol/resp.hpp"
+
+namespace paddletrack::standin {
+namespace {
+
+using protocol::resp::Array;
+
+unsigned number(std::string_view text) {
+  unsigned value = 0;
+  std::from_chars(text.data(), text.data() + text.size(), value);
+  return value;
+}
+
+std::string rows(const std::string& id, unsigned page) {
+  return id + "\t" + std::to_string(page) + "\trow\n";
+}
+
+}  // namespace
+
+Script scriptOf(std::string_view statement) {
+  Script script;
+  const std::size_t begin = statement.find("/*");
+  if (begin == std::string_view::npos) return script;
+  std::string_view left = statement.substr(begin + 2, statement.find("*/", begin) - begin - 2);
+  while (!left.empty()) {
+    const std::size_t blank = std::min(left.find(' '), left.size());
+    const std::string_view word = left.substr(0, blank);
+    left.remove_prefix(std::min(blank + 1, left.size()));
+    const std::size_t mark = std::min(word.find('='), word.size());
+    const std::string_view name = word.substr(0, mark), value = word.substr(std::min(mark + 1, word.size()));
+    if (name == "ms") script.after = milliseconds(number(value));
+    if (name == "page_ms") script.pageAfter = milliseconds(number(value));
+    if (name == "pages") script.pages = number(value);
+    if (name == "answer") script.answer = value;
+    if (name == "silent") script.silent = true;
+    if (name == "reset") script.reset = true;
+    if (name == "half") script.half = true;
+  }
+  return script;
+}
+
+class Executor::Session {
+ public:
+  Session(Executor& executor, std::unique_ptr<transport::Descriptor> accepted)
+      : executor_(executor),
+        connection_(executor.scheduler_, std::move(accepted), 16 * 1024, 256 * 1024, executor.unsent_),
+        working_(executor.scheduler_, [](const char*) {}) {
+    executor_.sessions_.insert(this);
+  }
+  ~Session() {
+    executor_.sessions_.erase(this);
+    for (const auto& [id, script] : scripts_) executor_.open_.erase({this, id});
+  }
+
+  transport::Task<> run() {
+    for (;;) {
+      const bool more = co_await connection_.receive();
+      if (!more) co_return;
+      while (executor_.deaf) {
+        co_await executor_.scheduler_.sleepUntil(executor_.scheduler_.now() + milliseconds(5));
+        if (connection_.end() != transport::Connection::End::none) co_return;
+      }
+      transport::Inbox& input = connection_.input();
+      for (;;) {
+        const Array array = protocol::resp::read(input.view());
+        if (array.size == 0) {
+          if (array.wanted > 0) input.expect(array.wanted);
+          break;
+        }
+        command(array);
+        input.consume(array.size);
+      }
+    }
+  }
+  void cut() { connection_.shut(); }
+
+ private:
+  void command(const Array& array) {
+    const std::string word(array.words[0]), id(array.words[1]);
+    if (word == "NOOP") return say({id, "alive", "-", ""});
+    if (word == "ASK") return ask(id, array.words[3]);
+    const auto at = scripts_.find(id);
+    if (word == "QUIT" || word == "FREE") {
+      if (at == scripts_.end()) return;
+      if (word == "QUIT") ++executor_.quit_;
+      executor_.open_.erase({this, id});
+      scripts_.erase(at);
+    } else if (word == "NEXT") {
+      if (at == scripts_.end()) return say({id, "500", "-", ""});
+      if (!at->second.half) working_.spawn(page(id, number(array.words[2]), at->second.pageAfter));
+    }
+  }
+
+  void ask(const std::string& id, std::string_view statement) {
+    Script script = scriptOf(statement);
+    if (executor_.over) executor_.over(script, id);
+    ++executor_.asked_;
+    executor_.times_.emplace(id, 0);
+    executor_.open_.emplace(this, id);
+    scripts_[id] = script;
+    working_.spawn(work(id, std::move(script)));
+  }
+
+  transport::Task<> work(std::string id, Script script) {
+    if (script.after > milliseconds(0))
+      co_await executor_.scheduler_.sleepUntil(executor_.scheduler_.now() + script.after);
+    if (scripts_.count(id) == 0) co_return;  // quit: it stopped
+    if (script.answer == "200") {
+      ++executor_.ran_;
+      if (++executor_.times_[id] == 2) ++executor_.ranTwice_;
+    }
+    if (script.silent) co_return;
+    if (script.reset) {
+      connection_.shut();
+      co_return;
+    }
+    if (script.answer == "200") {
+      say({id, "200", "batches=" + std::to_string(script.pages), rows(id, 0)});
+      if (script.pages > 1) co_return;  // it keeps them until they are fetched
+    } else {
+      say({id, script.answer, "-", ""});
+    }
+    executor_.open_.erase({this, id});
+    scripts_.erase(id);
+  }
+
+  transport::Task<> page(std::string id, unsigned number, milliseconds after) {
+    if (after > milliseconds(0)) co_await executor_.scheduler_.sleepUntil(executor_.scheduler_.now() + after);
+    const auto at = scripts_.find(id);
+    if (at == scripts_.end()) co_return;
+    say({id, "chunk", "batch=" + std::to_string(number), rows(id, number)});
+    if (++sent_[id] + 1 < at->second.pages) co_return;
+    sent_.erase(id);
+    executor_.open_.erase({this, id});
+    scripts_.erase(at);
+  }
+
+  void say(std::initializer_list<std::string_view> words) {
+    connection_.send({transport::Slice(protocol::resp::array(words))});
+  }
+
+  Executor& executor_;
+  transport::Connection connection_;
+  std::map<std::string, Script> scripts_;  // of what is open here
+  std::map<std::string, unsigned> sent_;   // pages, by id
+  transport::Group working_;
+};
+
+Executor::Executor(transport::Scheduler& scheduler, transport::Unsent& unsent,
+                   const transport::Address& address)
+    : scheduler_(scheduler),
+      unsent_(unsent),
+      listener_(scheduler, address),
+      running_(scheduler, [](const char*) {}) {
+  running_.spawn(listen());
+}
+
+transport::Task<> Executor::listen() {
+  for (;;) running_.spawn(serve(co_await listener_.accept()));
+}
+
+transport::Task<> Executor::serve(std::unique_ptr<transport::Descriptor> accepted) {
+  Session session(*this, std::move(accepted));
+  co_await session.run();
+}
+
+void Executor::cut() {
+  for (Session* each : sessions_) each->cut();
+}
+
+}  // namespace paddletrack::standin
--- /dev/null
+++ b/src/standin/executor.hpp
@@ -0,0 +1,64 @@
+// A scripted executor: it answers as a job's own statement or its test says, and keeps books of all it was
+// sent.
+#pragma once
+
+#include <chrono>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "transport/connection.hpp"
+
+namespace paddletrack::standin {
+
+using std::chrono::milliseconds;
+
+// What becomes of one statement: "select 1 /* ms=200 pages=3 answer=503 */". Words: `ms` until the answer,
+// `pages` in all, `page_ms` until each further page, `answer` (200, 500, 503, 504), `silent` (never
+// answered), `reset` (the connection ends then), `half` (the first page comes, no other).
+struct Script {
+  milliseconds after{0}, pageAfter{0};
+  unsigned pages = 1;
+  std::string answer = "200";
+  bool silent = false, reset = false, half = false;
+};
+Script scriptOf(std::string_view statement);
+
+class Executor {
+ public:
+  Executor(transport::Scheduler& scheduler, transport::Unsent& unsent, const transport::Address& address);
+
+  // Said by a test over what statements say.
+  std::function<void(Script&, const std::string& id)> over;
+  bool deaf = false;  // reads nothing more on any connection, as a process that stands still
+
+  std::size_t open() const { return open_.size(); }  // asks that are neither answered, quit, nor cut off
+  std::uint64_t asked() const { return asked_; }
+  std::uint64_t quit() const { return quit_; }
+  std::uint64_t ran() const { return ran_; }
+  std::uint64_t ranTwice() const { return ranTwice_; }  // ids whose work came to its end more than once
+  bool heard(const std::string& id) const { return times_.count(id) > 0; }
+  unsigned timesRun(const std::string& id) const {
+    const auto at = times_.find(id);
+    return at == times_.end() ? 0 : at->second;
+  }
+  void cut();  // every connection, as a process that dies; it listens on
+
+ private:
+  class Session;
+  transport::Task<> listen();
+  transport::Task<> serve(std::unique_ptr<transport::Descriptor> accepted);
+
+  transport::Scheduler& scheduler_;
+  transport::Unsent& unsent_;
+  transport::Listener listener_;
+  std::set<Session*> sessions_;
+  std::set<std::pair<const Session*, std::string>> open_;
+  std::map<std::string, unsigned> times_;  // by id: 0 heard of, else how often it ran
+  std::uint64_t asked_ = 0, quit_ = 0, ran_ = 0, ranTwice_ = 0;
+  transport::Group running_;
+};
+
+}  // namespace paddletrack::standin
--- /dev/null
+++ b/src/standin/load.hpp
@@ -0,0 +1,92 @@
+// Clients with a front layer before them: jobs at a rate over the controllers in service, and books of each
+// job.
+#pragma once
+
+#include <array>
+#include <deque>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "standin/words.hpp"
+#include "transport/connection.hpp"
+
+namespace paddletrack::standin {
+
+using std::chrono::milliseconds;
+
+class Load {
+ public:
+  // A kind of job: its type and customer as in the settings; it takes from `least` to `most` on its executor.
+  struct Kind {
+    std::string type, customer;
+    double weight = 1;
+    milliseconds least{5}, most{30};
+    milliseconds allow{3000};
+    std::string script{};  // more words for the executor
+  };
+  struct Job {
+    std::string reference;
+    std::size_t kind = 0, controller = 0;
+    transport::Moment sent{}, ended{};
+    unsigned answers = 0;  // that came; more than one is wrong
+    bool lost = false;     // its connection ended, or its time, without one
+    bool again = false;    // it crossed a close and was sent a second time, as clients may
+    Heard::What what = Heard::What::exception;
+    std::optional<std::int64_t> comeBackMs;
+  };
+  struct Books {
+    std::uint64_t sent = 0, open = 0, lost = 0, doubled = 0, unasked = 0;  // unasked: answers to nothing
+    std::array<std::uint64_t, 4> answers{};                                // as Heard::What, of jobs
+  };
+
+  Load(transport::Scheduler& scheduler, transport::Unsent& unsent,
+       std::vector<transport::Address> controllers, std::uint64_t seed);
+  ~Load();
+
+  void begin(double perSecond, std::vector<Kind> kinds);       // replaces what was begun before
+  void end() { perSecond_ = 0; }                               // no new jobs; open ones go on
+  std::size_t send(std::size_t kind, std::size_t controller);  // one job at once; its number
+  void beats(milliseconds every) { beat_ = every; }
+
+  const Books& books() const { return books_; }
+  const std::deque<Job>& jobs() const { return jobs_; }
+  std::size_t openAt(std::size_t controller) const { return controllers_[controller].open; }
+  bool inService(std::size_t controller) const { return controllers_[controller].good; }
+  // When its heartbeat last turned, to good or to bad.
+  transport::Moment turned(std::size_t controller) const { return controllers_[controller].turned; }
+
+ private:
+  class Line;
+  struct Controller {
+    transport::Address address;
+    bool good = false;
+    transport::Moment turned{};
+    std::size_t open = 0;
+    std::vector<Line*> lines;
+  };
+  transport::Task<> drive();
+  transport::Task<> ask(std::size_t controller);
+  transport::Task<> hold(std::unique_ptr<Line> line);
+  void place(std::size_t job);
+  void ended(std::size_t job, const Heard& heard);
+  void lose(std::size_t job);
+
+  transport::Scheduler& scheduler_;
+  transport::Unsent& unsent_;
+  std::vector<Controller> controllers_;
+  std::vector<Kind> kinds_;
+  double perSecond_ = 0;
+  milliseconds beat_{100};
+  std::minstd_rand dice_;
+  std::uint64_t references_;
+  std::size_t turn_ = 0;
+  bool closing_ = false;
+  std::deque<Job> jobs_;
+  Books books_;
+  transport::Group running_;
+};
+
+}  // namespace paddletrack::standin
--- /dev/null
+++ b/src/standin/site.hpp
@@ -0,0 +1,106 @@
+// A small site on loopback: executors, a change log, and controllers as processes of their own.
+#pragma once
+
+#include <sys/types.h>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "standin/change_log.hpp"
+#include "standin/executor.hpp"
+#include "standin/load.hpp"
+
+namespace paddletrack::standin {
+
+// A folder for one run's files, gone with it.
+class Folder {
+ public:
+  Folder();
+  ~Folder();
+  const std::string& path() const { return path_; }
+
+ private:
+  std::string path_;
+};
+
+// `paddletrack serve` as the operators start it; killed at the end if it still runs.
+class Process {
+ public:
+  Process(const std::string& program, const std::vector<std::string>& arguments, const std::string& log);
+  Process(const Process&) = delete;
+  Process& operator=(const Process&) = delete;
+  ~Process();
+  pid_t id() const { return child_; }
+  void signal(int number) const;
+  std::optional<int> ended();  // its exit code, or 128 and the signal; none while it runs
+
+ private:
+  pid_t child_ = -1;
+  std::optional<int> code_;
+};
+
+// Types `look-up` (restartable), `report` (restartable), `order` (keyed) and `load` (run-once).
+struct SiteTerms {
+  std::string program;
+  int net = 0;  // of 127.0.NET.0/24, so that runs beside each other do not meet
+  unsigned executors = 4, controllers = 1;
+  unsigned memoryMb = 192, sockets = 1024, cores = 16;
+  bool doors = true;
+  std::string operatorsFile{};  // more blocks of it
+  std::string notice = "300ms";
+};
+
+class Site {
+ public:
+  Site(transport::Scheduler& scheduler, transport::Unsent& unsent, const SiteTerms& terms);
+
+  void start(std::size_t controller);  // or again
+  Process& controller(std::size_t which) { return *processes_[which]; }
+  std::string door(std::size_t which) const { return folder_.path() + "/door" + std::to_string(which); }
+  std::string log(std::size_t which) const { return folder_.path() + "/log" + std::to_string(which); }
+  std::string operatorsFile(std::size_t which) const {
+    return folder_.path() + "/op" + std::to_string(which) + ".hcl";
+  }
+  std::vector<transport::Address> fronts() const;
+  Executor& executor(std::size_t which) { return *executors_[which]; }
+  ChangeLog& changeLog() { return changeLog_; }
+  std::uint64_t ranTwice() const;
+  std::size_t openAtExecutors() const;
+  const std::string& folder() const { return folder_.path(); }
+  static Load::Kind lookUps(double weight = 1) {
+    return {"look-up", "acme", weight, milliseconds(3), milliseconds(20)};
+  }
+
+ private:
+  std::string address(unsigned host) const;
+  std::string configuration(std::size_t controller) const;
+
+  const SiteTerms terms_;
+  Folder folder_;
+  ChangeLog changeLog_;
+  std::vector<std::unique_ptr<Executor>> executors_;
+  std::vector<std::unique_ptr<Process>> processes_;
+};
+
+// A line to a controller's door, from within the loop.
+class DoorLine {
+ public:
+  DoorLine(transport::Scheduler& scheduler, transport::Unsent& unsent, const std::string& path);
+  void say(const std::string& line);
+  std::vector<std::string> heard;                // whole lines
+  std::function<void(const std::string&)> each;  // called for each as it comes, if set
+  bool closed = false;
+
+ private:
+  transport::Task<> run(std::string path);
+  transport::Scheduler& scheduler_;
+  transport::Unsent& unsent_;
+  std::optional<transport::Connection> connection_;
+  std::string held_;
+  transport::Group running_;
+};
+
+}  // namespace paddletrack::standin
--- a/src/transport/connection.cpp
+++ b/src/transport/connection.cpp
@@ -4,6 +4,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <sys/uio.h>
+#include <sys/un.h>
 #include <unistd.h>
 
 #include <array>
@@ -18,7 +19,7 @@
 constexpr std::size_t kGathered = 64;  // pieces of one write
 constexpr std::chrono::milliseconds kAcceptRest{20};
 
-int streamSocket() { return ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0); }
+int streamSocket(int family) { return ::socket(family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0); }
 
 void noDelay(int fd) {
   const int on = 1;
@@ -26,12 +27,11 @@
 }
 
 int listening(const Address& address) {
-  const int fd = streamSocket();
+  const int fd = streamSocket(address.raw()->sa_family);
   const int on = 1;
   if (fd < 0) throw std::system_error(errno, std::generic_category(), "socket");
   ::setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-  if (::bind(fd, reinterpret_cast<const sockaddr*>(&address.raw()), sizeof address.raw()) != 0 ||
-      ::listen(fd, 1024) != 0) {
+  if (::bind(fd, address.raw(), address.length()) != 0 || ::listen(fd, 1024) != 0) {
     const int error = errno;
     ::close(fd);
     throw std::system_error(error, std::generic_category(), "listen");
@@ -42,16 +42,31 @@
 }  // namespace
 
 Address::Address(const std::string& text) {
+  constexpr std::string_view kLocal = "unix:";
+  if (text.starts_with(kLocal)) {
+    auto& path = reinterpret_cast<sockaddr_un&>(raw_);
+    const std::string name = text.substr(kLocal.size());
+    if (!name.starts_with('/') || name.find('\0') != std::string::npos)
+      throw std::invalid_argument("'" + text + "': a path from the root is wanted");
+    if (name.size() >= sizeof path.sun_path)
+      throw std::invalid_argument("'" + text + "': a socket's path has " +
+                                  std::to_string(sizeof path.sun_path - 1) + " bytes at most");
+    path.sun_family = AF_UNIX;
+    std::memcpy(path.sun_path, name.data(), name.size());
+    length_ = static_cast<socklen_t>(offsetof(sockaddr_un, sun_path) + name.size() + 1);
+    return;
+  }
   const std::size_t colon = text.rfind(':');
   unsigned port = 0;
   const char* end = text.data() + text.size();
-  raw_.sin_family = AF_INET;
-  if (colon == std::string::npos ||
-      ::inet_pton(AF_INET, text.substr(0, colon).c_str(), &raw_.sin_addr) != 1 ||
+  auto& ip = reinterpret_cast<sockaddr_in&>(raw_);
+  ip.sin_family = AF_INET;
+  length_ = sizeof ip;
+  if (colon == std::string::npos || ::inet_pton(AF_INET, text.substr(0, colon).c_str(), &ip.sin_addr) != 1 ||
       std::from_chars(text.data() + colon + 1, end, port).ptr != end || port == 0 || port > 65535) {
     throw std::invalid_argument("'" + text + "' is not an IPv4 address and port");
   }
-  raw_.sin_port = htons(static_cast<std::uint16_t>(port));
+  ip.sin_port = htons(static_cast<std::uint16_t>(port));
 }
 
 Connection::Connection(Scheduler& scheduler, std::unique_ptr<Descriptor> descriptor, std::size_t usualInput,
@@ -63,7 +78,7 @@
       wanted_(scheduler),
       drained_(scheduler),
       pumping_(pump()) {
-  noDelay(descriptor_->fd());
+  noDelay(descriptor_->fd());  // which a local socket does not know, nor need
   pumping_.start();
 }
 
@@ -121,6 +136,7 @@
 Task<> Connection::pump() {
   for (;;) {
     while (pieces_.empty()) co_await wanted_.wait();
+    if (failed_) co_return;  // what was not written when it was shut never is
     std::array<iovec, kGathered> gathered;
     std::size_t count = 0;
     for (const Slice& piece : pieces_) {
@@ -176,6 +192,9 @@
 Listener::Listener(Scheduler& scheduler, const Address& address)
     : scheduler_(scheduler), descriptor_(scheduler, listening(address)) {}
 
+Listener::Listener(Scheduler& scheduler, int listening)
+    : scheduler_(scheduler), descriptor_(scheduler, listening) {}
+
 Task<std::unique_ptr<Descriptor>> Listener::accept() {
   for (;;) {
     const int fd = ::accept4(descriptor_.fd(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
@@ -191,13 +210,13 @@
 
 Task<Dialled> dial(Scheduler& scheduler, Address address, Moment until) {
   Dialled made;
-  const int fd = streamSocket();
+  const int fd = streamSocket(address.raw()->sa_family);
   if (fd < 0) {
     made.error = errno;
     co_return made;
   }
   auto descriptor = std::make_unique<Descriptor>(scheduler, fd);
-  const int begun = ::connect(fd, reinterpret_cast<const sockaddr*>(&address.raw()), sizeof(sockaddr_in));
+  const int begun = ::connect(fd, address.raw(), address.length());
   if (begun != 0 && errno != EINPROGRESS) {
     made.error = errno;
     co_return made;
@@ -208,7 +227,7 @@
     ::getsockopt(fd, SOL_SOCKET, SO_ERROR, &made.error, &length);
     if (!told && made.error == 0) made.error = ETIMEDOUT;
     if (made.error != 0) co_return made;
-    sockaddr_in peer{};  // an edge may tell of the time before the connect
+    sockaddr_storage peer{};  // an edge may tell of the time before the connect
     socklen_t size = sizeof peer;
     up = ::getpeername(fd, reinterpret_cast<sockaddr*>(&peer), &size) == 0;
   }
--- a/src/transport/connection.hpp
+++ b/src/transport/connection.hpp
@@ -1,8 +1,10 @@
 #pragma once
 
 #include <netinet/in.h>
+#include <sys/socket.h>
 
 #include <cstdint>
+#include <cstring>
 #include <deque>
 #include <initializer_list>
 #include <memory>
@@ -13,17 +15,21 @@
 
 namespace paddletrack::transport {
 
-// An IPv4 address and port, from "10.0.0.4:8443"; throws std::invalid_argument.
+// Where a stream socket connects or listens: an IPv4 address and port as in "10.0.0.4:8443", or a path as in
+// "unix:/run/front.sock". Throws std::invalid_argument, which names the text.
 class Address {
  public:
   explicit Address(const std::string& text);
-  const sockaddr_in& raw() const { return raw_; }
+  const sockaddr* raw() const { return reinterpret_cast<const sockaddr*>(&raw_); }
+  socklen_t length() const { return length_; }
+  bool local() const { return raw_.ss_family == AF_UNIX; }  // a path
   bool operator==(const Address& other) const {
-    return raw_.sin_addr.s_addr == other.raw_.sin_addr.s_addr && raw_.sin_port == other.raw_.sin_port;
+    return length_ == other.length_ && std::memcmp(&raw_, &other.raw_, length_) == 0;
   }
 
  private:
-  sockaddr_in raw_{};
+  sockaddr_storage raw_{};
+  socklen_t length_ = 0;
 };
 
 // Bytes that all connections of the process hold unsent, and the most they may. Once it is reached the
@@ -48,6 +54,7 @@
   Task<bool> receive(std::optional<Moment> until = std::nullopt);
   Inbox& input() { return input_; }
   End end() const { return end_; }
+  int fd() const { return descriptor_->fd(); }
 
   // Queued as it is; the bytes stay shared.
   void send(std::initializer_list<Slice> pieces);
@@ -81,7 +88,9 @@
 class Listener {
  public:
   Listener(Scheduler& scheduler, const Address& address);
+  Listener(Scheduler& scheduler, int listening);  // which it owns from now on
   Task<std::unique_ptr<Descriptor>> accept();
+  int fd() const { return descriptor_.fd(); }
 
  private:
   Scheduler& scheduler_;
--- a/tests/routing_test.cpp
+++ b/tests/routing_test.cpp
@@ -4,6 +4,8 @@
 #include "routing/client_side.hpp"
 #include "routing/desk.hpp"
 #include "routing/follower.hpp"
+#include "standin/peer.hpp"
+#include "standin/words.hpp"
 
 namespace paddletrack::routing {
 namespace {
@@ -13,83 +15,22 @@
 using transport::Connection;
 using transport::Task;
 
-std::string bytes(std::uint64_t value, int size) {
-  std::string out;
-  for (int shift = 8 * (size - 1); shift >= 0; shift -= 8) out += static_cast<char>(value >> shift & 0xff);
-  return out;
-}
-std::string text(const std::string& value) { return bytes(value.size(), 4) + value; }
-std::string frame(int kind, const std::string& method, int sequence, const std::string& arguments) {
-  return text(bytes(0x80010000U | static_cast<unsigned>(kind), 4) + text(method) +
-              bytes(static_cast<unsigned>(sequence), 4) + arguments);
-}
+using standin::bytes;
+using standin::frame;
+using standin::Peer;
+using standin::revoke;
+using standin::text;
+
 std::string submit(int sequence, int allowMs = 2000, const std::string& type = "q",
                    const std::string& reference = "00000000000000a") {
-  std::string fields;
-  int count = 0;
-  for (const auto& [name, value] : {std::pair<std::string, std::string>{"service", type},
-                                    {"ref", reference + std::to_string(sequence % 10)},
-                                    {"allow", std::to_string(allowMs)},
-                                    {"effort", "20.5"}}) {
-    fields += text(name) + text(value);
-    ++count;
-  }
-  return frame(1, "submit", sequence,
-               bytes(13, 1) + bytes(1, 2) + bytes(11, 1) + bytes(11, 1) +
-                   bytes(static_cast<unsigned>(count), 4) + fields + bytes(11, 1) + bytes(2, 2) +
-                   text("select * from s_3.t") + bytes(0, 1));
-}
-std::string revoke(int sequence) {
-  return frame(4, "revoke", 99,
-               bytes(8, 1) + bytes(1, 2) + bytes(static_cast<unsigned>(sequence), 4) + bytes(0, 1));
+  return standin::submit(sequence,
+                         {{"service", type},
+                          {"ref", reference + std::to_string(sequence % 10)},
+                          {"allow", std::to_string(allowMs)},
+                          {"effort", "20.5"}},
+                         "select * from s_3.t");
 }
 
-// Accepts connections at an address, keeps what it hears and says what its script makes of it.
-struct Peer {
-  using Script = std::function<void(Peer&, Connection&, const std::string& word, const std::string& id)>;
-  Peer(transport::Scheduler& loop, transport::Unsent& unsent, const std::string& at, Script made)
-      : scheduler(loop), all(unsent), script(std::move(made)), group(loop, [](const char*) {}) {
-    listener.emplace(loop, Address(at));
-    group.spawn(listen());
-  }
-  Task<> listen() {
-    for (;;) {
-      auto accepted = co_await listener->accept();
-      group.spawn(serve(std::move(accepted)));
-    }
-  }
-  Task<> serve(std::unique_ptr<transport::Descriptor> accepted) {
-    Connection connection(scheduler, std::move(accepted), 4096, 65536, all);
-    connections.push_back(&connection);  // to be told apart by; not all of them still are
-    for (;;) {
-      const bool more = co_await connection.receive();
-      if (!more) co_return;
-      for (;;) {
-        const protocol::resp::Array array = protocol::resp::read(connection.input().view());
-        if (array.size == 0) break;
-        const std::string word(array.words[0]), id(array.words[1]);
-        word == "NOOP" ? void(++noops) : void(heard += word + " ");
-        if (word == "NEXT") heard += std::string(array.words[2]) + " ";
-        connection.input().consume(array.size);
-        script(*this, connection, word, id);
-      }
-    }
-  }
-  static void say(Connection& to, const std::vector<std::string>& words) {
-    std::string out = "*" + std::to_string(words.size()) + "\r\n";
-    for (const std::string& word : words) out += "$" + std::to_string(word.size()) + "\r\n" + word + "\r\n";
-    to.send({Slice(std::move(out))});
-  }
-  transport::Scheduler& scheduler;
-  transport::Unsent& all;
-  Script script;
-  std::string heard;
-  int noops = 0;
-  std::optional<transport::Listener> listener;
-  std::vector<const Connection*> connections;
-  transport::Group group;
-};
-
 void answers(Peer&, Connection& connection, const std::string& word, const std::string& id) {
   if (word == "ASK") Peer::say(connection, {id, "200", "batches=1", "r\to\tw\n"});
 }
@@ -156,9 +97,7 @@
 
   static constexpr const char* kListen = "127.0.77.200:18443";
   std::string logged;
-  const Say say = [this](const char* topic, const std::string& line) {
-    logged += std::string(topic) + ": " + line + "\n";
-  };
+  const Say say{[this](const Said& said) { logged += std::string(said.topic) + ": " + said.line + "\n"; }};
   transport::Unsent unsent{4 << 20, 0};
   protocol::Told told;
   Desk desk{*this, unsent, told, {100, {told.sharedBy, 20, told.dialTimeout, told.idleClose}}, 7, say};
@@ -176,11 +115,18 @@
   EXPECT_EQ(early[early.size() - 3], 0);  // no executor is known yet
   front.list({1});
   const std::string yes = front.asked(frame(1, "heartbeat", 1, bytes(0, 1)));
-  front.clients.leave();
+  struct : Gate {
+    bool beat() override { return false; }
+    std::optional<Span> turnsAway() override { return 700ms; }
+  } shut;
+  front.clients.guard(&shut);
   const std::string no = front.asked(frame(1, "heartbeat", 2, bytes(0, 1)));
   ASSERT_EQ(yes.size(), no.size());
   EXPECT_EQ(yes[yes.size() - 3], 1);
   EXPECT_EQ(no[no.size() - 3], 0);
+  const std::string away = front.asked(submit(3));  // at once, and the desk has not seen it
+  EXPECT_TRUE(front.has(away, "cooldown") && front.has(away, "700"));
+  EXPECT_EQ(front.desk.totals().taken, 0U);
 }
 
 TEST(Routing, PagesComeInAnyOrderAndLeaveInTheirs) {
