A rig with a live site (./try) and measurements of drain, roll and cost

Need: a first look for newcomers, and figures for the drain that a command in the repository gives.

Change: src/rig on the stand-ins: try (live table), drain (ask to drained over what it waited for; progress lines against the books outside), roll, cost (callgrind against an earlier build).

--- /dev/null
+++ b/src/rig/main.cpp
@@ -0,0 +1,43 @@
+// Plays with controllers on loopback: something to look at, and the measurements behind the docs' figures.
+// All executors and clients are stand-ins.
+#include <CLI/CLI.hpp>
+#include <cstdio>
+
+#include "program/signals.hpp"
+#include "rig/rig.hpp"
+
+int main(int argc, char** argv) {
+  CLI::App app("Controllers, stand-in executors and a load, all on loopback.", "paddletrack_rig");
+  app.require_subcommand(1);
+  std::string program = argv[0];
+  program = program.substr(0, program.rfind('/') + 1) + "paddletrack";
+  app.add_option("--program", program, "the controller's program");
+  unsigned controllers = 2, rounds = 20;
+  double perSecond = 200, seconds = 0, rolled = 300;
+  CLI::App* look = app.add_subcommand("try", "a site under load, with a live table; until Ctrl-C");
+  look->add_option("--controllers", controllers)->check(CLI::Range(1, 8));
+  look->add_option("--rate", perSecond, "jobs a second")->check(CLI::Range(1.0, 5000.0));
+  look->add_option("--seconds", seconds, "end by itself then")->check(CLI::Range(0.0, 86400.0));
+  CLI::App* drain = app.add_subcommand("drain", "from the ask to drained, over what it had to wait for");
+  drain->add_option("--rounds", rounds, "drains for each row")->check(CLI::Range(2, 1000));
+  CLI::App* roll = app.add_subcommand("roll", "a rolling drain of three controllers against none");
+  roll->add_option("--rate", rolled, "jobs a second")->check(CLI::Range(1.0, 5000.0));
+  std::string before;
+  CLI::App* cost =
+      app.add_subcommand("cost", "instructions a request (callgrind) and memory, with and without the door");
+  cost->add_option("--before", before, "an earlier build of the program to compare with");
+  CLI11_PARSE(app, argc, argv);
+  try {
+    using namespace paddletrack::rig;
+    if (look->parsed()) {
+      paddletrack::program::holdSignals();
+      return tryIt(program, controllers, perSecond, seconds);
+    }
+    if (drain->parsed()) return measureDrain(program, rounds);
+    if (roll->parsed()) return measureRoll(program, rolled);
+    return measureCost(program, before);
+  } catch (const std::exception& error) {
+    std::fprintf(stderr, "paddletrack_rig: %s\n", error.what());
+    return 1;
+  }
+}
--- /dev/null
+++ b/src/rig/rig.hpp
@@ -0,0 +1,86 @@
+// What the rig's experiments share.
+#pragma once
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "standin/site.hpp"
+
+namespace paddletrack::rig {
+
+using Json = nlohmann::json;
+using namespace std::chrono_literals;
+
+struct Loop : transport::Scheduler {
+  void pass(std::chrono::milliseconds time) {
+    transport::Call end(*this, [this] { stop(); });
+    end.at(now() + time);
+    run();
+  }
+  bool until(const std::function<bool()>& done, std::chrono::milliseconds most) {
+    for (const transport::Moment end = now() + most; now() < end; pass(1ms))
+      if (done()) return true;
+    return done();
+  }
+  transport::Unsent unsent{256 << 20, 0};
+};
+
+// A door that answers, with the moment at which each state was first told.
+class Operator {
+ public:
+  Operator(Loop& loop, const std::string& door) : loop_(loop), line_(loop, loop.unsent, door) {
+    line_.each = [this](const std::string& line) { told(line); };
+  }
+  Json ask(Json wish) {
+    wish["v"] = 1;
+    wish["id"] = ++asked_;
+    answer_ = nullptr;
+    line_.say(wish.dump() + "\n");
+    loop_.until([&] { return !answer_.is_null() || line_.closed; }, 5s);
+    return answer_;
+  }
+  bool reaches(const std::string& state, std::chrono::milliseconds most) {
+    return loop_.until([&] { return state_ == state; }, most);
+  }
+  const std::string& state() const { return state_; }
+  transport::Moment since() const { return since_; }
+  std::function<void(const Json& status)> progress;
+
+ private:
+  void told(const std::string& line) {
+    const Json read = Json::parse(line);
+    if (read.contains("ok") && read["id"] == asked_) answer_ = read;
+    if (!read.contains("status")) return;
+    const std::string state = read["status"]["state"];
+    if (state != state_) state_ = state, since_ = loop_.now();
+    if (progress && read.contains("event")) progress(read["status"]);
+  }
+
+  Loop& loop_;
+  standin::DoorLine line_;
+  int asked_ = 0;
+  Json answer_;
+  std::string state_;
+  transport::Moment since_{};
+};
+
+inline double milliseconds(transport::Clock::duration span) {
+  return std::chrono::duration<double, std::milli>(span).count();
+}
+
+inline double quantile(std::vector<double> of, double part) {
+  if (of.empty()) return 0;
+  std::sort(of.begin(), of.end());
+  return of[std::min(of.size() - 1, static_cast<std::size_t>(part * static_cast<double>(of.size())))];
+}
+
+// The experiments; each prints its table and returns an exit code: 0 what it is meant to show holds.
+int tryIt(const std::string& program, unsigned controllers, double perSecond, double seconds);
+int measureDrain(const std::string& program, unsigned rounds);
+int measureRoll(const std::string& program, double perSecond);
+int measureCost(const std::string& program, const std::string& before);
+
+}  // namespace paddletrack::rig
--- a/src/standin/site.cpp
+++ b/src/standin/site.cpp
@@ -89,7 +89,13 @@
     arguments.insert(arguments.end(), {"--operator", operatorsFile(which)});
   }
   processes_[which].reset();
-  processes_[which] = std::make_unique<Process>(terms_.program, arguments, log(which));
+  std::string program = terms_.program;
+  if (!terms_.before.empty()) {
+    arguments.insert(arguments.begin(), program);
+    arguments.insert(arguments.begin(), terms_.before.begin() + 1, terms_.before.end());
+    program = terms_.before.front();
+  }
+  processes_[which] = std::make_unique<Process>(program, arguments, log(which));
 }
 
 std::uint64_t Site::ranTwice() const {
--- a/src/standin/site.hpp
+++ b/src/standin/site.hpp
@@ -45,7 +45,8 @@
 // Types `look-up` (restartable), `report` (restartable), `order` (keyed) and `load` (run-once).
 struct SiteTerms {
   std::string program;
-  int net = 0;  // of 127.0.NET.0/24, so that runs beside each other do not meet
+  std::vector<std::string> before{};  // another program that starts it, with its arguments
+  int net = 0;                        // of 127.0.NET.0/24, so that runs beside each other do not meet
   unsigned executors = 4, controllers = 1;
   unsigned memoryMb = 192, sockets = 1024, cores = 16;
   bool doors = true;
