--- a/src/routing/client_side.cpp
+++ b/src/routing/client_side.cpp
@@ -15,7 +15,8 @@
 namespace thrift = protocol::thrift;
 
 constexpr std::size_t kUsualInput = 4 * 1024;
-constexpr std::size_t kMostOpen = 32;  // requests on one connection
+constexpr std::size_t kLoggedName = 40;  // bytes that a client names things with
+constexpr std::size_t kMostOpen = 32;    // requests on one connection
 
 // A request may be read late and its last answer written late while this process waits for its core: a job's
 // time ends so many slacks of the rule before its client's.
@@ -94,9 +95,9 @@
     }
   }
 
-  // With a request open it is never ended for another.
+  // With a request open, or an answer not yet written, it is never ended for another.
   std::size_t unsent() const { return connection_.unsent(); }
-  bool spare() const { return open_.empty() && !ending_; }
+  bool spare() const { return open_.empty() && connection_.unsent() == 0 && !ending_; }
   // What could be missed least, lowest first: one that had time to ask and did not, then one that is idle.
   // One that has just come goes last, else connections that stay for good would keep all others out.
   auto worth() const {
@@ -119,6 +120,7 @@
   void frame(std::string_view bytes) {
     const thrift::Message message = thrift::readMessage(bytes);
     const bool call = message.kind == thrift::Kind::call;
+    jobNamed_ = typeNamed_ = {};
     try {
       if (message.method == "submit" && call) {
         submit(message);
@@ -138,7 +140,10 @@
       if (!call || open_.count(message.sequence) > 0) throw;  // no answer could be told from another's
       if (++unusable_ > kMostUnusable) throw;
       ++side_.counts_.refused;
-      side_.say_("request", std::string("request not taken: ") + error.what());
+      side_.say_("request", std::string("request not taken: ") + error.what(),
+                 {{"job", std::string(jobNamed_.substr(0, kLoggedName))},
+                  {"reservation_type", std::string(typeNamed_.substr(0, kLoggedName))}},
+                 Level::warning);
       send(thrift::exception(message.method, message.sequence, thrift::Fault::protocol, error.what()));
     }
   }
@@ -147,6 +152,8 @@
     if (open_.count(message.sequence) > 0) throw protocol::Unreadable("a sequence number that is in use");
     if (open_.size() >= kMostOpen) throw protocol::Unreadable("too many open requests on a connection");
     const thrift::Submit read = thrift::readSubmit(message.arguments);
+    jobNamed_ = read.reference;
+    typeNamed_ = read.type;
     const protocol::Told& told = side_.desk_.told();
     auto made = std::make_unique<Exchange>();
     Exchange& exchange = *made;
@@ -224,7 +231,8 @@
   bool begun_ = false;         // a message is not whole
   bool served_ = false;        // something that only clients send has come
   bool ending_ = false;
-  int unusable_ = 0;  // requests in a row
+  int unusable_ = 0;                       // requests in a row
+  std::string_view jobNamed_, typeNamed_;  // by the request that is being read, for the log
 };
 
 ClientSide::ClientSide(transport::Scheduler& scheduler, transport::Unsent& unsent,
@@ -240,7 +248,7 @@
       room_(scheduler),
       sessions_(scheduler, [this](const char* what) {
         ++counts_.unreadable;
-        say_("client", std::string("connection closed: ") + what);
+        say_("client", std::string("connection closed: ") + what, {}, Level::warning);
       }) {
   sessions_.spawn(listen());
 }
--- a/src/routing/desk.cpp
+++ b/src/routing/desk.cpp
@@ -92,7 +92,8 @@
       listing.kind = static_cast<unsigned>(protocol::placeOf(told_.machineNames, entry.kind, "kind"));
       address.emplace(entry.address);
     } catch (const std::exception& error) {
-      say_("changelog", "executor " + entry.id + " passed over: " + error.what());
+      say_("changelog", "executor " + entry.id + " passed over: " + error.what(), {{"engine", entry.id}},
+           Level::warning);
       continue;
     }
     listing.cell = entry.cell;
@@ -106,7 +107,8 @@
       known = std::make_unique<Executor>();
       known->id = entry.id;
       known->number = ++numbers_;
-      say_("list", "engine " + std::to_string(known->number) + " is executor " + entry.id);
+      say_("list", "engine " + std::to_string(known->number) + " is executor " + entry.id,
+           {{"engine", entry.id}, {"number", std::to_string(known->number)}});
     }
     // Another process answers there now, or none: what is open may still end, nothing new goes that way.
     const bool same = known->address == address && known->listing.started == listing.started;
--- a/src/routing/server_side.cpp
+++ b/src/routing/server_side.cpp
@@ -80,7 +80,8 @@
   if ((best && best->load() == 0) || (silent && proving)) return best;
   if (best && links_.size() >= bounds_.links - bounds_.links / kSpareParts) return best;
   if (links_.size() >= bounds_.links) {
-    say_("descriptors", "no connection is left for another dispatch");
+    say_("descriptors", "no connection is left for another dispatch", {{"engine", executor.id}},
+         Level::warning);
     return nullptr;
   }
   links_.emplace_front(executor, ++serials_);
@@ -163,7 +164,8 @@
   try {
     co_await work(link);
   } catch (const std::exception& error) {
-    say_("executor", "executor " + link.executor.id + ": " + error.what() + "; connection given up");
+    say_("executor", "executor " + link.executor.id + ": " + error.what() + "; connection given up",
+         {{"engine", link.executor.id}}, Level::warning);
     spoil(link);
   }
   lose(link);
@@ -173,7 +175,8 @@
   transport::Dialled dialled =
       co_await transport::dial(scheduler_, *link.executor.address, scheduler_.now() + bounds_.dialTimeout);
   if (!dialled.descriptor) {
-    say_("dial", "executor " + link.executor.id + ": no connection: " + std::strerror(dialled.error));
+    say_("dial", "executor " + link.executor.id + ": no connection: " + std::strerror(dialled.error),
+         {{"engine", link.executor.id}}, Level::warning);
     co_return;
   }
   link.connection.emplace(scheduler_, std::move(dialled.descriptor), kUsualInput, kMostInput, unsent_);
@@ -212,7 +215,9 @@
     return scheduler_.now() - link.used < bounds_.idleClose / 2;
   }
   if (link.asked) {
-    if (!link.silent) say_("silent", "executor " + link.executor.id + ": a connection answers nothing");
+    if (!link.silent)
+      say_("silent", "executor " + link.executor.id + ": a connection answers nothing",
+           {{"engine", link.executor.id}}, Level::warning);
     link.silent = true;
   } else {
     link.asked = scheduler_.now();
--- a/tests/door_test.cpp
+++ b/tests/door_test.cpp
@@ -17,6 +17,7 @@
 #include "protocol/settings.hpp"
 #include "routing/client_side.hpp"
 #include "standin/site.hpp"
+#include "standin/vandals.hpp"
 
 namespace paddletrack::standin {
 namespace {
@@ -260,13 +261,24 @@
     EXPECT_TRUE(
         run.until([&] { return run.log().find("operator's file is read again") != std::string::npos; }));
   }
+  {  // the change log moves
+    const std::string config = run.site->folder() + "/config0.json";
+    std::ifstream read(config);
+    std::string text(std::istreambuf_iterator<char>(read), {});
+    text.replace(text.find("127.0.95.250"), 12, "127.0.95.249");
+    std::ofstream(config) << text;
+  }
+  ChangeLog moved(run, run.unsent, transport::Address("127.0.95.249:18443"));
+  moved.tell({}, false);  // what it knows already
+  run.site->controller(0).signal(SIGHUP);
+  EXPECT_TRUE(run.until([&] { return run.log().find("the change log has moved") != std::string::npos; }));
   run.site->executor(0).cut();  // engines die, one goes, then all
-  run.site->changeLog().tell({{"s-2", "127.0.95.2:18443", "left"}});
+  moved.tell({{"s-2", "127.0.95.2:18443", "left"}});
   run.pass(200ms);
   std::vector<ChangeLog::Server> all;
   for (int each = 1; each <= 4; ++each)
     all.push_back({"s-" + std::to_string(each), "127.0.95." + std::to_string(each) + ":18443", "left"});
-  run.site->changeLog().tell(all);
+  moved.tell(all);
   {  // a full house
     std::vector<std::unique_ptr<DoorLine>> crowd;
     std::vector<int> sockets;
@@ -287,6 +299,145 @@
   EXPECT_EQ(run.load->books().lost, 0U) << run.log();
 }
 
+TEST(DrainOnRequest, BadClientsBesideItChangeNothing) {
+  Running run(88);
+  Vandals vandals(run, run.unsent, run.site->fronts()[0], 40);
+  run.load->begin(300, {Site::lookUps(), {"report", "acme", 0.02, 100ms, 900ms, 20s}});
+  run.pass(500ms);
+  for (int each = 0; each < 3; ++each) {
+    ASSERT_TRUE(run.ask({{"do", "drain"}, {"deadline_ms", each == 1 ? 350 : 5000}})["ok"]);
+    ASSERT_TRUE(run.reaches("drained", 6s));
+    ASSERT_TRUE(run.ask({{"do", "cancel"}})["ok"]);
+    ASSERT_TRUE(run.until([&] { return run.load->inService(0); }, 300ms));
+    run.pass(200ms);
+  }
+  EXPECT_GT(vandals.closed(), 100U);
+  run.inOrder();
+  EXPECT_GT(run.load->books().answers[0], 200U);
+}
+
+// ---- the commands --------------------------------------------------------------------------------------
+
+struct Command {
+  Command(Running& run, std::vector<std::string> arguments) {
+    static int count = 0;
+    const std::string out = run.site->folder() + "/command" + std::to_string(++count);
+    Process process(PADDLETRACK_PROGRAM, arguments, out);
+    run.until([&] { return process.ended().has_value(); }, 20s);
+    code = process.ended().value_or(-1);
+    std::ifstream file(out);
+    said.assign(std::istreambuf_iterator<char>(file), {});
+  }
+  bool has(const std::string& part) const { return said.find(part) != std::string::npos; }
+  int code = -1;
+  std::string said;
+};
+
+TEST(Commands, TellWhatCameOfItByTheirExitCode) {
+  Running run(87);
+  const std::string door = run.site->door(0);
+  run.load->begin(0, {kind("report", "", 900ms), kind("report", "", 9000ms)});
+  const Command status(run, {"status", "--socket", door});
+  EXPECT_EQ(status.code, 0);
+  EXPECT_TRUE(status.has("state          serving")) << status.said;
+  run.load->send(0, 0);
+  const Command well(run, {"drain", "--deadline", "5s", "--watch", "--operator", run.site->operatorsFile(0)});
+  EXPECT_EQ(well.code, 0) << well.said;
+  EXPECT_TRUE(well.has("expected end (estimate)") && well.has("1 done, 0 throttled")) << well.said;
+  const Command back(run, {"drain", "--cancel", "-s", door});
+  EXPECT_EQ(back.code, 0);
+  EXPECT_EQ(Command(run, {"drain", "--cancel", "-s", door}).code, 6);
+  EXPECT_EQ(Command(run, {"drain", "--deadline=-2s", "-s", door}).code, 6);
+  EXPECT_GT(Command(run, {"drain", "--deadline", "soon", "-s", door}).code, 100);
+  EXPECT_GT(Command(run, {"drain", "--deadline", "2s", "--cancel", "-s", door}).code, 100);
+  EXPECT_EQ(Command(run, {"drain", "-s", run.site->folder() + "/nobody"}).code, 5);
+  EXPECT_EQ(Command(run, {"status"}).code, 2);
+  run.load->send(1, 0);
+  run.pass(50ms);
+  const Command missed(run, {"drain", "--deadline", "400ms", "--watch", "--json", "-s", door});
+  EXPECT_EQ(missed.code, 3) << missed.said;
+  EXPECT_TRUE(Json::parse(
+      missed.said.substr(missed.said.rfind('\n', missed.said.size() - 2) + 1))["drain"]["missed"]);
+  Command(run, {"drain", "--cancel", "-s", door});
+  EXPECT_TRUE(run.reaches("serving"));
+  run.load->send(1, 0);
+  Process watching(PADDLETRACK_PROGRAM, {"drain", "--deadline", "9s", "--watch", "-s", door},
+                   run.site->folder() + "/w");
+  EXPECT_TRUE(run.reaches("closing"));
+  run.ask({{"do", "cancel"}});
+  EXPECT_TRUE(run.until([&] { return watching.ended().has_value(); }));
+  EXPECT_EQ(watching.ended(), 4);
+  const Command completion(run, {"completion", "bash"});
+  EXPECT_TRUE(completion.has("complete -F _paddletrack paddletrack") && completion.has("--come-back"));
+  EXPECT_EQ(Command(run, {"check-config", "--config", run.site->folder() + "/config0.json", "--operator",
+                          run.site->operatorsFile(0), "--print"})
+                .code,
+            0);
+  run.inOrder();
+}
+
+TEST(Commands, ARollTakesOneAfterTheOtherAndStopsAtAMiss) {
+  SiteTerms terms;
+  terms.controllers = 3;
+  Running run(86, terms);
+  EXPECT_TRUE(run.until([&] { return run.load->inService(1) && run.load->inService(2); }));
+  run.load->begin(150, {Site::lookUps(), {"report", "acme", 0, 20s, 20s, 25s}});
+  std::size_t most = 0;
+  bool over = false;
+  const auto counting = [&]() -> transport::Task<> {
+    while (!over) {
+      std::size_t out = 0;
+      for (std::size_t each = 0; each < 3; ++each) out += run.load->inService(each) ? 0 : 1;
+      most = std::max(most, out);
+      co_await run.sleepUntil(run.now() + 5ms);
+    }
+  };
+  transport::Group group(run, [](const char*) {});
+  group.spawn(counting());
+  std::vector<std::string> roll{"roll", "--deadline", "3s"};
+  for (std::size_t each = 0; each < 3; ++each) roll.push_back(run.site->door(each));
+  const Command well(run, roll);
+  EXPECT_EQ(well.code, 0) << well.said;
+  EXPECT_TRUE(well.has("all 3 have been out and serve again"));
+  EXPECT_EQ(most, 1U);
+  run.load->send(1, 1);
+  roll[2] = "600ms";
+  const Command missed(run, roll);
+  EXPECT_EQ(missed.code, 3) << missed.said;
+  EXPECT_TRUE(missed.has("its deadline found jobs open (1 of 3 done)")) << missed.said;
+  EXPECT_TRUE(run.until([&] { return run.load->inService(1); }, 2s));
+  EXPECT_EQ(most, 1U);
+  over = true;
+  run.inOrder();
+}
+
+TEST(Commands, AJsonLogIsOneObjectALine) {
+  Running run(85);
+  run.site->controller(0).signal(SIGTERM);
+  EXPECT_TRUE(run.until([&] { return run.site->controller(0).ended().has_value(); }));
+  const Command wrong(run, {"serve", "--config", run.site->folder() + "/config0.json", "--log", "xml"});
+  EXPECT_GT(wrong.code, 100);
+  Process json(
+      PADDLETRACK_PROGRAM,
+      {"serve", "--config", run.site->folder() + "/config0.json", "--log", "json", "--log-level", "warning"},
+      run.site->folder() + "/json");
+  Vandals vandals(run, run.unsent, run.site->fronts()[0], 10);
+  run.site->executor(0).deaf = true;
+  run.pass(700ms);
+  json.signal(SIGTERM);
+  EXPECT_TRUE(run.until([&] { return json.ended().has_value(); }));
+  std::ifstream file(run.site->folder() + "/json");
+  std::size_t lines = 0;
+  for (std::string line; std::getline(file, line); ++lines) {
+    const Json read = Json::parse(line, nullptr, false);
+    ASSERT_TRUE(read.is_object()) << line;
+    EXPECT_TRUE(read.contains("time") && read.contains("text") && read["topic"] != "serving") << line;
+    EXPECT_EQ(read["level"], "warning");
+    EXPECT_TRUE(read["topic"] != "request" || read.contains("job")) << line;
+  }
+  EXPECT_GT(lines, 2U);
+}
+
 // ---- clients of the door that mean no good -------------------------------------------------------------
 
 TEST(Door, WhateverAClientDoesNoJobFeelsIt) {
