--- a/src/operating/door.cpp
+++ b/src/operating/door.cpp
@@ -151,6 +151,17 @@
       if (request.wish == Wish::drain) refused = keeper.ask(request.deadline, request.comeBack, who_);
       if (request.wish == Wish::cancel) refused = keeper.cancel(who_);
       if (refused != drain::Refusal::none) return refusal(id, refused, keeper.terms());
+      if (request.wish == Wish::engines) return reply(id, keeper.engines(request.from, kEnginesAtOnce + 1));
+      if (request.wish == Wish::address) {
+        const auto found =
+            keeper.setAddress(request.engine, request.address, request.byHand, request.until, who_);
+        if (found == routing::Desk::Found::noEngine)
+          return refusal(id, "no_engine", "engine: '" + request.engine.substr(0, 60) + "' is not known");
+        if (found == routing::Desk::Found::noAddress)
+          return refusal(id, "no_address",
+                         "address: '" + request.address.substr(0, 120) + "' is none of its addresses");
+        return reply(id);
+      }
       if (request.wish == Wish::watch) {
         every_ = request.every;
         next_ = door_.scheduler_.now() + request.every;
--- a/src/operating/keeper.cpp
+++ b/src/operating/keeper.cpp
@@ -3,6 +3,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <array>
 
 namespace paddletrack::operating {
 
@@ -179,4 +180,52 @@
   return told;
 }
 
+std::vector<Keeper::EngineView> Keeper::engines(const std::string& from, std::size_t most) const {
+  std::vector<const routing::Executor*> all;
+  desk_.eachExecutor([&](const routing::Executor& each) {
+    if (each.id >= from) all.push_back(&each);
+  });
+  std::sort(all.begin(), all.end(), [](const auto* one, const auto* other) { return one->id < other->id; });
+  if (all.size() > most) all.resize(most);
+  const Span now = desk_.reachClock();
+  std::vector<EngineView> views;
+  for (const routing::Executor* each : all) {
+    static constexpr std::array<const char*, 3> kStandings{"ready", "draining", "gone"};
+    EngineView& view = views.emplace_back();
+    view.id = each->id;
+    view.standing = kStandings[static_cast<std::size_t>(each->listing.standing)];
+    view.connections = each->links.size();
+    view.dispatches = each->out.size();
+    view.dialling = each->dialling;
+    for (const reach::Route& route : each->routes.all()) {
+      EngineView::AddressView& address = view.addresses.emplace_back();
+      address.name = route.name;
+      address.family = nameOf(route.family);
+      address.state = nameOf(reach::standing(route, now));
+      address.connections = static_cast<std::size_t>(
+          std::count_if(each->links.begin(), each->links.end(),
+                        [&](const routing::Link* link) { return link->route == route.name; }));
+      if (route.lastGood) address.lastGoodAgo = now - *route.lastGood;
+      if (route.lastBad) {
+        address.lastBadAgo = now - *route.lastBad;
+        address.lastBad = nameOf(route.lesson);
+      }
+      address.roundTrip = route.roundTrip;
+      address.restsFor = route.badInRow > 0 ? std::max(route.restsUntil - now, Span{0}) : Span{0};
+      for (const auto& until : {route.avoidedUntil, route.wantedUntil})
+        if (until && *until > now) address.byHandLeft = *until - now;
+    }
+  }
+  return views;
+}
+
+routing::Desk::Found Keeper::setAddress(const std::string& engine, const std::string& address,
+                                        reach::Routes::ByHand what, Span until, const std::string& by) {
+  const routing::Desk::Found found = desk_.setAddress(engine, address, what, until);
+  if (found == routing::Desk::Found::yes)
+    say_("address", "executor " + engine + " at " + address + ": set by hand, by " + by,
+         {{"engine", engine}, {"address", address}, {"by", by}});
+  return found;
+}
+
 }  // namespace paddletrack::operating
--- a/src/operating/keeper.hpp
+++ b/src/operating/keeper.hpp
@@ -51,10 +51,28 @@
   drain::Refusal cancel(const std::string& by);
   void stop();  // SIGTERM
   void change(const drain::Terms& terms) { drain_.change(terms); }
+  void prefer(std::vector<reach::Family> families) { desk_.prefer(std::move(families)); }
   const drain::Terms& terms() const { return drain_.terms(); }
 
   Status status() const;
   drain::State state() const { return drain_.state(); }
+
+  // Engines by id, from one on, so many at most.
+  struct EngineView {
+    std::string id, standing;
+    std::size_t connections = 0, dispatches = 0, dialling = 0;
+    struct AddressView {
+      std::string name, family, state;
+      std::size_t connections = 0;
+      std::optional<Span> lastGoodAgo, lastBadAgo, roundTrip, byHandLeft;
+      std::string lastBad;
+      Span restsFor{0};
+    };
+    std::vector<AddressView> addresses;
+  };
+  std::vector<EngineView> engines(const std::string& from, std::size_t most) const;
+  routing::Desk::Found setAddress(const std::string& engine, const std::string& address,
+                                  reach::Routes::ByHand what, Span until, const std::string& by);
   void tellChanges(std::function<void()> to) { changed_ = std::move(to); }  // of the state
   void learnLengths();                                                      // of jobs, for the expected end
 
--- a/src/operating/settings.cpp
+++ b/src/operating/settings.cpp
@@ -123,6 +123,27 @@
           "drain", "notice", 0s, 60s, [](Settings & s) -> auto& { return s.drain.notice; }),
       duration(
           "drain", "come_back", 0s, 1h, [](Settings & s) -> auto& { return s.drain.comeBack; }),
+      {"reach", "prefer",
+       [](Settings& settings, const hcl::Value& value) {
+         static const std::string kWanted =
+             "a list of \"unix\", \"ipv6\" and \"ipv4\", each once, is expected";
+         const auto* list = std::get_if<hcl::Value::List>(&value.value);
+         if (!list || list->size() != reach::kFamilies) throw std::invalid_argument(kWanted);
+         std::vector<reach::Family> read;
+         for (const hcl::Value& each : *list)
+           for (const reach::Family family : {reach::Family::local, reach::Family::ipv6, reach::Family::ipv4})
+             if (textIn(each) == reach::nameOf(family) &&
+                 std::find(read.begin(), read.end(), family) == read.end())
+               read.push_back(family);
+         if (read.size() != reach::kFamilies) throw std::invalid_argument(kWanted);
+         settings.prefer = std::move(read);
+       },
+       [](const Settings& settings) {
+         std::string shown;
+         for (const reach::Family each : settings.prefer)
+           shown += (shown.empty() ? "[\"" : ", \"") + std::string(reach::nameOf(each)) + "\"";
+         return shown + "]";
+       }},
       {"log", "form",
        [](Settings& settings, const hcl::Value& value) {
          const std::string& form = textIn(value);
--- a/src/operating/settings.hpp
+++ b/src/operating/settings.hpp
@@ -10,6 +10,7 @@
 #include "base/say.hpp"
 #include "drain/drain.hpp"
 #include "hcl/hcl.hpp"
+#include "reach/reach.hpp"
 
 namespace paddletrack::operating {
 
@@ -31,6 +32,7 @@
 struct Settings {
   DoorTerms door;
   drain::Terms drain;
+  std::vector<reach::Family> prefer = reach::Terms{}.prefer;
   LogForm logForm = LogForm::text;
   Level logLevel = Level::info;
   std::map<std::string, Level> topicLevels;
--- a/src/operating/words.cpp
+++ b/src/operating/words.cpp
@@ -10,8 +10,17 @@
 
 using Json = nlohmann::ordered_json;
 
-constexpr std::array<std::pair<const char*, Wish>, 4> kWishes{
-    {{"status", Wish::status}, {"drain", Wish::drain}, {"cancel", Wish::cancel}, {"watch", Wish::watch}}};
+constexpr std::array<std::pair<const char*, Wish>, 6> kWishes{{{"status", Wish::status},
+                                                               {"drain", Wish::drain},
+                                                               {"cancel", Wish::cancel},
+                                                               {"watch", Wish::watch},
+                                                               {"engines", Wish::engines},
+                                                               {"address", Wish::address}}};
+constexpr std::array<std::pair<const char*, reach::Routes::ByHand>, 3> kByHand{
+    {{"avoid", reach::Routes::ByHand::avoid},
+     {"use", reach::Routes::ByHand::use},
+     {"free", reach::Routes::ByHand::free}}};
+constexpr Span kMostByHand{std::chrono::hours(24)};
 constexpr Span kLeastEvery{std::chrono::milliseconds(20)}, kMostEvery{std::chrono::hours(1)};
 constexpr std::size_t kLongestId = 64;
 
@@ -141,9 +150,35 @@
   for (const auto& [key, value] : read.items()) {
     const bool usual = key == "v" || key == "id" || key == "do";
     const bool ofDrain = request.wish == Wish::drain && (key == "deadline_ms" || key == "come_back_ms");
-    if (!usual && !ofDrain && !(request.wish == Wish::watch && key == "every_ms"))
+    const bool ofEngines = request.wish == Wish::engines && key == "from";
+    const bool ofAddress = request.wish == Wish::address &&
+                           (key == "engine" || key == "address" || key == "what" || key == "for_ms");
+    if (!usual && !ofDrain && !ofEngines && !ofAddress && !(request.wish == Wish::watch && key == "every_ms"))
       throw BadRequest("unknown_key", "'" + key.substr(0, 40) + "' is not known of " + known->first);
   }
+  const auto textOf = [&](const char* key, bool needed) {
+    const auto at = read.find(key);
+    if (at == read.end() && !needed) return std::string();
+    if (at == read.end() || !at->is_string())
+      throw BadRequest("bad_value", std::string(key) + ": a text is expected");
+    return at->get<std::string>();
+  };
+  if (request.wish == Wish::engines) request.from = textOf("from", false);
+  if (request.wish == Wish::address) {
+    request.engine = textOf("engine", true);
+    request.address = textOf("address", true);
+    const std::string what = textOf("what", true);
+    const auto* hand =
+        std::find_if(kByHand.begin(), kByHand.end(), [&](const auto& each) { return what == each.first; });
+    if (hand == kByHand.end())
+      throw BadRequest("bad_value", "what: \"avoid\", \"use\" or \"free\" is expected");
+    request.byHand = hand->second;
+    request.until = span(read, "for_ms").value_or(Span{0});
+    const bool free = request.byHand == reach::Routes::ByHand::free;
+    if (!free && (request.until <= Span{0} || request.until > kMostByHand))
+      throw BadRequest("bad_value",
+                       "for_ms: up to " + shownDuration(kMostByHand) + " is expected; it ends by itself");
+  }
   request.deadline = span(read, "deadline_ms");
   request.comeBack = span(read, "come_back_ms");
   if (const auto every = span(read, "every_ms")) {
@@ -159,6 +194,43 @@
   return line({{"v", kVersion}, {"id", Json::parse(id)}, {"ok", true}, {"status", of(status)}});
 }
 
+std::string reply(const std::string& id) {
+  return line({{"v", kVersion}, {"id", Json::parse(id)}, {"ok", true}});
+}
+
+std::string reply(const std::string& id, const std::vector<Keeper::EngineView>& engines) {
+  Json all = Json::array();
+  const auto ago = [](const std::optional<Span>& span) { return span ? Json(ms(*span)) : Json(nullptr); };
+  for (std::size_t each = 0; each < std::min(engines.size(), kEnginesAtOnce); ++each) {
+    const Keeper::EngineView& engine = engines[each];
+    Json addresses = Json::array();
+    for (const auto& address : engine.addresses) {
+      Json made{{"address", address.name},
+                {"family", address.family},
+                {"state", address.state},
+                {"connections", address.connections},
+                {"last_good_ms_ago", ago(address.lastGoodAgo)},
+                {"last_failure", nullptr},
+                {"rests_ms", ms(address.restsFor)},
+                {"connect_us", address.roundTrip ? Json(address.roundTrip->count()) : Json(nullptr)},
+                {"by_hand_left_ms", ago(address.byHandLeft)}};
+      if (address.lastBadAgo)
+        made["last_failure"] = {{"what", address.lastBad}, {"ms_ago", ms(*address.lastBadAgo)}};
+      addresses.push_back(std::move(made));
+    }
+    all.push_back({{"engine", engine.id},
+                   {"standing", engine.standing},
+                   {"connections", engine.connections},
+                   {"dispatches", engine.dispatches},
+                   {"dialling", engine.dialling},
+                   {"addresses", std::move(addresses)}});
+  }
+  Json made{
+      {"v", kVersion}, {"id", Json::parse(id)}, {"ok", true}, {"engines", std::move(all)}, {"next", nullptr}};
+  if (engines.size() > kEnginesAtOnce) made["next"] = engines[kEnginesAtOnce].id;
+  return line(made);
+}
+
 std::string progress(const Status& status) {
   return line({{"v", kVersion}, {"event", "progress"}, {"status", of(status)}});
 }
@@ -194,4 +266,18 @@
   return line({{"v", kVersion}, {"id", 1}, {"do", "watch"}, {"every_ms", ms(every)}});
 }
 
+std::string enginesRequest(const std::string& from) {
+  return line({{"v", kVersion}, {"id", 1}, {"do", "engines"}, {"from", from}});
+}
+std::string addressRequest(const std::string& engine, const std::string& address, reach::Routes::ByHand what,
+                           Span until) {
+  const char* name = "";
+  for (const auto& each : kByHand)
+    if (each.second == what) name = each.first;
+  Json made{{"v", kVersion},      {"id", 1},     {"do", "address"}, {"engine", engine},
+            {"address", address}, {"what", name}};
+  if (until > Span{0}) made["for_ms"] = ms(until);
+  return line(made);
+}
+
 }  // namespace paddletrack::operating
--- a/src/program/main.cpp
+++ b/src/program/main.cpp
@@ -7,6 +7,7 @@
 
 #include "command/completion.hpp"
 #include "command/drain.hpp"
+#include "command/engines.hpp"
 #include "command/roll.hpp"
 #include "operating/settings.hpp"
 #include "program/configuration.hpp"
@@ -139,6 +140,25 @@
       ->type_name("COMMAND");
   roll->add_flag("--json", rolling.json, "JSON lines");
 
+  std::string oneEngine;
+  CLI::App* engines =
+      app.add_subcommand("engines", "show the engines, their addresses and what is known of each");
+  place.of(engines);
+  engines->add_option("engine", oneEngine, "this one alone");
+  engines->add_flag("--json", wish.json, "a JSON object a line");
+  command::AddressWish hand;
+  std::optional<paddletrack::Span> avoid, use;
+  bool freed = false;
+  CLI::App* address = app.add_subcommand("address", "avoid or prefer an address of an engine for a while");
+  place.of(address);
+  address->add_option("engine", hand.engine)->required()->type_name("ENGINE");
+  address->add_option("address", hand.address)->required()->type_name("ADDRESS");
+  CLI::Option_group* ways = address->add_option_group("what");
+  duration(ways, "--avoid", avoid, "tried last for so long");
+  duration(ways, "--use", use, "tried first for so long");
+  ways->add_flag("--free", freed, "as if nothing had been set");
+  ways->require_option(1);
+
   std::string shell;
   CLI::App* completion = app.add_subcommand("completion", "print a shell's completion of these commands");
   completion->add_option("shell", shell, "bash")->required()->check(CLI::IsMember({"bash"}));
@@ -155,6 +175,13 @@
       return command::kWell;
     }
     if (drain->parsed()) return command::drain(place.path(), wish);
+    if (engines->parsed()) return command::engines(place.path(), oneEngine, wish.json);
+    if (address->parsed()) {
+      using paddletrack::reach::Routes;
+      hand.what = avoid ? Routes::ByHand::avoid : use ? Routes::ByHand::use : Routes::ByHand::free;
+      hand.until = avoid.value_or(use.value_or(paddletrack::Span{0}));
+      return command::address(place.path(), hand);
+    }
     if (status->parsed()) return command::status(place.path(), wish.json);
     if (roll->parsed()) {
       rolling.deadline = rollDeadline.value_or(rolling.deadline);
--- a/src/program/serve.cpp
+++ b/src/program/serve.cpp
@@ -60,6 +60,7 @@
     }
     owner.settings = std::move(read);
     keeper.change(owner.settings.drain);
+    keeper.prefer(owner.settings.prefer);
     log.change(owner.form(), owner.level(), owner.settings.topicLevels);
     say("configuration", "the operator's file is read again");
   } catch (const std::exception& error) {
@@ -97,7 +98,8 @@
   const std::size_t links = node.descriptors - own - connections;
   routing::Desk::Bounds bounds;
   bounds.open = std::min(node.told.mostOpen, node.memoryBytes / 4 / kOpenBytes);
-  bounds.links = {node.told.sharedBy, links, node.told.dialTimeout, node.told.idleClose};
+  bounds.links = {node.told.sharedBy, links, node.told.dialTimeout, node.told.idleClose,
+                  owner.settings.prefer};
   routing::Desk desk(scheduler, unsent, node.told, bounds, node.seed, say);
   for (const protocol::Change& change : node.changes) desk.listed(change);
   const std::size_t frame = std::min<std::size_t>(1 << 20, node.memoryBytes / kInputShare / connections);
--- a/src/protocol/change_log.cpp
+++ b/src/protocol/change_log.cpp
@@ -14,6 +14,14 @@
     Entry entry;
     entry.id = server.text("id");
     entry.address = server.text("addr");
+    if (const Json* more = server.find("addrs")) {
+      const auto* all = std::get_if<Json::Elements>(&more->value);
+      if (!all) throw Unreadable("addrs: a list is wanted");
+      for (const Json& each : *all) {
+        const auto* text = std::get_if<std::string>(&each.value);
+        entry.more.push_back(text ? *text : std::string());  // no text: named where addresses are read
+      }
+    }
     entry.location = server.text("zone");
     entry.kind = server.text("kind");
     entry.cell = static_cast<unsigned>(server.whole("cell"));
--- a/src/protocol/change_log.hpp
+++ b/src/protocol/change_log.hpp
@@ -17,6 +17,7 @@
   unsigned cell = 0;
   Standing standing = Standing::ready;
   std::int64_t startedMs = 0;  // Unix; 0: a long time back
+  std::vector<std::string> more{};  // addresses, the first preferred, if the list names several
 };
 
 struct Change {
--- a/src/protocol/resp.cpp
+++ b/src/protocol/resp.cpp
@@ -47,13 +47,13 @@
 
 }  // namespace
 
-Array read(std::string_view input) {
+Array read(std::string_view input, std::size_t longestWord) {
   Array array;
   std::size_t at = 0;
   const auto count = counted(input, at, '*', kMostWords);
   if (!count) return array;
   for (; array.count < *count; ++array.count) {
-    const auto length = counted(input, at, '$', kLongestWord);
+    const auto length = counted(input, at, '$', longestWord);
     if (!length) return array;
     if (input.size() - at < *length + 2) {
       array.wanted = at + *length + 2;
--- a/src/protocol/resp.hpp
+++ b/src/protocol/resp.hpp
@@ -22,7 +22,7 @@
   std::size_t size = 0;    // bytes of the whole array; 0: it is not whole yet
   std::size_t wanted = 0;  // while it is not: the least it takes in all
 };
-Array read(std::string_view input);
+Array read(std::string_view input, std::size_t longestWord = kLongestWord);
 
 enum class Word { ok, full, error, over, alive, chunk, other };
 
--- a/src/rig/main.cpp
+++ b/src/rig/main.cpp
@@ -22,6 +22,10 @@
   drain->add_option("--rounds", rounds, "drains for each row")->check(CLI::Range(2, 1000));
   CLI::App* roll = app.add_subcommand("roll", "a rolling drain of three controllers against none");
   roll->add_option("--rate", rolled, "jobs a second")->check(CLI::Range(1.0, 5000.0));
+  unsigned jobs = 1900;
+  CLI::App* addresses =
+      app.add_subcommand("addresses", "engines with several addresses, one broken in every way");
+  addresses->add_option("--jobs", jobs, "for each of 54 cases")->check(CLI::Range(1, 100000));
   std::string before;
   CLI::App* cost =
       app.add_subcommand("cost", "instructions a request (callgrind) and memory, with and without the door");
@@ -35,6 +39,7 @@
     }
     if (drain->parsed()) return measureDrain(program, rounds);
     if (roll->parsed()) return measureRoll(program, rolled);
+    if (addresses->parsed()) return measureAddresses(jobs);
     return measureCost(program, before);
   } catch (const std::exception& error) {
     std::fprintf(stderr, "paddletrack_rig: %s\n", error.what());
--- a/src/rig/rig.hpp
+++ b/src/rig/rig.hpp
@@ -81,6 +81,7 @@
 int tryIt(const std::string& program, unsigned controllers, double perSecond, double seconds);
 int measureDrain(const std::string& program, unsigned rounds);
 int measureRoll(const std::string& program, double perSecond);
+int measureAddresses(unsigned jobs);
 int measureCost(const std::string& program, const std::string& before);
 
 }  // namespace paddletrack::rig
--- a/src/routing/desk.cpp
+++ b/src/routing/desk.cpp
@@ -85,12 +85,11 @@
   Listings listings;
   for (const protocol::Entry& entry : change.entries) {
     Listing listing;
-    std::optional<transport::Address> address;
     try {
       listing.location =
           static_cast<unsigned>(protocol::placeOf(told_.locationNames, entry.location, "zone"));
       listing.kind = static_cast<unsigned>(protocol::placeOf(told_.machineNames, entry.kind, "kind"));
-      address.emplace(entry.address);
+      if (entry.more.empty()) transport::Address{entry.address};  // throws where it is none
     } catch (const std::exception& error) {
       say_("changelog", "executor " + entry.id + " passed over: " + error.what(), {{"engine", entry.id}},
            Level::warning);
@@ -111,9 +110,12 @@
            {{"engine", entry.id}, {"number", std::to_string(known->number)}});
     }
     // Another process answers there now, or none: what is open may still end, nothing new goes that way.
-    const bool same = known->address == address && known->listing.started == listing.started;
+    const bool same = known->listing.started == listing.started;
     if (listing.standing != Standing::ready || !same) servers_.retire(*known);
-    known->address = address;
+    std::vector<std::string> names = entry.more;
+    if (std::find(names.begin(), names.end(), entry.address) == names.end())
+      names.insert(names.begin(), entry.address);
+    servers_.readdress(*known, names, !same);
     gone_.erase(known.get());
     if (listing.standing == Standing::gone) gone_.insert(known.get());
     listings.emplace_back(known.get(), listing);
@@ -175,6 +177,13 @@
   return out;
 }
 
+Desk::Found Desk::setAddress(const std::string& engine, const std::string& address,
+                             reach::Routes::ByHand what, Span until) {
+  const auto at = executors_.find(engine);
+  if (at == executors_.end()) return Found::noEngine;
+  return at->second->routes.set(servers_.clock(), address, what, until) ? Found::yes : Found::noAddress;
+}
+
 // ---- what goes out --------------------------------------------------------------------------------------
 
 void Desk::dispatch(Dispatch& made) {
--- a/src/routing/desk.hpp
+++ b/src/routing/desk.hpp
@@ -61,6 +61,16 @@
       if (!each->over) look(*each);
   }
   std::size_t dispatchesOut() const;
+  template <typename Look>
+  void eachExecutor(Look look) const {
+    for (const auto& [id, each] : executors_) look(*each);
+  }
+  // By hand, for a while: whether there is such an engine and such an address of it.
+  enum class Found { yes, noEngine, noAddress };
+  Found setAddress(const std::string& engine, const std::string& address, reach::Routes::ByHand what,
+                   Span until);
+  Span reachClock() const { return servers_.clock(); }  // of what is known of addresses
+  void prefer(std::vector<reach::Family> families) { servers_.prefer(std::move(families)); }
 
  private:
   void dispatch(Dispatch& made) override;
--- a/src/routing/exchange.hpp
+++ b/src/routing/exchange.hpp
@@ -32,6 +32,7 @@
   // Of the server side, which alone reads and writes it. No link: it is over there.
   Link* link = nullptr;
   std::uint64_t linkSerial = 0;  // of the link that took it, kept when that has gone
+  unsigned moved = 0;            // connections that ended before they had it whole
   std::uint64_t wholeAt = 0;     // position in the link's stream at which all of it is written; 0: still held
   std::uint32_t pagesWanted = 0;  // 0: no page has come
   std::uint32_t pagesHeld = 0;
--- a/src/routing/server_side.cpp
+++ b/src/routing/server_side.cpp
@@ -13,6 +13,8 @@
 
 constexpr std::size_t kUsualInput = 32 * 1024, kMostInput = 64 * 1024;
 constexpr std::uint32_t kMostPages = 64;
+constexpr std::size_t kDialParts =
+    4;  // of the connections: dials out at once that are not the first of theirs
 constexpr std::size_t kSpareParts = 4;  // of the connections, for executors that have none
 // In dial time-outs: so long without a byte, and a connection with work is asked whether it lives; so long
 // asked while a younger one answers, and it is dead; so long midway in a message, and the rest never comes.
@@ -27,6 +29,8 @@
       bounds_(bounds),
       ends_(ends),
       say_(say),
+      terms_{bounds.dialTimeout, bounds.prefer},
+      dials_(std::max<std::size_t>(8, bounds.links / kDialParts)),
       tellUnplaced_(scheduler,
                     [this] {
                       for (Sending* each : std::exchange(unplaced_, {}))
@@ -149,7 +153,7 @@
 
 std::string ServerSide::counts() const {
   return std::to_string(links_.size()) + " connections, " + std::to_string(serials_) + " dialled, " +
-         std::to_string(spoilt_) + " spoilt";
+         std::to_string(spoilt_) + " spoilt, " + std::to_string(moved_) + " dispatches moved";
 }
 
 void ServerSide::retire(Executor& executor) {
@@ -159,6 +163,163 @@
   }
 }
 
+// ---- the way to an executor -----------------------------------------------------------------------------
+
+Span ServerSide::clock() const {
+  return std::chrono::duration_cast<Span>(scheduler_.now().time_since_epoch());
+}
+
+void ServerSide::learn(Executor& executor, const std::string& route, reach::Lesson lesson,
+                       std::optional<Span> roundTrip) {
+  const double dice =
+      static_cast<double>(dice_() - dice_.min()) / static_cast<double>(dice_.max() - dice_.min());
+  const bool several = executor.routes.all().size() > 1;
+  if (several && lesson != reach::Lesson::good)
+    say_("address", "executor " + executor.id + " at " + route + ": " + nameOf(lesson),
+         {{"engine", executor.id}, {"address", route}}, Level::warning);
+  executor.routes.learn(clock(), route, lesson, roundTrip, terms_, dice);
+}
+
+void ServerSide::readdress(Executor& executor, const std::vector<std::string>& names, bool another) {
+  std::vector<reach::Routes::Named> named;
+  std::unordered_map<std::string, transport::Address> addresses;
+  for (const std::string& each : names) {
+    try {
+      const transport::Address address(each);
+      const reach::Family family = address.family() == AF_UNIX    ? reach::Family::local
+                                   : address.family() == AF_INET6 ? reach::Family::ipv6
+                                                                  : reach::Family::ipv4;
+      if (addresses.emplace(each, address).second) named.push_back({each, family});
+    } catch (const std::invalid_argument& error) {
+      say_("changelog", "executor " + executor.id + ": address passed over: " + error.what(),
+           {{"engine", executor.id}}, Level::warning);
+    }
+  }
+  if (const std::size_t leftOut = executor.routes.list(named, another); leftOut > 0)
+    say_("changelog",
+         "executor " + executor.id + ": " + std::to_string(leftOut) + " addresses too many, passed over",
+         {{"engine", executor.id}}, Level::warning);
+  executor.addresses = std::move(addresses);
+  for (Link* link : std::vector<Link*>(executor.links)) {
+    if (link->route.empty() || executor.addresses.count(link->route) > 0) continue;
+    link->retired = true;
+    if (link->connection && link->load() == 0) link->connection->shut();
+  }
+}
+
+// One way tried in a race: a dial and, where it is doubted, a sign of life. What it has out is given back
+// with it, however it ends.
+struct ServerSide::Attempt {
+  Attempt(Executor& to, reach::Dials& all, std::string name, Span now)
+      : executor(to), dials(all), route(std::move(name)), begun(now) {
+    ++executor.dialling;
+    dials.begun();
+  }
+  Attempt(const Attempt&) = delete;
+  Attempt& operator=(const Attempt&) = delete;
+  ~Attempt() {
+    --executor.dialling;
+    dials.ended();
+  }
+  Executor& executor;
+  reach::Dials& dials;
+  const std::string route;
+  const Span begun;
+  Span roundTrip{0};
+  std::unique_ptr<Connection> connection;
+  bool spoke = false, ended = false;
+  reach::Lesson lesson = reach::Lesson::refused;  // of one that has failed
+};
+
+// The kernel of a machine takes connections and bytes for a process that reads none. What would pile up there
+// could run long after its job was answered otherwise: beside a silent neighbour, or at an address that did
+// so before, a sign of life comes first.
+transport::Task<> ServerSide::attempt(Link& link, Attempt& made, reach::Race& race,
+                                      transport::Signal& ended) {
+  Executor& executor = link.executor;
+  const auto at = executor.addresses.find(made.route);
+  if (at != executor.addresses.end()) {
+    transport::Dialled dialled =
+        co_await transport::dial(scheduler_, at->second, scheduler_.now() + bounds_.dialTimeout);
+    made.roundTrip = clock() - made.begun;
+    if (dialled.descriptor) {
+      made.connection = std::make_unique<Connection>(scheduler_, std::move(dialled.descriptor), kUsualInput,
+                                                     kMostInput, unsent_);
+      const auto& all = executor.links;
+      const bool several = executor.routes.all().size() > 1;
+      if ((several && executor.routes.doubted(made.route)) ||
+          std::any_of(all.begin(), all.end(), [](const Link* each) { return each->silent; })) {
+        race.up(clock());
+        made.connection->send({Slice(protocol::resp::noop("up" + std::to_string(link.serial)))});
+        made.spoke = co_await made.connection->receive(scheduler_.now() + bounds_.dialTimeout);
+        if (!made.spoke) {
+          made.lesson = made.connection->end() == Connection::End::none ? reach::Lesson::silent
+                                                                        : reach::Lesson::resetEarly;
+          made.connection.reset();
+        }
+      }
+    } else {
+      if (dialled.error == ETIMEDOUT) made.lesson = reach::Lesson::noAnswer;
+      say_("dial", "executor " + executor.id + ": no connection: " + std::strerror(dialled.error),
+           {{"engine", executor.id}, {"address", made.route}}, Level::warning);
+    }
+  }
+  made.ended = true;
+  ended.set();
+}
+
+// Until one connection is up; those that lose are closed at once.
+transport::Task<bool> ServerSide::reachOut(Link& link) {
+  Executor& executor = link.executor;
+  // One that must not run twice is not sent to find out whether an address is well again.
+  const bool careful = std::any_of(link.held.begin(), link.held.end(), [](const Sending* each) {
+    return each->exchange.type->effect == Effect::runOnce;
+  });
+  std::vector<std::string> order;
+  for (const std::size_t each : executor.routes.order(clock(), terms_, careful))
+    order.push_back(executor.routes.all()[each].name);
+  reach::Race race(terms_, std::move(order), clock());
+  std::list<Attempt> attempts;
+  transport::Signal ended(scheduler_);
+  transport::Group dialling(scheduler_, [this](const char* what) { say_("dial", what, {}, Level::warning); });
+  for (;;) {
+    const auto up = std::find_if(attempts.begin(), attempts.end(),
+                                 [](const Attempt& each) { return each.ended && each.connection; });
+    if (up != attempts.end()) {
+      link.route = up->route;
+      link.roundTrip = up->roundTrip;
+      link.connection = std::move(up->connection);
+      if (executor.addresses.count(link.route) == 0) link.retired = true;  // it has left the list meanwhile
+      if (up->spoke) heard(link);
+      // One that began well before and is not up has been slower than a stagger.
+      for (const Attempt& each : attempts)
+        if (!each.ended && each.begun + race.stagger() <= up->begun)
+          learn(executor, each.route, reach::Lesson::noAnswer);
+      co_return true;
+    }
+    for (auto each = attempts.begin(); each != attempts.end();) {
+      if (!each->ended) {
+        ++each;
+        continue;
+      }
+      learn(executor, each->route, each->lesson);
+      race.failed(clock());
+      each = attempts.erase(each);
+    }
+    const reach::Race::Act act = race.look(clock(), dials_.may(executor.dialling));
+    if (act.over) {
+      for (const Attempt& each : attempts)
+        learn(executor, each.route, each.connection ? reach::Lesson::silent : reach::Lesson::noAnswer);
+      co_return false;
+    }
+    if (act.dial) {
+      dialling.spawn(attempt(link, attempts.emplace_back(executor, dials_, *act.dial, clock()), race, ended));
+      continue;
+    }
+    co_await ended.wait(transport::Moment(transport::Clock::duration(act.next)));
+  }
+}
+
 // The whole life of a connection, whatever ends it.
 transport::Task<> ServerSide::run(Link& link) {
   try {
@@ -172,30 +333,13 @@
 }
 
 transport::Task<> ServerSide::work(Link& link) {
-  transport::Dialled dialled =
-      co_await transport::dial(scheduler_, *link.executor.address, scheduler_.now() + bounds_.dialTimeout);
-  if (!dialled.descriptor) {
-    say_("dial", "executor " + link.executor.id + ": no connection: " + std::strerror(dialled.error),
-         {{"engine", link.executor.id}}, Level::warning);
-    co_return;
-  }
-  link.connection.emplace(scheduler_, std::move(dialled.descriptor), kUsualInput, kMostInput, unsent_);
-  // The kernel of a machine takes connections and bytes for a process that reads none. What would pile up
-  // there could run long after its job was answered otherwise: beside a silent neighbour a sign of life comes
-  // first.
-  const auto& all = link.executor.links;
-  if (std::any_of(all.begin(), all.end(), [](const Link* each) { return each->silent; })) {
-    link.connection->send({Slice(protocol::resp::noop("up" + std::to_string(link.serial)))});
-    const bool sign = co_await link.connection->receive(scheduler_.now() + bounds_.dialTimeout);
-    if (!sign) co_return;
-    heard(link);
-  }
+  const bool up = co_await reachOut(link);
+  if (!up) co_return;
   prove(link);
   for (;;) {
     read(link);
     if (link.load() == 0 && link.retired) break;
-    if (link.midway && scheduler_.now() - *link.midway > bounds_.dialTimeout * kMidwayDials)
-      throw protocol::Unreadable("stood still within a message");
+    if (link.midway && scheduler_.now() - *link.midway > bounds_.dialTimeout * kMidwayDials) stoodStill(link);
     const bool more = co_await link.connection->receive(scheduler_.now() + bounds_.dialTimeout * kQuietDials);
     if (more) {
       heard(link);
@@ -207,6 +351,11 @@
   }
 }
 
+void ServerSide::stoodStill(Link& link) {
+  learn(link.executor, link.route, reach::Lesson::silent);
+  throw protocol::Unreadable("stood still within a message");
+}
+
 // No byte for a while. An idle connection goes before its executor closes it; one with work is asked whether
 // it lives.
 bool ServerSide::quiet(Link& link) {
@@ -214,7 +363,17 @@
     if (!link.silent) link.asked.reset();
     return scheduler_.now() - link.used < bounds_.idleClose / 2;
   }
+  // A message that the kernel takes no further will never be whole there: it may go another way.
+  const std::uint64_t written = link.connection->written();
+  const bool stuck = std::any_of(link.open.begin(), link.open.end(),
+                                 [&](const auto& each) { return each.second->wholeAt > written; });
+  if (stuck && link.writtenThen == written + 1) {
+    learn(link.executor, link.route, reach::Lesson::silent);
+    return false;
+  }
+  link.writtenThen = stuck ? written + 1 : 0;
   if (link.asked) {
+    if (!link.silent) learn(link.executor, link.route, reach::Lesson::silent);
     if (!link.silent)
       say_("silent", "executor " + link.executor.id + ": a connection answers nothing",
            {{"engine", link.executor.id}}, Level::warning);
@@ -263,6 +422,7 @@
   const auto at = link.open.find(std::string(answer.id));
   if (at == link.open.end()) return;  // given up meanwhile
   Sending& sending = *at->second;
+  if (!std::exchange(link.spoke, true)) learn(link.executor, link.route, reach::Lesson::good, link.roundTrip);
   switch (answer.word) {
     case Word::full:
     case Word::over:
@@ -298,18 +458,34 @@
   ends_.ended(sending, outcome);
 }
 
-// What was not wholly written never ran; anything else may have.
+// What was not wholly written never ran, and may go another way; anything else may have.
 void ServerSide::lose(Link& link) {
+  Executor& executor = link.executor;
   const std::uint64_t written = link.connection ? link.connection->written() : 0;
-  std::erase(link.executor.links, &link);
-  std::vector<std::pair<Sending*, Outcome>> ends;
-  for (Sending* each : link.held) ends.emplace_back(each, Outcome::unreachable);
-  const Outcome maybeRun = link.spoilt ? Outcome::spoilt : Outcome::reset;
-  for (const auto& [id, each] : link.open)
-    ends.emplace_back(each, each->wholeAt > written ? Outcome::unreachable : maybeRun);
-  for (const auto& [each, outcome] : ends) each->link = nullptr;
+  std::erase(executor.links, &link);
+  const bool early = link.connection && !link.spoke && !link.open.empty() && !link.silent;
+  if (early) learn(executor, link.route, reach::Lesson::resetEarly);
+  std::vector<std::pair<Sending*, reach::Fate>> ends;
+  for (Sending* each : link.held) ends.emplace_back(each, reach::Fate::unreachable);
+  for (const auto& [id, each] : link.open) {
+    const Span left = std::chrono::duration_cast<Span>(each->until - scheduler_.now());
+    ends.emplace_back(each, reach::fateOf({each->wholeAt <= written, link.spoilt, each->moved, left},
+                                          executor.routes.all().size(), terms_));
+  }
+  for (const auto& [each, fate] : ends) each->link = nullptr;
   links_.erase(link.place);
-  for (const auto& [each, outcome] : ends) ends_.ended(*each, outcome);
+  for (const auto& [each, fate] : ends) {
+    if (fate == reach::Fate::goesOn) {
+      ++each->moved;
+      ++moved_;
+      each->wholeAt = 0;
+      send(*each);
+      continue;
+    }
+    ends_.ended(*each, fate == reach::Fate::reset    ? Outcome::reset
+                       : fate == reach::Fate::spoilt ? Outcome::spoilt
+                                                     : Outcome::unreachable);
+  }
 }
 
 }  // namespace paddletrack::routing
--- a/src/routing/server_side.hpp
+++ b/src/routing/server_side.hpp
@@ -3,12 +3,14 @@
 #include <list>
 #include <memory>
 #include <optional>
+#include <random>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
 #include "model/engine.hpp"
 #include "protocol/resp.hpp"
+#include "reach/reach.hpp"
 #include "routing/exchange.hpp"
 #include "transport/connection.hpp"
 
@@ -17,7 +19,9 @@
 // An engine as it is reached over sockets.
 struct Executor : Engine {
   std::string id;
-  std::optional<transport::Address> address;
+  reach::Routes routes;
+  std::unordered_map<std::string, transport::Address> addresses;  // of the routes, by name
+  std::size_t dialling = 0;
   std::vector<Link*> links;
   std::size_t known = 0;  // dispatches to it, of exchanges that are alive
 };
@@ -28,8 +32,12 @@
   explicit Link(Executor& to, std::uint64_t number) : executor(to), serial(number) {}
   Executor& executor;
   const std::uint64_t serial;
-  std::optional<transport::Connection> connection;  // none: still dialling
-  std::vector<Sending*> held;                       // wait for the dial
+  std::unique_ptr<transport::Connection> connection;  // none: still dialling
+  std::string route;                                  // the address that it is to, once it is up
+  Span roundTrip{0};                                  // of its dial
+  bool spoke = false;                                 // an answer to a dispatch has come over it
+  std::uint64_t writtenThen = 0;                      // when it was last looked at and had taken too little
+  std::vector<Sending*> held;                         // wait for the dial
   std::unordered_map<std::string, Sending*> open;
   transport::Moment used{};                 // when it last took a dispatch
   std::optional<transport::Moment> asked;   // a NOOP is out since then
@@ -56,6 +64,7 @@
     std::size_t sharedBy = 1;  // dispatches on one connection
     std::size_t links = 1;     // connections in all
     Span dialTimeout{0}, idleClose{0};
+    std::vector<reach::Family> prefer = reach::Terms{}.prefer;
   };
 
   ServerSide(transport::Scheduler& scheduler, transport::Unsent& unsent, const Bounds& bounds, Ends& ends,
@@ -67,12 +76,21 @@
   void prioritise(Sending& sending);  // as its exchange now says
   std::string counts() const;
   void retire(Executor& executor);  // its connections take nothing new
+  // Its addresses as they are now. What is open on one that has gone may still end.
+  void readdress(Executor& executor, const std::vector<std::string>& names, bool another);
+  Span clock() const;  // of what is known of addresses
+  void prefer(std::vector<reach::Family> families) { terms_.prefer = std::move(families); }
 
  private:
   Link* pick(Sending& sending);
   void write(Link& link, Sending& sending);
   transport::Task<> run(Link& link);
   transport::Task<> work(Link& link);
+  struct Attempt;
+  transport::Task<bool> reachOut(Link& link);
+  transport::Task<> attempt(Link& link, Attempt& made, reach::Race& race, transport::Signal& ended);
+  void learn(Executor& executor, const std::string& route, reach::Lesson lesson,
+             std::optional<Span> roundTrip = {});
   void heard(Link& link);
   bool quiet(Link& link);
   bool usable(const Link& link, const Sending& sending) const;
@@ -81,6 +99,7 @@
   void answered(Link& link, const protocol::resp::Answer& answer);
   void over(Link& link, Sending& sending, Outcome outcome);
   void lose(Link& link);
+  [[noreturn]] void stoodStill(Link& link);
   void spoil(Link& link);
 
   transport::Scheduler& scheduler_;
@@ -88,7 +107,10 @@
   const Bounds bounds_;
   Ends& ends_;
   const Say& say_;
-  std::uint64_t serials_ = 0, spoilt_ = 0;
+  std::uint64_t serials_ = 0, spoilt_ = 0, moved_ = 0;
+  reach::Terms terms_;
+  reach::Dials dials_;
+  std::minstd_rand dice_;
   std::list<Link> links_;
   std::vector<Sending*> unplaced_;  // no descriptor was left for them
   transport::Call tellUnplaced_;
--- a/src/standin/change_log.cpp
+++ b/src/standin/change_log.cpp
@@ -24,7 +24,10 @@
     if (out.back() == '}') out += ",";
     out += R"({"id":")" + each.id + R"(","addr":")" + each.address + R"(","zone":")" + each.zone +
            R"(","kind":")" + each.kind + R"(","cell":0,"state":")" + each.state +
-           R"(","weight":1,"started_ms":)" + std::to_string(each.startedMs) + "}";
+           R"(","weight":1,"started_ms":)" + std::to_string(each.startedMs);
+    for (std::size_t more = 0; more < each.more.size(); ++more)
+      out += (more == 0 ? R"(,"addrs":[")" : R"(",")") + each.more[more];
+    out += each.more.empty() ? "}" : "\"]}";
   }
   return out + "]}}";
 }
--- a/src/standin/change_log.hpp
+++ b/src/standin/change_log.hpp
@@ -16,6 +16,7 @@
   struct Server {
     std::string id, address, state = "active", zone = "hall", kind = "std-8";
     std::int64_t startedMs = 0;
+    std::vector<std::string> more{};  // addresses
   };
   static std::string event(std::uint64_t number, bool full, const std::vector<Server>& servers);
   void tell(const std::vector<Server>& servers, bool full = false);
--- a/src/standin/executor.cpp
+++ b/src/standin/executor.cpp
@@ -9,6 +9,8 @@
 
 using protocol::resp::Array;
 
+constexpr std::size_t kLongest = 32 << 20;  // of a statement
+
 unsigned number(std::string_view text) {
   unsigned value = 0;
   std::from_chars(text.data(), text.data() + text.size(), value);
@@ -45,9 +47,10 @@
 
 class Executor::Session {
  public:
-  Session(Executor& executor, std::unique_ptr<transport::Descriptor> accepted)
+  Session(Executor& executor, Place& place, std::unique_ptr<transport::Descriptor> accepted)
       : executor_(executor),
-        connection_(executor.scheduler_, std::move(accepted), 16 * 1024, 256 * 1024, executor.unsent_),
+        place_(place),
+        connection_(executor.scheduler_, std::move(accepted), 16 * 1024, kLongest + 4096, executor.unsent_),
         working_(executor.scheduler_, [](const char*) {}) {
     executor_.sessions_.insert(this);
   }
@@ -56,8 +59,12 @@
     for (const auto& [id, script] : scripts_) executor_.open_.erase({this, id});
   }
 
+  const Place& place() const { return place_; }
+
   transport::Task<> run() {
+    if (place_.fault == Fault::reset) co_return;
     for (;;) {
+      if (place_.fault == Fault::deaf) co_await executor_.scheduler_.sleepUntil(transport::Moment::max());
       const bool more = co_await connection_.receive();
       if (!more) co_return;
       while (executor_.deaf) {
@@ -66,7 +73,7 @@
       }
       transport::Inbox& input = connection_.input();
       for (;;) {
-        const Array array = protocol::resp::read(input.view());
+        const Array array = protocol::resp::read(input.view(), kLongest);
         if (array.size == 0) {
           if (array.wanted > 0) input.expect(array.wanted);
           break;
@@ -96,6 +103,8 @@
   }
 
   void ask(const std::string& id, std::string_view statement) {
+    ++place_.asked;
+    if (place_.fault == Fault::resetOnAsk) return connection_.shut();
     Script script = scriptOf(statement);
     if (executor_.over) executor_.over(script, id);
     ++executor_.asked_;
@@ -118,6 +127,10 @@
       connection_.shut();
       co_return;
     }
+    if (place_.fault == Fault::halfAnswer) {
+      connection_.send({transport::Slice::lasting("*4\r\n$16\r\n")});
+      co_return;
+    }
     if (script.answer == "200") {
       say({id, "200", "batches=" + std::to_string(script.pages), rows(id, 0)});
       if (script.pages > 1) co_return;  // it keeps them until they are fetched
@@ -144,6 +157,7 @@
   }
 
   Executor& executor_;
+  Place& place_;
   transport::Connection connection_;
   std::map<std::string, Script> scripts_;  // of what is open here
   std::map<std::string, unsigned> sent_;   // pages, by id
@@ -152,19 +166,36 @@
 
 Executor::Executor(transport::Scheduler& scheduler, transport::Unsent& unsent,
                    const transport::Address& address)
-    : scheduler_(scheduler),
-      unsent_(unsent),
-      listener_(scheduler, address),
-      running_(scheduler, [](const char*) {}) {
-  running_.spawn(listen());
+    : scheduler_(scheduler), unsent_(unsent), running_(scheduler, [](const char*) {}) {
+  also(address);
+}
+
+std::size_t Executor::also(const transport::Address& address) {
+  places_.push_back(std::make_unique<Place>(scheduler_, address));
+  places_.back()->accepting->spawn(listen(*places_.back()));
+  return places_.size() - 1;
+}
+
+void Executor::fail(std::size_t place, Fault fault) {
+  places_[place]->fault = fault;
+  if (fault != Fault::deaf && fault != Fault::reset) return;
+  for (Session* each : sessions_)
+    if (&each->place() == places_[place].get()) each->cut();
+}
+
+void Executor::close(std::size_t place) {
+  places_[place]->accepting.reset();
+  places_[place]->listener.reset();
+  for (Session* each : sessions_)
+    if (&each->place() == places_[place].get()) each->cut();
 }
 
-transport::Task<> Executor::listen() {
-  for (;;) running_.spawn(serve(co_await listener_.accept()));
+transport::Task<> Executor::listen(Place& place) {
+  for (;;) running_.spawn(serve(place, co_await place.listener->accept()));
 }
 
-transport::Task<> Executor::serve(std::unique_ptr<transport::Descriptor> accepted) {
-  Session session(*this, std::move(accepted));
+transport::Task<> Executor::serve(Place& place, std::unique_ptr<transport::Descriptor> accepted) {
+  Session session(*this, place, std::move(accepted));
   co_await session.run();
 }
 
--- a/src/standin/executor.hpp
+++ b/src/standin/executor.hpp
@@ -5,9 +5,11 @@
 #include <chrono>
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "transport/connection.hpp"
 
@@ -30,6 +32,18 @@
  public:
   Executor(transport::Scheduler& scheduler, transport::Unsent& unsent, const transport::Address& address);
 
+  // Further addresses of the same engine; places are numbered from 0, the first is the constructor's.
+  std::size_t also(const transport::Address& address);
+  enum class Fault {
+    none,
+    deaf,        // accepts, reads nothing
+    reset,       // ends each connection as soon as it has accepted it
+    resetOnAsk,  // ends the connection when an ask has come whole, before it runs
+    halfAnswer,  // runs, writes the half of its answer, and nothing more
+  };
+  void fail(std::size_t place, Fault fault);
+  void close(std::size_t place);  // listens there no longer, and ends what is connected there
+
   // Said by a test over what statements say.
   std::function<void(Script&, const std::string& id)> over;
   bool deaf = false;  // reads nothing more on any connection, as a process that stands still
@@ -44,16 +58,26 @@
     const auto at = times_.find(id);
     return at == times_.end() ? 0 : at->second;
   }
+  std::uint64_t askedAt(std::size_t place) const { return places_[place]->asked; }
   void cut();  // every connection, as a process that dies; it listens on
 
  private:
   class Session;
-  transport::Task<> listen();
-  transport::Task<> serve(std::unique_ptr<transport::Descriptor> accepted);
+  struct Place {
+    Place(transport::Scheduler& scheduler, const transport::Address& address)
+        : listener(std::in_place, scheduler, address),
+          accepting(std::in_place, scheduler, [](const char*) {}) {}
+    std::optional<transport::Listener> listener;
+    Fault fault = Fault::none;
+    std::uint64_t asked = 0;
+    std::optional<transport::Group> accepting;  // goes before its listener
+  };
+  transport::Task<> listen(Place& place);
+  transport::Task<> serve(Place& place, std::unique_ptr<transport::Descriptor> accepted);
 
   transport::Scheduler& scheduler_;
   transport::Unsent& unsent_;
-  transport::Listener listener_;
+  std::vector<std::unique_ptr<Place>> places_;
   std::set<Session*> sessions_;
   std::set<std::pair<const Session*, std::string>> open_;
   std::map<std::string, unsigned> times_;  // by id: 0 heard of, else how often it ran
--- a/src/transport/connection.cpp
+++ b/src/transport/connection.cpp
@@ -31,6 +31,7 @@
   const int on = 1;
   if (fd < 0) throw std::system_error(errno, std::generic_category(), "socket");
   ::setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  if (address.family() == AF_INET6) ::setsockopt(fd, IPPROTO_IPV6, IPV6_V6ONLY, &on, sizeof on);
   if (::bind(fd, address.raw(), address.length()) != 0 || ::listen(fd, 1024) != 0) {
     const int error = errno;
     ::close(fd);
@@ -59,6 +60,18 @@
   const std::size_t colon = text.rfind(':');
   unsigned port = 0;
   const char* end = text.data() + text.size();
+  if (text.starts_with('[')) {
+    auto& six = reinterpret_cast<sockaddr_in6&>(raw_);
+    six.sin6_family = AF_INET6;
+    length_ = sizeof six;
+    if (colon == std::string::npos || colon < 3 || text[colon - 1] != ']' ||
+        ::inet_pton(AF_INET6, text.substr(1, colon - 2).c_str(), &six.sin6_addr) != 1 ||
+        std::from_chars(text.data() + colon + 1, end, port).ptr != end || port == 0 || port > 65535) {
+      throw std::invalid_argument("'" + text + "' is not an IPv6 address and port");
+    }
+    six.sin6_port = htons(static_cast<std::uint16_t>(port));
+    return;
+  }
   auto& ip = reinterpret_cast<sockaddr_in&>(raw_);
   ip.sin_family = AF_INET;
   length_ = sizeof ip;
--- a/src/transport/connection.hpp
+++ b/src/transport/connection.hpp
@@ -15,14 +15,15 @@
 
 namespace paddletrack::transport {
 
-// Where a stream socket connects or listens: an IPv4 address and port as in "10.0.0.4:8443", or a path as in
-// "unix:/run/front.sock". Throws std::invalid_argument, which names the text.
+// Where a stream socket connects or listens: an IPv4 or IPv6 address and port as in "10.0.0.4:8443" and
+// "[fd00::4]:8443", or a path as in "unix:/run/front.sock". Throws std::invalid_argument, which names the
+// text.
 class Address {
  public:
   explicit Address(const std::string& text);
   const sockaddr* raw() const { return reinterpret_cast<const sockaddr*>(&raw_); }
   socklen_t length() const { return length_; }
-  bool local() const { return raw_.ss_family == AF_UNIX; }  // a path
+  int family() const { return raw_.ss_family; }  // AF_INET, AF_INET6 or AF_UNIX
   bool operator==(const Address& other) const {
     return length_ == other.length_ && std::memcmp(&raw_, &other.raw_, length_) == 0;
   }
--- /dev/null
+++ b/tests/address_test.cpp
@@ -0,0 +1,285 @@
+// Engines with several addresses: stand-ins that listen on IPv4, IPv6 and Unix sockets, and every way in
+// which one of these can fail.
+#include <gtest/gtest.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <fstream>
+
+#include "protocol/settings.hpp"
+#include "routing/client_side.hpp"
+#include "routing/desk.hpp"
+#include "standin/executor.hpp"
+#include "standin/load.hpp"
+#include "standin/site.hpp"
+
+namespace paddletrack::standin {
+namespace {
+
+using namespace std::chrono_literals;
+using transport::Address;
+using Fault = Executor::Fault;
+
+constexpr auto kDial = 100ms;  // of the settings here: a stagger is 20 ms
+
+struct Front : transport::Scheduler {
+  Front() : client(*this, unsent, {Address("127.0.84.9:18443")}, 3) {
+    client.begin(0, {{"again", "", 1, 1ms, 1ms, 4000ms},
+                     {"keyed", "", 1, 1ms, 1ms, 4000ms},
+                     {"once", "", 1, 1ms, 1ms, 4000ms}});
+  }
+  void list(const std::vector<std::string>& addresses, const std::string& id = "s-1", bool whole = true) {
+    protocol::Change change;
+    change.whole = whole;
+    protocol::Entry entry{id, addresses.front(), "a", "m", 0, Standing::ready, 0};
+    entry.more = addresses;
+    change.entries.push_back(entry);
+    desk.listed(change);
+  }
+  void pass(std::chrono::milliseconds time) {
+    transport::Call end(*this, [this] { stop(); });
+    end.at(now() + time);
+    run();
+  }
+  bool until(const std::function<bool()>& done, std::chrono::milliseconds most) {
+    for (const transport::Moment end = now() + most; now() < end; pass(1ms))
+      if (done()) return true;
+    return done();
+  }
+  // One job, to its end; ms it took.
+  double job(std::size_t kind = 0) {
+    const std::size_t number = client.send(kind, 0);
+    until([&] { return client.jobs()[number].answers > 0 || client.jobs()[number].lost; }, 5000ms);
+    last = client.jobs()[number].what;
+    return std::chrono::duration<double, std::milli>(client.jobs()[number].ended - client.jobs()[number].sent)
+        .count();
+  }
+  bool logged(const std::string& part) const { return log.find(part) != std::string::npos; }
+
+  std::string log;
+  const Say say{[this](const Said& said) { log += std::string(said.topic) + ": " + said.line + "\n"; }};
+  transport::Unsent unsent{256 << 20, 0};
+  const protocol::Told told = protocol::decode(protocol::pathsOfLines(
+      "balancers=1\nzones=a\nmachineTypes=m\nfamilyInfo.kindCores=64\nprofiles.count=3\nprofiles.0.name="
+      "again\n"
+      "profiles.0.idempotency=retryable\nprofiles.0.onTimeUs=800000\nprofiles.0.giveUpUs=4000000\nprofiles.1."
+      "name=keyed\n"
+      "profiles.1.idempotency=dedup\nprofiles.1.group=all\nprofiles.1.windowUs=60000000\nprofiles.1.onTimeUs="
+      "800000\n"
+      "profiles.1.giveUpUs=4000000\nprofiles.2.name=once\nprofiles.2.idempotency=fragile\nprofiles.2."
+      "onTimeUs=800000\n"
+      "profiles.2.giveUpUs=4000000\nlimits.mostTries=3\nlimits.cancelling=true\nlimits.retryAfter=true\n"
+      "limits.maxRetryAfterUs=900000\nlimits.streamsPerConn=4\nlimits.dialTimeoutUs=100000\n"
+      "limits.idleCloseUs=9000000\ntickUs=5000\n"));
+  routing::Desk desk{*this, unsent, told, {100, {told.sharedBy, 40, told.dialTimeout, told.idleClose}},
+                     7,     say};
+  routing::ClientSide clients{*this, unsent, Address("127.0.84.9:18443"), {20, 40 << 20, 1 << 20}, desk, say};
+  Folder folder;
+  const std::string four = "127.0.84.1:18443", six = "[::1]:18484",
+                    local = "unix:" + folder.path() + "/engine";
+  Load client;
+  Heard::What last = Heard::What::exception;
+};
+
+// A listener whose backlog is full: a dial to it hears nothing at all.
+struct Mute {
+  explicit Mute(const std::string& name) {
+    const Address at(name);
+    const int listening = ::socket(at.family(), SOCK_STREAM | SOCK_CLOEXEC, 0), on = 1;
+    ::setsockopt(listening, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+    EXPECT_EQ(::bind(listening, at.raw(), at.length()), 0);
+    EXPECT_EQ(::listen(listening, 0), 0);
+    sockets.push_back(listening);
+    for (int each = 0; each < 4; ++each) {
+      sockets.push_back(::socket(at.family(), SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+      (void)!::connect(sockets.back(), at.raw(), at.length());
+    }
+  }
+  ~Mute() {
+    for (const int each : sockets) ::close(each);
+  }
+  std::vector<int> sockets;
+};
+
+TEST(Addresses, OneGoodAmongRefusedIsFoundAtOnceWhicheverItIs) {
+  for (int good = 0; good < 3; ++good) {
+    Front front;
+    const std::vector<std::string> all{front.local, front.six, front.four};
+    Executor executor(front, front.unsent, Address(all[static_cast<std::size_t>(good)]));
+    front.list(all);
+    EXPECT_LT(front.job(2), 15) << good;
+    EXPECT_EQ(front.last, Heard::What::done) << front.log;
+    EXPECT_LT(front.job(2), 15) << good;
+    EXPECT_EQ(executor.ran(), 2U);
+    EXPECT_EQ(executor.ranTwice(), 0U);
+    EXPECT_EQ(front.logged("unreachable"), false);
+  }
+}
+
+TEST(Addresses, ASilentDialCostsOneStaggerAndIsNotFirstAgain) {
+  Front front;
+  const Mute mute(front.six);
+  Executor executor(front, front.unsent, Address(front.four));
+  front.list({front.six, front.four});
+  const double first = front.job(2);
+  EXPECT_EQ(front.last, Heard::What::done) << front.log;
+  EXPECT_GE(first, 19);
+  EXPECT_LT(first, 40);
+  EXPECT_TRUE(front.logged("no answer"));
+  executor.cut();
+  front.pass(5ms);
+  EXPECT_LT(front.job(2), 15);
+}
+
+TEST(Addresses, WhatAcceptsAndStallsIsJudgedAndThenPassedOver) {
+  Front front;
+  Executor executor(front, front.unsent, Address(front.four));
+  const std::size_t stalls = executor.also(Address(front.local));
+  executor.fail(stalls, Fault::deaf);
+  front.list({front.local, front.four});
+  front.job(2);  // it had left whole: it may have run, and is not sent again
+  EXPECT_EQ(front.last, Heard::What::cancelled);
+  EXPECT_EQ(executor.ran(), 0U);
+  EXPECT_TRUE(front.logged("silent"));
+  EXPECT_LT(front.job(2), 60) << front.log;
+  EXPECT_EQ(front.last, Heard::What::done);
+  EXPECT_EQ(executor.ran(), 1U);
+}
+
+// The kernel takes a part of a long statement for a process that reads nothing: the same dispatch goes
+// another way.
+TEST(Addresses, AMessageThatIsNotTakenWholeGoesAnotherWay) {
+  for (const std::size_t kind : {0U, 1U, 2U}) {
+    Front front;
+    Executor executor(front, front.unsent, Address(front.four));
+    const std::size_t stalls = executor.also(Address(front.local));
+    executor.fail(stalls, Fault::deaf);
+    front.list({front.local, front.four});
+    std::vector<Load::Kind> kinds(3, {"", "", 1, 1ms, 1ms, 4000ms, std::string(5 << 20, 'x')});
+    kinds[0].type = "again", kinds[1].type = "keyed", kinds[2].type = "once";
+    front.client.begin(0, kinds);
+    front.client.send(kind, 0);
+    front.until([&] { return front.client.books().open == 0; }, 3000ms);
+    EXPECT_TRUE(front.logged("silent")) << front.log;
+    EXPECT_TRUE(front.desk.counts().find("1 dispatches moved") != std::string::npos) << front.desk.counts();
+    EXPECT_EQ(executor.askedAt(stalls), 0U);
+    EXPECT_EQ(executor.askedAt(0), 1U);
+    EXPECT_EQ(front.client.jobs()[0].what, Heard::What::done) << kind << front.log;
+  }
+}
+
+TEST(Addresses, ResetsAreJudgedByWhetherItHadLeft) {
+  for (const Fault fault : {Fault::reset, Fault::resetOnAsk, Fault::halfAnswer})
+    for (const std::size_t kind : {0U, 2U}) {
+      Front front;
+      Executor executor(front, front.unsent, Address(front.four));
+      const std::size_t bad = executor.also(Address(front.local));
+      executor.fail(bad, fault);
+      front.list({front.local, front.four});
+      front.job(kind);
+      const bool again = kind == 0;
+      EXPECT_EQ(front.last, again ? Heard::What::done : Heard::What::cancelled)
+          << static_cast<int>(fault) << front.log;
+      EXPECT_LT(front.job(2), 130);
+      EXPECT_EQ(front.last, Heard::What::done) << static_cast<int>(fault) << front.log;
+      EXPECT_LE(executor.ranTwice(), again ? 1U : 0U);
+    }
+}
+
+TEST(Addresses, OneThatLeavesTheListTakesNothingNewAndWhatIsOpenEnds) {
+  Front front;
+  Executor executor(front, front.unsent, Address(front.four));
+  const std::size_t old = executor.also(Address(front.local));
+  front.client.begin(0, {{"once", "", 1, 150ms, 150ms, 4000ms}, {"again", "", 1, 1ms, 1ms, 4000ms}});
+  front.list({front.local, front.four});
+  front.client.send(0, 0);
+  front.pass(50ms);
+  EXPECT_EQ(executor.askedAt(old), 1U);
+  front.list({front.four});
+  front.job(1);
+  EXPECT_EQ(executor.askedAt(old), 1U);
+  EXPECT_EQ(executor.askedAt(0), 1U);
+  front.until([&] { return front.client.books().open == 0; }, 1000ms);
+  EXPECT_EQ(front.client.jobs()[0].what, Heard::What::done);
+  EXPECT_EQ(executor.ranTwice(), 0U);
+  front.list({front.local}, "s-2", false);  // the same address is another engine's now
+  front.list({front.four}, "s-1", false);
+  EXPECT_LT(front.job(1), 30);
+}
+
+TEST(Addresses, AnAddressThatVanishesWithJobsInFlight) {
+  for (const std::size_t kind : {0U, 1U, 2U}) {
+    Front front;
+    Executor executor(front, front.unsent, Address(front.four));
+    const std::size_t gone = executor.also(Address(front.local));
+    std::vector<Load::Kind> kinds(3, {"", "", 1, 120ms, 120ms, 4000ms});
+    kinds[0].type = "again", kinds[1].type = "keyed", kinds[2].type = "once";
+    front.client.begin(0, kinds);
+    front.list({front.local, front.four});
+    front.client.send(kind, 0);
+    front.pass(40ms);
+    executor.close(gone);
+    ::unlink(front.local.substr(5).c_str());
+    front.until([&] { return front.client.books().open == 0; }, 3000ms);
+    EXPECT_EQ(front.client.jobs()[0].what, kind == 2 ? Heard::What::cancelled : Heard::What::done) << kind;
+    EXPECT_EQ(executor.ranTwice(), 0U);  // the first was cut before its end
+    EXPECT_EQ(executor.askedAt(0), kind == 2 ? 0U : 1U);
+  }
+}
+
+// A preferred address that failed is found again by a job that may be repeated.
+TEST(Addresses, APreferredOneIsTriedAgainOnceItsRestIsOver) {
+  Front front;
+  Executor executor(front, front.unsent, Address(front.four));
+  front.list({front.local, front.four});
+  front.job(0);
+  const std::size_t back = executor.also(Address(front.local));
+  EXPECT_TRUE(front.until(
+      [&] {
+        executor.cut();  // what is up would be used again
+        front.job(0);
+        return executor.askedAt(back) > 0;
+      },
+      3000ms));
+  EXPECT_EQ(front.last, Heard::What::done);
+  EXPECT_EQ(front.client.books().answers[0], front.client.books().sent);
+}
+
+TEST(Addresses, AllOfThemFailTheJobNeverRanAndTheEngineIsDoubted) {
+  Front front;
+  front.list({front.local, front.six, front.four});
+  EXPECT_LT(front.job(2), 800);
+  EXPECT_EQ(front.last, Heard::What::throttled) << front.log;
+  Executor executor(front, front.unsent, Address(front.six));
+  EXPECT_TRUE(front.until([&] { return front.job(0) > 0 && front.last == Heard::What::done; }, 8000ms));
+}
+
+TEST(Addresses, FormsThatAreNotKnownAreNamedAndTheRestServes) {
+  Front front;
+  std::ofstream(front.local.substr(5)) << "no socket";
+  Executor executor(front, front.unsent, Address(front.four));
+  std::vector<std::string> all{
+      front.local, "unix:relative", "host.example:80", "[::1", "", "unix:/" + std::string(200, 'x'),
+      front.four,  front.four};
+  for (int each = 2; each < 64; ++each) all.push_back("127.0.83." + std::to_string(each) + ":18443");
+  front.list(all);
+  EXPECT_LT(front.job(0), 40);
+  EXPECT_EQ(front.last, Heard::What::done);
+  for (const char* each :
+       {"unix:relative", "host.example:80", "'[::1'", "107 bytes at most", "48 addresses too many"})
+    EXPECT_TRUE(front.logged(each)) << each << front.log;
+}
+
+TEST(Addresses, ReadFromTheChangeLog) {
+  const protocol::Line line = protocol::readLine(
+      R"({"seq":2,"fleet":{"version":1,"full":true,"servers":[{"id":"s","addr":"1.2.3.4:5","addrs":["unix:/a","[::1]:5",7],)"
+      R"("zone":"a","kind":"m","cell":0,"state":"active","weight":1,"started_ms":0}]}})");
+  EXPECT_EQ(line.change->entries[0].more, (std::vector<std::string>{"unix:/a", "[::1]:5", ""}));
+  EXPECT_THROW(protocol::readLine(
+                   R"({"seq":2,"fleet":{"full":true,"servers":[{"id":"s","addr":"1.2.3.4:5","addrs":"x",)"
+                   R"("zone":"a","kind":"m","cell":0,"state":"active","started_ms":0}]}})"),
+               protocol::Unreadable);
+}
+
+}  // namespace
+}  // namespace paddletrack::standin
--- a/tests/door_test.cpp
+++ b/tests/door_test.cpp
@@ -411,6 +411,43 @@
   run.inOrder();
 }
 
+TEST(Commands, EnginesAndTheirAddressesAreShownAndSetByHand) {
+  Running run(82);
+  const std::string local = "unix:" + run.site->folder() + "/engine";
+  run.site->executor(0).also(transport::Address(local));
+  run.site->changeLog().tell(
+      {{"s-1", "127.0.82.1:18443", "active", "hall", "std-8", 0, {local, "[::1]:18483", "odd:"}}});
+  EXPECT_TRUE(run.until([&] { return run.log().find("address passed over: 'odd:'") != std::string::npos; }));
+  run.load->begin(0, {Site::lookUps()});
+  for (int each = 0; each < 40; ++each) run.load->send(0, 0);
+  EXPECT_TRUE(run.until([&] { return run.load->books().open == 0; }));
+  EXPECT_GT(run.site->executor(0).askedAt(1), 0U);
+  const std::string door = run.site->door(0);
+  const Command shown(run, {"engines", "-s", door, "s-1"});
+  EXPECT_EQ(shown.code, 0);
+  EXPECT_TRUE(shown.has("good      " + local) && shown.has("unknown   127.0.82.1:18443")) << shown.said;
+  EXPECT_EQ(Command(run, {"engines", "-s", door, "s-9"}).code, 6);
+  EXPECT_EQ(Command(run, {"address", "-s", door, "s-9", local, "--avoid", "10m"}).code, 6);
+  EXPECT_EQ(Command(run, {"address", "-s", door, "s-1", "x", "--avoid", "10m"}).code, 6);
+  EXPECT_GT(Command(run, {"address", "-s", door, "s-1", local}).code, 100);
+  EXPECT_EQ(Command(run, {"address", "-s", door, "s-1", local, "--avoid", "2s"}).code, 0);
+  const Json engines = run.ask({{"do", "engines"}})["engines"];
+  ASSERT_EQ(engines.size(), 4U);
+  EXPECT_EQ(engines[0]["addresses"][1]["state"], "avoided");
+  EXPECT_GT(engines[0]["addresses"][1]["by_hand_left_ms"], 1000);
+  run.site->executor(0).cut();
+  const auto before = run.site->executor(0).askedAt(1);
+  for (int each = 0; each < 40; ++each) run.load->send(0, 0);
+  EXPECT_TRUE(run.until([&] { return run.load->books().open == 0; }));
+  EXPECT_EQ(run.site->executor(0).askedAt(1), before);
+  EXPECT_TRUE(run.until(
+      [&] {
+        return run.ask({{"do", "engines"}})["engines"][0]["addresses"][1]["state"] == "good";
+      },
+      4s));
+  run.inOrder();
+}
+
 TEST(Commands, AJsonLogIsOneObjectALine) {
   Running run(85);
   run.site->controller(0).signal(SIGTERM);
