Addresses: a fleet of a thousand measured, dials counted, families that go and flap tested

Need: the figures that the addresses are held against, and two hard cases without a test: a family that goes for all engines at once, an address that flaps.

--- a/src/reach/reach.cpp
+++ b/src/reach/reach.cpp
@@ -149,6 +149,11 @@
   return false;
 }
 
+bool Routes::failed(const std::string& name) const {
+  return std::any_of(routes_.begin(), routes_.end(),
+                     [&](const Route& each) { return each.name == name && each.badInRow > 0; });
+}
+
 bool Routes::set(Span now, const std::string& name, ByHand what, Span until) {
   Route* route = find(name);
   if (!route) return false;
--- a/src/reach/reach.hpp
+++ b/src/reach/reach.hpp
@@ -73,6 +73,7 @@
              const Terms& terms, double dice);
   // Whether it must show a sign of life before it takes a dispatch: it last accepted and did nothing good.
   bool doubted(const std::string& name) const;
+  bool failed(const std::string& name) const;  // and has not been good since
 
   enum class ByHand { avoid, use, free };
   bool set(Span now, const std::string& name, ByHand what, Span until);  // false: no such address
@@ -113,12 +114,14 @@
  public:
   explicit Dials(std::size_t most) : most_(most) {}
   bool may(std::size_t ofEngine) const;  // one more, for an engine that has so many out
-  void begun() { ++out_; }
+  void begun() { ++out_, ++ever_; }
   void ended() { --out_; }
   std::size_t out() const { return out_; }
+  std::uint64_t ever() const { return ever_; }
 
  private:
   std::size_t most_, out_ = 0;
+  std::uint64_t ever_ = 0;
 };
 
 // A dispatch whose connection has ended.
--- a/src/rig/addresses.cpp
+++ b/src/rig/addresses.cpp
@@ -4,6 +4,9 @@
 #include <unistd.h>
 
 #include <cstdio>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
 
 #include "protocol/settings.hpp"
 #include "rig/rig.hpp"
@@ -186,4 +189,94 @@
   return well && twice == 0 ? 0 : 1;
 }
 
+// A fleet of a thousand: as it was, with one good address each; the same with that address broken in a third;
+// with three addresses each, of which a third are broken, the preferred one in a third of the engines.
+int measureFleet(const std::string& program, const std::string& before, unsigned engines) {
+  struct Variant {
+    const char* name;
+    const std::string& program;
+    int kind;  // 0: one good address; 1: one, broken in a third; 2: three, a third broken
+  };
+  std::vector<Variant> variants;
+  if (!before.empty()) {
+    variants.push_back({"before, one good", before, 0});
+    variants.push_back({"before, a third bad", before, 1});
+  }
+  variants.push_back({"one good", program, 0});
+  variants.push_back({"three, a third bad", program, 2});
+  std::printf("%u engines, 400 jobs a second for 12 s\n\n", engines);
+  std::printf("%-20s %8s %9s %9s %9s %9s %8s %8s\n", "", "jobs", "in time", "p50 ms", "p99 ms", "dials/s",
+              "most fds", "CPU %");
+  for (const Variant& variant : variants) {
+    Loop loop;
+    standin::SiteTerms terms;
+    terms.program = variant.program;
+    terms.net = 74;
+    terms.doors = false;
+    terms.executors = engines;
+    terms.sockets = 4096;
+    const standin::Folder folder;
+    const auto local = [&](unsigned executor) { return folder.path() + "/e" + std::to_string(executor); };
+    terms.listed = [&](standin::ChangeLog::Server& said, unsigned executor, const std::string&) {
+      const std::string dead =
+          "127.0.75." + std::to_string(1 + executor % 200) + ":" + std::to_string(19000 + executor / 200);
+      const bool third = executor % 3 == 0;
+      if (variant.kind == 1 && third) said.address = dead;
+      if (variant.kind != 2) return;
+      said.more = {"unix:" + (third ? folder.path() + "/none" : local(executor)),
+                   executor % 3 == 1 ? "[::1]:1" : dead, said.address};
+      if (third) said.more[1] = said.address;
+    };
+    standin::Site site(loop, loop.unsent, terms);
+    for (unsigned each = 0; variant.kind == 2 && each < engines; ++each)
+      if (each % 3 != 0) site.executor(each).also(Address("unix:" + local(each)));
+    Load load(loop, loop.unsent, site.fronts(), 4);
+    if (!loop.until([&] { return load.inService(0); }, 10s))
+      throw std::runtime_error("the controller does not serve");
+    const std::string process = "/proc/" + std::to_string(site.controller(0).id());
+    const auto cpu = [&] {  // seconds
+      std::ifstream file(process + "/stat");
+      const std::string line((std::istreambuf_iterator<char>(file)), {});
+      std::istringstream words(line.substr(line.rfind(')') + 2));
+      std::string word;
+      double ticks = 0;
+      for (int each = 3; each <= 15 && words >> word; ++each)
+        if (each >= 14) ticks += std::stod(word);
+      return ticks / static_cast<double>(::sysconf(_SC_CLK_TCK));
+    };
+    load.begin(400, {standin::Site::lookUps(9), {"report", "acme", 1, 200ms, 1000ms, 20s}});
+    const double cpuBefore = cpu();
+    const transport::Moment begin = loop.now();
+    std::size_t descriptors = 0;
+    while (loop.now() < begin + 12s) {
+      loop.pass(500ms);
+      const std::filesystem::directory_iterator open(process + "/fd");
+      descriptors = std::max(descriptors, static_cast<std::size_t>(std::distance(
+                                              std::filesystem::begin(open), std::filesystem::end(open))));
+    }
+    const double used = cpu() - cpuBefore;
+    load.end();
+    loop.until([&] { return load.books().open == 0; }, 22s);
+    std::size_t inTime = 0;
+    std::vector<double> times;
+    for (const Load::Job& job : load.jobs()) {
+      if (job.what != Heard::What::done || job.lost) continue;
+      const double ms = milliseconds(job.ended - job.sent);
+      times.push_back(ms);
+      if (ms < (job.kind == 0 ? 600 : 2000)) ++inTime;
+    }
+    std::ifstream file(site.log(0));
+    double dials = 0;  // as its last line of counts has it, of the first ten seconds
+    for (std::string line; std::getline(file, line);)
+      if (const std::size_t at = line.find(" dialled"); at != std::string::npos)
+        dials = std::stod(line.substr(line.rfind(' ', at - 1) + 1));
+    std::printf(
+        "%-20s %8zu %8.2f%% %9.1f %9.1f %9.0f %8zu %8.1f\n", variant.name, load.jobs().size(),
+        100 * static_cast<double>(inTime) / static_cast<double>(std::max<std::size_t>(1, load.jobs().size())),
+        quantile(times, 0.5), quantile(times, 0.99), dials / 10, descriptors, 100 * used / 12);
+    std::fflush(stdout);
+  }
+  return 0;
+}
+
 }  // namespace paddletrack::rig
--- a/src/rig/main.cpp
+++ b/src/rig/main.cpp
@@ -27,6 +27,10 @@
       app.add_subcommand("addresses", "engines with several addresses, one broken in every way");
   addresses->add_option("--jobs", jobs, "for each of 54 cases")->check(CLI::Range(1, 100000));
   std::string before;
+  unsigned engines = 1000;
+  CLI::App* fleet = app.add_subcommand("fleet", "a thousand engines, a third of their addresses broken");
+  fleet->add_option("--engines", engines)->check(CLI::Range(3, 1500));
+  fleet->add_option("--before", before, "an earlier build of the program to compare with");
   CLI::App* cost =
       app.add_subcommand("cost", "instructions a request (callgrind) and memory, with and without the door");
   cost->add_option("--before", before, "an earlier build of the program to compare with");
@@ -39,6 +43,7 @@
     }
     if (drain->parsed()) return measureDrain(program, rounds);
     if (roll->parsed()) return measureRoll(program, rolled);
+    if (fleet->parsed()) return measureFleet(program, before, engines);
     if (addresses->parsed()) return measureAddresses(jobs);
     return measureCost(program, before);
   } catch (const std::exception& error) {
--- a/src/rig/rig.hpp
+++ b/src/rig/rig.hpp
@@ -82,6 +82,7 @@
 int measureDrain(const std::string& program, unsigned rounds);
 int measureRoll(const std::string& program, double perSecond);
 int measureAddresses(unsigned jobs);
+int measureFleet(const std::string& program, const std::string& before, unsigned engines);
 int measureCost(const std::string& program, const std::string& before);
 
 }  // namespace paddletrack::rig
--- a/src/routing/server_side.cpp
+++ b/src/routing/server_side.cpp
@@ -152,7 +152,7 @@
 }
 
 std::string ServerSide::counts() const {
-  return std::to_string(links_.size()) + " connections, " + std::to_string(serials_) + " dialled, " +
+  return std::to_string(links_.size()) + " connections, " + std::to_string(dials_.ever()) + " dialled, " +
          std::to_string(spoilt_) + " spoilt, " + std::to_string(moved_) + " dispatches moved";
 }
 
@@ -177,6 +177,9 @@
   if (several && lesson != reach::Lesson::good)
     say_("address", "executor " + executor.id + " at " + route + ": " + nameOf(lesson),
          {{"engine", executor.id}, {"address", route}}, Level::warning);
+  if (several && lesson == reach::Lesson::good && executor.routes.failed(route))
+    say_("address", "executor " + executor.id + " at " + route + ": good again",
+         {{"engine", executor.id}, {"address", route}});
   executor.routes.learn(clock(), route, lesson, roundTrip, terms_, dice);
 }
 
--- a/src/standin/site.cpp
+++ b/src/standin/site.cpp
@@ -60,17 +60,19 @@
     : terms_(terms), changeLog_(scheduler, unsent, transport::Address(address(250))) {
   std::vector<ChangeLog::Server> servers;
   for (unsigned each = 0; each < terms.executors; ++each) {
-    executors_.push_back(
-        std::make_unique<Executor>(scheduler, unsent, transport::Address(address(1 + each))));
-    servers.push_back({"s-" + std::to_string(each + 1), address(1 + each)});
+    constexpr unsigned kHosts = 190;  // of one port
+    const std::string at = address(1 + each % kHosts, 18443 + each / kHosts);
+    executors_.push_back(std::make_unique<Executor>(scheduler, unsent, transport::Address(at)));
+    servers.push_back({"s-" + std::to_string(each + 1), at});
+    if (terms.listed) terms.listed(servers.back(), each, folder_.path());
   }
   changeLog_.tell(servers, true);
   processes_.resize(terms.controllers);
   for (std::size_t each = 0; each < terms.controllers; ++each) start(each);
 }
 
-std::string Site::address(unsigned host) const {
-  return "127.0." + std::to_string(terms_.net) + "." + std::to_string(host) + ":18443";
+std::string Site::address(unsigned host, unsigned port) const {
+  return "127.0." + std::to_string(terms_.net) + "." + std::to_string(host) + ":" + std::to_string(port);
 }
 
 std::vector<transport::Address> Site::fronts() const {
--- a/src/standin/site.hpp
+++ b/src/standin/site.hpp
@@ -52,6 +52,8 @@
   bool doors = true;
   std::string operatorsFile{};  // more blocks of it
   std::string notice = "300ms";
+  // What the list says of one executor beside its usual address, or in its place.
+  std::function<void(ChangeLog::Server& said, unsigned executor, const std::string& folder)> listed{};
 };
 
 class Site {
@@ -76,7 +78,7 @@
   }
 
  private:
-  std::string address(unsigned host) const;
+  std::string address(unsigned host, unsigned port = 18443) const;
   std::string configuration(std::size_t controller) const;
 
   const SiteTerms terms_;
--- a/tests/address_test.cpp
+++ b/tests/address_test.cpp
@@ -254,6 +254,45 @@
   EXPECT_TRUE(front.until([&] { return front.job(0) > 0 && front.last == Heard::What::done; }, 8000ms));
 }
 
+// One family goes for all engines at once: each pays one refusal or one stagger, none is left out, and what
+// came before on the others goes on.
+TEST(Addresses, AFamilyThatGoesForAllEnginesAtOnce) {
+  Front front;
+  std::vector<std::unique_ptr<Executor>> executors;
+  for (int each = 1; each <= 6; ++each) {
+    const std::string four = "127.0.84." + std::to_string(10 + each) + ":18443",
+                      local = front.local + std::to_string(each);
+    executors.push_back(std::make_unique<Executor>(front, front.unsent, Address(four)));
+    executors.back()->also(Address(local));
+    front.list({local, four}, "s-" + std::to_string(each), false);
+  }
+  for (int each = 0; each < 30; ++each) front.client.send(2, 0);
+  EXPECT_TRUE(front.until([&] { return front.client.books().open == 0; }, 1000ms));
+  for (const auto& each : executors) each->close(1);
+  for (int each = 0; each < 60; ++each) front.client.send(2, 0);
+  EXPECT_TRUE(front.until([&] { return front.client.books().open == 0; }, 1000ms));
+  EXPECT_EQ(front.client.books().answers[0], 90U) << front.log;
+  for (const auto& each : executors) EXPECT_EQ(each->ranTwice(), 0U);
+}
+
+// Up and down faster than what is known of it fades: no job pays more than a stagger, none is lost.
+TEST(Addresses, OneThatFlapsCostsNoJob) {
+  Front front;
+  Executor executor(front, front.unsent, Address(front.four));
+  front.list({front.local, front.four});
+  for (int each = 0; each < 30; ++each) {
+    std::optional<Executor> flapping;
+    if (each % 2 == 0) flapping.emplace(front, front.unsent, Address(front.local));
+    EXPECT_LT(front.job(0), 60) << each;
+    EXPECT_EQ(front.last, Heard::What::done) << each << front.log;
+    flapping.reset();
+    ::unlink(front.local.substr(5).c_str());
+    if (each % 3 == 0) executor.cut();
+    front.pass(20ms);
+  }
+  EXPECT_EQ(front.client.books().lost + front.client.books().doubled, 0U);
+}
+
 TEST(Addresses, FormsThatAreNotKnownAreNamedAndTheRestServes) {
   Front front;
   std::ofstream(front.local.substr(5)) << "no socket";
--- a/tests/operating_test.cpp
+++ b/tests/operating_test.cpp
@@ -106,6 +106,11 @@
   EXPECT_EQ(wrong("door { socket = \"run/x\" }"),
             "f:1:17: door.socket: 'unix:run/x': a path from the root is wanted");
   EXPECT_EQ(wrong("door { line = \"1GiB\" }"), "f:1:15: door.line: from 256B to 1MiB is expected");
+  EXPECT_EQ(wrong("reach { prefer = [\"unix\", \"ipv4\"] }"),
+            "f:1:18: reach.prefer: a list of \"unix\", \"ipv6\" and \"ipv4\", each once, is expected");
+  EXPECT_EQ(wrong("reach { prefer = [\"unix\", \"ipv4\", \"ipv5\"] }"),
+            "f:1:18: reach.prefer: a list of \"unix\", \"ipv6\" and \"ipv4\", each once, is expected");
+  EXPECT_EQ(wrong("reach { prefer = [\"ipv4\", \"unix\", \"ipv6\"] }"), "");
   EXPECT_EQ(wrong("log { level = \"loud\" }"),
             "f:1:15: log.level: 'loud': \"debug\", \"info\", \"warning\" or \"error\" is expected");
   EXPECT_EQ(wrong("log {\n  topic {}\n}"),
