Addresses: nothing moves to an engine that drains, racing dials count as connections

Change: fateOf asks whether the engine still takes dispatches; what a dial holds is not written to an engine that drains by then; dials beside the first count against the connections. Two tests, which fail without.

--- a/src/reach/reach.cpp
+++ b/src/reach/reach.cpp
@@ -202,7 +202,7 @@
 // has ended.
 Fate fateOf(const Parted& parted, std::size_t addresses, const Terms& terms) {
   if (parted.whole) return parted.spoilt ? Fate::spoilt : Fate::reset;
-  const bool ways = parted.moved + 1 < addresses;
+  const bool ways = parted.wanted && parted.moved + 1 < addresses;  // to one that drains nothing goes anew
   return ways && parted.left > parts(terms.dial, kLeastLeft) ? Fate::goesOn : Fate::unreachable;
 }
 
--- a/src/reach/reach.hpp
+++ b/src/reach/reach.hpp
@@ -128,6 +128,7 @@
 struct Parted {
   bool whole = false;   // the kernel took all of its bytes: its executor may have it
   bool spoilt = false;  // the connection was ended here, for what came over it
+  bool wanted = true;   // its engine still takes new dispatches
   unsigned moved = 0;   // ways it has gone before
   Span left{0};         // of its job's time
 };
--- a/src/routing/server_side.cpp
+++ b/src/routing/server_side.cpp
@@ -83,7 +83,7 @@
   }
   if ((best && best->load() == 0) || (silent && proving)) return best;
   if (best && links_.size() >= bounds_.links - bounds_.links / kSpareParts) return best;
-  if (links_.size() >= bounds_.links) {
+  if (links_.size() + beside_ >= bounds_.links) {
     say_("descriptors", "no connection is left for another dispatch", {{"engine", executor.id}},
          Level::warning);
     return nullptr;
@@ -213,19 +213,23 @@
 // One way tried in a race: a dial and, where it is doubted, a sign of life. What it has out is given back
 // with it, however it ends.
 struct ServerSide::Attempt {
-  Attempt(Executor& to, reach::Dials& all, std::string name, Span now)
-      : executor(to), dials(all), route(std::move(name)), begun(now) {
+  // `others` counts those beside the first of a race: each holds a descriptor that no link stands for.
+  Attempt(Executor& to, reach::Dials& all, std::size_t* others, std::string name, Span now)
+      : executor(to), dials(all), beside(others), route(std::move(name)), begun(now) {
     ++executor.dialling;
     dials.begun();
+    if (beside) ++*beside;
   }
   Attempt(const Attempt&) = delete;
   Attempt& operator=(const Attempt&) = delete;
   ~Attempt() {
     --executor.dialling;
     dials.ended();
+    if (beside) --*beside;
   }
   Executor& executor;
   reach::Dials& dials;
+  std::size_t* const beside;
   const std::string route;
   const Span begun;
   Span roundTrip{0};
@@ -309,14 +313,18 @@
       race.failed(clock());
       each = attempts.erase(each);
     }
-    const reach::Race::Act act = race.look(clock(), dials_.may(executor.dialling));
+    const reach::Race::Act act =
+        race.look(clock(), dials_.may(executor.dialling) && links_.size() + beside_ < bounds_.links);
     if (act.over) {
       for (const Attempt& each : attempts)
         learn(executor, each.route, each.connection ? reach::Lesson::silent : reach::Lesson::noAnswer);
       co_return false;
     }
     if (act.dial) {
-      dialling.spawn(attempt(link, attempts.emplace_back(executor, dials_, *act.dial, clock()), race, ended));
+      dialling.spawn(attempt(
+          link,
+          attempts.emplace_back(executor, dials_, attempts.empty() ? nullptr : &beside_, *act.dial, clock()),
+          race, ended));
       continue;
     }
     co_await ended.wait(transport::Moment(transport::Clock::duration(act.next)));
@@ -337,7 +345,8 @@
 
 transport::Task<> ServerSide::work(Link& link) {
   const bool up = co_await reachOut(link);
-  if (!up) co_return;
+  // While it was dialled its executor may have begun to drain: what it holds never left, and does not now.
+  if (!up || (!link.executor.listed && link.load() > 0)) co_return;
   prove(link);
   for (;;) {
     read(link);
@@ -472,8 +481,9 @@
   for (Sending* each : link.held) ends.emplace_back(each, reach::Fate::unreachable);
   for (const auto& [id, each] : link.open) {
     const Span left = std::chrono::duration_cast<Span>(each->until - scheduler_.now());
-    ends.emplace_back(each, reach::fateOf({each->wholeAt <= written, link.spoilt, each->moved, left},
-                                          executor.routes.all().size(), terms_));
+    ends.emplace_back(
+        each, reach::fateOf({each->wholeAt <= written, link.spoilt, executor.listed, each->moved, left},
+                            executor.routes.all().size(), terms_));
   }
   for (const auto& [each, fate] : ends) each->link = nullptr;
   links_.erase(link.place);
--- a/src/routing/server_side.hpp
+++ b/src/routing/server_side.hpp
@@ -110,6 +110,7 @@
   std::uint64_t serials_ = 0, spoilt_ = 0, moved_ = 0;
   reach::Terms terms_;
   reach::Dials dials_;
+  std::size_t beside_ = 0;  // dials out beside the first of their races
   std::minstd_rand dice_;
   std::list<Link> links_;
   std::vector<Sending*> unplaced_;  // no descriptor was left for them
--- a/tests/address_test.cpp
+++ b/tests/address_test.cpp
@@ -4,6 +4,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <filesystem>
 #include <fstream>
 
 #include "protocol/settings.hpp"
@@ -28,10 +29,11 @@
                      {"keyed", "", 1, 1ms, 1ms, 4000ms},
                      {"once", "", 1, 1ms, 1ms, 4000ms}});
   }
-  void list(const std::vector<std::string>& addresses, const std::string& id = "s-1", bool whole = true) {
+  void list(const std::vector<std::string>& addresses, const std::string& id = "s-1", bool whole = true,
+            paddletrack::Standing standing = paddletrack::Standing::ready) {
     protocol::Change change;
     change.whole = whole;
-    protocol::Entry entry{id, addresses.front(), "a", "m", 0, Standing::ready, 0};
+    protocol::Entry entry{id, addresses.front(), "a", "m", 0, standing, 0};
     entry.more = addresses;
     change.entries.push_back(entry);
     desk.listed(change);
@@ -254,6 +256,49 @@
   EXPECT_TRUE(front.until([&] { return front.job(0) > 0 && front.last == Heard::What::done; }, 8000ms));
 }
 
+// Rule 3: what waits for a dial, or for another way, does not reach an engine that drains by then.
+TEST(Addresses, NothingGoesAnotherWayToAnEngineThatDrains) {
+  for (const bool dialling : {true, false}) {
+    Front front;
+    std::optional<Mute> mute;
+    if (dialling) mute.emplace(front.six);
+    Executor executor(front, front.unsent, Address(front.four));
+    const std::string first = dialling ? front.six : front.local;
+    if (!dialling) executor.fail(executor.also(Address(front.local)), Fault::deaf);
+    front.client.begin(0, {{"once", "", 1, 1ms, 1ms, 4000ms, std::string(dialling ? 10 : 5 << 20, 'x')}});
+    front.list({first, front.four});
+    front.client.send(0, 0);
+    front.until([&] { return front.desk.dispatchesOut() > 0; }, 500ms);
+    front.pass(5ms);
+    front.list({first, front.four}, "s-1", false, paddletrack::Standing::draining);
+    front.until([&] { return front.client.books().open == 0; }, 4500ms);
+    EXPECT_EQ(front.client.jobs()[0].what, Heard::What::throttled) << front.log;
+    EXPECT_EQ(executor.asked(), 0U);
+  }
+}
+
+// Descriptors: dials beside the first of a race count as connections do.
+TEST(Addresses, RacesKeepToTheDescriptors) {
+  Front front;
+  const Mute mute(front.six);
+  Executor executor(front, front.unsent, Address(front.four));
+  std::vector<std::string> all{front.six, front.four};
+  for (int each = 1; each <= 6; ++each) front.list(all, "s-" + std::to_string(each), false);
+  const auto open = [] {
+    std::size_t count = 0;
+    for (const auto& each : std::filesystem::directory_iterator("/proc/self/fd"))
+      count += each.path().empty() ? 0 : 1;
+    return count;
+  };
+  front.job(0);
+  const std::size_t before = open();
+  std::size_t most = 0;
+  for (int each = 0; each < 90; ++each) front.client.send(0, 0);
+  front.until([&] { return most = std::max(most, open()), front.client.books().open == 0; }, 6000ms);
+  EXPECT_EQ(front.client.books().lost + front.client.books().doubled, 0U);
+  EXPECT_LE(most, before + 2 * 40 + 10);  // both ends of 40 connections, and the clients'
+}
+
 // One family goes for all engines at once: each pays one refusal or one stagger, none is left out, and what
 // came before on the others goes on.
 TEST(Addresses, AFamilyThatGoesForAllEnginesAtOnce) {
--- a/tests/reach_test.cpp
+++ b/tests/reach_test.cpp
@@ -152,13 +152,14 @@
 }
 
 TEST(Fate, TheBorderIsTheKernel) {
-  EXPECT_EQ(fateOf({true, false, 0, 5s}, 3, kTerms), Fate::reset);
-  EXPECT_EQ(fateOf({true, true, 0, 5s}, 3, kTerms), Fate::spoilt);
-  EXPECT_EQ(fateOf({false, false, 0, 5s}, 3, kTerms), Fate::goesOn);
-  EXPECT_EQ(fateOf({false, true, 1, 5s}, 3, kTerms), Fate::goesOn);
-  EXPECT_EQ(fateOf({false, false, 2, 5s}, 3, kTerms), Fate::unreachable);
-  EXPECT_EQ(fateOf({false, false, 0, 40ms}, 3, kTerms), Fate::unreachable);
-  EXPECT_EQ(fateOf({false, false, 0, 5s}, 1, kTerms), Fate::unreachable);  // as with one address ever
+  EXPECT_EQ(fateOf({true, false, true, 0, 5s}, 3, kTerms), Fate::reset);
+  EXPECT_EQ(fateOf({true, true, true, 0, 5s}, 3, kTerms), Fate::spoilt);
+  EXPECT_EQ(fateOf({false, false, true, 0, 5s}, 3, kTerms), Fate::goesOn);
+  EXPECT_EQ(fateOf({false, true, true, 1, 5s}, 3, kTerms), Fate::goesOn);
+  EXPECT_EQ(fateOf({false, false, true, 2, 5s}, 3, kTerms), Fate::unreachable);
+  EXPECT_EQ(fateOf({false, false, false, 0, 5s}, 3, kTerms), Fate::unreachable);  // it drains
+  EXPECT_EQ(fateOf({false, false, true, 0, 40ms}, 3, kTerms), Fate::unreachable);
+  EXPECT_EQ(fateOf({false, false, true, 0, 5s}, 1, kTerms), Fate::unreachable);  // as with one address ever
 }
 
 // Every order of what can happen to one dispatch over three addresses, eleven steps deep: dials that come up
@@ -250,7 +251,8 @@
   }
   void part(World world, int depth) {
     world.routes.learn(world.now, *world.on, Lesson::resetEarly, {}, kTerms, 0.5);
-    const Fate fate = fateOf({world.written, false, world.moved, 5s}, world.routes.all().size(), kTerms);
+    const Fate fate =
+        fateOf({world.written, false, true, world.moved, 5s}, world.routes.all().size(), kTerms);
     ASSERT_EQ(world.written, fate == Fate::reset);
     world.on.reset();
     if (fate == Fate::goesOn) {
