Dispatches that go another way are on it before any end is told

Cause, by reading: when a connection was lost, ends were told one by one and moves made between them. What an end sets off in the decision module (a rescue) may withdraw a dispatch that is about to be moved; it was then sent all the same, and its exchange could end while the connection still referred to it. Also a dial to an address that had left the list meanwhile could take the dispatches held for it.

Change: all moves first, then the ends; a dial whose address has gone counts as failed.

--- a/src/routing/server_side.cpp
+++ b/src/routing/server_side.cpp
@@ -249,7 +249,8 @@
     transport::Dialled dialled =
         co_await transport::dial(scheduler_, at->second, scheduler_.now() + bounds_.dialTimeout);
     made.roundTrip = clock() - made.begun;
-    if (dialled.descriptor) {
+    // It may have left the list while it was dialled: nothing new goes there.
+    if (dialled.descriptor && executor.addresses.count(made.route) > 0) {
       made.connection = std::make_unique<Connection>(scheduler_, std::move(dialled.descriptor), kUsualInput,
                                                      kMostInput, unsent_);
       const auto& all = executor.links;
@@ -265,7 +266,7 @@
           made.connection.reset();
         }
       }
-    } else {
+    } else if (!dialled.descriptor) {
       if (dialled.error == ETIMEDOUT) made.lesson = reach::Lesson::noAnswer;
       say_("dial", "executor " + executor.id + ": no connection: " + std::strerror(dialled.error),
            {{"engine", executor.id}, {"address", made.route}}, Level::warning);
@@ -296,7 +297,6 @@
       link.route = up->route;
       link.roundTrip = up->roundTrip;
       link.connection = std::move(up->connection);
-      if (executor.addresses.count(link.route) == 0) link.retired = true;  // it has left the list meanwhile
       if (up->spoke) heard(link);
       // One that began well before and is not up has been slower than a stagger.
       for (const Attempt& each : attempts)
@@ -487,14 +487,16 @@
   }
   for (const auto& [each, fate] : ends) each->link = nullptr;
   links_.erase(link.place);
+  // Those that go on are on their way before any end is told: what that sets off may give them up again.
   for (const auto& [each, fate] : ends) {
-    if (fate == reach::Fate::goesOn) {
-      ++each->moved;
-      ++moved_;
-      each->wholeAt = 0;
-      send(*each);
-      continue;
-    }
+    if (fate != reach::Fate::goesOn) continue;
+    ++each->moved;
+    ++moved_;
+    each->wholeAt = 0;
+    send(*each);
+  }
+  for (const auto& [each, fate] : ends) {
+    if (fate == reach::Fate::goesOn) continue;
     ends_.ended(*each, fate == reach::Fate::reset    ? Outcome::reset
                        : fate == reach::Fate::spoilt ? Outcome::spoilt
                                                      : Outcome::unreachable);
