Thrift's client side beside the server's, one scripted executor, one loop for tests and rig

Cause: the stand-ins wrote Thrift a second time, with a reader of their own; the routing tests kept a second scripted executor; a test loop, a mute listener and UTF-8 stood twice.

Change: protocol/thrift reads and writes both sides on one reader (the gateway needs the client's side too); Executor takes a test's raw script, Peer is gone; standin/loop.hpp and base/utf8.hpp; scripts and counters nobody used are out.

--- a/examples/ask.cpp
+++ b/examples/ask.cpp
@@ -4,12 +4,11 @@
 #include <random>
 
 #include "protocol/thrift.hpp"
-#include "standin/words.hpp"
 #include "transport/connection.hpp"
 
 using namespace paddletrack;
 using namespace std::chrono_literals;
-using standin::Heard;
+using Heard = protocol::thrift::Reply;
 
 namespace {
 
@@ -46,7 +45,8 @@
         connection.input().expect(whole);
         continue;
       }
-      code = told(standin::read(connection.input().view().substr(protocol::thrift::kFrameHead, *length)));
+      code = told(protocol::thrift::readReply(
+          connection.input().view().substr(protocol::thrift::kFrameHead, *length)));
     }
   }
   if (code < 0) std::fputs("no answer\n", stderr);
@@ -72,7 +72,7 @@
     });
     running.spawn(ask(
         scheduler, transport::Address(argv[1]),
-        standin::submit(
+        protocol::thrift::submit(
             1, {{"service", argv[2]}, {"ref", reference}, {"allow", "3000"}, {"project", argv[3]}}, argv[4]),
         code));
     scheduler.run();
--- a/src/hcl/hcl.cpp
+++ b/src/hcl/hcl.cpp
@@ -6,6 +6,8 @@
 #include <cmath>
 #include <cstdint>
 
+#include "base/utf8.hpp"
+
 namespace paddletrack::hcl {
 namespace {
 
@@ -20,19 +22,6 @@
   return std::string("the byte 0x") + kHex[byte >> 4] + kHex[byte & 15];
 }
 
-void putUtf8(std::string& out, std::uint32_t code) {
-  const auto tail = [&](int shift) { out += static_cast<char>(0x80 | (code >> shift & 0x3f)); };
-  if (code < 0x80) {
-    out += static_cast<char>(code);
-  } else if (code < 0x800) {
-    out += static_cast<char>(0xc0 | code >> 6), tail(0);
-  } else if (code < 0x10000) {
-    out += static_cast<char>(0xe0 | code >> 12), tail(6), tail(0);
-  } else {
-    out += static_cast<char>(0xf0 | code >> 18), tail(12), tail(6), tail(0);
-  }
-}
-
 class Reader {
  public:
   explicit Reader(std::string_view text) : text_(text) {
--- a/src/protocol/json.cpp
+++ b/src/protocol/json.cpp
@@ -4,6 +4,8 @@
 #include <charconv>
 #include <cmath>
 
+#include "base/utf8.hpp"
+
 namespace paddletrack::protocol {
 namespace {
 
@@ -146,7 +148,7 @@
         } else if (code >= 0xdc00 && code < 0xe000) {
           fail("half a surrogate pair");
         }
-        utf8(read, code);
+        putUtf8(read, code);
       } else if (const std::size_t which = kEscapes.find(escaped); which != std::string_view::npos) {
         read += kMeant[which];
       } else {
@@ -157,19 +159,6 @@
     return read;
   }
 
-  static void utf8(std::string& out, unsigned code) {
-    const auto tail = [&](int shift) { out += static_cast<char>(0x80 | (code >> shift & 0x3f)); };
-    if (code < 0x80) {
-      out += static_cast<char>(code);
-    } else if (code < 0x800) {
-      out += static_cast<char>(0xc0 | code >> 6), tail(0);
-    } else if (code < 0x10000) {
-      out += static_cast<char>(0xe0 | code >> 12), tail(6), tail(0);
-    } else {
-      out += static_cast<char>(0xf0 | code >> 18), tail(12), tail(6), tail(0);
-    }
-  }
-
   std::string_view text_;
   std::size_t at_ = 0;
 };
--- a/src/protocol/thrift.cpp
+++ b/src/protocol/thrift.cpp
@@ -1,5 +1,6 @@
 #include "protocol/thrift.hpp"
 
+#include <charconv>
 #include <utility>
 
 #include "base/big_endian.hpp"
@@ -104,19 +105,6 @@
   put(out, id, 2);
 }
 
-// A frame whose length is filled in at the end; `outside` counts bytes that follow it in other pieces.
-std::string message(std::string_view method, Kind kind, std::int32_t sequence, std::string_view body,
-                    std::size_t outside = 0) {
-  std::string out;
-  const std::size_t length = 4 + 4 + method.size() + 4 + body.size();
-  out.reserve(kFrameHead + length);
-  put(out, length + outside, 4);
-  put(out, kStrict | static_cast<std::uint32_t>(kind), 4);
-  put(out, method);
-  put(out, static_cast<std::uint32_t>(sequence), 4);
-  return out += body;
-}
-
 std::string emptyMap() {
   std::string out;
   put(out, kString, 1);
@@ -125,6 +113,18 @@
   return out;
 }
 
+// Each pair of a map of texts.
+template <typename Each>
+void eachField(Reader& in, Each each) {
+  const std::uint8_t key = in.u8(), value = in.u8();
+  const std::uint32_t count = in.counted();
+  if (count > 0 && (key != kString || value != kString)) throw Unreadable("fields: text is wanted");
+  for (std::uint32_t left = count; left > 0; --left) {
+    const std::string_view name = in.text();
+    each(name, in.text());
+  }
+}
+
 const std::string& tailOf(bool good) {
   static const auto made = [](bool value) {
     std::string out;
@@ -195,22 +195,18 @@
   while (const std::uint8_t type = in.u8()) {
     const std::uint16_t id = in.u16();
     if (id == 1 && type == kMap) {
-      const std::uint8_t key = in.u8(), value = in.u8();
-      const std::uint32_t count = in.counted();
-      if (count > 0 && (key != kString || value != kString)) throw Unreadable("fields: text is wanted");
-      for (std::uint32_t left = count; left > 0; --left) {
-        const std::string_view name = in.text(), said = in.text();
+      eachField(in, [&](std::string_view name, std::string_view said) {
         for (const auto& [known, kept] : {std::pair("service", &read.type),
-                                           {"ref", &read.reference},
-                                           {"allow", &read.allow},
-                                           {"project", &read.customer},
-                                           {"effort", &read.effort},
-                                           {"ram", &read.memory}}) {
+                                          {"ref", &read.reference},
+                                          {"allow", &read.allow},
+                                          {"project", &read.customer},
+                                          {"effort", &read.effort},
+                                          {"ram", &read.memory}}) {
           if (name != known) continue;
           if (said.empty() || !kept->empty()) throw Unreadable("fields: each has one value");
           *kept = said;
         }
-      }
+      });
     } else if (id == 2 && type == kString && !body) {
       read.statement = in.text();
       body = true;
@@ -239,6 +235,85 @@
   return *read;
 }
 
+std::string message(std::string_view method, Kind kind, std::int32_t sequence, std::string_view body,
+                    std::size_t outside) {
+  std::string out;
+  const std::size_t length = 4 + 4 + method.size() + 4 + body.size();
+  out.reserve(kFrameHead + length);
+  put(out, length + outside, 4);
+  put(out, kStrict | static_cast<std::uint32_t>(kind), 4);
+  put(out, method);
+  put(out, static_cast<std::uint32_t>(sequence), 4);
+  return out += body;
+}
+
+std::string submit(std::int32_t sequence, const Fields& fields, std::string_view statement) {
+  std::string out;
+  field(out, kMap, 1);
+  put(out, kString, 1);
+  put(out, kString, 1);
+  put(out, fields.size(), 4);
+  for (const auto& [name, value] : fields)
+    put(out, std::string_view(name)), put(out, std::string_view(value));
+  field(out, kString, 2);
+  put(out, statement);
+  put(out, kStop, 1);
+  return message("submit", Kind::call, sequence, out);
+}
+
+std::string revoke(std::int32_t open) {
+  std::string out;
+  field(out, kI32, 1);
+  put(out, static_cast<std::uint32_t>(open), 4);
+  put(out, kStop, 1);
+  return message("revoke", Kind::oneway, 0, out);
+}
+
+std::string heartbeatCall(std::int32_t sequence) {
+  return message("heartbeat", Kind::call, sequence, std::string(1, kStop));
+}
+
+Reply readReply(std::string_view frame) {
+  const Message message = readMessage(frame);
+  Reply reply;
+  reply.sequence = message.sequence;
+  Reader in(message.arguments);
+  const std::uint8_t outer = in.u8();
+  const std::uint16_t result = outer == kStop ? 0 : in.u16();
+  if (message.kind == Kind::exception) {
+    if (outer == kString) reply.body = std::string(in.text());
+    return reply;
+  }
+  if (outer != kStruct || result > 2) throw Unreadable("an answer without a result");
+  bool good = false;
+  while (const std::uint8_t type = in.u8()) {
+    const std::uint16_t id = in.u16();
+    if (result == 0 && id == 1 && type == kString) {
+      reply.body = std::string(in.text());
+    } else if (result == 0 && id == 3 && type == kBool) {
+      good = in.u8() != 0;
+    } else if (result > 0 && id == 1 && type == kMap) {
+      eachField(in, [&](std::string_view name, std::string_view value) {
+        std::int64_t wait = 0;
+        const auto [end, error] = std::from_chars(value.data(), value.data() + value.size(), wait);
+        if (name != "cooldown") return;
+        if (error != std::errc{} || end != value.data() + value.size())
+          throw Unreadable("cooldown: '" + std::string(value.substr(0, 20)) + "' can't be used");
+        reply.comeBackMs = wait;
+      });
+    } else {
+      in.skip(type);
+    }
+  }
+  const bool beat = message.method == "heartbeat";
+  reply.what = result == 1   ? Reply::What::throttled
+               : result == 2 ? Reply::What::cancelled
+               : !good       ? Reply::What::bad
+               : beat        ? Reply::What::good
+                             : Reply::What::done;
+  return reply;
+}
+
 std::string answerHead(std::int32_t sequence, std::size_t body) {
   return message("submit", Kind::reply, sequence, answerBegin(body), body + tailOf(true).size());
 }
--- a/src/protocol/thrift.hpp
+++ b/src/protocol/thrift.hpp
@@ -4,6 +4,8 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
+#include <vector>
 
 #include "protocol/json.hpp"
 
@@ -42,6 +44,29 @@
   protocol = 7
 };
 
+// A whole frame; `outside` counts bytes of its body that follow in other pieces.
+std::string message(std::string_view method, Kind kind, std::int32_t sequence, std::string_view body,
+                    std::size_t outside = 0);
+
+// ---- as a client writes and reads -----------------------------------------------------------------------
+
+using Fields = std::vector<std::pair<std::string, std::string>>;
+std::string submit(std::int32_t sequence, const Fields& fields, std::string_view statement);
+std::string revoke(std::int32_t open);
+std::string heartbeatCall(std::int32_t sequence);
+
+// What a controller answered.
+struct Reply {
+  enum class What { done, throttled, cancelled, exception, good, bad };  // the last two: a heartbeat
+  What what = What::exception;
+  std::int32_t sequence = 0;
+  std::string body;  // the rows, or an exception's text
+  std::optional<std::int64_t> comeBackMs;
+};
+Reply readReply(std::string_view frame);
+
+// ---- as a controller writes -----------------------------------------------------------------------------
+
 // Whole frames but for the first: an Answer's body of so many bytes belongs between its head and its tail.
 std::string answerHead(std::int32_t sequence, std::size_t body);
 std::string_view answerTail();
--- a/src/rig/addresses.cpp
+++ b/src/rig/addresses.cpp
@@ -65,24 +65,6 @@
   return lines;
 }
 
-struct Mute {
-  explicit Mute(const Address& at) {
-    const int listening = ::socket(at.family(), SOCK_STREAM | SOCK_CLOEXEC, 0), on = 1;
-    ::setsockopt(listening, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-    if (::bind(listening, at.raw(), at.length()) != 0 || ::listen(listening, 0) != 0)
-      throw std::runtime_error("no mute listener");
-    sockets.push_back(listening);
-    for (int each = 0; each < 4; ++each) {
-      sockets.push_back(::socket(at.family(), SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
-      (void)!::connect(sockets.back(), at.raw(), at.length());
-    }
-  }
-  ~Mute() {
-    for (const int each : sockets) ::close(each);
-  }
-  std::vector<int> sockets;
-};
-
 // The bad address comes first in the list and in the preference; its family is one of three, the good one
 // another.
 struct Case {
@@ -103,7 +85,7 @@
   const std::string bad = names[static_cast<std::size_t>(one.family)],
                     good = names[(static_cast<std::size_t>(one.family) + 1) % 3];
   Executor executor(front, front.unsent, Address(good));
-  std::optional<Mute> mute;
+  std::optional<standin::Mute> mute;
   if (one.broken == Broken::noAnswer && one.family != 0) {
     mute.emplace(Address(bad));
   } else if (one.broken != Broken::refused && one.broken != Broken::noAnswer) {
--- a/src/rig/rig.hpp
+++ b/src/rig/rig.hpp
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "standin/loop.hpp"
 #include "standin/site.hpp"
 
 namespace paddletrack::rig {
@@ -14,19 +15,7 @@
 using Json = nlohmann::json;
 using namespace std::chrono_literals;
 
-struct Loop : transport::Scheduler {
-  void pass(std::chrono::milliseconds time) {
-    transport::Call end(*this, [this] { stop(); });
-    end.at(now() + time);
-    run();
-  }
-  bool until(const std::function<bool()>& done, std::chrono::milliseconds most) {
-    for (const transport::Moment end = now() + most; now() < end; pass(1ms))
-      if (done()) return true;
-    return done();
-  }
-  transport::Unsent unsent{256 << 20, 0};
-};
+using standin::Loop;
 
 // A door that answers, with the moment at which each state was first told.
 class Operator {
--- a/src/standin/executor.cpp
+++ b/src/standin/executor.cpp
@@ -35,11 +35,8 @@
     const std::size_t mark = std::min(word.find('='), word.size());
     const std::string_view name = word.substr(0, mark), value = word.substr(std::min(mark + 1, word.size()));
     if (name == "ms") script.after = milliseconds(number(value));
-    if (name == "page_ms") script.pageAfter = milliseconds(number(value));
     if (name == "pages") script.pages = number(value);
     if (name == "answer") script.answer = value;
-    if (name == "silent") script.silent = true;
-    if (name == "reset") script.reset = true;
     if (name == "half") script.half = true;
   }
   return script;
@@ -53,6 +50,7 @@
         connection_(executor.scheduler_, std::move(accepted), 16 * 1024, kLongest + 4096, executor.unsent_),
         working_(executor.scheduler_, [](const char*) {}) {
     executor_.sessions_.insert(this);
+    if (executor_.raw) executor_.connections.push_back(&connection_);
   }
   ~Session() {
     executor_.sessions_.erase(this);
@@ -67,10 +65,6 @@
       if (place_.fault == Fault::deaf) co_await executor_.scheduler_.sleepUntil(transport::Moment::max());
       const bool more = co_await connection_.receive();
       if (!more) co_return;
-      while (executor_.deaf) {
-        co_await executor_.scheduler_.sleepUntil(executor_.scheduler_.now() + milliseconds(5));
-        if (connection_.end() != transport::Connection::End::none) co_return;
-      }
       transport::Inbox& input = connection_.input();
       for (;;) {
         const Array array = protocol::resp::read(input.view(), kLongest);
@@ -88,17 +82,21 @@
  private:
   void command(const Array& array) {
     const std::string word(array.words[0]), id(array.words[1]);
-    if (word == "NOOP") return say({id, "alive", "-", ""});
+    if (executor_.raw) {
+      word == "NOOP" ? void(++executor_.noops) : void(executor_.heard += word + " ");
+      if (word == "NEXT") executor_.heard += std::string(array.words[2]) + " ";
+      return executor_.raw(executor_, connection_, word, id);
+    }
+    if (word == "NOOP") return say(connection_, {id, "alive", "-", ""});
     if (word == "ASK") return ask(id, array.words[3]);
     const auto at = scripts_.find(id);
     if (word == "QUIT" || word == "FREE") {
       if (at == scripts_.end()) return;
-      if (word == "QUIT") ++executor_.quit_;
       executor_.open_.erase({this, id});
       scripts_.erase(at);
     } else if (word == "NEXT") {
-      if (at == scripts_.end()) return say({id, "500", "-", ""});
-      if (!at->second.half) working_.spawn(page(id, number(array.words[2]), at->second.pageAfter));
+      if (at == scripts_.end()) return say(connection_, {id, "500", "-", ""});
+      if (!at->second.half) page(id, number(array.words[2]));
     }
   }
 
@@ -108,7 +106,6 @@
     Script script = scriptOf(statement);
     if (executor_.over) executor_.over(script, id);
     ++executor_.asked_;
-    executor_.times_.emplace(id, 0);
     executor_.open_.emplace(this, id);
     scripts_[id] = script;
     working_.spawn(work(id, std::move(script)));
@@ -122,40 +119,29 @@
       ++executor_.ran_;
       if (++executor_.times_[id] == 2) ++executor_.ranTwice_;
     }
-    if (script.silent) co_return;
-    if (script.reset) {
-      connection_.shut();
-      co_return;
-    }
     if (place_.fault == Fault::halfAnswer) {
       connection_.send({transport::Slice::lasting("*4\r\n$16\r\n")});
       co_return;
     }
     if (script.answer == "200") {
-      say({id, "200", "batches=" + std::to_string(script.pages), rows(id, 0)});
+      say(connection_, {id, "200", "batches=" + std::to_string(script.pages), rows(id, 0)});
       if (script.pages > 1) co_return;  // it keeps them until they are fetched
     } else {
-      say({id, script.answer, "-", ""});
+      say(connection_, {id, script.answer, "-", ""});
     }
     executor_.open_.erase({this, id});
     scripts_.erase(id);
   }
 
-  transport::Task<> page(std::string id, unsigned number, milliseconds after) {
-    if (after > milliseconds(0)) co_await executor_.scheduler_.sleepUntil(executor_.scheduler_.now() + after);
+  void page(const std::string& id, unsigned number) {
     const auto at = scripts_.find(id);
-    if (at == scripts_.end()) co_return;
-    say({id, "chunk", "batch=" + std::to_string(number), rows(id, number)});
-    if (++sent_[id] + 1 < at->second.pages) co_return;
+    say(connection_, {id, "chunk", "batch=" + std::to_string(number), rows(id, number)});
+    if (++sent_[id] + 1 < at->second.pages) return;
     sent_.erase(id);
     executor_.open_.erase({this, id});
     scripts_.erase(at);
   }
 
-  void say(std::initializer_list<std::string_view> words) {
-    connection_.send({transport::Slice(protocol::resp::array(words))});
-  }
-
   Executor& executor_;
   Place& place_;
   transport::Connection connection_;
@@ -170,6 +156,10 @@
   also(address);
 }
 
+void Executor::say(transport::Connection& to, std::initializer_list<std::string_view> words) {
+  to.send({transport::Slice(protocol::resp::array(words))});
+}
+
 std::size_t Executor::also(const transport::Address& address) {
   places_.push_back(std::make_unique<Place>(scheduler_, address));
   places_.back()->accepting->spawn(listen(*places_.back()));
--- a/src/standin/executor.hpp
+++ b/src/standin/executor.hpp
@@ -18,13 +18,12 @@
 using std::chrono::milliseconds;
 
 // What becomes of one statement: "select 1 /* ms=200 pages=3 answer=503 */". Words: `ms` until the answer,
-// `pages` in all, `page_ms` until each further page, `answer` (200, 500, 503, 504), `silent` (never
-// answered), `reset` (the connection ends then), `half` (the first page comes, no other).
+// `pages` in all, `answer` (200, 500, 503, 504), `half` (the first page comes, no other).
 struct Script {
-  milliseconds after{0}, pageAfter{0};
+  milliseconds after{0};
   unsigned pages = 1;
   std::string answer = "200";
-  bool silent = false, reset = false, half = false;
+  bool half = false;
 };
 Script scriptOf(std::string_view statement);
 
@@ -46,18 +45,19 @@
 
   // Said by a test over what statements say.
   std::function<void(Script&, const std::string& id)> over;
-  bool deaf = false;  // reads nothing more on any connection, as a process that stands still
+  // A test's own way with every command, in place of all else; what came is then kept.
+  using Raw =
+      std::function<void(Executor&, transport::Connection&, const std::string& word, const std::string& id)>;
+  Raw raw;
+  std::string heard;
+  int noops = 0;
+  std::vector<const transport::Connection*> connections;  // to be told apart by; not all of them still are
+  static void say(transport::Connection& to, std::initializer_list<std::string_view> words);
 
   std::size_t open() const { return open_.size(); }  // asks that are neither answered, quit, nor cut off
   std::uint64_t asked() const { return asked_; }
-  std::uint64_t quit() const { return quit_; }
   std::uint64_t ran() const { return ran_; }
   std::uint64_t ranTwice() const { return ranTwice_; }  // ids whose work came to its end more than once
-  bool heard(const std::string& id) const { return times_.count(id) > 0; }
-  unsigned timesRun(const std::string& id) const {
-    const auto at = times_.find(id);
-    return at == times_.end() ? 0 : at->second;
-  }
   std::uint64_t askedAt(std::size_t place) const { return places_[place]->asked; }
   void cut();  // every connection, as a process that dies; it listens on
 
@@ -80,8 +80,8 @@
   std::vector<std::unique_ptr<Place>> places_;
   std::set<Session*> sessions_;
   std::set<std::pair<const Session*, std::string>> open_;
-  std::map<std::string, unsigned> times_;  // by id: 0 heard of, else how often it ran
-  std::uint64_t asked_ = 0, quit_ = 0, ran_ = 0, ranTwice_ = 0;
+  std::map<std::string, unsigned> times_;  // that it ran, by id
+  std::uint64_t asked_ = 0, ran_ = 0, ranTwice_ = 0;
   transport::Group running_;
 };
 
--- a/src/standin/load.cpp
+++ b/src/standin/load.cpp
@@ -5,11 +5,11 @@
 #include <optional>
 #include <set>
 
-#include "protocol/thrift.hpp"
-
 namespace paddletrack::standin {
 namespace {
 
+namespace thrift = protocol::thrift;
+
 using transport::Connection;
 using transport::Moment;
 using transport::Slice;
@@ -45,15 +45,15 @@
                          ? static_cast<long>(load_.dice_() % static_cast<unsigned long>(span.count()))
                          : 0);
     // The estimate that goes with it is what it takes.
-    Fields fields{{"service", kind.type},
-                  {"ref", load_.jobs_[job].reference},
-                  {"allow", std::to_string(kind.allow.count())},
-                  {"effort", std::to_string(ms.count())},
-                  {"ram", "16"}};
+    thrift::Fields fields{{"service", kind.type},
+                          {"ref", load_.jobs_[job].reference},
+                          {"allow", std::to_string(kind.allow.count())},
+                          {"effort", std::to_string(ms.count())},
+                          {"ram", "16"}};
     if (!kind.customer.empty()) fields.emplace_back("project", kind.customer);
     const std::string sent =
-        submit(sequence_, fields,
-               "select * from s_3.t /* ms=" + std::to_string(ms.count()) + " " + kind.script + " */");
+        thrift::submit(sequence_, fields,
+                       "select * from s_3.t /* ms=" + std::to_string(ms.count()) + " " + kind.script + " */");
     connection_ ? connection_->send({Slice(sent)}) : held_.push_back(Slice(sent));
   }
 
@@ -66,13 +66,13 @@
     connection_->send(held_);
     while (co_await more()) {
       transport::Inbox& input = connection_->input();
-      while (const auto length = protocol::thrift::frameLength(input.view())) {
-        const std::size_t whole = protocol::thrift::kFrameHead + *length;
+      while (const auto length = thrift::frameLength(input.view())) {
+        const std::size_t whole = thrift::kFrameHead + *length;
         if (input.view().size() < whole) {
           input.expect(whole);
           break;
         }
-        const Heard heard = read(input.view().substr(protocol::thrift::kFrameHead, *length));
+        const Heard heard = thrift::readReply(input.view().substr(thrift::kFrameHead, *length));
         input.consume(whole);
         const auto at = open_.find(heard.sequence);
         if (at == open_.end()) {
@@ -128,7 +128,7 @@
       dice_(static_cast<std::minstd_rand::result_type>(seed % 2147483646 + 1)),
       references_(seed << 32),
       running_(scheduler, [](const char* what) { std::fprintf(stderr, "load: %s\n", what); }) {
-  for (const transport::Address& each : controllers) controllers_.push_back({each, false, {}, 0, {}});
+  for (const transport::Address& each : controllers) controllers_.push_back({each, false, 0, {}});
   for (std::size_t each = 0; each < controllers_.size(); ++each) running_.spawn(ask(each));
   running_.spawn(drive());
 }
@@ -171,27 +171,24 @@
 // The front layer's heartbeats, over a connection of their own.
 transport::Task<> Load::ask(std::size_t controller) {
   Controller& one = controllers_[controller];
-  const auto turn = [&](bool good) {
-    if (std::exchange(one.good, good) != good) one.turned = scheduler_.now();
-  };
   for (;;) {
     transport::Dialled dialled =
         co_await transport::dial(scheduler_, one.address, scheduler_.now() + milliseconds(500));
     if (dialled.descriptor) {
       Connection connection(scheduler_, std::move(dialled.descriptor), 1024, 4096, unsent_);
       for (std::int32_t sequence = 1;; ++sequence) {
-        connection.send({Slice(heartbeat(sequence))});
+        connection.send({Slice(thrift::heartbeatCall(sequence))});
         const bool more = co_await connection.receive(scheduler_.now() + milliseconds(1000));
         if (!more) break;
-        const auto length = protocol::thrift::frameLength(connection.input().view());
-        if (!length || connection.input().view().size() < protocol::thrift::kFrameHead + *length) break;
-        turn(read(connection.input().view().substr(protocol::thrift::kFrameHead, *length)).what ==
-             Heard::What::good);
-        connection.input().consume(protocol::thrift::kFrameHead + *length);
+        const auto length = thrift::frameLength(connection.input().view());
+        if (!length || connection.input().view().size() < thrift::kFrameHead + *length) break;
+        one.good = thrift::readReply(connection.input().view().substr(thrift::kFrameHead, *length)).what ==
+                   Heard::What::good;
+        connection.input().consume(thrift::kFrameHead + *length);
         co_await scheduler_.sleepUntil(scheduler_.now() + beat_);
       }
     }
-    turn(false);
+    one.good = false;
     co_await scheduler_.sleepUntil(scheduler_.now() + beat_);
   }
 }
--- a/src/standin/load.hpp
+++ b/src/standin/load.hpp
@@ -10,12 +10,13 @@
 #include <string>
 #include <vector>
 
-#include "standin/words.hpp"
+#include "protocol/thrift.hpp"
 #include "transport/connection.hpp"
 
 namespace paddletrack::standin {
 
 using std::chrono::milliseconds;
+using Heard = protocol::thrift::Reply;
 
 class Load {
  public:
@@ -55,15 +56,12 @@
   const std::deque<Job>& jobs() const { return jobs_; }
   std::size_t openAt(std::size_t controller) const { return controllers_[controller].open; }
   bool inService(std::size_t controller) const { return controllers_[controller].good; }
-  // When its heartbeat last turned, to good or to bad.
-  transport::Moment turned(std::size_t controller) const { return controllers_[controller].turned; }
 
  private:
   class Line;
   struct Controller {
     transport::Address address;
     bool good = false;
-    transport::Moment turned{};
     std::size_t open = 0;
     std::vector<Line*> lines;
   };
--- a/src/standin/vandals.hpp
+++ b/src/standin/vandals.hpp
@@ -4,7 +4,7 @@
 
 #include <random>
 
-#include "standin/words.hpp"
+#include "protocol/thrift.hpp"
 #include "transport/connection.hpp"
 
 namespace paddletrack::standin {
@@ -20,17 +20,19 @@
 
  private:
   std::string mess() {
+    namespace thrift = protocol::thrift;
     switch (dice_() % 6) {
       case 0:
         return std::string(400, static_cast<char>(dice_() % 256));
       case 1:
-        return bytes(0x7fffffff, 4) + "x";
+        return "\x7f\xff\xff\xffx";
       case 2:
-        return submit(1, {{"service", "nothing"}, {"ref", "short"}, {"allow", "-1"}}, "select 1");
+        return thrift::submit(1, {{"service", "nothing"}, {"ref", "short"}, {"allow", "-1"}}, "select 1");
       case 3:
-        return submit(1, {{"service", "look-up"}}, std::string(2000, 'y')).substr(0, 700);
+        return thrift::submit(1, {{"service", "look-up"}}, std::string(2000, 'y')).substr(0, 700);
       case 4:
-        return frame(4, "revoke", 1, bytes(0, 1)) + frame(9, "what", 1, "");
+        return thrift::message("revoke", thrift::Kind::oneway, 1, std::string(1, '\0')) +
+               thrift::message("what", static_cast<thrift::Kind>(9), 1, "");
       default:
         return "";
     }
--- a/tests/address_test.cpp
+++ b/tests/address_test.cpp
@@ -1,7 +1,6 @@
 // Engines with several addresses: stand-ins that listen on IPv4, IPv6 and Unix sockets, and every way in
 // which one of these can fail.
 #include <gtest/gtest.h>
-#include <sys/socket.h>
 #include <unistd.h>
 
 #include <filesystem>
@@ -12,6 +11,7 @@
 #include "routing/desk.hpp"
 #include "standin/executor.hpp"
 #include "standin/load.hpp"
+#include "standin/loop.hpp"
 #include "standin/site.hpp"
 
 namespace paddletrack::standin {
@@ -23,7 +23,7 @@
 
 constexpr auto kDial = 100ms;  // of the settings here: a stagger is 20 ms
 
-struct Front : transport::Scheduler {
+struct Front : Loop {
   explicit Front(std::size_t connections = 40)
       : links(connections), client(*this, unsent, {Address("127.0.84.9:18443")}, 3) {
     client.begin(0, {{"again", "", 1, 1ms, 1ms, 4000ms},
@@ -39,16 +39,6 @@
     change.entries.push_back(entry);
     desk.listed(change);
   }
-  void pass(std::chrono::milliseconds time) {
-    transport::Call end(*this, [this] { stop(); });
-    end.at(now() + time);
-    run();
-  }
-  bool until(const std::function<bool()>& done, std::chrono::milliseconds most) {
-    for (const transport::Moment end = now() + most; now() < end; pass(1ms))
-      if (done()) return true;
-    return done();
-  }
   // One job, to its end; ms it took.
   double job(std::size_t kind = 0) {
     const std::size_t number = client.send(kind, 0);
@@ -62,7 +52,6 @@
   const std::size_t links;
   std::string log;
   const Say say{[this](const Said& said) { log += std::string(said.topic) + ": " + said.line + "\n"; }};
-  transport::Unsent unsent{256 << 20, 0};
   const protocol::Told told = protocol::decode(protocol::pathsOfLines(
       "balancers=1\nzones=a\nmachineTypes=m\nfamilyInfo.kindCores=64\nprofiles.count=3\nprofiles.0.name="
       "again\n"
@@ -85,26 +74,6 @@
   Heard::What last = Heard::What::exception;
 };
 
-// A listener whose backlog is full: a dial to it hears nothing at all.
-struct Mute {
-  explicit Mute(const std::string& name) {
-    const Address at(name);
-    const int listening = ::socket(at.family(), SOCK_STREAM | SOCK_CLOEXEC, 0), on = 1;
-    ::setsockopt(listening, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-    EXPECT_EQ(::bind(listening, at.raw(), at.length()), 0);
-    EXPECT_EQ(::listen(listening, 0), 0);
-    sockets.push_back(listening);
-    for (int each = 0; each < 4; ++each) {
-      sockets.push_back(::socket(at.family(), SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
-      (void)!::connect(sockets.back(), at.raw(), at.length());
-    }
-  }
-  ~Mute() {
-    for (const int each : sockets) ::close(each);
-  }
-  std::vector<int> sockets;
-};
-
 TEST(Addresses, OneGoodAmongRefusedIsFoundAtOnceWhicheverItIs) {
   for (int good = 0; good < 3; ++good) {
     Front front;
@@ -122,7 +91,7 @@
 
 TEST(Addresses, ASilentDialCostsOneStaggerAndIsNotFirstAgain) {
   Front front;
-  const Mute mute(front.six);
+  const Mute mute(Address(front.six));
   Executor executor(front, front.unsent, Address(front.four));
   front.list({front.six, front.four});
   const double first = front.job(2);
@@ -263,7 +232,7 @@
   for (const bool dialling : {true, false}) {
     Front front;
     std::optional<Mute> mute;
-    if (dialling) mute.emplace(front.six);
+    if (dialling) mute.emplace(Address(front.six));
     Executor executor(front, front.unsent, Address(front.four));
     const std::string first = dialling ? front.six : front.local;
     if (!dialling) executor.fail(executor.also(Address(front.local)), Fault::deaf);
@@ -283,7 +252,7 @@
 // hang must not become sixteen.
 TEST(Addresses, RacesKeepToTheDescriptors) {
   Front front(8);
-  const Mute six(front.six), four(front.four);
+  const Mute six(Address(front.six)), four(Address(front.four));
   for (int each = 1; each <= 8; ++each)
     front.list({front.six, front.four}, "s-" + std::to_string(each), false);
   const auto open = [] {
--- a/tests/door_test.cpp
+++ b/tests/door_test.cpp
@@ -16,6 +16,7 @@
 #include "operating/words.hpp"
 #include "protocol/settings.hpp"
 #include "routing/client_side.hpp"
+#include "standin/loop.hpp"
 #include "standin/site.hpp"
 #include "standin/vandals.hpp"
 
@@ -25,20 +26,6 @@
 using namespace std::chrono_literals;
 using Json = nlohmann::json;
 
-struct Loop : transport::Scheduler {
-  void pass(std::chrono::milliseconds time) {
-    transport::Call end(*this, [this] { stop(); });
-    end.at(now() + time);
-    run();
-  }
-  bool until(const std::function<bool()>& done, std::chrono::milliseconds most = 10s) {
-    for (const transport::Moment end = now() + most; now() < end; pass(2ms))
-      if (done()) return true;
-    return done();
-  }
-  transport::Unsent unsent{64 << 20, 0};
-};
-
 // A controller under load, and an operator at its door.
 struct Running : Loop {
   explicit Running(int net, SiteTerms terms = {}) {
@@ -459,7 +446,7 @@
       {"serve", "--config", run.site->folder() + "/config0.json", "--log", "json", "--log-level", "warning"},
       run.site->folder() + "/json");
   Vandals vandals(run, run.unsent, run.site->fronts()[0], 10);
-  run.site->executor(0).deaf = true;
+  run.site->executor(0).fail(0, Executor::Fault::deaf);
   run.pass(700ms);
   json.signal(SIGTERM);
   EXPECT_TRUE(run.until([&] { return json.ended().has_value(); }));
@@ -645,19 +632,10 @@
   for (const Where where : {Where::dialling, Where::sent, Where::midway}) {
     Front front;
     std::optional<Executor> executor;
-    std::vector<int> full;
+    std::optional<Mute> full;
     const transport::Address at("127.0.89.1:18443");
-    if (where == Where::dialling) {  // a backlog that is full: connections never come up
-      const int listening = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-      const int on = 1;
-      ::setsockopt(listening, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-      ASSERT_EQ(::bind(listening, at.raw(), at.length()), 0);
-      ASSERT_EQ(::listen(listening, 0), 0);
-      full.push_back(listening);
-      for (int each = 0; each < 4; ++each) {
-        full.push_back(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
-        (void)!::connect(full.back(), at.raw(), at.length());
-      }
+    if (where == Where::dialling) {
+      full.emplace(at);
       front.pass(20ms);
     } else {
       executor.emplace(front, front.unsent, at);
@@ -687,7 +665,6 @@
     if (executor) {
       EXPECT_EQ(executor->open(), 0U);  // withdrawn
     }
-    for (const int each : full) ::close(each);
   }
 }
 
--- a/tests/routing_test.cpp
+++ b/tests/routing_test.cpp
@@ -1,11 +1,12 @@
 // A whole front on loopback: client, executors and change log are scripted peers in the same loop.
 #include <gtest/gtest.h>
 
+#include "base/big_endian.hpp"
 #include "routing/client_side.hpp"
 #include "routing/desk.hpp"
 #include "routing/follower.hpp"
-#include "standin/peer.hpp"
-#include "standin/words.hpp"
+#include "standin/executor.hpp"
+#include "standin/loop.hpp"
 
 namespace paddletrack::routing {
 namespace {
@@ -15,20 +16,27 @@
 using transport::Connection;
 using transport::Task;
 
-using standin::bytes;
-using standin::frame;
-using standin::Peer;
-using standin::revoke;
-using standin::text;
+using Peer = standin::Executor;
+using protocol::thrift::revoke;
+
+std::string bytes(std::uint64_t value, int size) {
+  std::string out;
+  put(out, value, size);
+  return out;
+}
+std::string text(const std::string& value) { return bytes(value.size(), 4) + value; }
+std::string frame(int kind, const std::string& method, int sequence, const std::string& arguments) {
+  return protocol::thrift::message(method, static_cast<protocol::thrift::Kind>(kind), sequence, arguments);
+}
 
 std::string submit(int sequence, int allowMs = 2000, const std::string& type = "q",
                    const std::string& reference = "00000000000000a") {
-  return standin::submit(sequence,
-                         {{"service", type},
-                          {"ref", reference + std::to_string(sequence % 10)},
-                          {"allow", std::to_string(allowMs)},
-                          {"effort", "20.5"}},
-                         "select * from s_3.t");
+  return protocol::thrift::submit(sequence,
+                                  {{"service", type},
+                                   {"ref", reference + std::to_string(sequence % 10)},
+                                   {"allow", std::to_string(allowMs)},
+                                   {"effort", "20.5"}},
+                                  "select * from s_3.t");
 }
 
 void answers(Peer&, Connection& connection, const std::string& word, const std::string& id) {
@@ -45,8 +53,9 @@
 struct Front : transport::Scheduler {
   explicit Front(const std::string& site = kSite) : told(protocol::decode(protocol::pathsOfLines(site))) {}
 
-  Peer& executor(int number, Peer::Script script) {
-    peers.push_back(std::make_unique<Peer>(*this, unsent, at(number), std::move(script)));
+  Peer& executor(int number, Peer::Raw script) {
+    peers.push_back(std::make_unique<Peer>(*this, unsent, Address(at(number))));
+    peers.back()->raw = std::move(script);
     return *peers.back();
   }
   static std::string at(int number) { return "127.0.77." + std::to_string(number) + ":18443"; }
@@ -342,9 +351,7 @@
       if (++asks == 1) return;  // still runs while the next is spoilt
       if (asks > 2) return answers(self, to, word, id);
       if (bad.empty()) return to.send({Slice("*4\r\n$16\r\n" + id)});  // and no more
-      Words words = bad;
-      words.insert(words.begin(), id);
-      Peer::say(to, words);
+      Peer::say(to, {id, bad[0], bad[1], bad[2]});
     });
     front.list({1});
     EXPECT_TRUE(front.has(front.asked(submit(1) + submit(2), 120ms), "r\to\tw\n"));
