Addresses: stalls again, a path another took or that is forbidden, cold engines

Need: hard cases of the issue without a test: an address that stalls again, a Unix path that another process took or whose mode forbids it, rule 4 over several addresses. Change: three tests; silent addresses at a thousand engines in rig fleet.

--- a/src/rig/addresses.cpp
+++ b/src/rig/addresses.cpp
@@ -177,7 +177,8 @@
   struct Variant {
     const char* name;
     const std::string& program;
-    int kind;  // 0: one good address; 1: one, broken in a third; 2: three, a third broken
+    int kind;  // 0: one good address; 1: one, refused in a third; 2, 3: three, a third refused, a third
+               // silent
   };
   std::vector<Variant> variants;
   if (!before.empty()) {
@@ -186,6 +187,9 @@
   }
   variants.push_back({"one good", program, 0});
   variants.push_back({"three, a third bad", program, 2});
+  variants.push_back({"three, third silent", program, 3});
+  const std::string silent = "[::1]:18499";
+  const standin::Mute mute{Address(silent)};
   std::printf("%u engines, 400 jobs a second for 12 s\n\n", engines);
   std::printf("%-20s %8s %9s %9s %9s %9s %8s %8s\n", "", "jobs", "in time", "p50 ms", "p99 ms", "dials/s",
               "most fds", "CPU %");
@@ -204,13 +208,14 @@
           "127.0.75." + std::to_string(1 + executor % 200) + ":" + std::to_string(19000 + executor / 200);
       const bool third = executor % 3 == 0;
       if (variant.kind == 1 && third) said.address = dead;
-      if (variant.kind != 2) return;
+      if (variant.kind < 2) return;
       said.more = {"unix:" + (third ? folder.path() + "/none" : local(executor)),
                    executor % 3 == 1 ? "[::1]:1" : dead, said.address};
       if (third) said.more[1] = said.address;
+      if (third && variant.kind == 3) said.more = {silent, said.address, dead};
     };
     standin::Site site(loop, loop.unsent, terms);
-    for (unsigned each = 0; variant.kind == 2 && each < engines; ++each)
+    for (unsigned each = 0; variant.kind >= 2 && each < engines; ++each)
       if (each % 3 != 0) site.executor(each).also(Address("unix:" + local(each)));
     Load load(loop, loop.unsent, site.fronts(), 4);
     if (!loop.until([&] { return load.inService(0); }, 10s))
--- a/tests/address_test.cpp
+++ b/tests/address_test.cpp
@@ -1,6 +1,7 @@
 // Engines with several addresses: stand-ins that listen on IPv4, IPv6 and Unix sockets, and every way in
 // which one of these can fail.
 #include <gtest/gtest.h>
+#include <sys/stat.h>
 #include <unistd.h>
 
 #include <filesystem>
@@ -24,17 +25,17 @@
 constexpr auto kDial = 100ms;  // of the settings here: a stagger is 20 ms
 
 struct Front : Loop {
-  explicit Front(std::size_t connections = 40)
-      : links(connections), client(*this, unsent, {Address("127.0.84.9:18443")}, 3) {
+  explicit Front(std::size_t connections = 40, const std::string& more = "")
+      : links(connections), rules(more), client(*this, unsent, {Address("127.0.84.9:18443")}, 3) {
     client.begin(0, {{"again", "", 1, 1ms, 1ms, 4000ms},
                      {"keyed", "", 1, 1ms, 1ms, 4000ms},
                      {"once", "", 1, 1ms, 1ms, 4000ms}});
   }
   void list(const std::vector<std::string>& addresses, const std::string& id = "s-1", bool whole = true,
-            paddletrack::Standing standing = paddletrack::Standing::ready) {
+            paddletrack::Standing standing = paddletrack::Standing::ready, std::int64_t startedMs = 0) {
     protocol::Change change;
     change.whole = whole;
-    protocol::Entry entry{id, addresses.front(), "a", "m", 0, standing, 0};
+    protocol::Entry entry{id, addresses.front(), "a", "m", 0, standing, startedMs};
     entry.more = addresses;
     change.entries.push_back(entry);
     desk.listed(change);
@@ -50,20 +51,25 @@
   bool logged(const std::string& part) const { return log.find(part) != std::string::npos; }
 
   const std::size_t links;
+  const std::string rules;  // further settings
   std::string log;
   const Say say{[this](const Said& said) { log += std::string(said.topic) + ": " + said.line + "\n"; }};
   const protocol::Told told = protocol::decode(protocol::pathsOfLines(
-      "balancers=1\nzones=a\nmachineTypes=m\nfamilyInfo.kindCores=64\nprofiles.count=3\nprofiles.0.name="
-      "again\n"
-      "profiles.0.idempotency=retryable\nprofiles.0.onTimeUs=800000\nprofiles.0.giveUpUs=4000000\nprofiles.1."
-      "name=keyed\n"
-      "profiles.1.idempotency=dedup\nprofiles.1.group=all\nprofiles.1.windowUs=60000000\nprofiles.1.onTimeUs="
-      "800000\n"
-      "profiles.1.giveUpUs=4000000\nprofiles.2.name=once\nprofiles.2.idempotency=fragile\nprofiles.2."
-      "onTimeUs=800000\n"
-      "profiles.2.giveUpUs=4000000\nlimits.mostTries=3\nlimits.cancelling=true\nlimits.retryAfter=true\n"
-      "limits.maxRetryAfterUs=900000\nlimits.streamsPerConn=4\nlimits.dialTimeoutUs=100000\n"
-      "limits.idleCloseUs=9000000\ntickUs=5000\n"));
+      std::string(
+          "balancers=1\nzones=a\nmachineTypes=m\nfamilyInfo.kindCores=64\nprofiles.count=3\nprofiles.0.name="
+          "again\n"
+          "profiles.0.idempotency=retryable\nprofiles.0.onTimeUs=800000\nprofiles.0.giveUpUs="
+          "4000000\nprofiles.1."
+          "name=keyed\n"
+          "profiles.1.idempotency=dedup\nprofiles.1.group=all\nprofiles.1.windowUs=60000000\nprofiles.1."
+          "onTimeUs="
+          "800000\n"
+          "profiles.1.giveUpUs=4000000\nprofiles.2.name=once\nprofiles.2.idempotency=fragile\nprofiles.2."
+          "onTimeUs=800000\n"
+          "profiles.2.giveUpUs=4000000\nlimits.mostTries=3\nlimits.cancelling=true\nlimits.retryAfter=true\n"
+          "limits.maxRetryAfterUs=900000\nlimits.streamsPerConn=4\nlimits.dialTimeoutUs=100000\n"
+          "limits.idleCloseUs=9000000\ntickUs=5000\n") +
+      rules));
   routing::Desk desk{*this, unsent, told, {100, {told.sharedBy, links, told.dialTimeout, told.idleClose}},
                      7,     say};
   routing::ClientSide clients{*this, unsent, Address("127.0.84.9:18443"), {20, 40 << 20, 1 << 20}, desk, say};
@@ -285,6 +291,76 @@
   }
 }
 
+// One that is known to stall shows no life when it is tried again: its race goes on a stagger later, and
+// nothing has been sent there.
+TEST(Addresses, OneThatStallsAgainCostsAStagger) {
+  Front front;
+  Executor executor(front, front.unsent, Address(front.four));
+  const std::size_t stalls = executor.also(Address(front.local));
+  front.list({front.local, front.four});
+  front.job(0);
+  executor.fail(stalls, Fault::deaf);
+  front.client.send(0, 0);
+  EXPECT_TRUE(front.until([&] { return front.logged("silent"); }, 2000ms));
+  EXPECT_TRUE(front.until([&] { return front.client.books().open == 0; }, 5000ms));
+  front.job(0);
+  front.pass(700ms);  // its rest is over
+  executor.cut();
+  front.pass(5ms);
+  const double took = front.job(0);
+  EXPECT_EQ(front.last, Heard::What::done);
+  EXPECT_GE(took, 19);
+  EXPECT_LT(took, 60);
+}
+
+// Something else listens at the path; and one whose mode keeps this user out.
+TEST(Addresses, APathThatAnotherTookOrThatIsForbidden) {
+  Front front;
+  Executor executor(front, front.unsent, Address(front.four)),
+      other(front, front.unsent, Address(front.local));
+  other.raw = [](Executor&, transport::Connection& to, const std::string&, const std::string&) {
+    to.send({transport::Slice::lasting("HTTP/1.1 400 Bad Request\r\n\r\n")});
+  };
+  front.list({front.local, front.four});
+  front.job(0);
+  EXPECT_EQ(front.last, Heard::What::done) << front.log;
+  EXPECT_LT(front.job(2), 60);
+  EXPECT_EQ(front.last, Heard::What::done);
+  EXPECT_TRUE(front.logged("reset early")) << front.log;
+  if (::geteuid() != 0) return;  // to be kept out one has to be somebody else
+  const std::string shut = front.local + "-shut";
+  Executor kept(front, front.unsent, Address(shut)), open(front, front.unsent, Address("127.0.84.3:18443"));
+  ::chmod(shut.substr(5).c_str(), 0600);
+  ::chmod(front.folder.path().c_str(), 0755);
+  front.list({shut, "127.0.84.3:18443"}, "s-3", true);
+  ASSERT_EQ(::seteuid(65534), 0);
+  front.job(2);
+  ASSERT_EQ(::seteuid(0), 0);
+  EXPECT_EQ(front.last, Heard::What::done) << front.log;
+  EXPECT_TRUE(front.logged("Permission denied")) << front.log;
+  EXPECT_EQ(kept.asked(), 0U);
+}
+
+// Rule 4: a cold engine gets no more over several addresses than its part, whichever of them serves.
+TEST(Addresses, AColdEngineGetsItsPartAndNoMore) {
+  Front front(
+      40, "rules.coldUs=60000000\nrules.startCapacity=0.03\nrules.fallMultiple=3\nrules.fallUs=2000000\n");
+  const Mute mute(Address(front.six));
+  Executor executor(front, front.unsent, Address(front.four));
+  front.client.begin(0, {{"again", "", 1, 300ms, 300ms, 4000ms}});
+  const auto now = std::chrono::duration_cast<std::chrono::milliseconds>(
+      std::chrono::system_clock::now().time_since_epoch());
+  front.list({front.local, front.six, front.four}, "s-1", true, paddletrack::Standing::ready, now.count());
+  for (int each = 0; each < 60; ++each) front.client.send(0, 0);
+  front.pass(250ms);
+  // 0.03 x 64 cores x 2 s x 3, half of it for safety: 5.76 s of work, in jobs of 0.8 s as long as none is
+  // known.
+  EXPECT_GT(executor.asked(), 0U);
+  EXPECT_LE(executor.asked(), 7U);
+  front.until([&] { return front.client.books().open == 0; }, 5000ms);
+  EXPECT_EQ(front.client.books().lost + front.client.books().doubled, 0U);
+}
+
 // One family goes for all engines at once: each pays one refusal or one stagger, none is left out, and what
 // came before on the others goes on.
 TEST(Addresses, AFamilyThatGoesForAllEnginesAtOnce) {
