A watch on a narrow terminal draws over its own line

Cause: lines of progress are about 150 bytes; on 80 columns they wrapped, and the next was drawn over their last part alone (seen under a pseudo-terminal). Change: cut to the terminal's width. Measured: no drawn line is longer than 79 characters at 80 columns; tests of the commands green.

--- a/src/command/drain.cpp
+++ b/src/command/drain.cpp
@@ -1,5 +1,6 @@
 #include "command/drain.hpp"
 
+#include <sys/ioctl.h>
 #include <unistd.h>
 
 #include <cstdio>
@@ -61,6 +62,14 @@
   return line;
 }
 
+// As much of a line as fits on the terminal's: what wraps can't be drawn over.
+std::string fitting(std::string line) {
+  winsize size{};
+  if (::ioctl(STDOUT_FILENO, TIOCGWINSZ, &size) == 0 && size.ws_col > 1 && line.size() >= size.ws_col)
+    line.resize(size.ws_col - 1U);
+  return line;
+}
+
 int watch(Call& call, const DrainWish& wish) {
   const Json first = call.ask(operating::watchRequest(kEvery));
   if (first["ok"] != true) return failed(first, wish.json);
@@ -73,7 +82,7 @@
     if (wish.json) {
       std::printf("%s\n", status.dump().c_str());
     } else if (const std::string line = progressLine(status); terminal) {
-      std::printf("\r\x1b[2K%s", line.c_str());
+      std::printf("\r\x1b[2K%s", fitting(line).c_str());
     } else if (line != shown) {
       std::printf("%s\n", line.c_str());
       shown = line;
