--- a/src/rig/main.cpp
+++ b/src/rig/main.cpp
@@ -36,6 +36,11 @@
   CLI::App* cost =
       app.add_subcommand("cost", "instructions a request (callgrind) and memory, with and without the door");
   cost->add_option("--before", before, "an earlier build of the program to compare with");
+  double minutes = 10, soaked = 300;
+  CLI::App* soak =
+      app.add_subcommand("soak", "one controller under steady load, its resident memory as it goes");
+  soak->add_option("--minutes", minutes)->check(CLI::Range(0.5, 600.0));
+  soak->add_option("--rate", soaked, "jobs a second")->check(CLI::Range(1.0, 2000.0));
   CLI11_PARSE(app, argc, argv);
   try {
     using namespace paddletrack::rig;
@@ -47,6 +52,7 @@
     if (roll->parsed()) return measureRoll(program, rolled);
     if (fleet->parsed()) return measureFleet(program, before, engines);
     if (addresses->parsed()) return measureAddresses(jobs);
+    if (soak->parsed()) return measureSoak(program, soaked, minutes);
     return measureCost(program, before);
   } catch (const std::exception& error) {
     std::fprintf(stderr, "paddletrack_rig: %s\n", error.what());
