--- a/src/rig/cost.cpp
+++ b/src/rig/cost.cpp
@@ -2,8 +2,6 @@
 // and idle, without one, and of an earlier build.
 #include <csignal>
 #include <cstdio>
-#include <fstream>
-#include <sstream>
 
 #include "rig/rig.hpp"
 
@@ -63,17 +61,8 @@
   if (!loop.until([&] { return load.inService(0); }, 5s))
     throw std::runtime_error(variant.name + " does not serve");
   play(loop, load, 2000);
-  std::ifstream file("/proc/" + std::to_string(site.controller(0).id()) + "/status");
-  double all = 0, own = 0;
-  for (std::string line; std::getline(file, line);) {
-    std::istringstream words(line);
-    std::string key;
-    double value = 0;
-    words >> key >> value;
-    if (key == "VmRSS:") all = value / 1024;
-    if (key == "RssAnon:") own = value / 1024;
-  }
-  return {all, own};
+  const Resident read = resident(site.controller(0).id());
+  return {read.all, read.own};
 }
 
 }  // namespace
--- a/src/rig/rig.hpp
+++ b/src/rig/rig.hpp
@@ -1,9 +1,13 @@
 // What the rig's experiments share.
 #pragma once
 
+#include <sys/types.h>
+
 #include <algorithm>
+#include <fstream>
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <sstream>
 #include <string>
 #include <vector>
 
@@ -56,6 +60,25 @@
   transport::Moment since_{};
 };
 
+// A process's resident memory in MB, from /proc/PID/status: all of it (VmRSS) and its own (RssAnon, without
+// the shared libraries' pages). Zeros for a process that has gone.
+struct Resident {
+  double all = 0, own = 0;
+};
+inline Resident resident(pid_t pid) {
+  std::ifstream file("/proc/" + std::to_string(pid) + "/status");
+  Resident read;
+  for (std::string line; std::getline(file, line);) {
+    std::istringstream words(line);
+    std::string key;
+    double value = 0;
+    words >> key >> value;
+    if (key == "VmRSS:") read.all = value / 1024;
+    if (key == "RssAnon:") read.own = value / 1024;
+  }
+  return read;
+}
+
 inline double milliseconds(transport::Clock::duration span) {
   return std::chrono::duration<double, std::milli>(span).count();
 }
--- a/src/rig/soak.cpp
+++ b/src/rig/soak.cpp
@@ -3,33 +3,10 @@
 // reference; executors answer after a few milliseconds, reports after more. A command, not a test: it runs
 // for minutes.
 #include <cstdio>
-#include <fstream>
-#include <sstream>
 
 #include "rig/rig.hpp"
 
 namespace paddletrack::rig {
-namespace {
-
-struct Resident {
-  double all = 0, own = 0;  // MB: VmRSS, RssAnon
-};
-
-Resident resident(pid_t pid) {
-  std::ifstream file("/proc/" + std::to_string(pid) + "/status");
-  Resident read;
-  for (std::string line; std::getline(file, line);) {
-    std::istringstream words(line);
-    std::string key;
-    double value = 0;
-    words >> key >> value;
-    if (key == "VmRSS:") read.all = value / 1024;
-    if (key == "RssAnon:") read.own = value / 1024;
-  }
-  return read;
-}
-
-}  // namespace
 
 // Exit 0: the controller served throughout and its own memory at the end is within a tenth and 1 MB of what
 // it was after the first quarter (the start's allocations are behind it by then).
