Rig: a killed rig takes its controllers along (PR_SET_PDEATHSIG)

Need: the standing issue asks that an ended rig leave no controller behind; a rig killed by SIGKILL left its paddletrack serve running, reparented to init, because standin::Process only killed children in its destructor. Change: the child asks the kernel for SIGTERM when its parent dies, and exits at once if the parent is already gone between fork and prctl.

--- a/src/standin/site.cpp
+++ b/src/standin/site.cpp
@@ -1,6 +1,7 @@
 #include "standin/site.hpp"
 
 #include <fcntl.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -28,8 +29,11 @@
   for (const std::string& each : arguments) argv.push_back(const_cast<char*>(each.c_str()));
   argv.push_back(nullptr);
   const int out = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
+  const pid_t parent = ::getpid();
   child_ = ::fork();
   if (child_ == 0) {
+    // A child ends with its parent, as on SIGTERM, also where the parent is killed and runs no destructor.
+    if (::prctl(PR_SET_PDEATHSIG, SIGTERM) != 0 || ::getppid() != parent) ::_exit(127);
     sigset_t none;
     sigemptyset(&none);
     ::sigprocmask(SIG_SETMASK, &none, nullptr);
--- a/src/standin/site.hpp
+++ b/src/standin/site.hpp
@@ -26,7 +26,8 @@
   std::string path_;
 };
 
-// `paddletrack serve` as the operators start it; killed at the end if it still runs.
+// `paddletrack serve` as the operators start it; killed at the end if it still runs, and sent SIGTERM by the
+// kernel when the process that started it dies (PR_SET_PDEATHSIG), so that no controller outlives its rig.
 class Process {
  public:
   Process(const std::string& program, const std::vector<std::string>& arguments, const std::string& log);
--- a/tests/program_test.cpp
+++ b/tests/program_test.cpp
@@ -1,11 +1,16 @@
 // The program itself, started as the operators start it.
+#include <fcntl.h>
 #include <gtest/gtest.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
 #include <csignal>
 #include <cstdlib>
+#include <filesystem>
 #include <fstream>
+#include <thread>
+#include <vector>
 
 #include "transport/connection.hpp"
 
@@ -92,3 +97,56 @@
 
 }  // namespace
 }  // namespace paddletrack
+
+namespace paddletrack {
+namespace {
+
+// The children of a process, read from /proc (pids of those whose parent it is).
+std::vector<pid_t> childrenOf(pid_t parent) {
+  std::vector<pid_t> found;
+  for (const auto& entry : std::filesystem::directory_iterator("/proc")) {
+    const std::string name = entry.path().filename();
+    if (name.find_first_not_of("0123456789") != std::string::npos) continue;
+    std::ifstream status(entry.path() / "status");
+    for (std::string line; std::getline(status, line);)
+      if (line.rfind("PPid:", 0) == 0 && std::stol(line.substr(5)) == parent)
+        found.push_back(std::stoi(name));
+  }
+  return found;
+}
+
+// A rig killed with SIGKILL (no Ctrl-C, no destructors) takes its controller along: the controller is told by
+// the kernel that its parent died and ends as on SIGTERM. This test is the subreaper, so the orphan comes
+// here.
+TEST(Rig, AKilledRigLeavesNoControllerBehind) {
+  ASSERT_EQ(::prctl(PR_SET_CHILD_SUBREAPER, 1), 0);
+  const pid_t rig = ::fork();
+  if (rig == 0) {
+    const int quiet = ::open("/dev/null", O_WRONLY);
+    ::dup2(quiet, STDOUT_FILENO), ::dup2(quiet, STDERR_FILENO);
+    ::execl(PADDLETRACK_RIG, "paddletrack_rig", "soak", "--minutes", "0.5", "--rate", "20", nullptr);
+    ::_exit(127);
+  }
+  std::vector<pid_t> controllers;
+  for (int wait = 0; wait < 100 && controllers.empty(); ++wait) {
+    std::this_thread::sleep_for(50ms);
+    controllers = childrenOf(rig);
+  }
+  ASSERT_EQ(controllers.size(), 1U) << "the rig started no controller";
+  const pid_t controller = controllers.front();
+  ::kill(rig, SIGKILL);
+  ::waitpid(rig, nullptr, 0);
+  int status = 0;
+  pid_t ended = 0;
+  for (int wait = 0; wait < 100 && ended == 0; ++wait) {
+    std::this_thread::sleep_for(50ms);
+    ended = ::waitpid(controller, &status, WNOHANG);
+  }
+  if (ended == 0) ::kill(controller, SIGKILL), ::waitpid(controller, nullptr, 0);
+  ::prctl(PR_SET_CHILD_SUBREAPER, 0);
+  ASSERT_EQ(ended, controller) << "the controller outlived its rig by 5 s";
+  EXPECT_TRUE(WIFEXITED(status) && WEXITSTATUS(status) == 0) << "it ended as on SIGTERM, with 0";
+}
+
+}  // namespace
+}  // namespace paddletrack
