--- a/tests/program_test.cpp
+++ b/tests/program_test.cpp
@@ -115,6 +115,14 @@
   return found;
 }
 
+// Whether a process blocks SIGTERM, as `serve` does once it reads its signals from a signalfd.
+bool holdsTerm(pid_t process) {
+  std::ifstream status("/proc/" + std::to_string(process) + "/status");
+  for (std::string line; std::getline(status, line);)
+    if (line.rfind("SigBlk:", 0) == 0) return (std::stoull(line.substr(7), nullptr, 16) >> (SIGTERM - 1)) & 1;
+  return false;
+}
+
 // A rig killed with SIGKILL (no Ctrl-C, no destructors) takes its controller along: the controller is told by
 // the kernel that its parent died and ends as on SIGTERM. This test is the subreaper, so the orphan comes
 // here.
@@ -134,6 +142,9 @@
   }
   ASSERT_EQ(controllers.size(), 1U) << "the rig started no controller";
   const pid_t controller = controllers.front();
+  // Killed before it holds SIGTERM for itself (signalfd), it would end by the signal: wait for that mask.
+  for (int wait = 0; wait < 200 && !holdsTerm(controller); ++wait) std::this_thread::sleep_for(25ms);
+  ASSERT_TRUE(holdsTerm(controller)) << "the controller did not start within 5 s";
   ::kill(rig, SIGKILL);
   ::waitpid(rig, nullptr, 0);
   int status = 0;
