--- a/tests/program_test.cpp
+++ b/tests/program_test.cpp
@@ -7,7 +7,6 @@
 
 #include <csignal>
 #include <cstdlib>
-#include <filesystem>
 #include <fstream>
 #include <thread>
 #include <vector>
@@ -101,17 +100,12 @@
 namespace paddletrack {
 namespace {
 
-// The children of a process, read from /proc (pids of those whose parent it is).
+// The children of a process's main thread, from /proc/PID/task/PID/children, as deploy_test reads them.
 std::vector<pid_t> childrenOf(pid_t parent) {
+  const std::string at = std::to_string(parent);
+  std::ifstream listed("/proc/" + at + "/task/" + at + "/children");
   std::vector<pid_t> found;
-  for (const auto& entry : std::filesystem::directory_iterator("/proc")) {
-    const std::string name = entry.path().filename();
-    if (name.find_first_not_of("0123456789") != std::string::npos) continue;
-    std::ifstream status(entry.path() / "status");
-    for (std::string line; std::getline(status, line);)
-      if (line.rfind("PPid:", 0) == 0 && std::stol(line.substr(5)) == parent)
-        found.push_back(std::stoi(name));
-  }
+  for (pid_t each = 0; listed >> each;) found.push_back(each);
   return found;
 }
 
