--- a/src/protocol/settings.cpp
+++ b/src/protocol/settings.cpp
@@ -172,8 +172,8 @@
                              lines.realAt("familyInfo.memoryByKindMb", each)});
   }
   made.memoryHeeded = lines.yes("familyInfo.memoryHeeded");
-  made.memoryPages = lines.has("familyInfo.memoryShort") && lines.text("familyInfo.memoryShort") == "page";
-  const double cap = lines.has("familyInfo.grantCap") ? lines.real("familyInfo.grantCap") : 0;
+  made.memoryPages = lines.text("familyInfo.memoryShort") == "page";
+  const double cap = lines.within("familyInfo.grantCap", 0, 1);
   for (const Machine& each : made.machines) made.mostGrantMb = std::max(made.mostGrantMb, cap * each.memoryMb);
   made.prioritiesHeeded = lines.yes("familyInfo.lanesCount");
   made.progressPace = lines.time("familyInfo.progressPaceUs");
--- a/tests/choice_test.cpp
+++ b/tests/choice_test.cpp
@@ -201,29 +201,28 @@
   EXPECT_LT(host.takeMany(16, 0), 14U);
 }
 
-TEST(Slow, TheMarkShrinksWhenClientsLeaveBeforeTheirAnswers) {
-  FakeHost host;
-  host.site.types[0].jobTimeout = 100ms;  // well within the SLA time
+// Clients that leave before look-ups of 100 ms are done, after this time.
+void leaveAfter(FakeHost& host, Span patience) {
+  host.site.types[0].jobTimeout = patience;
   host.open(1);
   for (int each = 0; each < 6; ++each) {
     host.takeMany(8, 0);
-    host.pass(100ms);
+    host.pass(patience);
     host.endAll(Outcome::timedOut);
   }
+}
+
+TEST(Slow, TheMarkShrinksWhenClientsLeaveBeforeTheirAnswers) {
+  FakeHost host;
+  leaveAfter(host, 100ms);  // well within the SLA time
   EXPECT_LT(host.engines[0].easing.ease, 0.75);
 }
 
-// On join days clients give look-ups that take 100 ms less than that: their time-outs eased the mark to 0.48
-// for the whole fleet while its engines ran as ever.
+// On join days clients give look-ups less than these take: their time-outs eased the mark to 0.48 for the
+// whole fleet while its engines ran as ever.
 TEST(Slow, ClientsThatGiveLessThanTheWorkTakesTellNothingOfEngines) {
   FakeHost host;
-  host.site.types[0].jobTimeout = 60ms;
-  host.open(1);
-  for (int each = 0; each < 6; ++each) {
-    host.takeMany(8, 0);
-    host.pass(60ms);
-    host.endAll(Outcome::timedOut);
-  }
+  leaveAfter(host, 60ms);
   EXPECT_EQ(host.engines[0].easing.ease, 1);
   EXPECT_EQ(host.engines[0].bad.sum(host.now), 0);
 }
--- a/tests/protocol_test.cpp
+++ b/tests/protocol_test.cpp
@@ -173,6 +173,19 @@
   }
 }
 
+TEST(Settings, WhatOneJobGetsOfTheMemoryAndWhatGrantsPastItDo) {
+  const std::string fleet =
+      "machineTypes=a,b\nfamilyInfo.kindCores=16,12\nfamilyInfo.memoryByKindMb=32768.0,24576.0\n"
+      "profiles.count=1\nprofiles.0.idempotency=retryable\n";
+  const Told paged = decode(pathsOfLines(fleet + "familyInfo.memoryShort=page\nfamilyInfo.grantCap=0.5\n"));
+  EXPECT_TRUE(paged.deployment.memoryPages);
+  EXPECT_EQ(paged.deployment.mostGrantMb, 16384);
+  EXPECT_FALSE(decode(pathsOfLines(fleet + "familyInfo.memoryShort=wait\n")).deployment.memoryPages);
+  // Untold: the engine's own choice.
+  EXPECT_EQ(decode(pathsOfLines(fleet)).deployment.mostGrantMb, 0);
+  EXPECT_THROW(decode(pathsOfLines(fleet + "familyInfo.grantCap=-1\n")), Unreadable);
+}
+
 TEST(Settings, BothFormsDecodeAlike) {
   const Told lines = decode(pathsOfLines(
       "balancers=2\nzones=a,b\nmachineTypes=m\nfamilyInfo.kindCores=8\nprofiles.count=1\nprofiles.0.name=q\n"
