Busy cores and disks stand in for jobs held where engines tell only these

Its engines tell util and x1 in answers; the adapter passed neither, and Controller::read left every report without jobs held unread. So nothing was told of the others, and a controller with far more traffic than the rest took all to be as busy as itself.

The adapter now passes utilization and x1. An engine busy all the time, in cores or disks, counts as at its mark; less in proportion; own dispatches older than the shortest SLA time are taken off, as for jobs held. Harm: an engine past its mark looks no fuller than at it; there full, late and timed out tell.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -712,15 +712,20 @@
 
 // A report is from a while back: what was sent since is not in it, and must not be taken off it as own.
 void Controller::read(Engine& engine, const LoadReport& report) {
-  if (!report.jobsHeld || peersTell()) return;
-  double held = 0, memory = 0;
+  if ((!report.jobsHeld && !report.coresBusy) || peersTell()) return;
+  double held = 0, threads = 0, memory = 0;
   for (const Dispatch* each : engine.out) {
     if (now_ - each->sent < shortest_->slaTime) continue;
     held += 1;
+    threads += each->threads;
     memory += each->memoryMb;
   }
-  const double granted = report.memoryGranted.value_or(0) * site_.machines[engine.listing.kind].memoryMb;
-  engine.othersThreads = std::max(0.0, *report.jobsHeld - held) * heldThreads_ / heldTime_;
+  const Machine& machine = site_.machines[engine.listing.kind];
+  const double granted = report.memoryGranted.value_or(0) * machine.memoryMb;
+  // An engine whose cores or disks are busy all the time stands at its mark, as far as is told.
+  const double busy = std::max(report.coresBusy.value_or(0), report.disksBusy.value_or(0));
+  engine.othersThreads = report.jobsHeld ? std::max(0.0, *report.jobsHeld - held) * heldThreads_ / heldTime_
+                                         : std::max(0.0, busy * machine.cores * kMark - threads);
   engine.othersMemoryMb = std::max(0.0, granted - memory);
   engine.othersSeen = now_ == stallEnded_ ? now_ - stalled_ : now_;  // it may have waited as long
 }
--- a/src/model/engine.hpp
+++ b/src/model/engine.hpp
@@ -21,7 +21,9 @@
 
 struct LoadReport {
   std::optional<double> jobsHeld{};
-  std::optional<double> memoryGranted{};
+  std::optional<double> memoryGranted{};  // share of the memory
+  std::optional<double> coresBusy{};      // share of the cores
+  std::optional<double> disksBusy{};      // share of the disks
 };
 
 // What one reservation type has in flight on one engine, by this controller's own count.
--- a/src/simwire/door.cpp
+++ b/src/simwire/door.cpp
@@ -256,7 +256,9 @@
     if (each >= told_.reportNames.size()) continue;
     const std::string& name = told_.reportNames[each];
     if (name == "outstanding") read.jobsHeld = value;
+    if (name == "utilization") read.coresBusy = value;
     if (name == "x0") read.memoryGranted = value;
+    if (name == "x1") read.disksBusy = value;
   }
   return read;
 }
--- a/tests/choice_test.cpp
+++ b/tests/choice_test.cpp
@@ -113,6 +113,23 @@
   EXPECT_GE(host.engines[0].othersThreads, 9.9);
 }
 
+// Where engines tell only how busy their cores and disks are, a controller with far more traffic than the others
+// took all of them to be as busy as itself, and shed what an idle fleet could have run.
+TEST(Reports, BusyCoresAndDisksStandInForJobsHeld) {
+  for (const auto& [cores, disks, least, most] :
+       {std::tuple(0.1, 0.1, 12U, 99U), {1.0, 0.1, 0U, 2U}, {0.1, 1.0, 0U, 2U}}) {
+    FakeHost host;
+    host.site.controllers = 7;
+    host.open(1);
+    host.take(0);
+    const LoadReport report{.coresBusy = cores, .disksBusy = disks};
+    host.endAll(Outcome::done, &report);
+    const std::size_t sent = host.takeMany(20, 0);
+    EXPECT_GE(sent, least);
+    EXPECT_LE(sent, most);
+  }
+}
+
 TEST(Reports, AnEngineUnseenForLongIsProbedWhereOnlyProbesTell) {
   FakeHost host;
   host.site.controllers = 3;
