Hopeless jobs use idle cores, crossings wait for the mark, grants take free memory

Estimates are rough there and the usual slowness counts spills. What did not carry over: that such a job takes its threads from others; cores stood idle. It now ends at once only where no engine that may have it has under one thread a core with it.

Below its mark an engine elsewhere now counts as nearer to it by ten times the price.

A grant now takes its threads' part of what is free on its engine, 1.1 to 2.5 times the need; where the others' memory is untold it follows their threads.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -23,7 +23,8 @@
 constexpr double kWaitShare = 1.0 / 20;  // of the job timeout: a queued job is throttled after this
 constexpr double kColdSafety = 0.5;      // of what the cold rule allows: speeds and costs are only estimates
 constexpr double kColdJobs = 8;     // at once are what a cold engine can do: their type is let in by chance
-constexpr double kGrantOver = 1.1;  // of the expected need: the scatter of a good estimate
+constexpr double kGrantOver = 1.1;  // of the expected need, at least: the scatter of a good estimate
+constexpr double kGrantMost = 2.5;  // of the expected need: more than this an estimate hardly errs
 constexpr double kEngineGrantOver = 1.5;  // of the usual need: what engines grant where they decide
 constexpr double kMemoryFull = 0.85;      // of the memory: grants beyond wait or page
 constexpr double kRunaway = 3;            // times the time expected of a dispatch: its plan is bad
@@ -33,6 +34,7 @@
 constexpr double kEaseDown = 0.9, kEaseUp = 0.05, kLeastEase = 0.3;
 constexpr double kHeldOff = 3;     // times what the fleet held runs off: how fast its unheard mean fades
 constexpr double kLooks = 3;       // engines that a controller with thin shares chooses among
+constexpr double kCrossing = 10;   // times its price: the part that it takes of the room left elsewhere
 constexpr int kTrialSlas = 2;      // SLA times of the shortest type between trials of a doubted engine
 constexpr double kIllShare = 0.3;  // of recent outcomes: an engine that fails more is doubted
 constexpr double kMostAway = 4;    // turned away for one done: one that turns away more is doubted as well
@@ -263,7 +265,6 @@
 
 // The design's class checks: a job that fits on no engine is throttled at once, any other may queue.
 Controller::Step Controller::room(Job& job) {
-  if (hopeless(job)) return Step::end;
   if (job.waitEnds) return Step::pass;
   job.waitEnds = waitEnd(job);
   const bool any = std::any_of(engines_.begin(), engines_.end(), [&](Engine* engine) {
@@ -304,9 +305,13 @@
       // Where many guess alike, the room one job takes would send all to large engines; and what this
       // controller sent last is not what an engine read last.
       const double more = thin_ ? engine->cores : job.type->threads;
-      double score =
-          markUsed(more, *engine) * (isWarm || thin_ ? 1 : 1.25) * (before ? 2 : 1) * (1 + 0.1 * chance());
-      if (engine->listing.location != site_.location) score *= 1 + site_.crossLocationPrice;
+      double used = markUsed(more, *engine);
+      // Crossing has a price and gains nothing while there is room here: below its mark one elsewhere counts
+      // as fuller than it is.
+      const double left = 1 + (more - job.type->threads) / (engine->cores * kMark) - used;
+      if (engine->listing.location != site_.location)
+        used += std::max(0.0, left) * std::min(1.0, kCrossing * site_.crossLocationPrice);
+      double score = used * (isWarm || thin_ ? 1 : 1.25) * (before ? 2 : 1) * (1 + 0.1 * chance());
       // One that turns some away costs so many dispatches a job, not the work of those that it takes: left
       // out whole, three of five that did so left theirs to two, which then had too much.
       score *= 1 + engine->away.sum(now_) / (engine->good.sum(now_) + 1);
@@ -328,6 +333,7 @@
 Controller::Step Controller::draw(Job& job) {
   if (Engine* best = choose(job)) {
     const double over = markUsed(job.type->threads, *best) - 1;
+    if (over > 1 / kMark - 1 && hopeless(job)) return Step::end;
     const double mine = best->byType[job.type->index].threads;
     const bool byFloor = mine + job.type->threads <= floorThreads(job, *best, others(*best));
     if (over <= 0 || byFloor || (!job.overShare && chance() < std::exp(-16 * over) / 4)) {
@@ -335,7 +341,7 @@
       return Step::pass;
     }
   }
-  if (now_ >= *job.waitEnds || (job.overShare && job.dispatches.empty())) return Step::end;
+  if (now_ >= *job.waitEnds || (job.overShare && job.dispatches.empty()) || hopeless(job)) return Step::end;
   keepUntil(job, std::min(now_ + span(seconds(shortest_->slaTime) / 40 * (0.5 + chance())), *job.waitEnds));
   return Step::keep;
 }
@@ -356,7 +362,8 @@
   dispatch->until = job.expires;
   dispatch->threads = job.type->threads;
   dispatch->tokens = job.tokens;
-  dispatch->memoryMb = memoryNeed(job);
+  const double granted = grant(job, engine);
+  dispatch->memoryMb = site_.memoryPages || granted <= 0 ? memoryNeed(job) : granted;
   InFlight& mine = engine.byType[job.type->index];
   mine.threads += dispatch->threads;
   mine.tokens += dispatch->tokens;
@@ -369,7 +376,7 @@
   engine.coldSent.add(now_, meanCost(*job.type));
   started_.add(now_, 1);
   if (!job.dispatches.empty()) further_.add(now_, 1);
-  if (site_.memoryHeeded || site_.prioritiesHeeded) host_.terms(job, grant(job), priority(job));
+  if (site_.memoryHeeded || site_.prioritiesHeeded) host_.terms(job, granted, priority(job));
   auto& warm = engine.warmSets;
   warm.erase(std::remove(warm.begin(), warm.end(), job.dataSet), warm.end());
   warm.insert(warm.begin(), job.dataSet);
@@ -426,6 +433,7 @@
   heldTime_ = heldTime_ * 0.99 + took / dispatch.threads;
   heldSquare_ = heldSquare_ * 0.99 + took * took / dispatch.threads;
   heldThreads_ = heldThreads_ * 0.99 + took;
+  heldMemory_ = heldMemory_ * 0.99 + took / dispatch.threads * dispatch.memoryMb;
   engine.spent.add(now_, took);
   engine.workDone.add(now_, cost ? cost->threadSeconds : job.tokens);
   const auto blend = [](double& mean, double& seen, double value) {
@@ -698,12 +706,17 @@
 
 // Where only memory in use slows an engine, what a grant has over the need costs nobody, and one below it
 // makes the job spill and do its work several times: the most that one job gets. Where grants take memory
-// from others and answers tell the true need, little over it; elsewhere the engine's own choice.
-double Controller::grant(const Job& job) const {
+// from others and answers tell the true need, a little over it, and of what is free there its threads' part:
+// an estimate may be too low. Elsewhere the engine's own choice.
+double Controller::grant(const Job& job, Engine& engine) {
   const TypeLore& lore = lore_[job.type->index];
   if (site_.memoryHeeded && site_.memoryPages) return site_.mostGrantMb;
   const bool known = site_.memoryHeeded && lore.memoryBiasSeen >= 10 && job.toldMemoryMb > 0;
-  return known ? memoryNeed(job) * kGrantOver : 0;
+  if (!known) return 0;
+  const double need = memoryNeed(job), memory = site_.machines[engine.listing.kind].memoryMb;
+  const double free = std::max(0.0, memory - engine.memoryMb - others(engine).memoryMb - need);
+  const double part = free * job.type->threads / (site_.machines[engine.listing.kind].cores * kMark);
+  return std::clamp(need + part, need * kGrantOver, need * kGrantMost);
 }
 
 int Controller::priority(const Job& job) const {
@@ -726,7 +739,8 @@
   const double busy = std::max(report.coresBusy.value_or(0), report.disksBusy.value_or(0));
   engine.othersThreads = report.jobsHeld ? std::max(0.0, *report.jobsHeld - held) * heldThreads_ / heldTime_
                                          : std::max(0.0, busy * machine.cores * kMark - threads);
-  engine.othersMemoryMb = std::max(0.0, granted - memory);
+  engine.othersMemoryMb = report.memoryGranted ? std::max(0.0, granted - memory)
+                                               : engine.othersThreads * heldMemory_ / heldThreads_;
   engine.othersSeen = now_ == stallEnded_ ? now_ - stalled_ : now_;  // it may have waited as long
 }
 
--- a/src/choice.hpp
+++ b/src/choice.hpp
@@ -118,7 +118,7 @@
   double slaSeconds(const Job& job) const;
   double meanCost(const ReservationType& type) const;
   double memoryNeed(const Job& job) const;
-  double grant(const Job& job) const;
+  double grant(const Job& job, Engine& engine);
   int priority(const Job& job) const;
   void read(Engine& engine, const LoadReport& report);
   void clock(Span now);
@@ -160,7 +160,7 @@
   double threadsOut_ = 0, shortsOut_ = 0, allCores_ = 0;  // own, on all engines
   BucketRing<double> ownThreads_;
   Easing fleetEase_;
-  double heldTime_ = 1e-3, heldThreads_ = 1e-3, heldSquare_ = 1e-3;
+  double heldTime_ = 1e-3, heldThreads_ = 1e-3, heldSquare_ = 1e-3, heldMemory_ = 0;
   std::optional<Span> nextWake_, stallEnded_;
   Span stalled_{0};
   Span nextSurvey_{0}, nextTell_{0}, nextAsk_{0};
