A job dear for its type needs the room of as many usual ones

The token budget that should stop dear jobs first never did: it knows no others' tokens, and a lone job passes it.

A job told to take r times the mean told work of all its type that came (r over 1) counts as r times its threads where it asks to be let in: class checks and mark. What is in flight counts as before. Off where worth goes by work. Guards against any shortage, whatever its cause; could harm where told costs are noise.

The test fails without it.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -40,6 +40,12 @@
 double seconds(Span span) { return Seconds(span).count(); }
 Span span(double secs) { return std::chrono::duration_cast<Span>(Seconds(secs)); }
 
+// A mean over the last hundred or so.
+void blend(double& mean, double& seen, double value) {
+  seen = std::min(seen + 1, 100.0);
+  mean += (value - mean) / seen;
+}
+
 }  // namespace
 
 Controller::Controller(Host& host, const Deployment& deployment, std::uint64_t seed, Span now)
@@ -93,10 +99,15 @@
 void Controller::take(Span now, Job& job) {
   clock(now);
   if (site_.furtherSpan > Span{0}) taken_.add(now, 1);
-  const TypeLore& lore = lore_[job.type->index];
+  TypeLore& lore = lore_[job.type->index];
   job.dice = chance();
   drawn_.add(now, 1);
   job.tokens = job.toldCost ? seconds(*job.toldCost) * lore.bias : lore.meanCost;
+  // Each job of a type is worth the same, whatever its work: one that is told to take r times the work of all
+  // that come needs the room of r. Refused alike at all sizes, a tenth of the jobs took half of all work.
+  blend(lore.meanTaken, lore.takenSeen, job.tokens);
+  const double dear = site_.valueByWork ? 1 : job.tokens / std::max(lore.meanTaken, 1e-9);
+  job.room = job.type->threads * std::max(1.0, dear);
   // What a customer sends beyond its share is worth little: it gets idle room only. Where all send more than
   // this controller's part (another is away) nobody does, or half of what could run would be turned away.
   if (job.customer < customerTaken_.size()) {
@@ -327,7 +338,7 @@
 // Start on a fitting engine under the mark, or above it by a falling chance; else draw again a little later.
 Controller::Step Controller::draw(Job& job) {
   if (Engine* best = choose(job)) {
-    const double over = markUsed(job.type->threads, *best) - 1;
+    const double over = markUsed(job.room, *best) - 1;
     const double mine = best->byType[job.type->index].threads;
     const bool byFloor = mine + job.type->threads <= floorThreads(job, *best, others(*best));
     if (over <= 0 || byFloor || (!job.overShare && chance() < std::exp(-16 * over) / 4)) {
@@ -428,10 +439,6 @@
   heldThreads_ = heldThreads_ * 0.99 + took;
   engine.spent.add(now_, took);
   engine.workDone.add(now_, cost ? cost->threadSeconds : job.tokens);
-  const auto blend = [](double& mean, double& seen, double value) {
-    seen = std::min(seen + 1, 100.0);
-    mean += (value - mean) / seen;
-  };
   const double told = job.toldCost ? seconds(*job.toldCost) : took;
   blend(lore.meanCost, lore.costSeen, cost ? cost->threadSeconds : told);
   if (cost && job.toldCost) blend(lore.bias, lore.biasSeen, cost->threadSeconds / told);
@@ -639,7 +646,7 @@
   // job, or a budget smaller than a dear one, would shut it out for good.
   const double whole = engine.cores * kMark * easing(engine).ease;
   const bool alone = engine.byType[type].threads <= 0 &&
-                     (theirs.threads <= 0 || engine.threads + theirs.threads + job.type->threads <= whole);
+                     (theirs.threads <= 0 || engine.threads + theirs.threads + job.room <= whole);
   const InFlight& mine = engine.byType[type];
   const bool byFloor = mine.threads + job.type->threads <= floorThreads(job, engine, theirs) &&
                        (mine.threads <= 0 || mine.tokens + job.tokens <= floors_[type] * tokens);
@@ -648,11 +655,11 @@
     for (std::size_t each = 0; each < floors_.size(); ++each) {
       const InFlight& used = engine.byType[each];
       const double own = each == type ? 1 : 0;
-      borrowedThreads += std::max(0.0, used.threads + own * job.type->threads - floors_[each] * threads);
+      borrowedThreads += std::max(0.0, used.threads + own * job.room - floors_[each] * threads);
       borrowedTokens += std::max(0.0, used.tokens + own * job.tokens - floors_[each] * tokens);
     }
     const double ceiling = job.type->load ? kLoadCeiling : 1;
-    if (mine.threads + job.type->threads > ceiling * threads) return false;
+    if (mine.threads + job.room > ceiling * threads) return false;
     if (mine.tokens + job.tokens > ceiling * tokens) return false;
     if (std::max(borrowedThreads / threads, borrowedTokens / tokens) > 1 - kFloorShare) return false;
   }
--- a/src/choice.hpp
+++ b/src/choice.hpp
@@ -71,6 +71,7 @@
   struct TypeLore {
     double meanCost = 0, meanMemoryMb = 0, bias = 1, memoryBias = 1;
     double costSeen = 0, memorySeen = 0, biasSeen = 0, memoryBiasSeen = 0;
+    double meanTaken = 0, takenSeen = 0;  // cost, of all that came
   };
   struct Turn {
     std::deque<Job*> line;
--- a/src/model/deployment.hpp
+++ b/src/model/deployment.hpp
@@ -45,6 +45,7 @@
   std::vector<Customer> customers;
   std::vector<Machine> machines;
 
+  bool valueByWork = false;  // a job's worth grows with its work
   bool memoryHeeded = false;
   bool memoryPages = false;  // grants past an engine's memory do no harm, only need past it does
   double mostGrantMb = 0;    // that one job gets on any engine
--- a/src/protocol/settings.cpp
+++ b/src/protocol/settings.cpp
@@ -171,6 +171,7 @@
     made.machines.push_back({std::max(1.0, lines.realAt("familyInfo.kindCores", each)),
                              lines.realAt("familyInfo.memoryByKindMb", each)});
   }
+  made.valueByWork = lines.text("valueBy") == "work";
   made.memoryHeeded = lines.yes("familyInfo.memoryHeeded");
   made.memoryPages = lines.text("familyInfo.memoryShort") == "page";
   const double cap = lines.within("familyInfo.grantCap", 0, 1);
--- a/tests/choice_test.cpp
+++ b/tests/choice_test.cpp
@@ -47,6 +47,19 @@
   EXPECT_EQ(host.takeMany(1, 1, 100ms), 1U);
 }
 
+// Each is worth the same, and a tenth of them took half of the work: refused were as many of the cheap ones.
+TEST(Classes, AJobDearForItsTypeNeedsAsMuchMoreRoom) {
+  for (const bool byWork : {false, true}) {
+    FakeHost host;
+    host.site.valueByWork = byWork;
+    host.open(1);
+    for (int each = 0; each < 9; ++each) host.takeMany(1, 1, 2s), host.endAll();
+    EXPECT_EQ(host.takeMany(12, 0), 12U);  // four of sixteen threads are left
+    EXPECT_EQ(host.takeMany(1, 1, 20s), byWork ? 1U : 0U);
+    EXPECT_EQ(host.takeMany(1, 1, 2s), byWork ? 0U : 1U);
+  }
+}
+
 TEST(Classes, OnlyAJobThatFitsNowhereIsThrottledAtOnce) {
   FakeHost host(1);
   host.takeMany(1, 1, 60s);
@@ -113,8 +126,8 @@
   EXPECT_GE(host.engines[0].othersThreads, 9.9);
 }
 
-// Where engines tell only how busy their cores and disks are, a controller with far more traffic than the others
-// took all of them to be as busy as itself, and shed what an idle fleet could have run.
+// Where engines tell only how busy their cores and disks are, a controller with far more traffic than the
+// others took all of them to be as busy as itself, and shed what an idle fleet could have run.
 TEST(Reports, BusyCoresAndDisksStandInForJobsHeld) {
   for (const auto& [cores, disks, least, most] :
        {std::tuple(0.1, 0.1, 12U, 99U), {1.0, 0.1, 0U, 2U}, {0.1, 1.0, 0U, 2U}}) {
