--- a/tests/choice_test.cpp
+++ b/tests/choice_test.cpp
@@ -47,6 +47,19 @@
   EXPECT_EQ(host.takeMany(1, 1, 100ms), 1U);
 }
 
+// Each is worth the same, and a tenth of them took half of the work: refused were as many of the cheap ones.
+TEST(Classes, AJobDearForItsTypeNeedsAsMuchMoreRoom) {
+  for (const bool byWork : {false, true}) {
+    FakeHost host;
+    host.site.valueByWork = byWork;
+    host.open(1);
+    for (int each = 0; each < 9; ++each) host.takeMany(1, 1, 2s), host.endAll();
+    EXPECT_EQ(host.takeMany(12, 0), 12U);  // four of sixteen threads are left
+    EXPECT_EQ(host.takeMany(1, 1, 20s), byWork ? 1U : 0U);
+    EXPECT_EQ(host.takeMany(1, 1, 2s), byWork ? 0U : 1U);
+  }
+}
+
 TEST(Classes, OnlyAJobThatFitsNowhereIsThrottledAtOnce) {
   FakeHost host(1);
   host.takeMany(1, 1, 60s);
