A cold engine seen idle counts as idle: the rest of the fleet tells nothing of it

What an idle engine holds has run off in no time, so its report faded at once into the fleet's mean (2.3 to 3.8 threads a core), against cores counted at the part that is warm: three times as full as any. Excluded: the cold budget (a lookup is a third of a controller's part in any window), doubts (none), the list (all had it). Change: where others are guessed from the fleet, a cold engine is taken to hold none, as thin shares had it; rule 4 rations what all send. Assumption that did not carry over: that only hundreds of controllers leave cold engines empty. Could harm where an engine that is cold is full of work of others that no report tells.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -608,7 +608,7 @@
   const double drains = engine.othersThreads / machine.cores * heldSquare_ / heldThreads_;
   const double trust = std::exp(-age / std::max(drains, 1e-3));
   const auto blend = [&](double seen, double fleet) { return trust * seen + (1 - trust) * fleet; };
-  const double part = thin_ && isCold(engine) ? 0 : 1;  // what many send a cold one is rationed already
+  const double part = isCold(engine) ? 0 : 1;  // what all send a cold one is rationed already
   return {blend(engine.othersThreads, fleetThreads_ * part * machine.cores), 0,
           blend(engine.othersMemoryMb, fleetMemory_ * part * machine.memoryMb)};
 }
--- a/tests/choice_test.cpp
+++ b/tests/choice_test.cpp
@@ -101,6 +101,24 @@
   EXPECT_GT(host.sentTo(0), 1U);
 }
 
+// On a day of releases new engines stood empty for all of their cold time, at 2 to 3 threads a core elsewhere.
+TEST(Reports, AColdEngineSeenIdleIsNotTakenToBeAsFullAsTheRest) {
+  FakeHost host;
+  host.site.controllers = 4;
+  host.open(2);
+  host.pass(1s);
+  host.list(0, {.started = host.now});
+  for (int each = 0; each < 20; ++each) {
+    const LoadReport busy{.jobsHeld = 14};
+    host.controller->probed(host.now, host.engines[0], true, &kIdle);
+    host.controller->probed(host.now, host.engines[1], true, &busy);
+    host.pass(200ms);
+    host.takeMany(1, 0);
+    host.endAll();
+  }
+  EXPECT_GE(host.sentTo(0), 5U);
+}
+
 TEST(Reports, WhatWasSentSinceIsNotTakenOffThem) {
   FakeHost host;
   host.site.controllers = 2;
