--- a/tests/choice_test.cpp
+++ b/tests/choice_test.cpp
@@ -119,6 +119,25 @@
   EXPECT_GE(host.sentTo(0), 5U);
 }
 
+// All controllers go by the same reports until their next probes: what all think best is full by then.
+TEST(Reports, NotAllThatProbedTheSameGoToTheSameEngine) {
+  std::size_t same = 0;
+  for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+    FakeHost host;
+    host.site.controllers = 4;
+    host.site.reportsOnProbe = host.site.mayProbe = true;
+    host.open(5, seed);
+    for (std::size_t each = 0; each < 5; ++each) {
+      const LoadReport report{.jobsHeld = each == 0 ? 5 : 7};
+      host.controller->probed(host.now, host.engines[each], true, &report);
+    }
+    host.take(0);
+    same += host.sentTo(0);
+  }
+  EXPECT_GT(same, 8U);
+  EXPECT_LT(same, 32U);
+}
+
 TEST(Reports, WhatWasSentSinceIsNotTakenOffThem) {
   FakeHost host;
   host.site.controllers = 2;
