--- a/tests/choice_test.cpp
+++ b/tests/choice_test.cpp
@@ -114,6 +114,43 @@
   EXPECT_GT(host.sentTo(0), 1U);
 }
 
+// On a day of releases new engines stood empty for all of their cold time, at 2 to 3 threads a core elsewhere.
+TEST(Reports, AColdEngineSeenIdleIsNotTakenToBeAsFullAsTheRest) {
+  FakeHost host;
+  host.site.controllers = 4;
+  host.open(2);
+  host.pass(1s);
+  host.list(0, {.started = host.now});
+  for (int each = 0; each < 20; ++each) {
+    const LoadReport busy{.jobsHeld = 14};
+    host.controller->probed(host.now, host.engines[0], true, &kIdle);
+    host.controller->probed(host.now, host.engines[1], true, &busy);
+    host.pass(200ms);
+    host.takeMany(1, 0);
+    host.endAll();
+  }
+  EXPECT_GE(host.sentTo(0), 5U);
+}
+
+// All controllers go by the same reports until their next probes: what all think best is full by then.
+TEST(Reports, NotAllThatProbedTheSameGoToTheSameEngine) {
+  std::size_t same = 0;
+  for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+    FakeHost host;
+    host.site.controllers = 4;
+    host.site.reportsOnProbe = host.site.mayProbe = true;
+    host.open(5, seed);
+    for (std::size_t each = 0; each < 5; ++each) {
+      const LoadReport report{.jobsHeld = each == 0 ? 5 : 7};
+      host.controller->probed(host.now, host.engines[each], true, &report);
+    }
+    host.take(0);
+    same += host.sentTo(0);
+  }
+  EXPECT_GT(same, 8U);
+  EXPECT_LT(same, 32U);
+}
+
 TEST(Reports, WhatWasSentSinceIsNotTakenOffThem) {
   FakeHost host;
   host.site.controllers = 2;
@@ -446,6 +483,21 @@
   EXPECT_EQ(host.sent.size(), before + 13);
 }
 
+// On a quiet day all that was throttled were such jobs, 255 of 12188: those tried ran in a third of that time.
+TEST(Hopeless, AnEstimateThatNothingCorrectsIsNoEvidenceWhereEnginesAreSeenIdle) {
+  for (const LoadReport* report : {&kIdle, &kFull}) {
+    FakeHost host;
+    host.site.controllers = 2;
+    host.site.reportsOnProbe = host.site.mayProbe = true;
+    host.open(2);
+    host.take(0);
+    for (Engine& each : host.engines) host.controller->probed(host.now, each, true, report);
+    host.pass(100ms);
+    host.take(1, 90s);
+    EXPECT_EQ(host.sent.size(), report == &kIdle ? 2U : 1U);
+  }
+}
+
 TEST(Runaway, ABadPlanIsWithdrawnByItsNotesAndDrawnAnew) {
   FakeHost host;
   host.site.mayWithdraw = true;
