Loads and the jobs that wait for them keep to different halves of the engines

Ruled out: waiting for memory (short_of_memory_share 0.01), slow engines.

The wire tells which types wait (yieldsToLoads), and ids and data sets are the same at all controllers: a hash of both gives each data set one half of the engines for its loads and the other for what waits; the wrong half counts as twice as full, so neither is shut out. Acts only where a type waits for loads. Harm: where one set takes most of the traffic, its half fills first.

The test fails without.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -323,6 +323,12 @@
       if (engine->listing.location != site_.location)
         used += std::max(0.0, left) * std::min(1.0, kCrossing * site_.crossLocationPrice);
       double score = used * (isWarm || thin_ ? 1 : 1.25) * (before ? 2 : 1) * (1 + 0.1 * chance());
+      // A load holds its data set on its engine, and jobs that read it stand still there: on half of the
+      // engines, by a hash that all controllers share; what reads goes to the other half.
+      if (site_.loadsHold && (job.type->load || job.type->waits)) {
+        const std::uint32_t mixed = (engine->number ^ (job.dataSet * 2654435761U)) * 2654435769U;
+        if ((mixed >> 31 != 0) != job.type->load) score *= 2;
+      }
       // One that turns some away costs so many dispatches a job, not the work of those that it takes: left
       // out whole, three of five that did so left theirs to two, which then had too much.
       score *= 1 + engine->away.sum(now_) / (engine->good.sum(now_) + 1);
--- a/src/model/deployment.hpp
+++ b/src/model/deployment.hpp
@@ -26,6 +26,7 @@
   double lateValue = 0;
   int threads = 1;
   bool load = false;
+  bool waits = false;  // for loads of what it reads
 };
 
 struct Customer {
@@ -45,6 +46,7 @@
   std::vector<Customer> customers;
   std::vector<Machine> machines;
 
+  bool loadsHold = false;    // some type waits for loads
   bool valueByWork = false;  // a job's worth grows with its work
   bool memoryHeeded = false;
   bool memoryPages = false;  // grants past an engine's memory do no harm, only need past it does
--- a/src/protocol/settings.cpp
+++ b/src/protocol/settings.cpp
@@ -129,6 +129,8 @@
   made.threads = std::max(1, static_cast<int>(lines.realAt("familyInfo.widthByClass", index)));
   const std::vector<std::string> loads = lines.list("familyInfo.loads");
   made.load = index < loads.size() && loads[index] == "true";
+  const std::vector<std::string> waits = lines.list("familyInfo.yieldsToLoads");
+  made.waits = index < waits.size() && waits[index] == "true";
   return made;
 }
 
@@ -159,6 +161,7 @@
   made.location = lines.whole("zone");
   for (std::size_t each = 0; each < lines.whole("profiles.count"); ++each) {
     made.types.push_back(type(lines, each));
+    made.loadsHold = made.loadsHold || made.types.back().waits;
     told.typeNames.push_back(lines.text("profiles." + std::to_string(each) + ".name"));
   }
   if (made.types.empty()) throw Unreadable("settings: profiles.count: no reservation type");
@@ -175,7 +178,8 @@
   made.memoryHeeded = lines.yes("familyInfo.memoryHeeded");
   made.memoryPages = lines.text("familyInfo.memoryShort") == "page";
   const double cap = lines.within("familyInfo.grantCap", 0, 1);
-  for (const Machine& each : made.machines) made.mostGrantMb = std::max(made.mostGrantMb, cap * each.memoryMb);
+  for (const Machine& each : made.machines)
+    made.mostGrantMb = std::max(made.mostGrantMb, cap * each.memoryMb);
   made.prioritiesHeeded = lines.yes("familyInfo.lanesCount");
   made.progressPace = lines.time("familyInfo.progressPaceUs");
   made.reportsOnProbe = lines.text("reporting.source") == "on_probe";
--- a/tests/choice_test.cpp
+++ b/tests/choice_test.cpp
@@ -60,6 +60,24 @@
   }
 }
 
+// A load holds what it reads on its engine, and short jobs that read the same stand still there until it
+// ends: nine in ten of the late ones had met one, mostly another controller's.
+TEST(Loads, AndWhatWaitsForThemGoToDifferentEnginesAtAllControllers) {
+  std::vector<bool> loaded(8), waited(8);
+  for (std::uint64_t seed = 1; seed <= 4; ++seed) {
+    FakeHost host;
+    host.site.types[0].waits = host.site.loadsHold = host.site.types[1].load = true;
+    host.open(8, seed);
+    for (int each = 0; each < 8; ++each) {
+      host.takeMany(2, each % 2);
+      for (const Dispatch* made : host.sent)
+        if (made->out) (each % 2 ? loaded : waited)[made->engine->number] = true;
+      host.endAll();
+    }
+  }
+  for (std::size_t each = 0; each < 8; ++each) EXPECT_FALSE(loaded[each] && waited[each]);
+}
+
 TEST(Classes, OnlyAJobThatFitsNowhereIsThrottledAtOnce) {
   FakeHost host(1);
   host.takeMany(1, 1, 60s);
