--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -31,6 +31,7 @@
 constexpr int kFreshSlas = 2;             // SLA times of the shortest type: how long a load report is fresh
 constexpr double kTokenHorizon = 0.6;     // of the longest usual SLA time: work that a thread may have ahead
 constexpr double kCopyShare = 0.05;       // of recent dispatches: second copies at most
+constexpr double kOldWord = 1;  // chance in the choice of engine where all go by the same old reports
 constexpr double kEaseDown = 0.9, kEaseUp = 0.05, kLeastEase = 0.3;
 constexpr double kHeldOff = 3;     // times what the fleet held runs off: how fast its unheard mean fades
 constexpr double kLooks = 3;       // engines that a controller with thin shares chooses among
@@ -296,6 +297,7 @@
   Engine* best = nullptr;
   double bestScore = 0;
   bool anySound = false;
+  const double scatter = site_.reportsOnProbe && !peersTell() && !thin_ ? kOldWord : 0.1;
   for (const bool sound : {true, false}) {
     if (!sound && anySound) break;
     double looks = reach();
@@ -322,7 +324,7 @@
       const double left = 1 + (more - job.type->threads) / (engine->cores * kMark) - used;
       if (engine->listing.location != site_.location)
         used += std::max(0.0, left) * std::min(1.0, kCrossing * site_.crossLocationPrice);
-      double score = used * (isWarm || thin_ ? 1 : 1.25) * (before ? 2 : 1) * (1 + 0.1 * chance());
+      double score = used * (isWarm || thin_ ? 1 : 1.25) * (before ? 2 : 1) * (1 + scatter * chance());
       // A load holds its data set on its engine, and jobs that read it stand still there: on half of the
       // engines, by a hash that all controllers share; what reads goes to the other half.
       if (site_.loadsHold && (job.type->load || job.type->waits)) {
@@ -627,7 +629,7 @@
   const double drains = engine.othersThreads / machine.cores * heldSquare_ / heldThreads_;
   const double trust = std::exp(-age / std::max(drains, 1e-3));
   const auto blend = [&](double seen, double fleet) { return trust * seen + (1 - trust) * fleet; };
-  const double part = thin_ && isCold(engine) ? 0 : 1;  // what many send a cold one is rationed already
+  const double part = isCold(engine) ? 0 : 1;  // what all send a cold one is rationed already
   return {blend(engine.othersThreads, fleetThreads_ * part * machine.cores), 0,
           blend(engine.othersMemoryMb, fleetMemory_ * part * machine.memoryMb)};
 }
