Probes follow the jobs everywhere, and chance in the choice is narrow again

Change: the bound of thin shares, one probe for two jobs taken, holds for all. Could harm where a controller takes few jobs for its engines: it then goes by the fleet's mean and its own counts.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -30,7 +30,6 @@
 constexpr int kFreshSlas = 2;             // SLA times of the shortest type: how long a load report is fresh
 constexpr double kTokenHorizon = 0.6;     // of the longest usual SLA time: work that a thread may have ahead
 constexpr double kCopyShare = 0.05;       // of recent dispatches: second copies at most
-constexpr double kOldWord = 1;  // chance in the choice of engine where all go by the same old reports
 constexpr double kEaseDown = 0.9, kEaseUp = 0.05, kLeastEase = 0.3;
 constexpr double kHeldOff = 3;     // times what the fleet held runs off: how fast its unheard mean fades
 constexpr double kLooks = 3;       // engines that a controller with thin shares chooses among
@@ -287,7 +286,6 @@
   Engine* best = nullptr;
   double bestScore = 0;
   bool anySound = false;
-  const double scatter = site_.reportsOnProbe && !peersTell() && !thin_ ? kOldWord : 0.1;
   for (const bool sound : {true, false}) {
     if (!sound && anySound) break;
     double looks = reach();
@@ -309,7 +307,7 @@
       // controller sent last is not what an engine read last.
       const double more = thin_ ? engine->cores : job.type->threads;
       double score =
-          markUsed(more, *engine) * (isWarm || thin_ ? 1 : 1.25) * (before ? 2 : 1) * (1 + scatter * chance());
+          markUsed(more, *engine) * (isWarm || thin_ ? 1 : 1.25) * (before ? 2 : 1) * (1 + 0.1 * chance());
       if (engine->listing.location != site_.location) score *= 1 + site_.crossLocationPrice;
       // One that turns some away costs so many dispatches a job, not the work of those that it takes: left
       // out whole, three of five that did so left theirs to two, which then had too much.
@@ -786,14 +784,15 @@
   host_.watchList();
 }
 
-// Where only probes bring load reports and no peer tells, an engine is probed when its last report has aged:
-// of a thin share's part of the fleet, more rarely, and one probe for two jobs at most.
+// Where only probes bring load reports and no peer tells, an engine is probed when its last report has aged
+// (of a thin share's part of the fleet, more rarely), one probe for two jobs at most. So each controller sees
+// other engines afresh than the next: where all saw the same idle one, all went there until the next probe.
 void Controller::probeUnseen() {
   if (!site_.reportsOnProbe || !site_.mayProbe || peersTell() || site_.controllers < 2) return;
   const Span aged = shortest_->slaTime * kFreshSlas * (thin_ ? 2 : 1);
   double looks = reach();
   for (Engine* engine : engines_) {
-    if (--looks < 0 || (thin_ && 2 * probes_.sum(now_) >= drawn_.sum(now_))) return;
+    if (--looks < 0 || 2 * probes_.sum(now_) >= drawn_.sum(now_)) return;
     const auto recent = [&](const std::optional<Span>& at) { return at && now_ - *at < aged; };
     if (!engine->listed || recent(engine->othersSeen) || recent(engine->probeSent)) continue;
     engine->probeSent = now_;
