--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -31,7 +31,6 @@
 constexpr int kFreshSlas = 2;             // SLA times of the shortest type: how long a load report is fresh
 constexpr double kTokenHorizon = 0.6;     // of the longest usual SLA time: work that a thread may have ahead
 constexpr double kCopyShare = 0.05;       // of recent dispatches: second copies at most
-constexpr double kOldWord = 1;  // chance in the choice of engine where all go by the same old reports
 constexpr double kEaseDown = 0.9, kEaseUp = 0.05, kLeastEase = 0.3;
 constexpr double kHeldOff = 3;     // times what the fleet held runs off: how fast its unheard mean fades
 constexpr double kLooks = 3;       // engines that a controller with thin shares chooses among
@@ -297,7 +296,6 @@
   Engine* best = nullptr;
   double bestScore = 0;
   bool anySound = false;
-  const double scatter = site_.reportsOnProbe && !peersTell() && !thin_ ? kOldWord : 0.1;
   for (const bool sound : {true, false}) {
     if (!sound && anySound) break;
     double looks = reach();
@@ -324,7 +322,7 @@
       const double left = 1 + (more - job.type->threads) / (engine->cores * kMark) - used;
       if (engine->listing.location != site_.location)
         used += std::max(0.0, left) * std::min(1.0, kCrossing * site_.crossLocationPrice);
-      double score = used * (isWarm || thin_ ? 1 : 1.25) * (before ? 2 : 1) * (1 + scatter * chance());
+      double score = used * (isWarm || thin_ ? 1 : 1.25) * (before ? 2 : 1) * (1 + 0.1 * chance());
       // A load holds its data set on its engine, and jobs that read it stand still there: on half of the
       // engines, by a hash that all controllers share; what reads goes to the other half.
       if (site_.loadsHold && (job.type->load || job.type->waits)) {
@@ -816,14 +814,15 @@
   host_.watchList();
 }
 
-// Where only probes bring load reports and no peer tells, an engine is probed when its last report has aged:
-// of a thin share's part of the fleet, more rarely, and one probe for two jobs at most.
+// Where only probes bring load reports and no peer tells, an engine is probed when its last report has aged
+// (of a thin share's part of the fleet, more rarely), one probe for two jobs at most. So each controller sees
+// other engines afresh than the next: where all saw the same idle one, all went there until the next probe.
 void Controller::probeUnseen() {
   if (!site_.reportsOnProbe || !site_.mayProbe || peersTell() || site_.controllers < 2) return;
   const Span aged = shortest_->slaTime * kFreshSlas * (thin_ ? 2 : 1);
   double looks = reach();
   for (Engine* engine : engines_) {
-    if (--looks < 0 || (thin_ && 2 * probes_.sum(now_) >= drawn_.sum(now_))) return;
+    if (--looks < 0 || 2 * probes_.sum(now_) >= drawn_.sum(now_)) return;
     const auto recent = [&](const std::optional<Span>& at) { return at && now_ - *at < aged; };
     if (!engine->listed || recent(engine->othersSeen) || recent(engine->probeSent)) continue;
     engine->probeSent = now_;
