--- a/deploy/operator.hcl
+++ b/deploy/operator.hcl
@@ -22,3 +22,11 @@
     level = "warning"
   }
 }
+
+# What controllers share (docs/share.md); off without this block.
+# share {
+#   listen  = "10.0.0.11:7946" # UDP, on a network of the controllers' own
+#   peers   = ["10.0.0.12:7946", "10.0.0.13:7946"]
+#   period  = "200ms"
+#   cluster = "north"
+# }
--- a/src/operating/keeper.hpp
+++ b/src/operating/keeper.hpp
@@ -39,6 +39,30 @@
   };
   std::optional<Course> drain;
   std::optional<drain::Outlook::End> expectedEnd;  // an estimate
+
+  // What is shared among controllers, where that is switched on.
+  struct Share {
+    std::string cluster, owner;
+    std::uint64_t generation = 0, laterLives = 0;  // met under its own name
+    std::size_t owners = 0, entries = 0, bytes = 0, mostBytes = 0;
+    std::size_t peers = 0, peersHeard = 0;  // heard within the last seconds
+    struct Peer {
+      std::string address, owner;
+      std::optional<Span> heardAgo;
+    };
+    std::vector<Peer> each;  // kMostPeers at most
+    static constexpr std::size_t kMostPeers = 64;
+    std::uint64_t datagramsIn = 0, bytesIn = 0, datagramsOut = 0, bytesOut = 0;
+    std::vector<std::pair<const char*, std::uint64_t>> dropped;  // by reason
+    struct Load {
+      std::uint64_t threads = 0, jobs = 0;
+    };
+    std::size_t controllers = 0, live = 0;  // that tell of their load, and those heard of lately
+    Load all;
+    std::vector<std::pair<std::string, Load>> engines;  // kMostEngines at most, by name
+    static constexpr std::size_t kMostEngines = 1024;
+  };
+  std::optional<Share> share;
 };
 
 class Keeper final : public routing::Gate {
@@ -73,6 +97,7 @@
   std::vector<EngineView> engines(const std::string& from, std::size_t most) const;
   routing::Desk::Found setAddress(const std::string& engine, const std::string& address,
                                   reach::Routes::ByHand what, Span until, const std::string& by);
+  void tellShare(std::function<Status::Share()> of) { share_ = std::move(of); }
   void tellChanges(std::function<void()> to) { changed_ = std::move(to); }  // of the state
   void learnLengths();                                                      // of jobs, for the expected end
 
@@ -90,6 +115,7 @@
   const Say& say_;
   const std::function<void()> exit_;
   std::function<void()> changed_;
+  std::function<Status::Share()> share_;
   drain::Drain drain_;
   drain::Outlook outlook_;
   std::uint64_t turnedAway_ = 0;
--- a/src/operating/settings.cpp
+++ b/src/operating/settings.cpp
@@ -58,6 +58,16 @@
   throw std::invalid_argument(std::string("a text is expected, not ") + value.kind());
 }
 
+constexpr std::size_t kMostPeers = 1024, kLongestClusterName = 32;
+
+// Of the fleet's datagrams: IPv4 alone.
+std::string shareAddressIn(const hcl::Value& value) {
+  const std::string& text = textIn(value);
+  if (transport::Address(text).family() != AF_INET)
+    throw std::invalid_argument("'" + text.substr(0, 40) + "' is not an IPv4 address and port");
+  return text;
+}
+
 template <typename Of>
 Key duration(const char* block, const char* name, microseconds least, microseconds most, Of of) {
   return {block, name,
@@ -144,6 +154,42 @@
            shown += (shown.empty() ? "[\"" : ", \"") + std::string(reach::nameOf(each)) + "\"";
          return shown + "]";
        }},
+      {"share", "listen",
+       [](Settings& settings, const hcl::Value& value) { settings.share.listen = shareAddressIn(value); },
+       [](const Settings& settings) { return "\"" + settings.share.listen + "\""; }},
+      {"share", "peers",
+       [](Settings& settings, const hcl::Value& value) {
+         const auto* list = std::get_if<hcl::Value::List>(&value.value);
+         if (!list || list->size() > kMostPeers)
+           throw std::invalid_argument("a list of " + std::to_string(kMostPeers) +
+                                       " addresses at most is expected");
+         std::vector<std::string> read;
+         for (const hcl::Value& each : *list) {
+           read.push_back(shareAddressIn(each));
+           if (std::find(read.begin(), std::prev(read.end()), read.back()) != std::prev(read.end()))
+             throw std::invalid_argument("'" + read.back() + "' stands twice");
+         }
+         settings.share.peers = std::move(read);
+       },
+       [](const Settings& settings) {
+         std::string shown;
+         for (const std::string& each : settings.share.peers)
+           shown += (shown.empty() ? "\"" : ", \"") + each + "\"";
+         return "[" + shown + "]";
+       }},
+      duration(
+          "share", "period", 20ms, 60s, [](Settings & s) -> auto& { return s.share.period; }),
+      {"share", "cluster",
+       [](Settings& settings, const hcl::Value& value) {
+         const std::string& name = textIn(value);
+         if (name.empty() || name.size() > kLongestClusterName)
+           throw std::invalid_argument("a name of 1 to " + std::to_string(kLongestClusterName) +
+                                       " bytes is expected");
+         settings.share.cluster = name;
+       },
+       [](const Settings& settings) { return "\"" + settings.share.cluster + "\""; }},
+      duration(
+          "share", "keep", 1s, 24h, [](Settings & s) -> auto& { return s.share.keep; }),
       {"log", "form",
        [](Settings& settings, const hcl::Value& value) {
          const std::string& form = textIn(value);
@@ -310,6 +356,10 @@
                   "drain.deadline",
                   "it is " + shownDuration(settings.drain.deadline) + ", drain.longest " +
                       shownDuration(settings.drain.longest));
+  if (settings.share.listen.empty())
+    for (const char* key : {"share.peers", "share.period", "share.cluster", "share.keep"})
+      if (origins.count(key) > 0)
+        reading.wrong(placeOf(key), "share.listen", "it is expected where share has other keys");
   for (const Key& each : keys())
     settings.shown.push_back({each.full(), each.show(settings),
                               origins.count(each.full()) > 0 ? origins[each.full()] : "default"});
--- a/src/operating/settings.hpp
+++ b/src/operating/settings.hpp
@@ -27,12 +27,23 @@
   std::chrono::microseconds idle{std::chrono::seconds(10)};  // without a whole message, or without reading
 };
 
+// What is shared with the other controllers, and with whom (docs/share.md).
+struct ShareTerms {
+  std::string listen;              // IPv4 address and port; empty: nothing is shared
+  std::vector<std::string> peers;  // likewise, up to 1024
+  std::chrono::microseconds period{std::chrono::milliseconds(200)};
+  std::string cluster = "paddletrack";
+  std::chrono::microseconds keep{std::chrono::minutes(10)};
+  bool operator==(const ShareTerms&) const = default;
+};
+
 enum class LogForm { text, json };
 
 struct Settings {
   DoorTerms door;
   drain::Terms drain;
   std::vector<reach::Family> prefer = reach::Terms{}.prefer;
+  ShareTerms share;
   LogForm logForm = LogForm::text;
   Level logLevel = Level::info;
   std::map<std::string, Level> topicLevels;
--- a/src/operating/words.cpp
+++ b/src/operating/words.cpp
@@ -59,6 +59,39 @@
   return std::chrono::milliseconds(std::min(value, kMost));
 }
 
+Json of(const Status::Share& share) {
+  const auto load = [](const Status::Share::Load& each) {
+    return Json{{"threads", each.threads}, {"jobs", each.jobs}};
+  };
+  Json peers = Json::array(), dropped = Json::object(), engines = Json::object();
+  for (const auto& each : share.each)
+    peers.push_back({{"address", each.address},
+                     {"controller", each.owner.empty() ? Json(nullptr) : Json(each.owner)},
+                     {"heard_ms_ago", each.heardAgo ? Json(ms(*each.heardAgo)) : Json(nullptr)}});
+  for (const auto& [reason, count] : share.dropped) dropped[reason] = count;
+  for (const auto& [name, sum] : share.engines) engines[name] = load(sum);
+  return {{"cluster", share.cluster},
+          {"controller", share.owner},
+          {"generation", share.generation},
+          {"later_lives", share.laterLives},
+          {"peers", share.peers},
+          {"peers_heard", share.peersHeard},
+          {"each_peer", std::move(peers)},
+          {"owners", share.owners},
+          {"entries", share.entries},
+          {"bytes", share.bytes},
+          {"most_bytes", share.mostBytes},
+          {"in", {{"datagrams", share.datagramsIn}, {"bytes", share.bytesIn}}},
+          {"out", {{"datagrams", share.datagramsOut}, {"bytes", share.bytesOut}}},
+          {"dropped", std::move(dropped)},
+          {"fleet",
+           {{"controllers", share.controllers},
+            {"live", share.live},
+            {"threads", share.all.threads},
+            {"jobs", share.all.jobs},
+            {"engines", std::move(engines)}}}};
+}
+
 Json of(const Status& status) {
   Json open{{"jobs", status.open.jobs}};
   Json byType = Json::object();
@@ -86,6 +119,7 @@
     made["expected_end"] = {{"estimate", true},
                             {"in_ms", ms(status.expectedEnd->in)},
                             {"from_answers", status.expectedEnd->from}};
+  if (status.share) made["share"] = of(*status.share);
   made["drain"] = nullptr;
   if (!status.drain) return made;
   const Status::Course& drain = *status.drain;
--- a/src/program/serve.cpp
+++ b/src/program/serve.cpp
@@ -9,6 +9,7 @@
 #include "routing/client_side.hpp"
 #include "routing/desk.hpp"
 #include "routing/follower.hpp"
+#include "share/post.hpp"
 
 namespace paddletrack::program {
 namespace {
@@ -58,6 +59,10 @@
       say("configuration", "only a restart changes the door");
       read.door = was;
     }
+    if (read.share != owner.settings.share) {
+      say("configuration", "only a restart changes what is shared");
+      read.share = owner.settings.share;
+    }
     owner.settings = std::move(read);
     keeper.change(owner.settings.drain);
     keeper.prefer(owner.settings.prefer);
@@ -68,6 +73,80 @@
   }
 }
 
+std::optional<share::PostTerms> sharing(const Node& node, const operating::ShareTerms& terms) {
+  if (terms.listen.empty()) return std::nullopt;
+  if (node.name.empty() || node.name.size() > share::kLongestOwner)
+    throw Misconfigured("name: 1 to " + std::to_string(share::kLongestOwner) +
+                        " bytes are wanted where the operator's file has share.listen");
+  share::PostTerms made{transport::Address(terms.listen), terms.cluster, {}, {}};
+  made.store.owner = node.name;
+  // Later starts have later times; a clock that went back is noticed by what others hold.
+  made.store.generation = static_cast<std::uint64_t>(std::max<std::int64_t>(
+      std::chrono::duration_cast<Span>(std::chrono::system_clock::now().time_since_epoch()).count(), 1));
+  made.store.keep = terms.keep;
+  made.gossip.period = terms.period;
+  made.gossip.seed = node.seed ^ made.store.generation;
+  for (const std::string& each : terms.peers)
+    if (each != terms.listen) made.gossip.peers.push_back(transport::placeOf(transport::Address(each)));
+  return made;
+}
+
+void tellLoad(share::LoadShare& loads, Span now, const routing::Desk& desk) {
+  if (now < loads.next()) return;
+  std::map<std::string, share::Load> engines;
+  share::Load all{0, desk.totals().taken};
+  desk.eachExecutor([&](const routing::Executor& each) {
+    const auto threads = static_cast<std::uint64_t>(std::max(each.threads, 0.0) + 0.5);
+    engines[each.id] = {threads, each.sent};
+    all.threads += threads;
+  });
+  loads.write(now, engines, all);
+}
+
+operating::Status::Share shareStatus(share::Post& post, const share::PostTerms& terms) {
+  operating::Status::Share told;
+  const Span now = post.now();
+  const share::Store& store = post.store();
+  const share::Gossip& gossip = post.gossip();
+  told.cluster = terms.cluster;
+  told.owner = store.owner();
+  told.generation = store.generation();
+  told.laterLives = gossip.again();
+  told.owners = store.owners();
+  told.entries = store.entries();
+  told.bytes = store.bytes();
+  told.mostBytes = terms.store.mostBytes;
+  told.peers = terms.gossip.peers.size();
+  told.peersHeard = gossip.heardSince(now - share::FleetLoad::kLive);
+  for (const share::Where peer : terms.gossip.peers) {
+    if (told.each.size() == told.kMostPeers) break;
+    auto& view = told.each.emplace_back();
+    view.address = transport::nameOf(peer);
+    if (const share::Gossip::Heard* heard = gossip.lastHeard(peer)) {
+      view.owner = heard->sender;
+      view.heardAgo = now - heard->at;
+    }
+  }
+  const share::Post::Traffic& traffic = post.traffic();
+  told.datagramsIn = traffic.datagramsIn;
+  told.bytesIn = traffic.bytesIn;
+  told.datagramsOut = traffic.datagramsOut;
+  told.bytesOut = traffic.bytesOut;
+  for (std::size_t each = 0; each < share::kDrops; ++each) {
+    const auto why = static_cast<share::Drop>(each);
+    told.dropped.emplace_back(nameOf(why), gossip.drops(why));
+  }
+  const share::FleetLoad fleet = share::fleetLoad(store, now);
+  told.controllers = fleet.controllers;
+  told.live = fleet.live;
+  told.all = {fleet.all.threads, fleet.all.jobs};
+  for (const auto& [name, load] : fleet.engines) {
+    if (told.engines.size() == told.kMostEngines) break;
+    told.engines.emplace_back(name, operating::Status::Share::Load{load.threads, load.jobs});
+  }
+  return told;
+}
+
 transport::Task<> heed(Signals& signals, std::function<void()> leaving, std::function<void()> reloading) {
   for (;;) {
     const int signal = co_await signals.next();
@@ -90,7 +169,8 @@
 
   // Usual clients hold a third of the descriptors, executors are few: the rest is room for the others.
   const bool hasDoor = !owner.settings.door.socket.empty();
-  const std::size_t own = kOwnDescriptors + (hasDoor ? owner.settings.door.clients + 2 : 0);
+  const std::size_t own = kOwnDescriptors + (hasDoor ? owner.settings.door.clients + 2 : 0) +
+                          (owner.settings.share.listen.empty() ? 0 : 1);
   if (own + kLeastShared > node.descriptors)
     throw Misconfigured("door.clients: " + std::to_string(owner.settings.door.clients) +
                         " leave too few of limits.sockets");
@@ -114,6 +194,18 @@
     door.emplace(scheduler, owner.settings.door, keeper, say);
   }
 
+  const std::optional<share::PostTerms> shares = sharing(node, owner.settings.share);
+  std::optional<share::Post> post;
+  std::optional<share::LoadShare> loads;
+  if (shares) {
+    post.emplace(scheduler, *shares, say);
+    loads.emplace(post->store());
+    post->beforeTurns([&](Span now) { tellLoad(*loads, now, desk); });
+    keeper.tellShare([&] { return shareStatus(*post, *shares); });
+    say("share", "with " + std::to_string(shares->gossip.peers.size()) + " peers, at " +
+                     owner.settings.share.listen + ", cluster " + shares->cluster);
+  }
+
   Signals signals(scheduler);
   transport::Group running(scheduler, [&](const char* what) { say("leaving", what, {}, Level::error); });
   running.spawn(heed(
--- a/src/rig/main.cpp
+++ b/src/rig/main.cpp
@@ -41,6 +41,13 @@
       app.add_subcommand("soak", "one controller under steady load, its resident memory as it goes");
   soak->add_option("--minutes", minutes)->check(CLI::Range(0.5, 600.0));
   soak->add_option("--rate", soaked, "jobs a second")->check(CLI::Range(1.0, 2000.0));
+  std::vector<unsigned> fleets{3, 10, 30};
+  unsigned shared = 12;
+  CLI::App* share = app.add_subcommand(
+      "share", "how soon all controllers know what one shares, and what that costs in bytes");
+  share->add_option("--fleets", fleets, "controllers of each")->check(CLI::Range(2, 48));
+  share->add_option("--rounds", shared, "of news; half as many partitions, a fourth as many restarts")
+      ->check(CLI::Range(4, 1000));
   CLI11_PARSE(app, argc, argv);
   try {
     using namespace paddletrack::rig;
@@ -52,6 +59,7 @@
     if (roll->parsed()) return measureRoll(program, rolled);
     if (fleet->parsed()) return measureFleet(program, before, engines);
     if (addresses->parsed()) return measureAddresses(jobs);
+    if (share->parsed()) return measureShare(program, fleets, shared);
     if (soak->parsed()) return measureSoak(program, soaked, minutes);
     return measureCost(program, before);
   } catch (const std::exception& error) {
--- a/src/routing/desk.cpp
+++ b/src/routing/desk.cpp
@@ -194,6 +194,7 @@
   sending.until = outside(made.until);
   sending.timeout.at(sending.until);
   ++static_cast<Executor*>(made.engine)->known;
+  ++static_cast<Executor*>(made.engine)->sent;
   servers_.send(sending);
 }
 
--- a/src/routing/server_side.hpp
+++ b/src/routing/server_side.hpp
@@ -24,6 +24,7 @@
   std::size_t dialling = 0;
   std::vector<Link*> links;
   std::size_t known = 0;  // dispatches to it, of exchanges that are alive
+  std::uint64_t sent = 0;  // dispatches to it, ever
 };
 
 // One connection to one executor, from before its dial until it has been given back.
--- a/src/share/store.hpp
+++ b/src/share/store.hpp
@@ -67,10 +67,10 @@
 };
 
 struct Terms {
-  std::string owner;                             // this controller's name; 1 to kLongestOwner bytes
-  std::uint64_t generation = 1;                  // this start's, above all earlier ones: 1 to kMostNumber - 1
-  Span keep{std::chrono::minutes(10)};           // an entry is forgotten when it is so old
-  std::size_t mostBytes = std::size_t{4} << 20;  // of all, costs counted in; at least 2 * kOwnerBytes
+  std::string owner;                    // this controller's name; 1 to kLongestOwner bytes
+  std::uint64_t generation = 1;         // this start's, above all earlier ones: 1 to kMostNumber - 1
+  Span keep{std::chrono::minutes(10)};  // an entry is forgotten when it is so old
+  std::size_t mostBytes = std::size_t{16} << 20;  // of all, costs counted in; at least 2 * kOwnerBytes
   Order order = Order::leastFirst;
 };
 
@@ -107,6 +107,7 @@
   // Grows with each change of what visit() shows, other than an entry's age. For who computes from a view.
   std::uint64_t changes() const { return changes_; }
   const std::string& owner() const { return terms_.owner; }
+  Span keep() const { return terms_.keep; }
   std::uint64_t generation() const {
     return generation_;
   }  // grows where others hold a later one of this name
@@ -119,8 +120,9 @@
   // part begins after its `last`.
   static constexpr std::size_t kLineCost = 24;
   Digest digest(Span now, std::string_view first, std::size_t mostBytes) const;
-  // What the other lacks of it, at most so many bytes of names, keys, values and kItemCost an item and part.
-  static constexpr std::size_t kItemCost = 24;
+  // What the other lacks of it, at most so many bytes of names, keys, values, kItemCost an item, kPartCost a
+  // part.
+  static constexpr std::size_t kItemCost = 24, kPartCost = 40;
   Delta delta(Span now, const Digest& theirs, std::size_t mostBytes) const;
   // The lines of this one's digest for owners of which the other has more: the other answers with a delta.
   // Its range is empty, `first` after `last`. Lines: at most so many bytes.
@@ -152,23 +154,23 @@
     std::uint64_t generation = 0;
     std::uint64_t seen = 0;  // nothing of the generation up to here is missing
     Entries entries;
-    std::map<std::uint64_t, Entries::iterator> byVersion;
+    std::multimap<std::uint64_t, Entries::iterator> byVersion;
     std::size_t bytes = 0;
     Span newest{0};  // birth of its youngest entry
   };
   using Owners = std::map<std::string, Owner, std::less<>>;
 
   static Span age(Span now, const Entry& entry) { return now > entry.born ? now - entry.born : Span{0}; }
-  static std::size_t cost(const Entries::const_iterator& at) {
-    return kEntryCost + at->first.second.size() + at->second.value.size();
-  }
+  static std::size_t cost(std::size_t key, std::size_t value) { return kEntryCost + key + value; }
   Owner& own() { return owners_.find(terms_.owner)->second; }
-  void write(Span now, Owner& owner, Entries::iterator at, std::string_view value, bool gone);
-  bool takeItem(Span now, Owner& owner, const Item& item, Merged& merged);
+  void write(Owner& owner, Entries::iterator at, std::string_view value, bool gone, std::uint64_t version,
+             Span born);
+  void take(Span now, Owners::iterator owner, const Item& item, Merged& merged);
   void erase(Owner& owner, Entries::iterator at);
   void clear(Owner& owner);
-  bool room(Span now, std::string_view newcomer, std::size_t bytes);
-  Owners::iterator stalest(Span now, std::string_view butNot);
+  std::size_t free() const;  // bytes for others' entries
+  bool makeRoom(Span now, std::string_view taker, std::size_t bytes, bool newOwner);
+  Owners::const_iterator stalest(Span now, std::string_view taker) const;
   bool closed(Span now) const;
   void beginAgain(std::uint64_t after);
 
--- a/src/standin/site.cpp
+++ b/src/standin/site.cpp
@@ -90,8 +90,10 @@
   std::ofstream(config) << configuration(which);
   std::vector<std::string> arguments{"serve", "--config", config};
   if (terms_.doors) {
-    std::ofstream(operatorsFile(which)) << "door { socket = \"" + door(which) + "\" }\ndrain { notice = \"" +
-                                               terms_.notice + "\" }\n" + terms_.operatorsFile;
+    std::ofstream(operatorsFile(which))
+        << "door { socket = \"" + door(which) + "\" }\ndrain { notice = \"" + terms_.notice + "\" }\n" +
+               terms_.operatorsFile
+        << (terms_.operatorsFileOf ? terms_.operatorsFileOf(static_cast<unsigned>(which)) : std::string());
     arguments.insert(arguments.end(), {"--operator", operatorsFile(which)});
   }
   processes_[which].reset();
--- a/src/standin/site.hpp
+++ b/src/standin/site.hpp
@@ -51,7 +51,8 @@
   unsigned executors = 4, controllers = 1;
   unsigned memoryMb = 192, sockets = 1024, cores = 16;
   bool doors = true;
-  std::string operatorsFile{};  // more blocks of it
+  std::string operatorsFile{};                                        // more blocks of it
+  std::function<std::string(unsigned controller)> operatorsFileOf{};  // and of one controller's
   std::string notice = "300ms";
   // What the list says of one executor beside its usual address, or in its place.
   std::function<void(ChangeLog::Server& said, unsigned executor, const std::string& folder)> listed{};
--- a/tests/deploy_test.cpp
+++ b/tests/deploy_test.cpp
@@ -212,6 +212,17 @@
     fields >> num >> refs >> protocol >> flags >> type >> state >> inode;
     EXPECT_FALSE(sockets.contains(inode)) << "a Unix socket: " << line;
   }
+  // Nor is any of them a UDP one.
+  for (const char* kind : {"net/udp", "net/udp6"}) {
+    std::istringstream udp(slurp(proc / kind));
+    std::getline(udp, line);
+    while (std::getline(udp, line)) {
+      std::istringstream fields(line);
+      std::string field;
+      for (int each = 0; each < 10; ++each) fields >> field;  // the tenth is the inode
+      EXPECT_FALSE(sockets.contains(field)) << "a UDP socket: " << line;
+    }
+  }
   // Idle, it waits: a thread that spun would take the whole second.
   const long before = ticks(program.pid);
   std::this_thread::sleep_for(1s);
