--- a/src/rig/share.cpp
+++ b/src/rig/share.cpp
@@ -114,18 +114,17 @@
   loop.until([&] { return fleet.load.books().open == 0; }, 5s);
   for (unsigned round = 0; round < rounds / 4; ++round) {
     const unsigned which = round % members;
-    const std::string name = watch.told(which)["controller"];
     fleet.signal(which, SIGKILL);
     loop.until([&] { return fleet.site.controller(which).ended().has_value(); }, 5s);
     const transport::Moment begun = loop.now();
     fleet.site.start(which);
-    loop.until([&] { return fleet.load.inService(which); }, 10s);
+    loop.until([&] { return fleet.owners(which) > 0; }, 10s);  // its door is open
     watch.watch(fleet, which);
     // From its start until it knows all, and all sum the same as it does.
     const bool all = watch
                          .until(
                              [&](const Json& told) {
-                               return told["owners"] == members &&
+                               return told["owners"] == members && !watch.told(which).is_null() &&
                                       told["fleet"]["jobs"] == watch.told(which)["fleet"]["jobs"];
                              },
                              30s)
@@ -146,9 +145,10 @@
   return worst < 1e8 && broken == 0;
 }
 
-// A newcomer to a fleet that holds much: how long until it has each owner's small record, and everything.
+// A newcomer to a fleet that holds much: how long until it has the small record of half the owners, of nine
+// in ten, and everything.
 struct Caught {
-  double small = 0, all = 0;
+  double half = 0, most = 0, all = 0;
   std::uint64_t datagrams = 0;
 };
 Caught catchUp(share::Order order, unsigned members, std::size_t largest, std::uint64_t seed) {
@@ -211,10 +211,12 @@
     }
     for (unsigned each = 0; each < members; ++each)
       if (now >= fleet[each].gossip->next()) send(each, fleet[each].gossip->turn(now));
-    if (made.small == 0 && count(kLoad) == members)
-      made.small = std::chrono::duration<double, std::milli>(now).count();
-    if (now % 10ms == 0us && made.small > 0 && count(kRebalance) == wanted) {
-      made.all = std::chrono::duration<double, std::milli>(now).count();
+    const std::size_t small = count(kLoad);
+    const double ms = std::chrono::duration<double, std::milli>(now).count();
+    if (made.half == 0 && 2 * small >= members) made.half = ms;
+    if (made.most == 0 && 10 * small >= 9 * members) made.most = ms;
+    if (now % 10ms == 0us && small == members && count(kRebalance) == wanted) {
+      made.all = ms;
       break;
     }
   }
@@ -223,24 +225,26 @@
 
 bool orders() {
   std::printf(
-      "\nA newcomer to 30 controllers of which the largest share 64 KB and 240 KB, simulated, 1 ms a "
-      "datagram,\n"
-      "5 seeds each: ms (median) until it has all small records and until it has all; datagrams to it\n\n");
-  std::printf("%-8s %-8s %10s %10s %10s\n", "largest", "order", "small", "all", "datagrams");
+      "\nA newcomer to 30 controllers of which the largest share 64 KB and 240 KB, simulated, 1 ms a\n"
+      "datagram, 5 seeds each: ms (median) until it has the small record of half of them, of nine in ten, "
+      "and\n"
+      "all; datagrams to it\n\n");
+  std::printf("%-8s %-8s %10s %12s %10s %10s\n", "largest", "order", "half", "nine in ten", "all",
+              "datagrams");
   bool well = true;
   for (const std::size_t largest : {std::size_t{64000}, std::size_t{240000}})
     for (const auto& [name, order] : {std::pair{"least", share::Order::leastFirst},
                                       {"newest", share::Order::newestFirst},
                                       {"depth", share::Order::depthFirst}}) {
-      std::vector<double> small, all, datagrams;
+      std::vector<double> half, most, all, datagrams;
       for (std::uint64_t seed = 1; seed <= 5; ++seed) {
         const Caught caught = catchUp(order, 30, largest, seed);
-        small.push_back(caught.small), all.push_back(caught.all);
+        half.push_back(caught.half), most.push_back(caught.most), all.push_back(caught.all);
         datagrams.push_back(static_cast<double>(caught.datagrams));
         well = well && caught.all > 0;
       }
-      std::printf("%-8zu %-8s %10.0f %10.0f %10.0f\n", largest, name, quantile(small, 0.5),
-                  quantile(all, 0.5), quantile(datagrams, 0.5));
+      std::printf("%-8zu %-8s %10.0f %12.0f %10.0f %10.0f\n", largest, name, quantile(half, 0.5),
+                  quantile(most, 0.5), quantile(all, 0.5), quantile(datagrams, 0.5));
       std::fflush(stdout);
     }
   return well;
@@ -251,12 +255,11 @@
 int measureShare(const std::string& program, const std::vector<unsigned>& fleets, unsigned rounds) {
   moreDescriptors();
   std::printf(
-      "Controllers on loopback, period 200 ms, load records every 500 ms. ms until all sum the same: after "
-      "one\n"
-      "job at one of them (news), after a partition of 3 s in two halves with jobs on both sides (healed), "
-      "from\n"
-      "the start of one that was killed (restarted); bytes a second that each sends, idle and at 20 jobs a\n"
-      "second each; what one holds\n\n");
+      "Controllers on loopback, period 200 ms, load records every 500 ms. ms until all sum the same: after\n"
+      "one job at one of them (news), after a partition of 3 s in two halves with jobs on both sides\n"
+      "(healed), from the start of one that was killed (restarted); bytes a second that each sends, idle "
+      "and\n"
+      "at 20 jobs a second each; what one holds\n\n");
   std::printf("%8s %9s %9s %9s %9s %9s %9s %10s %10s %8s %8s\n", "members", "news p50", "max", "healed p50",
               "max", "restarted", "max", "idle B/s", "loaded B/s", "entries", "bytes");
   bool well = true;
