--- a/src/operating/settings.cpp
+++ b/src/operating/settings.cpp
@@ -359,7 +359,7 @@
   if (settings.share.listen.empty())
     for (const char* key : {"share.peers", "share.period", "share.cluster", "share.keep"})
       if (origins.count(key) > 0)
-        reading.wrong(placeOf(key), "share.listen", "it is expected where share has other keys");
+        reading.wrong(placeOf(key), key, "share.listen is expected where share has other keys");
   for (const Key& each : keys())
     settings.shown.push_back({each.full(), each.show(settings),
                               origins.count(each.full()) > 0 ? origins[each.full()] : "default"});
--- a/src/share/post.cpp
+++ b/src/share/post.cpp
@@ -2,12 +2,22 @@
 
 #include <cerrno>
 #include <cstring>
+#include <system_error>
 
 namespace paddletrack::share {
 namespace {
 
 constexpr int kInARow = 16;  // datagrams, before all others have their turn
 
+transport::Datagrams opened(transport::Scheduler& scheduler, const transport::Address& listen) {
+  try {
+    return transport::Datagrams(scheduler, listen, kMostDatagram);
+  } catch (const std::system_error& error) {
+    throw NotOpened("share.listen: " + transport::nameOf(transport::placeOf(listen)) + ": " + error.what() +
+                    "; give it an address of this machine and a port that nobody has");
+  }
+}
+
 }  // namespace
 
 Post::Post(transport::Scheduler& scheduler, const PostTerms& terms, const Say& say)
@@ -17,7 +27,7 @@
       start_(scheduler.now()),
       store_(terms.store),
       gossip_(store_, terms.gossip),
-      socket_(scheduler, terms.listen, kMostDatagram),
+      socket_(opened(scheduler, terms.listen)),
       turn_(scheduler, [this] { turn(); }),
       running_(scheduler, [this](const char* what) { say_("share", what, {}, Level::error); }) {
   running_.spawn(listen());
--- a/src/share/post.hpp
+++ b/src/share/post.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <functional>
+#include <stdexcept>
 #include <string>
 #include <vector>
 
@@ -13,6 +14,11 @@
 
 namespace paddletrack::share {
 
+// The socket could not be had: which address, why, and what to do.
+struct NotOpened : std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+
 struct PostTerms {
   transport::Address listen;
   std::string cluster;
@@ -22,7 +28,7 @@
 
 class Post {
  public:
-  // Throws std::system_error where the socket can't be had, std::invalid_argument where a term is wrong.
+  // Throws NotOpened; std::invalid_argument where a term is wrong.
   Post(transport::Scheduler& scheduler, const PostTerms& terms, const Say& say);
 
   Store& store() { return store_; }
--- a/tests/operating_test.cpp
+++ b/tests/operating_test.cpp
@@ -111,6 +111,14 @@
   EXPECT_EQ(wrong("reach { prefer = [\"unix\", \"ipv4\", \"ipv5\"] }"),
             "f:1:18: reach.prefer: a list of \"unix\", \"ipv6\" and \"ipv4\", each once, is expected");
   EXPECT_EQ(wrong("reach { prefer = [\"ipv4\", \"unix\", \"ipv6\"] }"), "");
+  EXPECT_EQ(wrong("share {\n  listen = \"127.0.0.1:7946\"\n  peers = [\"127.0.0.2:7946\"]\n}"), "");
+  EXPECT_EQ(wrong("share { period = \"1s\" }"),
+            "f:1:18: share.period: share.listen is expected where share has other keys");
+  EXPECT_EQ(wrong("share { listen = \"[::1]:7946\" }"),
+            "f:1:18: share.listen: '[::1]:7946' is not an IPv4 address and port");
+  EXPECT_EQ(wrong("share { peers = [\"127.0.0.2:7946\", \"127.0.0.2:7946\"] }"),
+            "f:1:17: share.peers: '127.0.0.2:7946' stands twice");
+  EXPECT_EQ(wrong("share { cluster = \"\" }"), "f:1:19: share.cluster: a name of 1 to 32 bytes is expected");
   EXPECT_EQ(wrong("log { level = \"loud\" }"),
             "f:1:15: log.level: 'loud': \"debug\", \"info\", \"warning\" or \"error\" is expected");
   EXPECT_EQ(wrong("log {\n  topic {}\n}"),
--- a/tests/share_fleet_test.cpp
+++ b/tests/share_fleet_test.cpp
@@ -193,6 +193,23 @@
   EXPECT_GE(fleet.agrees({0, 1}, 5), 0);
 }
 
+TEST(ShareFleet, AnAddressThatIsTakenEndsTheStartWithItsName) {
+  Loop loop;
+  const transport::Datagrams taken(loop, transport::Address("127.0.169.1:17946"), 100);
+  SiteTerms terms;
+  terms.program = PADDLETRACK_PROGRAM;
+  terms.net = 169;
+  terms.operatorsFile = "share { listen = \"127.0.169.1:17946\" }\n";
+  Site site(loop, loop.unsent, terms);
+  ASSERT_TRUE(loop.until([&] { return site.controller(0).ended().has_value(); }));
+  EXPECT_EQ(site.controller(0).ended(), 1);
+  std::ifstream file(site.log(0));
+  const std::string said(std::istreambuf_iterator<char>(file), {});
+  EXPECT_NE(said.find("share.listen: 127.0.169.1:17946: bind: Address already in use; give it"),
+            std::string::npos)
+      << said;
+}
+
 TEST(ShareFleet, WithoutTheBlockNothingIsSaidOfSharing) {
   Loop loop;
   SiteTerms terms;
