--- a/src/drain/drain.cpp
+++ b/src/drain/drain.cpp
@@ -16,6 +16,8 @@
 constexpr milliseconds kStillComing{760}, kLongestRest{3000}, kLastStretch{700}, kMargin{300};
 
 constexpr Span kPace = std::chrono::milliseconds(5);  // between looks while one is awaited
+// A look that comes so late means that the process stood still: what came meanwhile has not been read yet.
+constexpr Span kLate = kPace * 4, kReadsOn = kPace * 8;
 
 }  // namespace
 
@@ -109,7 +111,12 @@
     course_->drained = now;
     enter(State::drained);
   }
-  if (last_) act.exit = now >= *last_ || (now >= settledFrom_ && books.jobs == 0 && flushed);
+  if (last_) {
+    if (planned_ && now > *planned_ + kLate) readsUntil_ = now + kReadsOn;
+    const bool nothingOwed = books.jobs == 0 && books.coming == 0 && flushed;
+    act.exit = now >= readsUntil_ && (now >= *last_ || (now >= settledFrom_ && nothingOwed));
+    planned_ = nextLook(now);
+  }
   return act;
 }
 
@@ -120,7 +127,10 @@
   if (state_ == State::leaving) sooner(closesAt());
   if (state_ == State::closing || state_ == State::ending) sooner(now + kPace);
   if (state_ == State::closing) sooner(course_->deadline);
-  if (last_) sooner(std::max(std::min(now + kPace * 4, *last_), std::min(settledFrom_, *last_)));
+  if (last_) {
+    const Span usual = std::max(std::min(now + kPace * 4, *last_), std::min(settledFrom_, *last_));
+    sooner(std::max(usual, readsUntil_));
+  }
   return next;
 }
 
--- a/src/drain/drain.hpp
+++ b/src/drain/drain.hpp
@@ -38,6 +38,7 @@
 struct Books {
   std::size_t jobs = 0;    // taken and without a final answer
   std::size_t unsent = 0;  // bytes of answers that the kernel has not taken yet
+  std::size_t coming = 0;  // clients that have just come or are midway in a message
   std::array<std::uint64_t, 4>
       answers{};                 // since the start: left by their client, done, throttled, cancelled
   std::uint64_t turnedAway = 0;  // throttled by the drain itself, never taken
@@ -101,9 +102,11 @@
   State state_ = State::serving;
   std::optional<Course> course_;
   std::uint64_t drains_ = 0;
-  Span since_{0};             // the state
-  std::optional<Span> last_;  // SIGTERM has come: the process ends then
-  Span settledFrom_{0};       // and not before
+  Span since_{0};                // the state
+  std::optional<Span> last_;     // SIGTERM has come: the process ends then
+  Span settledFrom_{0};          // and not before
+  std::optional<Span> planned_;  // the next look since then
+  Span readsUntil_{0};           // it stood still: no end before what came meanwhile is read
 };
 
 }  // namespace paddletrack::drain
--- a/src/operating/keeper.cpp
+++ b/src/operating/keeper.cpp
@@ -94,6 +94,7 @@
   drain::Books books;
   desk_.eachOpen([&](const routing::Exchange&) { ++books.jobs; });
   books.unsent = clients_.unsent();
+  books.coming = clients_.coming();
   books.answers = desk_.totals().answers;
   books.answers[0] = desk_.totals().left;
   books.turnedAway = turnedAway_;
--- a/src/routing/client_side.cpp
+++ b/src/routing/client_side.cpp
@@ -100,16 +100,16 @@
   bool spare() const { return open_.empty() && connection_.unsent() == 0 && !ending_; }
   // What could be missed least, lowest first: one that had time to ask and did not, then one that is idle.
   // One that has just come goes last, else connections that stay for good would keep all others out.
-  auto worth() const {
-    const bool fresh = !served_ && side_.scheduler_.now() - since_ < side_.bounds_.whole / kFreshParts;
-    return std::tuple(fresh, served_, since_);
-  }
+  auto worth() const { return std::tuple(!served_ && fresh(), served_, since_); }
+  // Has shown nothing yet, or not all of a message, and is not late with it.
+  bool coming() const { return (begun_ || !served_) && fresh(); }
   void end() {
     ending_ = true;
     connection_.shut();
   }
 
  private:
+  bool fresh() const { return side_.scheduler_.now() - since_ < side_.bounds_.whole / kFreshParts; }
   // Until when it may go on without a whole message. Bytes that drip in do not prolong it.
   transport::Moment patience() const {
     if (begun_) return since_ + side_.bounds_.whole;
@@ -287,6 +287,11 @@
   return bytes;
 }
 
+std::size_t ClientSide::coming() const {
+  return static_cast<std::size_t>(std::count_if(connected_.begin(), connected_.end(),
+                                                [](const Session* each) { return each->coming(); }));
+}
+
 std::string ClientSide::counts() const {
   return "clients: " + std::to_string(connected_.size()) + " connected of " +
          std::to_string(counts_.accepted) + ", requests refused " + std::to_string(counts_.refused) +
--- a/src/routing/client_side.hpp
+++ b/src/routing/client_side.hpp
@@ -38,6 +38,7 @@
 
   void guard(Gate* gate) { gate_ = gate; }
   std::size_t unsent() const;  // bytes of answers that the kernel has not taken
+  std::size_t coming() const;  // connections that have just come or are midway in a message
   std::size_t connected() const { return connected_.size(); }
   std::string counts() const;  // for the log
 
--- a/src/routing/follower.cpp
+++ b/src/routing/follower.cpp
@@ -28,32 +28,38 @@
   begin();
 }
 
-// The session under way, if any, ends here with all that is its own.
 void Follower::begin() {
-  running_.emplace(scheduler_, [this](const char* what) { say_("changelog", what); });
-  running_->spawn(follow());
+  running_ =
+      std::make_unique<transport::Group>(scheduler_, [this](const char* what) { say_("changelog", what); });
+  running_->spawn(follow(++way_));
 }
 
+// The new one may be out of reach, for a while or for good: a session that tells goes on until the new one
+// has told something. One that ends earlier is not begun again.
 bool Follower::move(const transport::Address& log) {
   if (log == log_) return false;
   log_ = log;
   failures_ = nonsense_ = 0;
+  if (telling_) before_ = std::move(running_);
+  telling_ = false;
   begin();
   return true;
 }
 
 // Waits between sessions are spread, so that controllers cut off together do not come back together.
-transport::Task<> Follower::follow() {
+transport::Task<> Follower::follow(std::uint64_t way) {
   for (;;) {
     ++failures_;
     try {
-      co_await session();
+      co_await session(way);
     } catch (const protocol::Unreadable& error) {
       say_("changelog", std::string(nonsense_ > 0 ? "read afresh: " : "read again: ") + error.what());
-      if (++nonsense_ > 1) last_ = 0;
+      if (way == way_ && ++nonsense_ > 1) last_ = 0;
     } catch (const std::exception& error) {
       say_("changelog", error.what());
     }
+    if (way != way_) co_return;
+    telling_ = false;
     desk_.listFailed();
     const milliseconds most = kFirstWait * (1 << std::min(failures_, kMostDoublings));
     const milliseconds wait{
@@ -62,7 +68,7 @@
   }
 }
 
-transport::Task<> Follower::session() {
+transport::Task<> Follower::session(std::uint64_t way) {
   transport::Dialled dialled = co_await transport::dial(scheduler_, log_, scheduler_.now() + kBeat);
   if (!dialled.descriptor) {
     say_("changelog", std::string("out of reach: ") + std::strerror(dialled.error));
@@ -78,7 +84,7 @@
     if (!more) break;
     for (std::size_t end = input.view().find('\n'); end != std::string_view::npos;
          end = input.view().find('\n')) {
-      line(input.view().substr(0, end));
+      line(input.view().substr(0, end), way);
       input.consume(end + 1);
       told = scheduler_.now();
     }
@@ -89,11 +95,15 @@
                                                                          : "cut: connecting anew");
 }
 
-void Follower::line(std::string_view text) {
+void Follower::line(std::string_view text, std::uint64_t way) {
   if (text.ends_with('\r')) text.remove_suffix(1);
   if (text.empty()) return;
   const protocol::Line read = protocol::readLine(text);
-  failures_ = 0;
+  if (way == way_) {
+    failures_ = 0;
+    telling_ = true;
+    before_.reset();
+  }
   // Told again after a break, or doubled: known. A gap would leave out an executor that has gone for good;
   // one that is there even when all is read afresh is of the numbers, not of the events.
   if (read.number <= last_) {
--- a/src/routing/follower.hpp
+++ b/src/routing/follower.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <cstdint>
-#include <optional>
+#include <memory>
 #include <random>
 
 #include "routing/desk.hpp"
@@ -10,7 +10,8 @@
 namespace paddletrack::routing {
 
 // Follows the change log: resumes after any cut where it was, and after what can't be read or is missing; if
-// that comes again it starts afresh.
+// that comes again it starts afresh. Moved elsewhere, it keeps the session that tells until the new one has
+// told something.
 class Follower {
  public:
   Follower(transport::Scheduler& scheduler, transport::Unsent& unsent, const transport::Address& log,
@@ -20,9 +21,9 @@
 
  private:
   void begin();
-  transport::Task<> follow();
-  transport::Task<> session();
-  void line(std::string_view text);
+  transport::Task<> follow(std::uint64_t way);
+  transport::Task<> session(std::uint64_t way);
+  void line(std::string_view text, std::uint64_t way);
 
   transport::Scheduler& scheduler_;
   transport::Unsent& unsent_;
@@ -31,9 +32,12 @@
   Desk& desk_;
   const Say& say_;
   std::minstd_rand dice_;
-  int failures_ = 0;  // sessions in a row that told nothing
-  int nonsense_ = 0;  // sessions in a row that told what can't be used
-  std::optional<transport::Group> running_;
+  int failures_ = 0;       // sessions in a row that told nothing
+  int nonsense_ = 0;       // sessions in a row that told what can't be used
+  std::uint64_t way_ = 0;  // counts up with each move: the one that is followed
+  bool telling_ = false;   // its session has told something
+  std::unique_ptr<transport::Group> running_;
+  std::unique_ptr<transport::Group> before_;  // the session of the one before, until this one tells
 };
 
 }  // namespace paddletrack::routing
--- a/tests/drain_test.cpp
+++ b/tests/drain_test.cpp
@@ -76,6 +76,32 @@
   EXPECT_EQ(one.drain.course()->endedByDeadline, 4U);
 }
 
+// A process that stood still once ended at its first look, with requests unread that had come meanwhile.
+TEST(Drain, AProcessThatStoodStillReadsOnBeforeItEnds) {
+  One one;
+  one.drain.stop(0s, 2s);
+  EXPECT_FALSE(one.at(0s).exit);
+  EXPECT_FALSE(one.at(900ms).exit);  // 140 ms late
+  EXPECT_GT(one.drain.nextLook(900ms), 920ms);
+  EXPECT_FALSE(one.at(940ms, 1).exit);  // one had come
+  EXPECT_TRUE(one.at(960ms).exit);
+  One other;
+  other.drain.stop(0s, 2s);
+  other.at(0s, 3);
+  EXPECT_FALSE(other.at(5s, 3, 0).exit);  // past its last moment: answers are still to be made
+  EXPECT_TRUE(other.at(*other.drain.nextLook(5s), 0, 0).exit);
+}
+
+TEST(Drain, WhoHasJustComeIsHeardBeforeTheEnd) {
+  One one;
+  one.drain.stop(0s, 2s);
+  one.at(0s);
+  one.books.coming = 1;
+  EXPECT_FALSE(one.at(760ms).exit);
+  one.books.coming = 0;
+  EXPECT_TRUE(one.at(780ms).exit);
+}
+
 TEST(Drain, ADeadlineOfNothingEndsAllAtOnce) {
   One one;
   one.at(3s, 2);
@@ -158,6 +184,7 @@
   EXPECT_FALSE(none.drain.turnsAway());
   EXPECT_FALSE(none.at(759ms, 0).exit);
   EXPECT_TRUE(none.at(760ms, 0).exit);
+  EXPECT_FALSE(none.at(3350ms, 1).exit);
   EXPECT_FALSE(none.at(3399ms, 1).exit);
   EXPECT_TRUE(none.at(3400ms, 1).exit);
   One after;
