--- a/src/standin/change_log.cpp
+++ b/src/standin/change_log.cpp
@@ -34,7 +34,8 @@
 
 void ChangeLog::tell(const std::vector<Server>& servers, bool full) {
   events_.push_back(event(events_.size() + 1, full, servers));
-  for (transport::Connection* each : told_) each->send({Slice(events_.back() + "\n")});
+  for (transport::Connection* each : told_)
+    if (!silent_) each->send({Slice(events_.back() + "\n")});
 }
 
 std::string ChangeLog::known() const {
@@ -57,6 +58,11 @@
   std::string_view line = connection.input().view();  // "since N"
   line.remove_prefix(std::min<std::size_t>(6, line.size()));
   std::from_chars(line.data(), line.data() + line.size(), from);
+  while (silent_ && connection.end() == transport::Connection::End::none) {
+    connection.input().consume(connection.input().view().size());
+    co_await connection.receive(scheduler_.now() + std::chrono::seconds(2));
+    if (!silent_) co_return;
+  }
   for (std::size_t each = from; each < events_.size(); ++each) connection.send({Slice(events_[each] + "\n")});
   struct Entry {
     std::list<transport::Connection*>& all;
@@ -64,7 +70,7 @@
     ~Entry() { all.erase(place); }
   } entry{told_, told_.insert(told_.end(), &connection)};
   while (connection.end() == transport::Connection::End::none) {
-    connection.send({Slice(std::to_string(events_.size()) + "\n")});
+    if (!silent_) connection.send({Slice(std::to_string(events_.size()) + "\n")});
     connection.input().consume(connection.input().view().size());
     co_await connection.receive(scheduler_.now() + std::chrono::seconds(1));
   }
--- a/src/standin/change_log.hpp
+++ b/src/standin/change_log.hpp
@@ -20,6 +20,8 @@
   };
   static std::string event(std::uint64_t number, bool full, const std::vector<Server>& servers);
   void tell(const std::vector<Server>& servers, bool full = false);
+  // Says nothing more, also to those that come anew, until it is told to; who came meanwhile is then cut off.
+  void hush(bool silent) { silent_ = silent; }
   std::uint64_t last() const { return events_.size(); }
   std::string known() const;  // all events so far, as a controller's configuration holds them
 
@@ -32,6 +34,7 @@
   transport::Listener listener_;
   std::vector<std::string> events_;  // from number 1 on
   std::list<transport::Connection*> told_;
+  bool silent_ = false;
   transport::Group running_;
 };
 
--- a/src/standin/executor.cpp
+++ b/src/standin/executor.cpp
@@ -131,6 +131,10 @@
     }
     executor_.open_.erase({this, id});
     scripts_.erase(id);
+    if (place_.fault != Fault::twice) co_return;
+    co_await executor_.scheduler_.sleepUntil(executor_.scheduler_.now() + milliseconds(7));
+    say(connection_, {id, "200", "batches=2", rows(id, 0)});
+    say(connection_, {id, "chunk", "batch=1", rows(id, 1)});
   }
 
   void page(const std::string& id, unsigned number) {
--- a/src/standin/executor.hpp
+++ b/src/standin/executor.hpp
@@ -39,6 +39,7 @@
     reset,       // ends each connection as soon as it has accepted it
     resetOnAsk,  // ends the connection when an ask has come whole, before it runs
     halfAnswer,  // runs, writes the half of its answer, and nothing more
+    twice,       // says each answer again some milliseconds later, with another page count
   };
   void fail(std::size_t place, Fault fault);
   void close(std::size_t place);  // listens there no longer, and ends what is connected there
