Cold start: all controllers together dial the list service at a rate, and wait for a slow one

Need: with 200 processes started at once the list service had 200 reads in one second, and one that needs 20 ms for an answer never got all of them through: sessions given up after 1.5 s were dialled again while their answers were still being made (1,152 reads in 20 s, most controllers never ready).

Without it waits are as bounded as before, and a service that says nothing is given more time.

--- a/src/operating/keeper.cpp
+++ b/src/operating/keeper.cpp
@@ -157,6 +157,7 @@
   told.cancelled = totals.answers[3];
   told.turnedAway = turnedAway_;
   told.expectedEnd = outlook_.end(open);
+  if (list_) told.list = list_();
   if (const drain::Course* course = drain_.course()) {
     Status::Course& made = told.drain.emplace();
     made.number = course->number;
--- a/src/operating/keeper.hpp
+++ b/src/operating/keeper.hpp
@@ -12,6 +12,7 @@
 #include "drain/outlook.hpp"
 #include "routing/client_side.hpp"
 #include "routing/desk.hpp"
+#include "routing/follower.hpp"
 
 namespace paddletrack::operating {
 
@@ -39,6 +40,7 @@
   };
   std::optional<Course> drain;
   std::optional<drain::Outlook::End> expectedEnd;  // an estimate
+  std::optional<routing::Follower::View> list;
 };
 
 class Keeper final : public routing::Gate {
@@ -74,7 +76,8 @@
   routing::Desk::Found setAddress(const std::string& engine, const std::string& address,
                                   reach::Routes::ByHand what, Span until, const std::string& by);
   void tellChanges(std::function<void()> to) { changed_ = std::move(to); }  // of the state
-  void learnLengths();                                                      // of jobs, for the expected end
+  void tellList(std::function<routing::Follower::View()> list) { list_ = std::move(list); }
+  void learnLengths();  // of jobs, for the expected end
 
  private:
   bool beat() override;
@@ -90,6 +93,7 @@
   const Say& say_;
   const std::function<void()> exit_;
   std::function<void()> changed_;
+  std::function<routing::Follower::View()> list_;
   drain::Drain drain_;
   drain::Outlook outlook_;
   std::uint64_t turnedAway_ = 0;
--- a/src/operating/settings.cpp
+++ b/src/operating/settings.cpp
@@ -96,6 +96,16 @@
   return static_cast<std::size_t>(*read);
 }
 
+Key rate(const char* name, double coldstart::Terms::*of) {
+  return {"coldstart", name,
+          [=](Settings& settings, const hcl::Value& value) {
+            settings.coldstart.*of = static_cast<double>(wholeIn(value, 0, 100000));
+          },
+          [=](const Settings& settings) {
+            return std::to_string(static_cast<std::size_t>(settings.coldstart.*of));
+          }};
+}
+
 // The reference, in the order in which it is shown.
 const std::vector<Key>& keys() {
   static const std::vector<Key> kKeys{
@@ -123,6 +133,10 @@
           "drain", "notice", 0s, 60s, [](Settings & s) -> auto& { return s.drain.notice; }),
       duration(
           "drain", "come_back", 0s, 1h, [](Settings & s) -> auto& { return s.drain.comeBack; }),
+      rate("follows", &coldstart::Terms::follows),
+      rate("reads", &coldstart::Terms::reads),
+      duration(
+          "coldstart", "longest", 1s, 1h, [](Settings & s) -> auto& { return s.coldstart.longest; }),
       {"reach", "prefer",
        [](Settings& settings, const hcl::Value& value) {
          static const std::string kWanted =
--- a/src/operating/settings.hpp
+++ b/src/operating/settings.hpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "base/say.hpp"
+#include "coldstart/list_dials.hpp"
 #include "drain/drain.hpp"
 #include "hcl/hcl.hpp"
 #include "reach/reach.hpp"
@@ -32,6 +33,7 @@
 struct Settings {
   DoorTerms door;
   drain::Terms drain;
+  coldstart::Terms coldstart;  // but for the number of controllers
   std::vector<reach::Family> prefer = reach::Terms{}.prefer;
   LogForm logForm = LogForm::text;
   Level logLevel = Level::info;
--- a/src/operating/words.cpp
+++ b/src/operating/words.cpp
@@ -86,6 +86,14 @@
     made["expected_end"] = {{"estimate", true},
                             {"in_ms", ms(status.expectedEnd->in)},
                             {"from_answers", status.expectedEnd->from}};
+  made["list"] = nullptr;
+  if (const auto& list = status.list) {
+    const auto in = [](const std::optional<Span>& span) { return span ? Json(ms(*span)) : Json(nullptr); };
+    made["list"] = {{"number", list->number},          {"following", list->following},
+                    {"behind", list->behind},          {"dials", list->dials},
+                    {"failures", list->failures},      {"next_dial_in_ms", in(list->nextDialIn)},
+                    {"moves_in_ms", in(list->movesIn)}};
+  }
   made["drain"] = nullptr;
   if (!status.drain) return made;
   const Status::Course& drain = *status.drain;
--- a/src/program/serve.cpp
+++ b/src/program/serve.cpp
@@ -1,6 +1,7 @@
 #include "program/serve.hpp"
 
 #include <csignal>
+#include <functional>
 
 #include "operating/door.hpp"
 #include "operating/keeper.hpp"
@@ -58,6 +59,12 @@
       say("configuration", "only a restart changes the door");
       read.door = was;
     }
+    const auto& start = owner.settings.coldstart;
+    if (read.coldstart.follows != start.follows || read.coldstart.reads != start.reads ||
+        read.coldstart.longest != start.longest) {
+      say("configuration", "only a restart changes coldstart");
+      read.coldstart = start;
+    }
     owner.settings = std::move(read);
     keeper.change(owner.settings.drain);
     keeper.prefer(owner.settings.prefer);
@@ -90,12 +97,12 @@
 
   // Usual clients hold a third of the descriptors, executors are few: the rest is room for the others.
   const bool hasDoor = !owner.settings.door.socket.empty();
-  const std::size_t own = kOwnDescriptors + (hasDoor ? owner.settings.door.clients + 2 : 0);
-  if (own + kLeastShared > node.descriptors)
+  const std::size_t used = kOwnDescriptors + (hasDoor ? owner.settings.door.clients + 2 : 0);
+  if (used + kLeastShared > node.descriptors)
     throw Misconfigured("door.clients: " + std::to_string(owner.settings.door.clients) +
                         " leave too few of limits.sockets");
-  const std::size_t connections = (node.descriptors - own) * 2 / 3;
-  const std::size_t links = node.descriptors - own - connections;
+  const std::size_t connections = (node.descriptors - used) * 2 / 3;
+  const std::size_t links = node.descriptors - used - connections;
   routing::Desk::Bounds bounds;
   bounds.open = std::min(node.told.mostOpen, node.memoryBytes / 4 / kOpenBytes);
   bounds.links = {node.told.sharedBy, links, node.told.dialTimeout, node.told.idleClose,
@@ -104,13 +111,18 @@
   for (const protocol::Change& change : node.changes) desk.listed(change);
   const std::size_t frame = std::min<std::size_t>(1 << 20, node.memoryBytes / kInputShare / connections);
   routing::ClientSide clients(scheduler, unsent, node.listen, {connections, frame, frame}, desk, say);
-  routing::Follower follower(scheduler, unsent, node.changeLog, node.known, node.seed, desk, say);
+  coldstart::Terms start = owner.settings.coldstart;
+  start.controllers = site.controllers;
+  // Those that were given one seed by mistake do not come together for that.
+  const std::uint64_t own = node.seed ^ std::hash<std::string>()(node.name);
+  routing::Follower follower(scheduler, unsent, node.changeLog, node.known, own, desk, say, start);
 
   operating::Keeper keeper(scheduler, desk, clients, node.name, owner.settings.drain, say,
                            [&] { scheduler.stop(); });
   std::optional<operating::Door> door;
   if (hasDoor) {
     keeper.learnLengths();
+    keeper.tellList([&follower] { return follower.view(); });
     door.emplace(scheduler, owner.settings.door, keeper, say);
   }
 
--- a/src/rig/main.cpp
+++ b/src/rig/main.cpp
@@ -6,6 +6,8 @@
 #include "program/signals.hpp"
 #include "rig/rig.hpp"
 
+using namespace paddletrack::rig;
+
 int main(int argc, char** argv) {
   CLI::App app("Controllers, stand-in executors and a load, all on loopback.", "paddletrack_rig");
   app.require_subcommand(1);
@@ -41,9 +43,27 @@
       app.add_subcommand("soak", "one controller under steady load, its resident memory as it goes");
   soak->add_option("--minutes", minutes)->check(CLI::Range(0.5, 600.0));
   soak->add_option("--rate", soaked, "jobs a second")->check(CLI::Range(1.0, 2000.0));
+  ColdStart cold;
+  CLI::App* start = app.add_subcommand("coldstart", "many controllers started together, before, off and on");
+  start->add_option("--controllers", cold.controllers)->check(CLI::Range(1, 1000));
+  start->add_option("--engines", cold.engines)->check(CLI::Range(1, 180));
+  start->add_option("--rate", cold.perSecond, "jobs a second, each controller")
+      ->check(CLI::Range(0.0, 200.0));
+  start->add_option("--pattern", cold.pattern)->check(CLI::IsMember({"all", "seven", "tenths"}));
+  bool empty = false;
+  start->add_flag("--empty", empty, "the configuration holds no list");
+  start->add_flag("--cold", cold.cold, "all executors have just started");
+  start->add_flag("--front", cold.front, "all jobs go to the controllers in service, else to their own");
+  start->add_option("--list-ms", cold.listMs, "one answer of the list service")->check(CLI::Range(0, 1000));
+  start->add_option("--list-down", cold.listDownMs, "ms")->check(CLI::Range(0, 60000));
+  start->add_option("--seconds", cold.seconds)->check(CLI::Range(2, 120));
+  start->add_option("--before", cold.before, "an earlier build of the program to compare with");
+  start->add_option("--with", cold.operatorsFile, "the operator's file's text when on");
+  start->add_flag("--json", cold.json);
   CLI11_PARSE(app, argc, argv);
   try {
-    using namespace paddletrack::rig;
+    cold.knows = !empty;
+    if (start->parsed()) return measureColdStart(program, cold);
     if (look->parsed()) {
       paddletrack::program::holdSignals();
       return tryIt(program, controllers, perSecond, seconds);
--- a/src/rig/rig.hpp
+++ b/src/rig/rig.hpp
@@ -98,4 +98,20 @@
 int measureCost(const std::string& program, const std::string& before);
 int measureSoak(const std::string& program, double perSecond, double minutes);
 
+struct ColdStart {
+  unsigned controllers = 200, engines = 40;
+  double perSecond = 5;         // jobs, for each controller
+  std::string pattern = "all";  // start together; "seven" in ten killed; "tenths" restarted in turn
+  bool knows = true;            // the configuration holds the list
+  bool cold = false;            // all executors have just started
+  bool front = false;           // all jobs go to those in service; else to their clients' own controller
+  unsigned listMs = 0;          // one answer of the list service
+  unsigned listDownMs = 0;      // it is down for so long first
+  unsigned seconds = 15, settle = 3;
+  std::string before;         // an earlier build of the program
+  std::string operatorsFile;  // what it is compared with, as text
+  bool json = false;
+};
+int measureColdStart(const std::string& program, const ColdStart& terms);
+
 }  // namespace paddletrack::rig
--- a/src/routing/follower.cpp
+++ b/src/routing/follower.cpp
@@ -1,7 +1,9 @@
 #include "routing/follower.hpp"
 
+#include <algorithm>
 #include <cstring>
 #include <exception>
+#include <utility>
 
 namespace paddletrack::routing {
 namespace {
@@ -9,22 +11,21 @@
 using std::chrono::milliseconds;
 
 constexpr std::size_t kUsualInput = 8 * 1024, kMostInput = 1024 * 1024;
-constexpr milliseconds kBeat{1000};  // a line comes at least so often
-constexpr milliseconds kSilent = kBeat * 3 / 2;
-constexpr milliseconds kFirstWait = kBeat / 10;
-constexpr int kMostDoublings = 3;
+constexpr milliseconds kDial{1000};
+constexpr milliseconds kLook{100};  // while it waits: whether engines can't be reached
 
 }  // namespace
 
 Follower::Follower(transport::Scheduler& scheduler, transport::Unsent& unsent, const transport::Address& log,
-                   std::uint64_t known, std::uint64_t seed, Desk& desk, const Say& say)
+                   std::uint64_t known, std::uint64_t seed, Desk& desk, const Say& say,
+                   const coldstart::Terms& terms)
     : scheduler_(scheduler),
       unsent_(unsent),
       log_(log),
       last_(known),
       desk_(desk),
       say_(say),
-      dice_(static_cast<std::minstd_rand::result_type>(seed % 2147483646 + 1)) {
+      dials_(terms, desk.ready(), seed, desk.now()) {
   begin();
 }
 
@@ -35,38 +36,67 @@
 }
 
 bool Follower::move(const transport::Address& log) {
-  if (log == log_) return false;
-  log_ = log;
-  failures_ = nonsense_ = 0;
-  begin();
+  if (log == (next_ ? *next_ : log_)) return false;
+  next_ = log;
+  movesAt_ = scheduler_.now() + (dials_.moves(desk_.now(), desk_.ready()) - desk_.now());
+  moving_.emplace(scheduler_, [this](const char* what) { say_("changelog", what); });
+  moving_->spawn(moveAt(movesAt_));
   return true;
 }
 
-// Waits between sessions are spread, so that controllers cut off together do not come back together.
+transport::Task<> Follower::moveAt(transport::Moment moment) {
+  if (moment > scheduler_.now()) co_await scheduler_.sleepUntil(moment);
+  log_ = *next_;
+  next_.reset();
+  nonsense_ = 0;
+  dials_.moved(desk_.now());
+  begin();
+}
+
+// Where the wait is long what was known may be too old by now: engines that can't be reached tell.
+transport::Task<> Follower::wait() {
+  waits_ = true;
+  for (Span now = desk_.now(); now < dials_.due(); now = desk_.now()) {
+    constexpr auto kUnreachable = static_cast<std::size_t>(Outcome::unreachable);
+    const std::uint64_t before = desk_.totals().ends[kUnreachable];
+    co_await scheduler_.sleepUntil(scheduler_.now() + std::min<Span>(dials_.due() - now, kLook));
+    if (desk_.totals().ends[kUnreachable] > before) dials_.doubt(desk_.now());
+  }
+  waits_ = false;
+}
+
 transport::Task<> Follower::follow() {
   for (;;) {
-    ++failures_;
+    co_await wait();
+    said_ = behind_ = false;
+    ++dialled_;
+    End how = End::refused;
     try {
-      co_await session();
+      how = co_await session();
     } catch (const protocol::Unreadable& error) {
       say_("changelog", std::string(nonsense_ > 0 ? "read afresh: " : "read again: ") + error.what());
       if (++nonsense_ > 1) last_ = 0;
     } catch (const std::exception& error) {
       say_("changelog", error.what());
     }
+    dials_.ended(desk_.now(), said_ ? End::told : how, desk_.ready());
+    said_ = false;
     desk_.listFailed();
-    const milliseconds most = kFirstWait * (1 << std::min(failures_, kMostDoublings));
-    const milliseconds wait{
-        std::uniform_int_distribution<milliseconds::rep>(most.count() / 2, most.count())(dice_)};
-    co_await scheduler_.sleepUntil(scheduler_.now() + wait);
   }
 }
 
-transport::Task<> Follower::session() {
-  transport::Dialled dialled = co_await transport::dial(scheduler_, log_, scheduler_.now() + kBeat);
+Follower::View Follower::view() const {
+  View view{last_, said_, behind_, dialled_, dials_.failures(), {}, {}};
+  if (waits_) view.nextDialIn = std::max(dials_.due() - desk_.now(), Span{0});
+  if (next_) view.movesIn = std::chrono::duration_cast<Span>(movesAt_ - scheduler_.now());
+  return view;
+}
+
+transport::Task<Follower::End> Follower::session() {
+  transport::Dialled dialled = co_await transport::dial(scheduler_, log_, scheduler_.now() + kDial);
   if (!dialled.descriptor) {
     say_("changelog", std::string("out of reach: ") + std::strerror(dialled.error));
-    co_return;
+    co_return End::unreachable;
   }
   transport::Connection connection(scheduler_, std::move(dialled.descriptor), kUsualInput, kMostInput,
                                    unsent_);
@@ -74,7 +104,7 @@
   transport::Inbox& input = connection.input();
   transport::Moment told = scheduler_.now();  // the last whole line: bytes that drip in are no news
   for (;;) {
-    const bool more = co_await connection.receive(told + kSilent);
+    const bool more = co_await connection.receive(told + dials_.patience());
     if (!more) break;
     for (std::size_t end = input.view().find('\n'); end != std::string_view::npos;
          end = input.view().find('\n')) {
@@ -85,17 +115,24 @@
     if (input.view().size() > 0) input.expect(input.view().size() * 2);
   }
   if (input.full()) throw protocol::Unreadable("a line without an end");
-  say_("changelog", connection.end() == transport::Connection::End::none ? "silent: connecting anew"
-                                                                         : "cut: connecting anew");
+  const bool silent = connection.end() == transport::Connection::End::none;
+  say_("changelog", silent ? "silent: connecting anew" : "cut: connecting anew");
+  co_return silent && !said_ ? End::silent : End::refused;
 }
 
 void Follower::line(std::string_view text) {
   if (text.ends_with('\r')) text.remove_suffix(1);
   if (text.empty()) return;
   const protocol::Line read = protocol::readLine(text);
-  failures_ = 0;
+  dials_.told();
+  said_ = true;
   // Told again after a break, or doubled: known. A gap would leave out an executor that has gone for good;
   // one that is there even when all is read afresh is of the numbers, not of the events.
+  if (read.number < last_ && !read.change && !std::exchange(behind_, true))
+    say_("changelog",
+         "an old list: it ends at " + std::to_string(read.number) + ", " + std::to_string(last_) +
+             " is known; what is known stays",
+         {}, Level::warning);
   if (read.number <= last_) {
     if (read.number == last_ && !read.change) nonsense_ = 0;
     return;
--- a/src/routing/follower.hpp
+++ b/src/routing/follower.hpp
@@ -2,8 +2,8 @@
 
 #include <cstdint>
 #include <optional>
-#include <random>
 
+#include "coldstart/list_dials.hpp"
 #include "routing/desk.hpp"
 #include "transport/connection.hpp"
 
@@ -14,14 +14,29 @@
 class Follower {
  public:
   Follower(transport::Scheduler& scheduler, transport::Unsent& unsent, const transport::Address& log,
-           std::uint64_t known, std::uint64_t seed, Desk& desk, const Say& say);
-
-  bool move(const transport::Address& log);  // followed there from now on; whether it is another
+           std::uint64_t known, std::uint64_t seed, Desk& desk, const Say& say,
+           const coldstart::Terms& terms = {});
+
+  // Followed there soon, where it is not spread at once; until then the old one is. Whether it is another.
+  bool move(const transport::Address& log);
+
+  struct View {
+    std::uint64_t number = 0;  // of the last change that is known
+    bool following = false;    // a session is up and has told something
+    bool behind = false;       // and it knows less than is known here
+    std::uint64_t dials = 0;
+    unsigned failures = 0;  // sessions in a row that told nothing
+    std::optional<Span> nextDialIn{}, movesIn{};
+  };
+  View view() const;
 
  private:
+  using End = coldstart::ListDials::End;
   void begin();
   transport::Task<> follow();
-  transport::Task<> session();
+  transport::Task<> wait();
+  transport::Task<> moveAt(transport::Moment moment);
+  transport::Task<End> session();
   void line(std::string_view text);
 
   transport::Scheduler& scheduler_;
@@ -30,10 +45,13 @@
   std::uint64_t last_;
   Desk& desk_;
   const Say& say_;
-  std::minstd_rand dice_;
-  int failures_ = 0;  // sessions in a row that told nothing
-  int nonsense_ = 0;  // sessions in a row that told what can't be used
-  std::optional<transport::Group> running_;
+  coldstart::ListDials dials_;
+  std::uint64_t dialled_ = 0;
+  bool waits_ = false, said_ = false, behind_ = false;  // this session, if any
+  int nonsense_ = 0;                                    // sessions in a row that told what can't be used
+  std::optional<transport::Address> next_;
+  transport::Moment movesAt_{};
+  std::optional<transport::Group> running_, moving_;
 };
 
 }  // namespace paddletrack::routing
--- a/src/standin/change_log.cpp
+++ b/src/standin/change_log.cpp
@@ -9,11 +9,21 @@
 
 ChangeLog::ChangeLog(transport::Scheduler& scheduler, transport::Unsent& unsent,
                      const transport::Address& address)
-    : scheduler_(scheduler),
-      unsent_(unsent),
-      listener_(scheduler, address),
-      running_(scheduler, [](const char*) {}) {
-  running_.spawn(listen());
+    : scheduler_(scheduler), unsent_(unsent), address_(address) {
+  open();
+}
+
+void ChangeLog::close() {
+  accepting_.reset();
+  running_.reset();
+  listener_.reset();
+}
+
+void ChangeLog::open() {
+  listener_.emplace(scheduler_, address_);
+  running_.emplace(scheduler_, [](const char*) {});
+  accepting_.emplace(scheduler_, [](const char*) {});
+  accepting_->spawn(listen());
 }
 
 std::string ChangeLog::event(std::uint64_t number, bool full, const std::vector<Server>& servers) {
@@ -34,6 +44,7 @@
 
 void ChangeLog::tell(const std::vector<Server>& servers, bool full) {
   events_.push_back(event(events_.size() + 1, full, servers));
+  if (manner.endsAt || manner.mute) return;
   for (transport::Connection* each : told_) each->send({Slice(events_.back() + "\n")});
 }
 
@@ -44,11 +55,15 @@
 }
 
 transport::Task<> ChangeLog::listen() {
-  for (;;) running_.spawn(serve(co_await listener_.accept()));
+  for (;;) {
+    auto descriptor = co_await listener_->accept();
+    accepted.push_back(scheduler_.now());
+    if (++count_ % 10 >= manner.refusesOf10) running_->spawn(serve(std::move(descriptor)));
+  }
 }
 
-transport::Task<> ChangeLog::serve(std::unique_ptr<transport::Descriptor> accepted) {
-  transport::Connection connection(scheduler_, std::move(accepted), 256, 4096, unsent_);
+transport::Task<> ChangeLog::serve(std::unique_ptr<transport::Descriptor> descriptor) {
+  transport::Connection connection(scheduler_, std::move(descriptor), 256, 4096, unsent_);
   std::size_t from = 0;
   for (std::string_view view; view.find('\n') == std::string_view::npos; view = connection.input().view()) {
     const bool more = co_await connection.receive(scheduler_.now() + std::chrono::seconds(2));
@@ -57,14 +72,28 @@
   std::string_view line = connection.input().view();  // "since N"
   line.remove_prefix(std::min<std::size_t>(6, line.size()));
   std::from_chars(line.data(), line.data() + line.size(), from);
-  for (std::size_t each = from; each < events_.size(); ++each) connection.send({Slice(events_[each] + "\n")});
+  asked.push_back(scheduler_.now());
+  if (from == 0) askedAll.push_back(scheduler_.now());
+  // One at a time, also for those who have gone meanwhile: the work is done before that is seen.
+  if (manner.each.count() > 0) {
+    free_ = std::max(free_, scheduler_.now()) + manner.each;
+    co_await scheduler_.sleepUntil(free_);
+  }
+  std::string answer;
+  for (std::size_t each = from; each < end(); ++each) answer += events_[each] + "\n";
+  if (manner.cutAfter > 0 && answer.size() > manner.cutAfter) {
+    connection.send({Slice(answer.substr(0, manner.cutAfter))});
+    co_await connection.drained(0, scheduler_.now() + std::chrono::seconds(1));
+    co_return;
+  }
+  connection.send({Slice(answer)});
   struct Entry {
     std::list<transport::Connection*>& all;
     std::list<transport::Connection*>::iterator place;
     ~Entry() { all.erase(place); }
   } entry{told_, told_.insert(told_.end(), &connection)};
   while (connection.end() == transport::Connection::End::none) {
-    connection.send({Slice(std::to_string(events_.size()) + "\n")});
+    if (!manner.mute) connection.send({Slice(std::to_string(end()) + "\n")});
     connection.input().consume(connection.input().view().size());
     co_await connection.receive(scheduler_.now() + std::chrono::seconds(1));
   }
--- a/src/standin/executor.cpp
+++ b/src/standin/executor.cpp
@@ -106,6 +106,7 @@
     Script script = scriptOf(statement);
     if (executor_.over) executor_.over(script, id);
     ++executor_.asked_;
+    executor_.asks.push_back(executor_.scheduler_.now());
     executor_.open_.emplace(this, id);
     scripts_[id] = script;
     working_.spawn(work(id, std::move(script)));
@@ -181,11 +182,15 @@
 }
 
 transport::Task<> Executor::listen(Place& place) {
-  for (;;) running_.spawn(serve(place, co_await place.listener->accept()));
+  for (;;) {
+    auto descriptor = co_await place.listener->accept();
+    accepted.push_back(scheduler_.now());
+    running_.spawn(serve(place, std::move(descriptor)));
+  }
 }
 
-transport::Task<> Executor::serve(Place& place, std::unique_ptr<transport::Descriptor> accepted) {
-  Session session(*this, place, std::move(accepted));
+transport::Task<> Executor::serve(Place& place, std::unique_ptr<transport::Descriptor> descriptor) {
+  Session session(*this, place, std::move(descriptor));
   co_await session.run();
 }
 
--- a/src/standin/executor.hpp
+++ b/src/standin/executor.hpp
@@ -45,6 +45,7 @@
 
   // Said by a test over what statements say.
   std::function<void(Script&, const std::string& id)> over;
+  std::vector<transport::Moment> accepted, asks;  // each connection, each ask, as they came
   // A test's own way with every command, in place of all else; what came is then kept.
   using Raw =
       std::function<void(Executor&, transport::Connection&, const std::string& word, const std::string& id)>;
--- a/src/standin/load.cpp
+++ b/src/standin/load.cpp
@@ -60,7 +60,7 @@
   transport::Task<> run() {
     transport::Scheduler& scheduler = load_.scheduler_;
     transport::Dialled dialled = co_await transport::dial(scheduler, load_.controllers_[controller_].address,
-                                                          scheduler.now() + milliseconds(500));
+                                                          scheduler.now() + milliseconds(2000));
     if (!dialled.descriptor) co_return;
     connection_.emplace(scheduler, std::move(dialled.descriptor), 16 * 1024, 1 << 20, load_.unsent_);
     connection_->send(held_);
@@ -159,6 +159,7 @@
       while (kind + 1 < kinds_.size() && (drawn -= kinds_[kind].weight) > 0) ++kind;
       for (std::size_t tried = 0; tried < controllers_.size(); ++tried) {
         const std::size_t at = ++turn_ % controllers_.size();
+        if (!controllers_[at].good && own_) break;
         if (!controllers_[at].good) continue;
         send(kind, at);
         break;
--- a/src/standin/load.hpp
+++ b/src/standin/load.hpp
@@ -51,6 +51,9 @@
   void end() { perSecond_ = 0; }                               // no new jobs; open ones go on
   std::size_t send(std::size_t kind, std::size_t controller);  // one job at once; its number
   void beats(milliseconds every) { beat_ = every; }
+  // Each controller has clients of its own: their jobs go nowhere while it is not in service, else to those
+  // that are.
+  void ownClients(bool own) { own_ = own; }
 
   const Books& books() const { return books_; }
   const std::deque<Job>& jobs() const { return jobs_; }
@@ -81,7 +84,7 @@
   std::minstd_rand dice_;
   std::uint64_t references_;
   std::size_t turn_ = 0;
-  bool closing_ = false;
+  bool closing_ = false, own_ = false;
   std::deque<Job> jobs_;
   Books books_;
   transport::Group running_;
--- a/src/standin/site.cpp
+++ b/src/standin/site.cpp
@@ -72,7 +72,7 @@
   }
   changeLog_.tell(servers, true);
   processes_.resize(terms.controllers);
-  for (std::size_t each = 0; each < terms.controllers; ++each) start(each);
+  for (std::size_t each = 0; terms.starts && each < terms.controllers; ++each) start(each);
 }
 
 std::string Site::address(unsigned host, unsigned port) const {
@@ -81,17 +81,32 @@
 
 std::vector<transport::Address> Site::fronts() const {
   std::vector<transport::Address> all;
-  for (unsigned each = 0; each < terms_.controllers; ++each) all.emplace_back(address(200 + each));
+  for (unsigned each = 0; each < terms_.controllers; ++each) all.emplace_back(front(each));
   return all;
 }
 
+std::string Site::front(std::size_t controller) const {
+  constexpr unsigned kHosts = 50;  // of one port
+  const auto number = static_cast<unsigned>(controller);
+  return address(200 + number % kHosts, 18443 + number / kHosts);
+}
+
+void Site::moveList(std::size_t which, const std::string& to) const {
+  std::string text = configuration(which);
+  const std::string was = "\"changelog\":\"" + address(250) + "\"";
+  text.replace(text.find(was), was.size(), "\"changelog\":\"" + to + "\"");
+  std::ofstream(folder_.path() + "/config" + std::to_string(which) + ".json") << text;
+  processes_[which]->signal(SIGHUP);
+}
+
 void Site::start(std::size_t which) {
   const std::string config = folder_.path() + "/config" + std::to_string(which) + ".json";
   std::ofstream(config) << configuration(which);
   std::vector<std::string> arguments{"serve", "--config", config};
-  if (terms_.doors) {
-    std::ofstream(operatorsFile(which)) << "door { socket = \"" + door(which) + "\" }\ndrain { notice = \"" +
-                                               terms_.notice + "\" }\n" + terms_.operatorsFile;
+  if (terms_.doors || !terms_.operatorsFile.empty()) {
+    const std::string doorBlock = terms_.doors ? "door { socket = \"" + door(which) + "\" }\n" : "";
+    std::ofstream(operatorsFile(which))
+        << doorBlock + "drain { notice = \"" + terms_.notice + "\" }\n" + terms_.operatorsFile;
     arguments.insert(arguments.end(), {"--operator", operatorsFile(which)});
   }
   processes_[which].reset();
@@ -123,11 +138,12 @@
            R"(000,"aimStretch":2.0,"giveUpUs":)" + std::to_string(giveUpMs) +
            R"(000,"lateWorth":0.3,"importance":1.0,"stream":false})";
   };
-  return R"({"name":"c)" + std::to_string(controller + 1) + R"(","listen":")" +
-         address(200 + static_cast<unsigned>(controller)) + R"(","seed":"7a)" + std::to_string(controller) +
-         R"(","limits":{"cores":1,"memory_mb":)" + std::to_string(terms_.memoryMb) + R"(,"sockets":)" +
-         std::to_string(terms_.sockets) + R"(},"changelog":")" + address(250) + R"(","known":)" +
-         changeLog_.known() + R"(,"settings":{"balancers":)" + std::to_string(terms_.controllers) +
+  return R"({"name":"c)" + std::to_string(controller + 1) + R"(","listen":")" + front(controller) +
+         R"(","seed":"7a)" + std::to_string(controller) + R"(","limits":{"cores":1,"memory_mb":)" +
+         std::to_string(terms_.memoryMb) + R"(,"sockets":)" + std::to_string(terms_.sockets) +
+         R"(},"changelog":")" + address(250) + R"(","known":)" +
+         (terms_.knows ? changeLog_.known() : std::string(R"({"seq":0,"results":[]})")) +
+         R"(,"settings":{"balancers":)" + std::to_string(terms_.controllers) +
          R"(,"zone":0,"zones":["hall"],"machineTypes":["std-8"],"familyInfo":{"kindCores":[)" +
          std::to_string(terms_.cores) +
          R"(],"memoryByKindMb":[65536.0],"widthByClass":[1,1,1,1],"loads":[false,false,false,false],"memoryHeeded":false,)"
@@ -137,8 +153,12 @@
          R"(],"tenants":[{"name":"acme","quotaPerS":0,"share":1.0}],"limits":{"cancelling":true,"parallelTries":false,)"
          R"("probes":false,"peers":false,"retryAfter":true,"maxRetryAfterUs":5000000,"mostTries":3,"maxOpen":40000,)"
          R"("streamsPerConn":32,"dialTimeoutUs":250000,"idleCloseUs":30000000},"registryMode":"pushed",)"
-         R"("reporting":{"source":"off","names":[]},"rules":{"answerSlackUs":20000,"coldUs":0,"drainGraceUs":1000000,)"
-         R"("fallMultiple":0,"fallUs":3000000,"turnGapUs":200000,"mustAskInUs":10000000,"startCapacity":1.0},)"
+         R"("reporting":{"source":"off","names":[]},"rules":{"answerSlackUs":20000,"coldUs":)" +
+         std::to_string(terms_.coldMs * 1000) + R"(,"drainGraceUs":1000000,"fallMultiple":)" +
+         std::to_string(terms_.fallMultiple) +
+         R"(,"fallUs":3000000,"turnGapUs":200000,"mustAskInUs":10000000,"startCapacity":)" +
+         std::to_string(terms_.startCapacity) +
+         R"(},)"
          R"("prices":{"crossZone":0.0},"tickUs":5000}})";
 }
 
--- a/src/standin/site.hpp
+++ b/src/standin/site.hpp
@@ -53,6 +53,11 @@
   bool doors = true;
   std::string operatorsFile{};  // more blocks of it
   std::string notice = "300ms";
+  bool knows = true;           // the configuration holds the list's events so far
+  bool starts = true;          // all controllers at once, with the site
+  std::int64_t coldMs = 0;     // how long an executor is cold, and
+  double startCapacity = 1.0;  // what it can do at its start
+  double fallMultiple = 0;     // of that, over three seconds: what falls it
   // What the list says of one executor beside its usual address, or in its place.
   std::function<void(ChangeLog::Server& said, unsigned executor, const std::string& folder)> listed{};
 };
@@ -62,7 +67,10 @@
   Site(transport::Scheduler& scheduler, transport::Unsent& unsent, const SiteTerms& terms);
 
   void start(std::size_t controller);  // or again
+  // Its file names another list service; SIGHUP makes it read that.
+  void moveList(std::size_t controller, const std::string& address) const;
   Process& controller(std::size_t which) { return *processes_[which]; }
+  std::string address(unsigned host, unsigned port = 18443) const;
   std::string door(std::size_t which) const { return folder_.path() + "/door" + std::to_string(which); }
   std::string log(std::size_t which) const { return folder_.path() + "/log" + std::to_string(which); }
   std::string operatorsFile(std::size_t which) const {
@@ -79,7 +87,7 @@
   }
 
  private:
-  std::string address(unsigned host, unsigned port = 18443) const;
+  std::string front(std::size_t controller) const;
   std::string configuration(std::size_t controller) const;
 
   const SiteTerms terms_;
