--- a/src/operating/keeper.cpp
+++ b/src/operating/keeper.cpp
@@ -159,6 +159,7 @@
   told.turnedAway = turnedAway_;
   told.expectedEnd = outlook_.end(open);
   if (share_) told.share = share_();
+  if (list_) told.list = list_();
   if (const drain::Course* course = drain_.course()) {
     Status::Course& made = told.drain.emplace();
     made.number = course->number;
--- a/src/operating/keeper.hpp
+++ b/src/operating/keeper.hpp
@@ -12,6 +12,7 @@
 #include "drain/outlook.hpp"
 #include "routing/client_side.hpp"
 #include "routing/desk.hpp"
+#include "routing/follower.hpp"
 
 namespace paddletrack::operating {
 
@@ -63,6 +64,7 @@
     static constexpr std::size_t kMostEngines = 1024;
   };
   std::optional<Share> share;
+  std::optional<routing::Follower::View> list;
 };
 
 class Keeper final : public routing::Gate {
@@ -99,7 +101,8 @@
                                   reach::Routes::ByHand what, Span until, const std::string& by);
   void tellShare(std::function<Status::Share()> of) { share_ = std::move(of); }
   void tellChanges(std::function<void()> to) { changed_ = std::move(to); }  // of the state
-  void learnLengths();                                                      // of jobs, for the expected end
+  void tellList(std::function<routing::Follower::View()> list) { list_ = std::move(list); }
+  void learnLengths();  // of jobs, for the expected end
 
  private:
   bool beat() override;
@@ -116,6 +119,7 @@
   const std::function<void()> exit_;
   std::function<void()> changed_;
   std::function<Status::Share()> share_;
+  std::function<routing::Follower::View()> list_;
   drain::Drain drain_;
   drain::Outlook outlook_;
   std::uint64_t turnedAway_ = 0;
--- a/src/operating/words.cpp
+++ b/src/operating/words.cpp
@@ -120,6 +120,14 @@
                             {"in_ms", ms(status.expectedEnd->in)},
                             {"from_answers", status.expectedEnd->from}};
   if (status.share) made["share"] = of(*status.share);
+  made["list"] = nullptr;
+  if (const auto& list = status.list) {
+    const auto in = [](const std::optional<Span>& span) { return span ? Json(ms(*span)) : Json(nullptr); };
+    made["list"] = {{"number", list->number},          {"following", list->following},
+                    {"behind", list->behind},          {"dials", list->dials},
+                    {"failures", list->failures},      {"next_dial_in_ms", in(list->nextDialIn)},
+                    {"moves_in_ms", in(list->movesIn)}};
+  }
   made["drain"] = nullptr;
   if (!status.drain) return made;
   const Status::Course& drain = *status.drain;
