Grants go by told needs and free memory where no answer tells a need

Grants are heeded there, but no answer ever tells what a job needed, so Controller::grant waited for ten of them for ever and left the size to the engines (a quarter over the estimate).

Where answers never tell (saysCost), the told need is as well known as it ever will be: the grant is what the others get, 1.1 times it at least and its threads' part of what is free.

The test fails without it (grant 0).

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -721,13 +721,13 @@
 
 // Where only memory in use slows an engine, what a grant has over the need costs nobody, and one below it
 // makes the job spill and do its work several times: the most that one job gets. Where grants take memory
-// from others and answers tell the true need, a little over it, and of what is free there its threads' part:
-// an estimate may be too low. Elsewhere the engine's own choice.
+// from others and the need is known, by answers or as well as it ever will be, a little over it, and of what
+// is free there its threads' part: an estimate may be too low. Elsewhere the engine's own choice.
 double Controller::grant(const Job& job, Engine& engine) {
   const TypeLore& lore = lore_[job.type->index];
   if (site_.memoryHeeded && site_.memoryPages) return site_.mostGrantMb;
-  const bool known = site_.memoryHeeded && lore.memoryBiasSeen >= 10 && job.toldMemoryMb > 0;
-  if (!known) return 0;
+  const bool known = lore.memoryBiasSeen >= 10 || site_.needUntold;
+  if (!known || !site_.memoryHeeded || job.toldMemoryMb <= 0) return 0;
   const double need = memoryNeed(job), memory = site_.machines[engine.listing.kind].memoryMb;
   const double free = std::max(0.0, memory - engine.memoryMb - others(engine).memoryMb - need);
   const double part = free * job.type->threads / (site_.machines[engine.listing.kind].cores * kMark);
--- a/src/model/deployment.hpp
+++ b/src/model/deployment.hpp
@@ -50,6 +50,7 @@
   bool valueByWork = false;  // a job's worth grows with its work
   bool memoryHeeded = false;
   bool memoryPages = false;  // grants past an engine's memory do no harm, only need past it does
+  bool needUntold = false;   // no answer tells what a job cost or needed
   double mostGrantMb = 0;    // that one job gets on any engine
   bool prioritiesHeeded = false;
   Span progressPace{0};
--- a/src/protocol/settings.cpp
+++ b/src/protocol/settings.cpp
@@ -176,6 +176,7 @@
   }
   made.valueByWork = lines.text("valueBy") == "work";
   made.memoryHeeded = lines.yes("familyInfo.memoryHeeded");
+  made.needUntold = !lines.yes("familyInfo.saysCost");
   made.memoryPages = lines.text("familyInfo.memoryShort") == "page";
   const double cap = lines.within("familyInfo.grantCap", 0, 1);
   for (const Machine& each : made.machines)
--- a/tests/choice_test.cpp
+++ b/tests/choice_test.cpp
@@ -132,7 +132,8 @@
   EXPECT_GT(host.sentTo(0), 1U);
 }
 
-// On a day of releases new engines stood empty for all of their cold time, at 2 to 3 threads a core elsewhere.
+// On a day of releases new engines stood empty for all of their cold time, at 2 to 3 threads a core
+// elsewhere.
 TEST(Reports, AColdEngineSeenIdleIsNotTakenToBeAsFullAsTheRest) {
   FakeHost host;
   host.site.controllers = 4;
@@ -235,6 +236,18 @@
   EXPECT_EQ(host.grants.back(), 0);
 }
 
+// Where no answer ever tells a need the told one is all there is: what engines grant by themselves, a quarter
+// over it, left one job in twelve to spill beside free memory.
+TEST(Memory, GrantsGoByToldNeedsWhereAnswersNeverTellThem) {
+  FakeHost host;
+  host.site.memoryHeeded = host.site.needUntold = true;
+  host.site.machines[0].memoryMb = 16000;
+  host.open(1);
+  host.needMb = 1000;
+  host.take(0);
+  EXPECT_NEAR(host.grants.back(), 1000 + 15000.0 / 16, 1);  // its part of all that is free
+}
+
 // Where answers tell the need, a grant a tenth over a rough estimate made a quarter of all jobs spill beside
 // memory that nobody used; one far over it makes jobs wait once memory is short.
 TEST(Memory, AGrantTakesItsThreadsPartOfWhatIsFree) {
@@ -501,7 +514,8 @@
   EXPECT_EQ(host.sent.size(), before + 13);
 }
 
-// On a quiet day all that was throttled were such jobs, 255 of 12188: those tried ran in a third of that time.
+// On a quiet day all that was throttled were such jobs, 255 of 12188: those tried ran in a third of that
+// time.
 TEST(Hopeless, AnEstimateThatNothingCorrectsIsNoEvidenceWhereEnginesAreSeenIdle) {
   for (const LoadReport* report : {&kIdle, &kFull}) {
     FakeHost host;
