A dear job asks for no more of a mark than is no floor of it

Ruled out: hopeless jobs (idle cores take them).

The threads asked for now end at what no floor holds of a mark (0.7 of it), so an engine that is all but idle takes any job. The test fails without it.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -351,7 +351,7 @@
 // Start on a fitting engine under the mark, or above it by a falling chance; else draw again a little later.
 Controller::Step Controller::draw(Job& job) {
   if (Engine* best = choose(job)) {
-    const double over = markUsed(job.room, *best) - 1;
+    const double over = markUsed(asks(job, *best), *best) - 1;
     if (markUsed(job.type->threads, *best) > 1 / kMark && hopeless(job)) return Step::end;
     const double mine = best->byType[job.type->index].threads;
     const bool byFloor = mine + job.type->threads <= floorThreads(job, *best, others(*best));
@@ -651,6 +651,12 @@
   return job.type != shortest_ || filled ? threads : std::max(threads, more);
 }
 
+// Threads that a job counts for where it asks to be let in: of a mark no more than is no floor, so that an
+// engine that is all but idle takes any.
+double Controller::asks(const Job& job, const Engine& engine) const {
+  return std::min(job.room, std::max<double>(job.type->threads, engine.cores * kMark * (1 - kFloorShare)));
+}
+
 // Floors first, then the shared remainder, in threads and in tokens.
 bool Controller::fits(const Job& job, Engine& engine) {
   const Machine& machine = site_.machines[engine.listing.kind];
@@ -660,9 +666,9 @@
   const double tokens = threads / kMark * horizon_;
   // A type with nothing in flight here may start one job below the mark: else a share thinner than a wide
   // job, or a budget smaller than a dear one, would shut it out for good.
-  const double whole = engine.cores * kMark * easing(engine).ease;
+  const double whole = engine.cores * kMark * easing(engine).ease, more = asks(job, engine);
   const bool alone = engine.byType[type].threads <= 0 &&
-                     (theirs.threads <= 0 || engine.threads + theirs.threads + job.room <= whole);
+                     (theirs.threads <= 0 || engine.threads + theirs.threads + more <= whole);
   const InFlight& mine = engine.byType[type];
   const bool byFloor = mine.threads + job.type->threads <= floorThreads(job, engine, theirs) &&
                        (mine.threads <= 0 || mine.tokens + job.tokens <= floors_[type] * tokens);
@@ -671,11 +677,11 @@
     for (std::size_t each = 0; each < floors_.size(); ++each) {
       const InFlight& used = engine.byType[each];
       const double own = each == type ? 1 : 0;
-      borrowedThreads += std::max(0.0, used.threads + own * job.room - floors_[each] * threads);
+      borrowedThreads += std::max(0.0, used.threads + own * more - floors_[each] * threads);
       borrowedTokens += std::max(0.0, used.tokens + own * job.tokens - floors_[each] * tokens);
     }
     const double ceiling = job.type->load ? kLoadCeiling : 1;
-    if (mine.threads + job.room > ceiling * threads) return false;
+    if (mine.threads + more > ceiling * threads) return false;
     if (mine.tokens + job.tokens > ceiling * tokens) return false;
     if (std::max(borrowedThreads / threads, borrowedTokens / tokens) > 1 - kFloorShare) return false;
   }
--- a/src/choice.hpp
+++ b/src/choice.hpp
@@ -104,6 +104,7 @@
   Easing& easing(Engine& engine) { return thin_ && !told_ ? fleetEase_ : engine.easing; }
   double bound(Engine& engine, const InFlight& theirs);
   double floorThreads(const Job& job, Engine& engine, const InFlight& theirs);
+  double asks(const Job& job, const Engine& engine) const;
   bool fits(const Job& job, Engine& engine);
   bool doubted(Engine& engine);
   double slowness(Engine& engine);
--- a/src/model/job.hpp
+++ b/src/model/job.hpp
@@ -45,7 +45,7 @@
   std::uint32_t dataSet = 0;
 
   double tokens = 0;  // estimated cost in seconds of one thread
-  double room = 0;    // threads that it counts for where it asks to be let in
+  double room = 0;    // threads, more where it is dear for its type
   double dice = 0;    // its one chance where shares are rounded
   bool overShare = false;
   bool over = false;
--- a/tests/choice_test.cpp
+++ b/tests/choice_test.cpp
@@ -60,6 +60,14 @@
   }
 }
 
+// One that counted for more than a whole mark was throttled on an idle fleet.
+TEST(Classes, AnEngineThatIsAllButIdleTakesADearJob) {
+  FakeHost host(1);
+  for (int each = 0; each < 9; ++each) host.takeMany(1, 1, 500ms), host.endAll();
+  EXPECT_EQ(host.takeMany(4, 0), 4U);
+  EXPECT_EQ(host.takeMany(1, 1, 5s), 1U);
+}
+
 // A load holds what it reads on its engine, and short jobs that read the same stand still there until it
 // ends: nine in ten of the late ones had met one, mostly another controller's.
 TEST(Loads, AndWhatWaitsForThemGoToDifferentEnginesAtAllControllers) {
