A job cheap for its type needs the room of less than a usual one

Ruled out: memory (need under half of their threads' part on most), grants.

The room that a job asks for now follows its told work below its type's mean as well, one thread at least. It runs on all of its threads and counts with them once it is out. Could harm where told costs are noise, as with dear ones.

The test fails without it.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -107,10 +107,11 @@
   drawn_.add(now, 1);
   job.tokens = job.toldCost ? seconds(*job.toldCost) * lore.bias : lore.meanCost;
   // Each job of a type is worth the same, whatever its work: one that is told to take r times the work of all
-  // that come needs the room of r. Refused alike at all sizes, a tenth of the jobs took half of all work.
+  // that come needs the room of r, a thread at least. Refused alike at all sizes, a tenth took half of all
+  // work.
   blend(lore.meanTaken, lore.takenSeen, job.tokens);
   const double dear = site_.valueByWork ? 1 : job.tokens / std::max(lore.meanTaken, 1e-9);
-  job.room = job.type->threads * std::max(1.0, dear);
+  job.room = std::max(1.0, job.type->threads * dear);
   // What a customer sends beyond its share is worth little: it gets idle room only. Where all send more than
   // this controller's part (another is away) nobody does, or half of what could run would be turned away.
   if (job.customer < customerTaken_.size()) {
--- a/src/model/job.hpp
+++ b/src/model/job.hpp
@@ -45,7 +45,7 @@
   std::uint32_t dataSet = 0;
 
   double tokens = 0;  // estimated cost in seconds of one thread
-  double room = 0;    // threads, more where it is dear for its type
+  double room = 0;    // threads, by what it costs for its type
   double dice = 0;    // its one chance where shares are rounded
   bool overShare = false;
   bool over = false;
--- a/tests/choice_test.cpp
+++ b/tests/choice_test.cpp
@@ -60,6 +60,15 @@
   }
 }
 
+// The cheapest tenth of wide jobs, a hundredth of their work, was shed as often as the usual.
+TEST(Classes, AJobCheapForItsTypeNeedsLessRoom) {
+  FakeHost host(1);
+  for (int each = 0; each < 9; ++each) host.takeMany(1, 1, 2s), host.endAll();
+  EXPECT_EQ(host.takeMany(14, 0), 14U);  // two of sixteen threads are left, and it runs on four
+  EXPECT_EQ(host.takeMany(1, 1, 2s), 0U);
+  EXPECT_EQ(host.takeMany(1, 1, 400ms), 1U);
+}
+
 // One that counted for more than a whole mark was throttled on an idle fleet.
 TEST(Classes, AnEngineThatIsAllButIdleTakesADearJob) {
   FakeHost host(1);
