--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -106,10 +106,11 @@
   drawn_.add(now, 1);
   job.tokens = job.toldCost ? seconds(*job.toldCost) * lore.bias : lore.meanCost;
   // Each job of a type is worth the same, whatever its work: one that is told to take r times the work of all
-  // that come needs the room of r. Refused alike at all sizes, a tenth of the jobs took half of all work.
+  // that come needs the room of r, a thread at least. Refused alike at all sizes, a tenth took half of all
+  // work.
   blend(lore.meanTaken, lore.takenSeen, job.tokens);
   const double dear = site_.valueByWork ? 1 : job.tokens / std::max(lore.meanTaken, 1e-9);
-  job.room = job.type->threads * std::max(1.0, dear);
+  job.room = std::max(1.0, job.type->threads * dear);
   // What a customer sends beyond its share is worth little: it gets idle room only. Where all send more than
   // this controller's part (another is away) nobody does, or half of what could run would be turned away.
   if (job.customer < customerTaken_.size()) {
@@ -349,7 +350,7 @@
 // Start on a fitting engine under the mark, or above it by a falling chance; else draw again a little later.
 Controller::Step Controller::draw(Job& job) {
   if (Engine* best = choose(job)) {
-    const double over = markUsed(job.room, *best) - 1;
+    const double over = markUsed(asks(job, *best), *best) - 1;
     if (markUsed(job.type->threads, *best) > 1 / kMark && hopeless(job)) return Step::end;
     const double mine = best->byType[job.type->index].threads;
     const bool byFloor = mine + job.type->threads <= floorThreads(job, *best, others(*best));
@@ -649,6 +650,12 @@
   return job.type != shortest_ || filled ? threads : std::max(threads, more);
 }
 
+// Threads that a job counts for where it asks to be let in: of a mark no more than is no floor, so that an
+// engine that is all but idle takes any.
+double Controller::asks(const Job& job, const Engine& engine) const {
+  return std::min(job.room, std::max<double>(job.type->threads, engine.cores * kMark * (1 - kFloorShare)));
+}
+
 // Floors first, then the shared remainder, in threads and in tokens.
 bool Controller::fits(const Job& job, Engine& engine) {
   const Machine& machine = site_.machines[engine.listing.kind];
@@ -658,9 +665,9 @@
   const double tokens = threads / kMark * horizon_;
   // A type with nothing in flight here may start one job below the mark: else a share thinner than a wide
   // job, or a budget smaller than a dear one, would shut it out for good.
-  const double whole = engine.cores * kMark * easing(engine).ease;
+  const double whole = engine.cores * kMark * easing(engine).ease, more = asks(job, engine);
   const bool alone = engine.byType[type].threads <= 0 &&
-                     (theirs.threads <= 0 || engine.threads + theirs.threads + job.room <= whole);
+                     (theirs.threads <= 0 || engine.threads + theirs.threads + more <= whole);
   const InFlight& mine = engine.byType[type];
   const bool byFloor = mine.threads + job.type->threads <= floorThreads(job, engine, theirs) &&
                        (mine.threads <= 0 || mine.tokens + job.tokens <= floors_[type] * tokens);
@@ -669,11 +676,11 @@
     for (std::size_t each = 0; each < floors_.size(); ++each) {
       const InFlight& used = engine.byType[each];
       const double own = each == type ? 1 : 0;
-      borrowedThreads += std::max(0.0, used.threads + own * job.room - floors_[each] * threads);
+      borrowedThreads += std::max(0.0, used.threads + own * more - floors_[each] * threads);
       borrowedTokens += std::max(0.0, used.tokens + own * job.tokens - floors_[each] * tokens);
     }
     const double ceiling = job.type->load ? kLoadCeiling : 1;
-    if (mine.threads + job.room > ceiling * threads) return false;
+    if (mine.threads + more > ceiling * threads) return false;
     if (mine.tokens + job.tokens > ceiling * tokens) return false;
     if (std::max(borrowedThreads / threads, borrowedTokens / tokens) > 1 - kFloorShare) return false;
   }
@@ -719,13 +726,13 @@
 
 // Where only memory in use slows an engine, what a grant has over the need costs nobody, and one below it
 // makes the job spill and do its work several times: the most that one job gets. Where grants take memory
-// from others and answers tell the true need, a little over it, and of what is free there its threads' part:
-// an estimate may be too low. Elsewhere the engine's own choice.
+// from others and the need is known, by answers or as well as it ever will be, a little over it, and of what
+// is free there its threads' part: an estimate may be too low. Elsewhere the engine's own choice.
 double Controller::grant(const Job& job, Engine& engine) {
   const TypeLore& lore = lore_[job.type->index];
   if (site_.memoryHeeded && site_.memoryPages) return site_.mostGrantMb;
-  const bool known = site_.memoryHeeded && lore.memoryBiasSeen >= 10 && job.toldMemoryMb > 0;
-  if (!known) return 0;
+  const bool known = lore.memoryBiasSeen >= 10 || site_.needUntold;
+  if (!known || !site_.memoryHeeded || job.toldMemoryMb <= 0) return 0;
   const double need = memoryNeed(job), memory = site_.machines[engine.listing.kind].memoryMb;
   const double free = std::max(0.0, memory - engine.memoryMb - others(engine).memoryMb - need);
   const double part = free * job.type->threads / (site_.machines[engine.listing.kind].cores * kMark);
--- a/tests/choice_test.cpp
+++ b/tests/choice_test.cpp
@@ -60,6 +60,23 @@
   }
 }
 
+// The cheapest tenth of wide jobs, a hundredth of their work, was shed as often as the usual.
+TEST(Classes, AJobCheapForItsTypeNeedsLessRoom) {
+  FakeHost host(1);
+  for (int each = 0; each < 9; ++each) host.takeMany(1, 1, 2s), host.endAll();
+  EXPECT_EQ(host.takeMany(14, 0), 14U);  // two of sixteen threads are left, and it runs on four
+  EXPECT_EQ(host.takeMany(1, 1, 2s), 0U);
+  EXPECT_EQ(host.takeMany(1, 1, 400ms), 1U);
+}
+
+// One that counted for more than a whole mark was throttled on an idle fleet.
+TEST(Classes, AnEngineThatIsAllButIdleTakesADearJob) {
+  FakeHost host(1);
+  for (int each = 0; each < 9; ++each) host.takeMany(1, 1, 500ms), host.endAll();
+  EXPECT_EQ(host.takeMany(4, 0), 4U);
+  EXPECT_EQ(host.takeMany(1, 1, 5s), 1U);
+}
+
 // A load holds what it reads on its engine, and short jobs that read the same stand still there until it
 // ends: nine in ten of the late ones had met one, mostly another controller's.
 TEST(Loads, AndWhatWaitsForThemGoToDifferentEnginesAtAllControllers) {
@@ -237,6 +254,18 @@
   EXPECT_EQ(host.grants.back(), 0);
 }
 
+// Where no answer ever tells a need the told one is all there is: what engines grant by themselves, a quarter
+// over it, left one job in twelve to spill beside free memory.
+TEST(Memory, GrantsGoByToldNeedsWhereAnswersNeverTellThem) {
+  FakeHost host;
+  host.site.memoryHeeded = host.site.needUntold = true;
+  host.site.machines[0].memoryMb = 16000;
+  host.open(1);
+  host.needMb = 1000;
+  host.take(0);
+  EXPECT_NEAR(host.grants.back(), 1000 + 15000.0 / 16, 1);  // its part of all that is free
+}
+
 // Where answers tell the need, a grant a tenth over a rough estimate made a quarter of all jobs spill beside
 // memory that nobody used; one far over it makes jobs wait once memory is short.
 TEST(Memory, AGrantTakesItsThreadsPartOfWhatIsFree) {
