Test: no window holds more further dispatches than rule 7 allows, however its buckets lie

Need: on one of the new deployments the budget (5 plus a tenth in 10 s) stood at its limit; the test before did not reach bucket edges.

--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -202,6 +202,40 @@
   EXPECT_LE(further, 4U);
 }
 
+// Counted as the rule counts, at each further dispatch: those of the 10 s before, both ends in, against the
+// jobs taken in as long, the far end out. Bursts and pauses of odd lengths meet the edges of buckets.
+TEST(Rule7, NoWindowHoldsMoreThanTheBudgetHoweverItsBucketsLie) {
+  std::size_t tight = 0;
+  for (std::uint64_t seed = 1; seed <= 12; ++seed) {
+    FakeHost host;
+    host.site.mostDispatches = 6;
+    host.site.furtherFloor = 5;
+    host.site.furtherRatio = 0.1;
+    host.site.furtherSpan = 10s;
+    host.open(4, seed);
+    std::minstd_rand dice(static_cast<std::minstd_rand::result_type>(seed * 7919));
+    for (int each = 0; each < 120; ++each) {
+      host.takeMany(static_cast<int>(dice() % 12), 0);
+      host.pass(host.site.tick * (1 + dice() % (dice() % 9 ? 60 : 700)));
+      host.endAll(dice() % 2 ? Outcome::unreachable : Outcome::error);
+    }
+    std::vector<Span> further;
+    for (const Dispatch* each : host.sent)
+      if (each->number > 0) further.push_back(each->sent);
+    for (const Span at : further) {
+      const auto since = [&](Span from) { return from >= at - host.site.furtherSpan && from <= at; };
+      const auto made = std::count_if(further.begin(), further.end(), since);
+      const auto taken = std::count_if(host.jobs.begin(), host.jobs.end(), [&](const Job& job) {
+        return since(job.taken) && job.taken > at - host.site.furtherSpan;
+      });
+      const double budget = 5 + 0.1 * static_cast<double>(taken);
+      EXPECT_LE(static_cast<double>(made), budget) << seed << ' ' << at.count();
+      tight += static_cast<double>(made) > budget - 1;
+    }
+  }
+  EXPECT_GT(tight, 0U);  // the limit itself was met
+}
+
 TEST(List, WhereItMustBeAskedForItIsWatchedAndAskedAgain) {
   FakeHost host;
   host.site.listOnRequest = true;
