Lost answers: a short dispatch gets a time of its own, and no engine is blamed

Change: a time-out without note or answer, though notes come every second, of an engine that has answered what was sent later, tells nothing of it. Once four such have come in 28 SLA times, a short restartable dispatch is sent with a time of its own (twice the usual part of its SLA time, 0.6 at least, only below 1), four in five of them, while 0.9 of rule 7's budget lasts. Guards against hangs and cut links as well; could harm where all is slow and notes are lost: there the usual part passes the SLA time and it stops.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -30,6 +30,9 @@
 constexpr int kFreshSlas = 2;             // SLA times of the shortest type: how long a load report is fresh
 constexpr double kTokenHorizon = 0.6;     // of the longest usual SLA time: work that a thread may have ahead
 constexpr double kCopyShare = 0.05;       // of recent dispatches: second copies at most
+constexpr double kLost =
+    4;  // dispatches without any sign, in 28 SLA times or a little more: answers get lost
+constexpr double kLostBudget = 0.9;  // of the further dispatches: for what is given up by a time of its own
 constexpr double kEaseDown = 0.9, kEaseUp = 0.05, kLeastEase = 0.3;
 constexpr double kHeldOff = 3;     // times what the fleet held runs off: how fast its unheard mean fades
 constexpr double kLooks = 3;       // engines that a controller with thin shares chooses among
@@ -67,6 +70,7 @@
   for (double& each : floors_) each *= weights > 0 ? kFloorShare / weights : 0;
   if (site_.listOnRequest) host_.watchList();
   nextAsk_ = now + site_.mustAskWithin / 3;
+  lost_ = BucketRing<double>(shortest_->slaTime * 4);
   copies_ = started_ = BucketRing<double>(shortest_->slaTime);
   drawn_ = probes_ = ownThreads_ = BucketRing<double>(shortest_->slaTime / 2);
   for (const Customer& each : site_.customers) quotas_ += each.quotaPerSecond;
@@ -349,13 +353,26 @@
   draws_.emplace(std::max(now_ + site_.tick, std::min(when, job.expires - 2 * site_.tick)), &job);
 }
 
+// Where nothing can be withdrawn and answers get lost (dispatches ran out of time without a note or an
+// answer, which one that runs or waits would have brought), a short dispatch gets a time of its own, so that
+// another can still be in time: twice the part of its SLA time that they take of late, 0.6 of it at least.
+// One in five gets none: only these tell whether answers are lost still.
+Span Controller::ownTime(const Job& job) {
+  const double part = std::max(0.6, 2 * shortPart_);
+  const bool another = static_cast<int>(job.dispatches.size()) + 1 < site_.mostDispatches &&
+                       furtherLeft(kLostBudget) >= 1 && job.type->effect == Effect::restartable;
+  if (site_.mayWithdraw || job.type != shortest_ || !another || part >= 1) return job.expires;
+  if (lost_.sum(now_) < kLost || chance() < 0.2) return job.expires;
+  return std::min(job.expires, now_ + span(part * slaSeconds(job)));
+}
+
 void Controller::start(Job& job, Engine& engine) {
   auto dispatch = std::make_unique<Dispatch>();
   dispatch->job = &job;
   dispatch->engine = &engine;
   dispatch->number = static_cast<std::uint8_t>(job.dispatches.size());
   dispatch->sent = now_;
-  dispatch->until = job.expires;
+  dispatch->until = ownTime(job);
   dispatch->threads = job.type->threads;
   dispatch->tokens = job.tokens;
   dispatch->memoryMb = memoryNeed(job);
@@ -408,6 +425,17 @@
   if (outcome == Outcome::withdrawn || outcome == Outcome::neverSent || outcome == Outcome::spoilt) return;
   const auto reset = outcome == Outcome::reset ? std::exchange(engine.lastReset, now_) : std::nullopt;
   if (reset && now_ - *reset < site_.tick) return;
+  if (job.type == shortest_ && (outcome == Outcome::done || outcome == Outcome::timedOut))
+    shortPart_ += (std::min(1.0, age(dispatch) / slaSeconds(job)) - shortPart_) / 50;
+  // No answer and no note though time for one has passed, from an engine that has answered what was sent
+  // later: the answer was lost, which is no fault of its and does not show it full.
+  const bool own = dispatch.until < job.expires;
+  const bool notable = site_.progressPace > Span{0} && age(dispatch) > seconds(site_.progressPace);
+  if (outcome == Outcome::timedOut && (own || (notable && dispatch.progress <= 0))) {
+    if (!own) lost_.add(now_, 1);
+    if (engine.lastGood && *engine.lastGood > dispatch.sent) return;
+    if (own) return engine.bad.add(now_, 1);
+  }
   // Nor does it tell of an engine that a job was not done whose client gave it less than its own work takes.
   if (outcome == Outcome::timedOut && age(dispatch) < job.tokens / job.type->threads) return;
   ease(dispatch, outcome);
@@ -568,7 +596,12 @@
 // Rule 7.
 bool Controller::furtherAllows(const Job& job) {
   if (job.dispatches.empty() || site_.furtherSpan <= Span{0}) return true;
-  return further_.sum(now_) + 1 <= site_.furtherFloor + site_.furtherRatio * taken_.sum(now_);
+  return furtherLeft(1) >= 1;
+}
+
+double Controller::furtherLeft(double part) {
+  const double all = site_.furtherFloor + site_.furtherRatio * taken_.sum(now_);
+  return site_.furtherSpan > Span{0} ? part * all - further_.sum(now_) : site_.mostDispatches;
 }
 
 // ---- what an engine can take ----------------------------------------------------------------------------
--- a/src/choice.hpp
+++ b/src/choice.hpp
@@ -94,6 +94,8 @@
   bool placed(const Job& job, const Engine& engine) const;
   bool coldAllows(const Job& job, Engine& engine);
   bool furtherAllows(const Job& job);
+  double furtherLeft(double part);  // of the budget, or of a part of it
+  Span ownTime(const Job& job);
   bool guarded(const Job& job, Engine& engine);
   bool isCold(const Engine& engine) const;
 
@@ -147,6 +149,8 @@
   BucketRing<double> quotaTaken_;  // of all customers that have a quota, which come to this sum
   double quotas_ = 0;
   BucketRing<double> taken_, further_;  // for the budget of further dispatches
+  BucketRing<double> lost_;             // dispatches that ran out of time without any sign
+  double shortPart_ = 0.25;             // of the SLA time: what the shortest type takes of late
   BucketRing<double> copies_, drawn_, started_, probes_;
   const ReservationType* shortest_ = nullptr;
   std::multimap<Span, Job*> draws_;
--- a/tests/choice_test.cpp
+++ b/tests/choice_test.cpp
@@ -474,6 +474,49 @@
 }
 
 // Hundreds of controllers on dozens of engines: a share is less than a job.
+// 29 of 53 engines worked on, but up to a third of their answers never came: those that had lost some were
+// held to be full and ill, and what was lost stayed out until its client left.
+TEST(Lost, AnswersThatNeverComeAreFoundEarlyAndHeldAgainstNoEngine) {
+  for (const bool noted : {false, true}) {
+    FakeHost host;
+    host.site.progressPace = 1s;
+    host.site.types[0].jobTimeout = 2s;
+    host.open(4);
+    for (int each = 0; each < 4; ++each) {
+      host.take(0);
+      Dispatch& silent = *host.sent.back();
+      host.pass(100ms);
+      host.takeMany(12, 0);
+      host.pass(100ms);
+      for (Dispatch* other : std::vector<Dispatch*>(host.sent))
+        if (other->out && other != &silent) host.end(*other);
+      host.pass(900ms);
+      if (noted) host.controller->noted(host.now, silent, Note::progress, 0.5);
+      host.pass(895ms);
+      host.controller->ended(host.now, silent, Outcome::timedOut, true, std::nullopt, nullptr);
+    }
+    double least = 1;
+    for (const Engine& each : host.engines) least = std::min(least, each.easing.ease);
+    EXPECT_EQ(least < 1, noted);
+    const std::size_t before = host.sent.size();
+    host.takeMany(20, 0);
+    std::size_t own = 0;
+    for (std::size_t each = before; each < host.sent.size(); ++each) {
+      const Dispatch& sent = *host.sent[each];
+      EXPECT_GE(sent.until - sent.sent, 400ms);  // 0.6 of 500 ms and twice 100 ms
+      own += sent.until < sent.job->expires;
+    }
+    ASSERT_EQ(own > 8, !noted);
+    EXPECT_LT(own, host.sent.size() - before);  // some tell whether it is over
+    if (noted) continue;
+    Dispatch& late = **std::find_if(host.sent.begin() + static_cast<std::ptrdiff_t>(before), host.sent.end(),
+                                    [](const Dispatch* each) { return each->until < each->job->expires; });
+    host.pass(420ms);
+    host.end(late, Outcome::timedOut);
+    EXPECT_EQ(late.job->dispatches.size(), 2U);
+  }
+}
+
 struct ThinHost : FakeHost {
   ThinHost() {
     site.controllers = 150;
