A hopeless job is weighed by how much of its mark the engine drawn for it uses

The step at one thread a core was an edge: all or nothing. The test now multiplies the time expected by the part of the mark in use: twice the time left is allowed at half of it, none over at the mark, less above. Harm: as before, work that may come to nothing where room is.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -31,8 +31,7 @@
 constexpr int kFreshSlas = 2;             // SLA times of the shortest type: how long a load report is fresh
 constexpr double kTokenHorizon = 0.6;     // of the longest usual SLA time: work that a thread may have ahead
 constexpr double kCopyShare = 0.05;       // of recent dispatches: second copies at most
-constexpr double kLost =
-    4;  // dispatches without any sign, in 28 SLA times or a little more: answers get lost
+constexpr double kLost = 4;  // dispatches without a sign, in 28 SLA times or a little more: answers get lost
 constexpr double kLostBudget = 0.9;  // of the further dispatches: for what is given up by a time of its own
 constexpr double kEaseDown = 0.9, kEaseUp = 0.05, kLeastEase = 0.3;
 constexpr double kHeldOff = 3;     // times what the fleet held runs off: how fast its unheard mean fades
@@ -272,10 +271,11 @@
 }
 
 // Told to take more than the time left to it, as dispatches go of late: it would keep its threads from jobs
-// that can still be done, and its client leaves before the end. With nothing out it is tried: how dispatches
-// go is learned from them alone.
-bool Controller::hopeless(const Job& job) const {
-  const double expected = job.tokens / job.type->threads * typicalSlowness_;
+// that can still be done, and its client leaves before the end. How much they are missed goes by how much of
+// its mark the engine drawn for it uses: idle threads are missed by nobody, and an estimate may be too high.
+// With nothing out it is tried: how dispatches go is learned from them alone.
+bool Controller::hopeless(const Job& job, double used) const {
+  const double expected = job.tokens / job.type->threads * typicalSlowness_ * used;
   return job.toldCost && threadsOut_ > 0 && expected > seconds(job.expires - now_);
 }
 
@@ -355,7 +355,7 @@
 Controller::Step Controller::draw(Job& job) {
   if (Engine* best = choose(job)) {
     const double over = markUsed(asks(job, *best), *best) - 1;
-    if (markUsed(job.type->threads, *best) > 1 / kMark && hopeless(job)) return Step::end;
+    if (hopeless(job, markUsed(job.type->threads, *best))) return Step::end;
     const double mine = best->byType[job.type->index].threads;
     const bool byFloor = mine + job.type->threads <= floorThreads(job, *best, others(*best));
     if (over <= 0 || byFloor || (!job.overShare && chance() < std::exp(-16 * over) / 4)) {
@@ -363,7 +363,8 @@
       return Step::pass;
     }
   }
-  if (now_ >= *job.waitEnds || (job.overShare && job.dispatches.empty()) || hopeless(job)) return Step::end;
+  if (now_ >= *job.waitEnds || (job.overShare && job.dispatches.empty()) || hopeless(job, 1))
+    return Step::end;
   keepUntil(job, std::min(now_ + span(seconds(shortest_->slaTime) / 40 * (0.5 + chance())), *job.waitEnds));
   return Step::keep;
 }
--- a/src/choice.hpp
+++ b/src/choice.hpp
@@ -131,7 +131,7 @@
   void advance();
   void leaveLine(Job& job);
   Span waitEnd(const Job& job) const;
-  bool hopeless(const Job& job) const;
+  bool hopeless(const Job& job, double used) const;
   void keepUntil(Job& job, Span when);
   void rescue();
   void tellPeers();
