--- a/src/operating/keeper.cpp
+++ b/src/operating/keeper.cpp
@@ -94,6 +94,7 @@
   drain::Books books;
   desk_.eachOpen([&](const routing::Exchange&) { ++books.jobs; });
   books.unsent = clients_.unsent();
+  books.coming = clients_.coming();
   books.answers = desk_.totals().answers;
   books.answers[0] = desk_.totals().left;
   books.turnedAway = turnedAway_;
@@ -157,6 +158,7 @@
   told.cancelled = totals.answers[3];
   told.turnedAway = turnedAway_;
   told.expectedEnd = outlook_.end(open);
+  if (share_) told.share = share_();
   if (const drain::Course* course = drain_.course()) {
     Status::Course& made = told.drain.emplace();
     made.number = course->number;
