--- a/deploy/operator.hcl
+++ b/deploy/operator.hcl
@@ -14,6 +14,12 @@
   come_back = "2s"
 }
 
+coldstart {
+  follows = 20 # dials of the list service a second, of all controllers together
+  reads   = 45 # of those that know no list: it needs 20 ms for each
+  longest = "30s"
+}
+
 log {
   form  = "text"
   level = "info"
