--- a/src/rig/main.cpp
+++ b/src/rig/main.cpp
@@ -41,6 +41,9 @@
       app.add_subcommand("soak", "one controller under steady load, its resident memory as it goes");
   soak->add_option("--minutes", minutes)->check(CLI::Range(0.5, 600.0));
   soak->add_option("--rate", soaked, "jobs a second")->check(CLI::Range(1.0, 2000.0));
+  unsigned fleets = 1000;
+  CLI::App* rebalance = app.add_subcommand("rebalance", "plans of moves against the least, and how they grow");
+  rebalance->add_option("--fleets", fleets, "random small ones")->check(CLI::Range(1, 1000000));
   CLI11_PARSE(app, argc, argv);
   try {
     using namespace paddletrack::rig;
@@ -52,6 +55,7 @@
     if (roll->parsed()) return measureRoll(program, rolled);
     if (fleet->parsed()) return measureFleet(program, before, engines);
     if (addresses->parsed()) return measureAddresses(jobs);
+    if (rebalance->parsed()) return measureRebalance(fleets);
     if (soak->parsed()) return measureSoak(program, soaked, minutes);
     return measureCost(program, before);
   } catch (const std::exception& error) {
--- a/src/rig/rig.hpp
+++ b/src/rig/rig.hpp
@@ -96,6 +96,7 @@
 int measureAddresses(unsigned jobs);
 int measureFleet(const std::string& program, const std::string& before, unsigned engines);
 int measureCost(const std::string& program, const std::string& before);
+int measureRebalance(unsigned fleets);
 int measureSoak(const std::string& program, double perSecond, double minutes);
 
 }  // namespace paddletrack::rig
