--- a/src/rebalance/plan.cpp
+++ b/src/rebalance/plan.cpp
@@ -18,10 +18,10 @@
 constexpr std::size_t kWholeUnits = 16;  // up to so many copies and engines one window holds all
 constexpr std::size_t kWholeEngines = 10;
 constexpr std::size_t kMostWhole = 32;  // the same, where else a copy has no place
-constexpr int kMostNodes = 500'000;
 constexpr std::size_t kWindowUnits = 11;
-constexpr std::size_t kStateEngines = 16, kStateGroups = 16, kMostStates = 50'000;
-constexpr int kWholeNodes = 200'000, kWindowNodes = 1'500, kShedNodes = 2'000;
+constexpr std::size_t kStateEngines = 16, kStateGroups = 16;
+constexpr int kWholePart = 5, kMostPart = 2, kStatesPart = 8;  // of the work
+constexpr int kWindowNodes = 1'500, kShedNodes = 2'000;
 
 struct Unit {  // one copy that is wanted
   std::uint32_t group = 0;
@@ -370,14 +370,14 @@
       if (at_[static_cast<std::size_t>(each)].ready) ready.push_back(each);
     for (int each = 0; each < static_cast<int>(units_.size()); ++each) all.push_back(each);
     if (units_.size() <= kWholeUnits && ready.size() <= kWholeEngines) {
-      window(ready, all, kWholeNodes);
+      window(ready, all, terms_.work / kWholePart);
       return;
     }
     windows(ready, misplaced);
     const bool whole =
         std::all_of(units_.begin(), units_.end(), [](const Unit& each) { return each.home != kNone; });
     if (!whole && units_.size() <= kMostWhole && ready.size() <= kWholeEngines)
-      window(ready, all, kMostNodes);
+      window(ready, all, terms_.work / kMostPart);
   }
 
   template <typename Misplaced>
@@ -622,6 +622,7 @@
   bool byStates(const Plan& made, std::vector<Move>& moves) const {
     const std::size_t engines = view_.engines.size(), groups = view_.groups.size();
     if (terms_.parts != 1 || engines > kStateEngines || groups > kStateGroups) return false;
+    const auto most = static_cast<std::size_t>(terms_.work / kStatesPart);
     State first(groups), last(groups);
     std::vector<Bytes> room(engines);
     for (std::size_t group = 0; group < groups; ++group) {
@@ -648,7 +649,7 @@
     using Entry = std::pair<Bytes, std::size_t>;
     std::priority_queue<Entry, std::vector<Entry>, std::greater<>> open;
     open.push({left(first), 0});
-    while (!open.empty() && nodes.size() < kMostStates) {
+    while (!open.empty() && nodes.size() < most) {
       const std::size_t at = open.top().second;
       open.pop();
       const State state = nodes[at].state;
--- a/src/rebalance/view.hpp
+++ b/src/rebalance/view.hpp
@@ -48,7 +48,7 @@
   int bound = 25;        // per cent over the best load that an engine may have after the plan
   int act = 25;          // per cent over it from which an engine gives groups away; at least `bound`
   int parts = 1;         // a plan uses this part of a headroom, and of what it frees
-  int work = 4'000'000;  // placements weighed at most
+  int work = 1'000'000;  // placements weighed at most
 };
 
 // One group comes to an engine. A step without `to` brings nothing: `from` gives way, as others serve it.
--- a/src/rig/main.cpp
+++ b/src/rig/main.cpp
@@ -42,7 +42,8 @@
   soak->add_option("--minutes", minutes)->check(CLI::Range(0.5, 600.0));
   soak->add_option("--rate", soaked, "jobs a second")->check(CLI::Range(1.0, 2000.0));
   unsigned fleets = 1000;
-  CLI::App* rebalance = app.add_subcommand("rebalance", "plans of moves against the least, and how they grow");
+  CLI::App* rebalance =
+      app.add_subcommand("rebalance", "plans of moves against the least, and how they grow");
   rebalance->add_option("--fleets", fleets, "random small ones")->check(CLI::Range(1, 1000000));
   CLI11_PARSE(app, argc, argv);
   try {
--- a/src/rig/rebalance.cpp
+++ b/src/rig/rebalance.cpp
@@ -5,6 +5,7 @@
 #include <cstdio>
 
 #include "rig/fleets.hpp"
+#include "rig/many.hpp"
 #include "rig/rig.hpp"
 #ifdef PADDLETRACK_EXACT
 #include "rig/exact.hpp"
@@ -148,6 +149,145 @@
   return well;
 }
 
+// Ways of keeping plans of different views apart, over the same stories of chance.
+bool apart(unsigned stories) {
+  std::printf("%u stories of 30 faults each, 9 controllers, 8 engines, 48 groups\n", stories);
+  std::printf("%-34s %8s %8s %8s %10s %8s %10s\n", "way", "plans", "done", "copies", "bytes", "over",
+              "unserved");
+  bool well = true;
+  struct Way {
+    const char* name;
+    bool agree;
+    int parts, skew;
+    bool safe;
+  };
+  for (const Way& way : {Way{"none", false, 1, 0, false},
+                         {"halves", false, 2, 0, false},
+                         {"agreement", true, 1, 0, true},
+                         {"agreement, clocks 1 s off", true, 1, 1, true},
+                         {"agreement, clocks 5 s off", true, 1, 5, false},
+                         {"agreement, halves", true, 2, 0, true},
+                         {"agreement, halves, clocks 5 s off", true, 2, 5, false}}) {
+    Many::Books sum;
+    for (unsigned seed = 1; seed <= stories; ++seed) {
+      ManyTerms terms;
+      terms.agree = way.agree, terms.parts = way.parts, terms.skew = way.skew, terms.seed = seed;
+      const Many::Books books = story(terms, 30);
+      sum.over += books.over, sum.begun += books.begun, sum.plans += books.plans, sum.done += books.done;
+      sum.bytes += books.bytes, sum.unserved += books.unserved;
+    }
+    std::printf("%-34s %8u %8u %8u %10lld %8u %10u\n", way.name, sum.plans, sum.done, sum.begun,
+                static_cast<long long>(sum.bytes), sum.over, sum.unserved);
+    well = well && (!way.safe || sum.over == 0);
+  }
+  std::printf("\n");
+  return well;
+}
+
+// Ten losses and joins in a row, reading up or down by a tenth in between; each plan is followed to its end.
+struct Series {
+  unsigned moves = 0, voluntary = 0,
+           back = 0;  // back: both to an engine and away from it of a plan's own will
+  Bytes bytes = 0, least = 0;
+};
+Series series(std::uint64_t seed, int act, bool rests, bool anew) {
+  std::mt19937_64 dice(seed);
+  View view;
+  for (int each = 0; each < 10; ++each)
+    view.engines.push_back({"s-" + std::to_string(100 + each), 3000, 3000, 8, Standing::ready, false, 0, 0});
+  for (std::uint32_t each = 0; each < 100; ++each) {
+    GroupView& group = view.groups.emplace_back();
+    group.number = each + 1;
+    group.size = 20 + static_cast<Bytes>(dice() % 200);
+    group.rate = 100 + static_cast<std::int64_t>(dice() % 900);
+  }
+  view.engines[9].standing = view.engines[8].standing = Standing::gone;
+  Series sum;
+  std::map<std::pair<std::uint32_t, std::uint32_t>, bool> left;  // group, engine
+  std::vector<int> movedAt(view.groups.size(), -100);
+  for (int event = -1; event < 20; ++event) {
+    if (event >= 0) {
+      const std::size_t which = static_cast<std::size_t>(event / 2 * 3 % 10);
+      EngineView& engine = view.engines[event % 2 == 0 ? which : (which + 3) % 10];
+      const bool lose = event % 2 == 0 && engine.standing == Standing::ready;
+      engine.standing = lose ? Standing::gone : Standing::ready;
+      if (!lose) engine.cold = true;
+      const auto place = static_cast<std::uint32_t>(&engine - view.engines.data());
+      for (GroupView& group : view.groups) {
+        std::erase(group.holders, place);
+        group.rate = group.rate * static_cast<std::int64_t>(90 + dice() % 21) / 100;
+      }
+    }
+    for (std::uint32_t each = 0; each < view.engines.size(); ++each) {
+      view.engines[each].headroom = view.engines[each].capacity;
+      for (const GroupView& group : view.groups)
+        if (std::count(group.holders.begin(), group.holders.end(), each) > 0)
+          view.engines[each].headroom -= group.size;
+    }
+    for (std::size_t each = 0; each < view.groups.size(); ++each)
+      view.groups[each].resting = rests && event - movedAt[each] <= 3;
+    View planned = view;
+    if (anew)  // as if nothing were held anywhere: what a placement from nothing would do
+      for (GroupView& group : planned.groups) group.holders.clear();
+    for (EngineView& each : planned.engines)
+      if (anew) each.headroom = each.capacity;
+    Terms terms;
+    terms.act = act;
+    const Plan made = plan(planned, terms);
+    const Bytes least = fromBelow(view, plan(view, terms).forced);
+    if (event >= 0) sum.least += least;
+    for (std::uint32_t group = 0; group < view.groups.size(); ++group) {
+      GroupView& one = view.groups[group];
+      if (made.homes[group].empty()) continue;
+      for (const std::uint32_t home : made.homes[group]) {
+        if (std::binary_search(one.holders.begin(), one.holders.end(), home)) continue;
+        if (event < 0) continue;
+        ++sum.moves, sum.bytes += one.size;
+        const bool voluntary = !one.holders.empty();
+        sum.voluntary += voluntary ? 1 : 0;
+        sum.back += voluntary && left[{group, home}] ? 1 : 0;
+        if (voluntary) left[{group, one.holders.front()}] = true, movedAt[group] = event;
+      }
+      one.holders = made.homes[group];
+    }
+  }
+  return sum;
+}
+
+bool steady(unsigned rows) {
+  std::printf(
+      "ten losses and ten joins in turn, 10 engines, 100 groups, %u rows; bytes beyond what is forced and "
+      "what\n"
+      "takes engines back within the bound, from below\n",
+      rows);
+  std::printf("%-36s %8s %10s %12s %12s %8s\n", "rule", "moves", "voluntary", "bytes", "beyond %", "back");
+  bool well = true;
+  struct Rule {
+    const char* name;
+    int act;
+    bool rests, anew;
+  };
+  for (const Rule& rule : {Rule{"placed anew each time", 25, false, true},
+                           {"at the bound", 25, false, false},
+                           {"acts at 40 %", 40, false, false},
+                           {"acts at 40 %, moved groups rest", 40, true, false}}) {
+    Series sum;
+    for (unsigned seed = 1; seed <= rows; ++seed) {
+      const Series one = series(seed, rule.act, rule.rests, rule.anew);
+      sum.moves += one.moves, sum.voluntary += one.voluntary, sum.back += one.back;
+      sum.bytes += one.bytes, sum.least += one.least;
+    }
+    std::printf(
+        "%-36s %8u %10u %12lld %12.1f %8u\n", rule.name, sum.moves, sum.voluntary,
+        static_cast<long long>(sum.bytes),
+        100 * (static_cast<double>(sum.bytes) / static_cast<double>(std::max<Bytes>(1, sum.least)) - 1),
+        sum.back);
+    if (rule.rests) well = sum.back == 0;
+  }
+  std::printf("\n");
+  return well;
+}
+
 }  // namespace
 
 int measureRebalance(unsigned fleets) {
@@ -158,6 +298,8 @@
   std::printf("built without GLPK: no comparison of %u fleets with the least\n", fleets);
 #endif
   well = growth() && well;
+  well = steady(50) && well;
+  well = apart(20) && well;
   return well ? 0 : 1;
 }
 
