--- a/src/rig/main.cpp
+++ b/src/rig/main.cpp
@@ -41,10 +41,17 @@
       app.add_subcommand("soak", "one controller under steady load, its resident memory as it goes");
   soak->add_option("--minutes", minutes)->check(CLI::Range(0.5, 600.0));
   soak->add_option("--rate", soaked, "jobs a second")->check(CLI::Range(1.0, 2000.0));
-  unsigned fleets = 1000;
+  unsigned small = 1000;
   CLI::App* rebalance =
       app.add_subcommand("rebalance", "plans of moves against the least, and how they grow");
-  rebalance->add_option("--fleets", fleets, "random small ones")->check(CLI::Range(1, 1000000));
+  rebalance->add_option("--fleets", small, "random small ones")->check(CLI::Range(1, 1000000));
+  std::vector<unsigned> fleets{3, 10, 30};
+  unsigned shared = 12;
+  CLI::App* share = app.add_subcommand(
+      "share", "how soon all controllers know what one shares, and what that costs in bytes");
+  share->add_option("--fleets", fleets, "controllers of each")->check(CLI::Range(2, 48));
+  share->add_option("--rounds", shared, "of news; half as many partitions, a fourth as many restarts")
+      ->check(CLI::Range(4, 1000));
   CLI11_PARSE(app, argc, argv);
   try {
     using namespace paddletrack::rig;
@@ -56,7 +63,8 @@
     if (roll->parsed()) return measureRoll(program, rolled);
     if (fleet->parsed()) return measureFleet(program, before, engines);
     if (addresses->parsed()) return measureAddresses(jobs);
-    if (rebalance->parsed()) return measureRebalance(fleets);
+    if (rebalance->parsed()) return measureRebalance(small);
+    if (share->parsed()) return measureShare(program, fleets, shared);
     if (soak->parsed()) return measureSoak(program, soaked, minutes);
     return measureCost(program, before);
   } catch (const std::exception& error) {
