Choice: a host may lean a job towards the engine where its data should lie

Need: a plan of where groups should lie is followed by a preference alone. Change: Host::leaning, 1 unless a host says otherwise, times the score in choose; placement, rules, class checks and doubts stand before it. Result: three lines; off by default, no decision moves where it is 1.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -307,6 +307,7 @@
       double score =
           markUsed(more, *engine) * (isWarm || thin_ ? 1 : 1.25) * (before ? 2 : 1) * (1 + 0.1 * chance());
       if (engine->listing.location != site_.location) score *= 1 + site_.crossLocationPrice;
+      score *= host_.leaning(job, *engine);
       // One that turns some away costs so many dispatches a job, not the work of those that it takes: left
       // out whole, three of five that did so left theirs to two, which then had too much.
       score *= 1 + engine->away.sum(now_) / (engine->good.sum(now_) + 1);
--- a/src/choice.hpp
+++ b/src/choice.hpp
@@ -33,6 +33,8 @@
   virtual void tellPeers(const std::vector<PeerNote>&) = 0;
   virtual void watchList() = 0;
   virtual void log(std::string_view) = 0;
+  // Times an engine's score for a job: below 1 it is rather chosen (docs/rebalance.md).
+  virtual double leaning(const Job&, const Engine&) { return 1; }
 };
 
 struct TrueCost {
