--- a/src/operating/settings.cpp
+++ b/src/operating/settings.cpp
@@ -190,6 +190,19 @@
        [](const Settings& settings) { return "\"" + settings.share.cluster + "\""; }},
       duration(
           "share", "keep", 1s, 24h, [](Settings & s) -> auto& { return s.share.keep; }),
+      size(
+          "rebalance", "capacity", 1, std::size_t{1} << 50,
+          [](Settings & s) -> auto& { return s.rebalance.capacity; }),
+      size(
+          "rebalance", "group", 1, std::size_t{1} << 50,
+          [](Settings & s) -> auto& { return s.rebalance.group; }),
+      duration(
+          "rebalance", "period", 1s, 1h, [](Settings & s) -> auto& { return s.rebalance.period; }),
+      duration(
+          "rebalance", "guard", 10ms, 60s, [](Settings & s) -> auto& { return s.rebalance.guard; }),
+      {"rebalance", "lean",
+       [](Settings& settings, const hcl::Value& value) { settings.rebalance.lean = wholeIn(value, 1, 100); },
+       [](const Settings& settings) { return std::to_string(settings.rebalance.lean); }},
       {"log", "form",
        [](Settings& settings, const hcl::Value& value) {
          const std::string& form = textIn(value);
@@ -360,6 +373,16 @@
     for (const char* key : {"share.peers", "share.period", "share.cluster", "share.keep"})
       if (origins.count(key) > 0)
         reading.wrong(placeOf(key), "share.listen", "it is expected where share has other keys");
+  for (const char* key :
+       {"rebalance.capacity", "rebalance.group", "rebalance.period", "rebalance.guard", "rebalance.lean"}) {
+    if (origins.count(key) == 0) continue;
+    if (settings.share.listen.empty())
+      reading.wrong(placeOf(key), "share.listen", "it is expected where there is a block rebalance");
+    if (settings.rebalance.capacity == 0)
+      reading.wrong(placeOf(key), "rebalance.capacity", "it is expected where rebalance has other keys");
+    if (settings.rebalance.guard * 4 > settings.rebalance.period)
+      reading.wrong(placeOf(key), "rebalance.guard", "a fourth of rebalance.period at most is expected");
+  }
   for (const Key& each : keys())
     settings.shown.push_back({each.full(), each.show(settings),
                               origins.count(each.full()) > 0 ? origins[each.full()] : "default"});
--- a/src/operating/settings.hpp
+++ b/src/operating/settings.hpp
@@ -37,6 +37,15 @@
   bool operator==(const ShareTerms&) const = default;
 };
 
+// Where groups of tables should lie (docs/rebalance.md).
+struct RebalanceTerms {
+  std::size_t capacity = 0;                  // bytes of groups that an engine keeps warm; 0: off
+  std::size_t group = std::size_t{1} << 30;  // what one counts
+  std::chrono::microseconds period{std::chrono::seconds(20)}, guard{std::chrono::seconds(1)};
+  std::size_t lean = 50;  // per cent of its score that an engine counts for jobs whose group should be there
+  bool operator==(const RebalanceTerms&) const = default;
+};
+
 enum class LogForm { text, json };
 
 struct Settings {
@@ -44,6 +53,7 @@
   drain::Terms drain;
   std::vector<reach::Family> prefer = reach::Terms{}.prefer;
   ShareTerms share;
+  RebalanceTerms rebalance;
   LogForm logForm = LogForm::text;
   Level logLevel = Level::info;
   std::map<std::string, Level> topicLevels;
--- a/src/program/serve.cpp
+++ b/src/program/serve.cpp
@@ -6,6 +6,7 @@
 #include "operating/keeper.hpp"
 #include "program/log.hpp"
 #include "program/signals.hpp"
+#include "rebalance/mover.hpp"
 #include "routing/client_side.hpp"
 #include "routing/desk.hpp"
 #include "routing/follower.hpp"
@@ -63,6 +64,10 @@
       say("configuration", "only a restart changes what is shared");
       read.share = owner.settings.share;
     }
+    if (read.rebalance != owner.settings.rebalance) {
+      say("configuration", "only a restart changes the rebalancing");
+      read.rebalance = owner.settings.rebalance;
+    }
     owner.settings = std::move(read);
     keeper.change(owner.settings.drain);
     keeper.prefer(owner.settings.prefer);
@@ -206,6 +211,16 @@
                      owner.settings.share.listen + ", cluster " + shares->cluster);
   }
 
+  std::optional<rebalance::Mover> mover;
+  if (const auto& terms = owner.settings.rebalance; post && terms.capacity > 0)
+    mover.emplace(
+        scheduler, desk, post->store(), [&post] { return post->now(); },
+        rebalance::MoverTerms{static_cast<rebalance::Bytes>(terms.capacity),
+                              static_cast<rebalance::Bytes>(terms.group),
+                              {terms.period, terms.guard},
+                              static_cast<double>(terms.lean) / 100},
+        say);
+
   Signals signals(scheduler);
   transport::Group running(scheduler, [&](const char* what) { say("leaving", what, {}, Level::error); });
   running.spawn(heed(
--- a/src/rebalance/follower.cpp
+++ b/src/rebalance/follower.cpp
@@ -34,7 +34,10 @@
 void Follower::giveUp(Ended why) {
   if (!following()) return;
   ended_ = why;
-  open_.clear(), homes_.clear();
+  for (const auto& [place, since] : open_)
+    states_[place] = State::waits;  // not there yet, as far as is known
+  open_.clear();
+  lean();
 }
 
 // The standing of an engine, a new one, or one whose headroom has fallen below what is still to come there.
--- a/src/rebalance/follower.hpp
+++ b/src/rebalance/follower.hpp
@@ -38,7 +38,7 @@
   const View& planned() const { return view_; }
 
   // Where jobs of a group are to go rather now; none: anywhere. An engine that is to lose a group keeps it
-  // until its move opens.
+  // until its move opens. Once the plan has ended, for whatever cause, to where its groups are by then.
   const std::vector<std::string>* homes(std::uint32_t group) const {
     const auto at = homes_.find(group);
     return at == homes_.end() ? nullptr : &at->second;
--- a/src/rig/many.hpp
+++ b/src/rig/many.hpp
@@ -234,7 +234,7 @@
     for (Controller& one : controllers_) {
       if (one.stopped) continue;
       for (unsigned group = 0; group < groups_.size(); ++group) {
-        const std::vector<std::string>* homes = one.follower->homes(group);
+        const std::vector<std::string>* homes = one.follower->following() ? one.follower->homes(group) : nullptr;
         for (unsigned place = 0; place < engines_.size(); ++place) {
           Engine& each = engines_[place];
           if (each.standing == Standing::gone) continue;
--- a/src/rig/rig.hpp
+++ b/src/rig/rig.hpp
@@ -97,6 +97,7 @@
 int measureFleet(const std::string& program, const std::string& before, unsigned engines);
 int measureCost(const std::string& program, const std::string& before);
 int measureRebalance(unsigned fleets);
+int measureWhere(const std::string& program, unsigned rounds, double perSecond, unsigned phaseSeconds);
 int measureShare(const std::string& program, const std::vector<unsigned>& fleets, unsigned rounds);
 int measureSoak(const std::string& program, double perSecond, double minutes);
 
--- a/src/routing/desk.cpp
+++ b/src/routing/desk.cpp
@@ -195,6 +195,7 @@
   sending.timeout.at(sending.until);
   ++static_cast<Executor*>(made.engine)->known;
   ++static_cast<Executor*>(made.engine)->sent;
+  if (leaning_) leaning_->dispatched(exchange.dataSet, *static_cast<Executor*>(made.engine));
   servers_.send(sending);
 }
 
--- a/src/routing/desk.hpp
+++ b/src/routing/desk.hpp
@@ -70,6 +70,14 @@
   Found setAddress(const std::string& engine, const std::string& address, reach::Routes::ByHand what,
                    Span until);
   Span reachClock() const { return servers_.clock(); }  // of what is known of addresses
+  // Who says where a group's jobs should rather go, and is told where each goes. It outlives its use here.
+  class Leaning {
+   public:
+    virtual ~Leaning() = default;
+    virtual double leaning(std::uint32_t dataSet, const Executor& engine) const = 0;  // times its score
+    virtual void dispatched(std::uint32_t dataSet, const Executor& engine) = 0;
+  };
+  void lean(Leaning* to) { leaning_ = to; }
   void prefer(std::vector<reach::Family> families) { servers_.prefer(std::move(families)); }
 
  private:
@@ -84,6 +92,9 @@
   void tellPeers(const std::vector<PeerNote>& notes) override;
   void watchList() override;
   void log(std::string_view text) override;
+  double leaning(const Job& job, const Engine& engine) override {
+    return leaning_ ? leaning_->leaning(job.dataSet, static_cast<const Executor&>(engine)) : 1;
+  }
 
   void ended(Sending& sending, Outcome outcome) override;
 
@@ -105,6 +116,7 @@
   bool asked_ = false;  // for the list
   Totals counts_;
   Answered answered_;
+  Leaning* leaning_ = nullptr;
   std::list<std::unique_ptr<Exchange>> exchanges_;
   std::unordered_set<std::string> held_;  // their references
   std::unordered_map<std::string, std::unique_ptr<Executor>> executors_;
--- a/src/standin/executor.cpp
+++ b/src/standin/executor.cpp
@@ -1,8 +1,10 @@
 #include "standin/executor.hpp"
 
+#include <algorithm>
 #include <charconv>
 
 #include "protocol/resp.hpp"
+#include "protocol/statement.hpp"
 
 namespace paddletrack::standin {
 namespace {
@@ -106,6 +108,8 @@
     Script script = scriptOf(statement);
     if (executor_.over) executor_.over(script, id);
     ++executor_.asked_;
+    if (executor_.warmth_.groups > 0 && !executor_.warms(protocol::tableGroup(statement)))
+      script.after += executor_.warmth_.cold;
     executor_.open_.emplace(this, id);
     scripts_[id] = script;
     working_.spawn(work(id, std::move(script)));
@@ -156,6 +160,16 @@
   also(address);
 }
 
+bool Executor::warms(std::uint32_t group) {
+  const auto at = std::find(warm_.begin(), warm_.end(), group);
+  const bool was = at != warm_.end();
+  if (was) warm_.erase(at);
+  if (!was) bytesRead_ += warmth_.bytes;
+  warm_.push_front(group);
+  if (warm_.size() > warmth_.groups) warm_.pop_back();
+  return was;
+}
+
 void Executor::say(transport::Connection& to, std::initializer_list<std::string_view> words) {
   to.send({transport::Slice(protocol::resp::array(words))});
 }
--- a/src/standin/executor.hpp
+++ b/src/standin/executor.hpp
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <functional>
+#include <list>
 #include <map>
 #include <memory>
 #include <optional>
@@ -54,6 +55,15 @@
   std::vector<const transport::Connection*> connections;  // to be told apart by; not all of them still are
   static void say(transport::Connection& to, std::initializer_list<std::string_view> words);
 
+  // Groups of tables that it keeps warm, the latest read; another is read anew, which takes longer.
+  struct Warmth {
+    std::size_t groups = 0;   // 0: all are warm
+    std::uint64_t bytes = 0;  // of each
+    milliseconds cold{0};     // that a cold read takes longer
+  };
+  void keepWarm(const Warmth& warmth) { warmth_ = warmth, warm_.clear(); }
+  std::uint64_t bytesRead() const { return bytesRead_; }
+
   std::size_t open() const { return open_.size(); }  // asks that are neither answered, quit, nor cut off
   std::uint64_t asked() const { return asked_; }
   std::uint64_t ran() const { return ran_; }
@@ -72,6 +82,7 @@
     std::uint64_t asked = 0;
     std::optional<transport::Group> accepting;  // goes before its listener
   };
+  bool warms(std::uint32_t group);  // whether it was warm
   transport::Task<> listen(Place& place);
   transport::Task<> serve(Place& place, std::unique_ptr<transport::Descriptor> accepted);
 
@@ -81,6 +92,9 @@
   std::set<Session*> sessions_;
   std::set<std::pair<const Session*, std::string>> open_;
   std::map<std::string, unsigned> times_;  // that it ran, by id
+  Warmth warmth_;
+  std::list<std::uint32_t> warm_;  // the latest first
+  std::uint64_t bytesRead_ = 0;
   std::uint64_t asked_ = 0, ran_ = 0, ranTwice_ = 0;
   transport::Group running_;
 };
--- a/src/standin/load.hpp
+++ b/src/standin/load.hpp
@@ -27,6 +27,7 @@
     milliseconds least{5}, most{30};
     milliseconds allow{3000};
     std::string script{};  // more words for the executor
+    unsigned group = 3;    // of tables, that it reads
   };
   struct Job {
     std::string reference;
