Rebalance: only moves that bring data are paced

Need: copies that nobody needs gave way eight at a time, and kept a scattered fleet scattered. Change: pace counts what comes, not what gives way.

--- a/src/rebalance/follower.cpp
+++ b/src/rebalance/follower.cpp
@@ -77,6 +77,7 @@
   std::vector<Bytes> left(view_.engines.size());
   for (std::size_t each = 0; each < left.size(); ++each) left[each] = seen.engines[each].headroom;
   std::vector<unsigned> coming(view_.engines.size());
+  unsigned comingAll = 0;
   for (auto at = open_.begin(); at != open_.end();) {
     const Move& move = plan_.moves[at->first];
     if (isDone(move, groups)) {
@@ -86,7 +87,7 @@
     }
     if (now - at->second > pace_.most) return giveUp(Ended::stuck);
     if (move.to) {
-      ++coming[*move.to];
+      ++comingAll, ++coming[*move.to];
       const GroupView* group = groups[move.group];
       if (!group || !std::binary_search(group->holders.begin(), group->holders.end(), *move.to))
         left[*move.to] -= move.bytes;
@@ -95,16 +96,16 @@
   }
   for (std::uint32_t each = 0; each < plan_.moves.size(); ++each) {
     if (states_[each] != State::waits) continue;
-    if (open_.size() >= pace_.atOnce) break;
+
     const Move& move = plan_.moves[each];
     const bool free = std::all_of(move.after.begin(), move.after.end(),
                                   [&](std::uint32_t before) { return states_[before] == State::done; });
     if (!free) continue;
     if (move.to) {
       const unsigned most = view_.engines[*move.to].cold ? 1 : pace_.atEngine;
-      if (coming[*move.to] >= most) continue;
+      if (comingAll >= pace_.atOnce || coming[*move.to] >= most) continue;
       if (left[*move.to] < move.bytes) continue;  // it has less than it was planned to have: later, or stuck
-      ++coming[*move.to], left[*move.to] -= move.bytes;
+      ++comingAll, ++coming[*move.to], left[*move.to] -= move.bytes;
     }
     states_[each] = State::open;
     open_[each] = now;
--- a/src/rebalance/follower.hpp
+++ b/src/rebalance/follower.hpp
@@ -10,7 +10,7 @@
 namespace paddletrack::rebalance {
 
 struct Pace {
-  unsigned atOnce = 8;                  // moves open in all
+  unsigned atOnce = 8;                  // moves that bring data, open in all
   unsigned atEngine = 2;                // that come to one engine; to a cold one: 1
   Span most{std::chrono::seconds(10)};  // a move that is open for longer is stuck: the plan is given up
 };
