--- a/deploy/operator.hcl
+++ b/deploy/operator.hcl
@@ -30,3 +30,9 @@
 #   period  = "200ms"
 #   cluster = "north"
 # }
+
+# Where groups of tables should lie (docs/operating/rebalance.md); off without this block; needs share.
+# rebalance {
+#   capacity = "65536MiB"
+#   group    = "1024MiB"
+# }
--- a/src/rig/rebalance.cpp
+++ b/src/rig/rebalance.cpp
@@ -1,3 +1,4 @@
+#include <malloc.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -113,7 +114,9 @@
   const pid_t child = ::fork();
   if (child == 0) {
     const View view = largeFleet(7, engines, groups);
-    const double before = peak();
+    ::malloc_trim(0);
+    std::ofstream("/proc/self/clear_refs") << "5";  // the peak counts from now
+    const double before = resident(::getpid()).all;
     const auto since = transport::Clock::now();
     const Plan made = plan(view, {});
     const double took = elapsed(since), memory = peak() - before;
