--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -327,7 +327,8 @@
       const double left = 1 + (more - job.type->threads) / (engine->cores * kMark) - used;
       if (engine->listing.location != site_.location)
         used += std::max(0.0, left) * std::min(1.0, kCrossing * site_.crossLocationPrice);
-      double score = used * (isWarm || thin_ ? 1 : 1.25) * (before ? 2 : 1) * (1 + 0.1 * chance());
+      double score = used * (isWarm || thin_ ? 1 : 1.25) * (before ? 2 : 1) * (1 + 0.1 * chance()) *
+                     host_.leaning(job, *engine);
       // A load holds its data set on its engine, and jobs that read it stand still there: on half of the
       // engines, by a hash that all controllers share; what reads goes to the other half.
       if (site_.loadsHold && (job.type->load || job.type->waits)) {
--- a/src/standin/executor.cpp
+++ b/src/standin/executor.cpp
@@ -1,8 +1,10 @@
 #include "standin/executor.hpp"
 
+#include <algorithm>
 #include <charconv>
 
 #include "protocol/resp.hpp"
+#include "protocol/statement.hpp"
 
 namespace paddletrack::standin {
 namespace {
@@ -107,6 +109,8 @@
     if (executor_.over) executor_.over(script, id);
     ++executor_.asked_;
     executor_.asks.push_back(executor_.scheduler_.now());
+    if (executor_.warmth_.groups > 0 && !executor_.warms(protocol::tableGroup(statement)))
+      script.after += executor_.warmth_.cold;
     executor_.open_.emplace(this, id);
     scripts_[id] = script;
     working_.spawn(work(id, std::move(script)));
@@ -161,6 +165,16 @@
   also(address);
 }
 
+bool Executor::warms(std::uint32_t group) {
+  const auto at = std::find(warm_.begin(), warm_.end(), group);
+  const bool was = at != warm_.end();
+  if (was) warm_.erase(at);
+  if (!was) bytesRead_ += warmth_.bytes;
+  warm_.push_front(group);
+  if (warm_.size() > warmth_.groups) warm_.pop_back();
+  return was;
+}
+
 void Executor::say(transport::Connection& to, std::initializer_list<std::string_view> words) {
   to.send({transport::Slice(protocol::resp::array(words))});
 }
