The module tells what it weighed, where somebody listens

Looking back at routing choices needs the chance with which each engine could have been taken and the job started there; only the module knows the scores behind its draw.

Host::weighed is told at each draw of the engines, their scores with and without their chance, and the chance to start; off until tellWeighed(true).

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -284,6 +284,7 @@
   Engine* best = nullptr;
   double bestScore = 0;
   bool anySound = false;
+  weighed_.clear();
   for (const bool sound : {true, false}) {
     if (!sound && anySound) break;
     double looks = reach();
@@ -304,12 +305,15 @@
       // Where many guess alike, the room one job takes would send all to large engines; and what this
       // controller sent last is not what an engine read last.
       const double more = thin_ ? engine->cores : job.type->threads;
-      double score =
-          markUsed(more, *engine) * (isWarm || thin_ ? 1 : 1.25) * (before ? 2 : 1) * (1 + 0.1 * chance());
+      const double luck = 1 + 0.1 * chance();
+      double score = markUsed(more, *engine) * (isWarm || thin_ ? 1 : 1.25) * (before ? 2 : 1) * luck;
       if (engine->listing.location != site_.location) score *= 1 + site_.crossLocationPrice;
       // One that turns some away costs so many dispatches a job, not the work of those that it takes: left
       // out whole, three of five that did so left theirs to two, which then had too much.
       score *= 1 + engine->away.sum(now_) / (engine->good.sum(now_) + 1);
+      if (telling_)
+        weighed_.push_back(
+            {engine, score / luck, score, markUsed(job.type->threads, *engine), startChance(job, *engine)});
       if (best && score >= bestScore) continue;
       best = engine;
       bestScore = score;
@@ -324,13 +328,19 @@
   return load / (engine.cores * kMark * easing(engine).ease);
 }
 
+double Controller::startChance(const Job& job, Engine& engine) {
+  const double over = markUsed(job.type->threads, engine) - 1;
+  const double mine = engine.byType[job.type->index].threads;
+  const bool byFloor = mine + job.type->threads <= floorThreads(job, engine, others(engine));
+  return over <= 0 || byFloor ? 1 : job.overShare ? 0 : std::exp(-16 * over) / 4;
+}
+
 // Start on a fitting engine under the mark, or above it by a falling chance; else draw again a little later.
 Controller::Step Controller::draw(Job& job) {
   if (Engine* best = choose(job)) {
-    const double over = markUsed(job.type->threads, *best) - 1;
-    const double mine = best->byType[job.type->index].threads;
-    const bool byFloor = mine + job.type->threads <= floorThreads(job, *best, others(*best));
-    if (over <= 0 || byFloor || (!job.overShare && chance() < std::exp(-16 * over) / 4)) {
+    if (telling_) host_.weighed(job, weighed_);
+    const double starts = startChance(job, *best);
+    if (starts >= 1 || (!job.overShare && chance() < starts)) {
       start(job, *best);
       return Step::pass;
     }
--- a/src/choice.hpp
+++ b/src/choice.hpp
@@ -17,6 +17,15 @@
 
 namespace paddletrack {
 
+// An engine that was weighed for a job. It is taken where `score` times 1 to 1.1, by a chance of its own,
+// comes out least; `starts` is the chance that the job then starts there at once.
+struct Weighed {
+  Engine* engine = nullptr;
+  double score = 0, drawn = 0;  // without its chance, and with it
+  double used = 0;              // of its mark, with this job
+  double starts = 0;
+};
+
 // What a controller can do. It runs at once and never calls back into the controller.
 class Host {
  public:
@@ -33,6 +42,8 @@
   virtual void tellPeers(const std::vector<PeerNote>&) = 0;
   virtual void watchList() = 0;
   virtual void log(std::string_view) = 0;
+  // Where tellWeighed is on: at each draw that has an engine to take, before the job starts or waits.
+  virtual void weighed(const Job&, const std::vector<Weighed>&) {}
 };
 
 struct TrueCost {
@@ -62,6 +73,7 @@
   void listFailed(Span now);
   void woken(Span now);
   void letGo(Span now, const std::vector<Job*>& jobs);  // they are wanted here no longer
+  void tellWeighed(bool on) { telling_ = on; }
 
  private:
   enum class Step { pass, keep, end };
@@ -112,6 +124,7 @@
   void survey();
   Engine* choose(const Job& job);
   double markUsed(double more, Engine& engine);
+  double startChance(const Job& job, Engine& engine);
   void start(Job& job, Engine& engine);
   void giveUp(Job& job);
 
@@ -164,6 +177,8 @@
   std::optional<Span> nextWake_, stallEnded_;
   Span stalled_{0};
   Span nextSurvey_{0}, nextTell_{0}, nextAsk_{0};
+  bool telling_ = false;
+  std::vector<Weighed> weighed_;
 };
 
 }  // namespace paddletrack
--- a/tests/choice_test.cpp
+++ b/tests/choice_test.cpp
@@ -68,17 +68,20 @@
 }
 
 TEST(Classes, SameEventsGiveSameActions) {
-  const auto day = [](std::uint64_t seed) {
+  const auto day = [](std::uint64_t seed, bool telling = false) {
     FakeHost host;
     host.open(3, seed);
+    host.controller->tellWeighed(telling);
     for (int each = 0; each < 60; ++each) {
       host.takeMany(3, each % 2);
       host.pass(20ms);
       if (each % 5 == 0) host.endAll();
     }
+    EXPECT_EQ(host.weighings.empty(), !telling);
     return host.story;
   };
   EXPECT_EQ(day(3), day(3));
+  EXPECT_EQ(day(3), day(3, true));  // who listens to what is weighed changes nothing
   EXPECT_NE(day(3), day(4));
 }
 
--- a/tests/fake_host.hpp
+++ b/tests/fake_host.hpp
@@ -39,8 +39,9 @@
   std::vector<Span> comeBacks;
   std::vector<double> grants;
   int told = 0;
-  double needMb = 0;         // of the jobs to come
-  std::size_t customer = 0;  // the same
+  std::vector<std::vector<Weighed>> weighings;  // where telling is on
+  double needMb = 0;                            // of the jobs to come
+  std::size_t customer = 0;                     // the same
   std::string story;
   std::unique_ptr<Controller> controller;
 
@@ -116,6 +117,7 @@
   void tellPeers(const std::vector<PeerNote>&) override { ++told; }
   void watchList() override { tell("watch", 0, 0); }
   void log(std::string_view) override {}
+  void weighed(const Job&, const std::vector<Weighed>& all) override { weighings.push_back(all); }
 
  private:
   void tell(const char* what, std::uint64_t first, std::uint64_t second) {
