--- a/src/rig/main.cpp
+++ b/src/rig/main.cpp
@@ -41,6 +41,13 @@
       app.add_subcommand("soak", "one controller under steady load, its resident memory as it goes");
   soak->add_option("--minutes", minutes)->check(CLI::Range(0.5, 600.0));
   soak->add_option("--rate", soaked, "jobs a second")->check(CLI::Range(1.0, 2000.0));
+  unsigned days = 56, workers = 3;
+  std::uint64_t firstDay = 1;
+  CLI::App* hindsight = app.add_subcommand(
+      "hindsight", "estimates of what other policies would have done, held against days replayed with them");
+  hindsight->add_option("--days", days, "four pairs of day and policy each")->check(CLI::Range(1, 1000));
+  hindsight->add_option("--workers", workers, "processes at once")->check(CLI::Range(1, 8));
+  hindsight->add_option("--seed", firstDay, "of the first day");
   CLI11_PARSE(app, argc, argv);
   try {
     using namespace paddletrack::rig;
@@ -52,6 +59,7 @@
     if (roll->parsed()) return measureRoll(program, rolled);
     if (fleet->parsed()) return measureFleet(program, before, engines);
     if (addresses->parsed()) return measureAddresses(jobs);
+    if (hindsight->parsed()) return measureHindsight(days, workers, firstDay);
     if (soak->parsed()) return measureSoak(program, soaked, minutes);
     return measureCost(program, before);
   } catch (const std::exception& error) {
--- a/src/rig/rig.hpp
+++ b/src/rig/rig.hpp
@@ -97,5 +97,6 @@
 int measureFleet(const std::string& program, const std::string& before, unsigned engines);
 int measureCost(const std::string& program, const std::string& before);
 int measureSoak(const std::string& program, double perSecond, double minutes);
+int measureHindsight(unsigned days, unsigned workers, std::uint64_t seed);
 
 }  // namespace paddletrack::rig
