--- a/src/rig/main.cpp
+++ b/src/rig/main.cpp
@@ -48,6 +48,13 @@
   hindsight->add_option("--days", days, "four pairs of day and policy each")->check(CLI::Range(1, 1000));
   hindsight->add_option("--workers", workers, "processes at once")->check(CLI::Range(1, 8));
   hindsight->add_option("--seed", firstDay, "of the first day");
+  std::vector<unsigned> fleets{3, 10, 30};
+  unsigned shared = 12;
+  CLI::App* share = app.add_subcommand(
+      "share", "how soon all controllers know what one shares, and what that costs in bytes");
+  share->add_option("--fleets", fleets, "controllers of each")->check(CLI::Range(2, 48));
+  share->add_option("--rounds", shared, "of news; half as many partitions, a fourth as many restarts")
+      ->check(CLI::Range(4, 1000));
   CLI11_PARSE(app, argc, argv);
   try {
     using namespace paddletrack::rig;
@@ -60,6 +67,7 @@
     if (fleet->parsed()) return measureFleet(program, before, engines);
     if (addresses->parsed()) return measureAddresses(jobs);
     if (hindsight->parsed()) return measureHindsight(days, workers, firstDay);
+    if (share->parsed()) return measureShare(program, fleets, shared);
     if (soak->parsed()) return measureSoak(program, soaked, minutes);
     return measureCost(program, before);
   } catch (const std::exception& error) {
