--- a/deploy/operator.hcl
+++ b/deploy/operator.hcl
@@ -30,3 +30,9 @@
 #   period  = "200ms"
 #   cluster = "north"
 # }
+
+# Records to look back at decisions (docs/operating/hindsight.md); off without this block.
+# hindsight {
+#   records = 4096
+#   window  = "5m"
+# }
--- a/src/hindsight/estimate.cpp
+++ b/src/hindsight/estimate.cpp
@@ -89,16 +89,29 @@
 struct Term {
   double fresh = 0;  // the part of its wishes that differs and is within reach
   double weight = 0;
-  double spread = 0;  // weight x (weight less its expectation): a variance by design, to be times error^2
+  double spread = 0;  // a variance by design, to be times error^2
+  double pooled = 0;  // what that is expected to be, over all that the job could have done
 };
 Term termOf(const Record& record, const Record::Other& other) {
   Term term;
   term.fresh = 1 - other.left;
   if (term.fresh < 1e-6) term.fresh = 0;
   term.weight = term.fresh > 0 ? other.weight * other.rest : 0;
-  // Jobs that waited have further draws behind them: all that they come to is by chance.
-  const double whole = term.weight + (record.chosen == kWaited ? other.left * other.rest : 0);
-  term.spread = record.chosen == kWaited ? whole * (whole - 1) : term.weight * (term.weight - term.fresh);
+  // Where it did what the policy wants with chance q, w (w - q): Horvitz and Thompson's for q = 1. Jobs that
+  // waited have further draws behind them: all that they come to is by chance.
+  if (record.chosen == kWaited) {
+    const double whole = term.weight + other.left * other.rest;
+    term.spread = term.fresh > 0 ? whole * std::max(whole - other.waits, 0.0) : 0;
+  } else if (record.chosen < record.kept) {
+    term.spread = term.weight * std::max(term.weight - other.starts[record.chosen], 0.0);
+  }
+  const auto could = [&](double wants, double chance) {
+    if (term.fresh > 0 && wants > 0)
+      term.pooled += wants * wants * std::max(1 / std::max(chance, 1e-3) - 1, 0.0);
+  };
+  for (std::size_t each = 0; each < record.kept; ++each)
+    could(other.starts[each], record.options[each].starts);
+  could(other.waits, 1 - record.startsAny);
   return term;
 }
 
@@ -147,6 +160,8 @@
       of.direct += left * value + expected(own);
       of.robust += left * (base + rest * error) + expected(model) + term.weight * error;
       of.robustVariance += term.spread * error * error;
+      of.pooledVariance += term.pooled * error * error;
+      of.robustSquares += std::pow(term.spread * error * error, 2);
       if (term.weight > 0 && (static_cast<Measure>(measure) == Measure::latency || value < 0.5)) of.hits += 1;
     }
   }
@@ -213,10 +228,23 @@
   }
 }
 
-Estimate interval(double value, double variance, double effective, double sure = kNormal) {
-  // Few effective jobs tell their own scatter badly: the interval is as much wider as Student's is.
-  const double wide = sure * (1 + (sure * sure + 1) / (4 * std::max(effective - 1, 4.0)));
-  const double half = wide * std::sqrt(std::max(variance, 0.0));
+// Student's quantile from the normal one (Cornish and Fisher's expansion; within 2 % from 3 degrees on).
+double student(double sure, double degrees) {
+  const double of = std::max(degrees, 3.0), cube = sure * sure * sure;
+  return sure + (cube + sure) / (4 * of) + (5 * cube * sure * sure + 16 * cube + 3 * sure) / (96 * of * of);
+}
+
+// A variance that few jobs make up is itself badly known: so many degrees of freedom (Satterthwaite).
+double degreesOf(const PolicySums::Of& of) {
+  return of.robustSquares > 0 ? 2 * of.robustVariance * of.robustVariance / of.robustSquares : 3;
+}
+
+// By the jobs that did as the policy wants, or by all as if their errors were alike: few large errors are in
+// the one and not in the other by chance, so the larger counts.
+double varianceOf(const PolicySums::Of& of) { return std::max(of.robustVariance, of.pooledVariance); }
+
+Estimate interval(double value, double variance, double degrees, double sure = kNormal) {
+  const double half = student(sure, degrees) * std::sqrt(std::max(variance, 0.0));
   return {Verdict::told, value, value - half, value + half};
 }
 
@@ -290,16 +318,13 @@
   return summary;
 }
 
-bool explained(const CheckSums& pooled, const std::map<std::uint32_t, CheckSums>& engines) {
-  if (pooled.moved > std::max(1.0, kMostMoved * pooled.jobs)) return false;
-  const auto odd = [](const CheckSums& sums) {
-    for (std::size_t kind = 0; kind < CheckSums::kKinds; ++kind)
-      if (sums.variance[kind] > 1 && std::abs(sums.sum[kind]) > kOdd * std::sqrt(sums.variance[kind]))
-        return true;
-    return false;
-  };
-  return !odd(pooled) &&
-         std::none_of(engines.begin(), engines.end(), [&](const auto& each) { return odd(each.second); });
+bool moved(const CheckSums& pooled) { return pooled.moved > std::max(1.0, kMostMoved * pooled.jobs); }
+
+bool odd(const CheckSums& sums) {
+  for (std::size_t kind = 0; kind < CheckSums::kKinds; ++kind)
+    if (sums.variance[kind] > 1 && std::abs(sums.sum[kind]) > kOdd * std::sqrt(sums.variance[kind]))
+      return true;
+  return false;
 }
 
 Answer judge(const ClassSums& sums, Policy policy, Measure measure, bool isExplained) {
@@ -322,7 +347,7 @@
     isExplained = false;
   if (!isExplained) verdict = Verdict::unexplained;
   const auto put = [&](Method method, double value, double variance) {
-    Estimate made = interval(value, variance, answer.effective);
+    Estimate made = interval(value, variance, degreesOf(of));
     made.verdict = verdict;
     answer.by[static_cast<std::size_t>(method)] = made;
   };
@@ -332,7 +357,7 @@
   put(Method::selfNormalised, (of.left + mean * from.reached) / jobs,
       (of.wwrr - 2 * mean * of.wwr + mean * mean * of.ww) * scale * scale / squared);
   put(Method::direct, of.direct / jobs, of.directVariance / squared);
-  put(Method::doublyRobust, of.robust / jobs, of.robustVariance / squared);
+  put(Method::doublyRobust, of.robust / jobs, varianceOf(of) / squared);
   return answer;
 }
 
@@ -344,10 +369,13 @@
   const auto robust = [&](Policy of) {
     return sums.policies[static_cast<std::size_t>(of)].of[at].robust / jobs;
   };
+  const auto degrees = [&](Policy of) {
+    return degreesOf(sums.policies[static_cast<std::size_t>(of)].of[at]);
+  };
   const Answer one = judge(sums, first, measure, isExplained),
                two = judge(sums, second, measure, isExplained);
   Estimate made = interval(robust(first) - robust(second), pair.variance / jobs / jobs,
-                           std::min(one.effective, two.effective), kSure);
+                           std::min(degrees(first), degrees(second)), kSure);
   made.verdict = !one.best().told() ? one.best().verdict : two.best().verdict;
   if (made.told() && made.low <= 0 && made.high >= 0) made.verdict = Verdict::tooFew;
   return made;
@@ -358,7 +386,7 @@
   const auto& of = sums.policies[static_cast<std::size_t>(policy)].of[static_cast<std::size_t>(measure)];
   const double jobs = std::max(sums.jobs, 1.0);
   Estimate made =
-      interval(of.robust / jobs - answer.logged, of.robustVariance / jobs / jobs, answer.effective, kSure);
+      interval(of.robust / jobs - answer.logged, varianceOf(of) / jobs / jobs, answer.effective, kSure);
   made.verdict = answer.best().verdict;
   if (made.told() && made.low <= 0 && made.high >= 0) made.verdict = Verdict::tooFew;
   return made;
--- a/src/hindsight/estimate.hpp
+++ b/src/hindsight/estimate.hpp
@@ -26,10 +26,11 @@
   struct Of {
     double left = 0;                   // as the module did: known, not estimated
     double weighted = 0;               // weight x outcome
-    double ww = 0, wwr = 0, wwrr = 0;  // w (w - 1) times 1, outcome, its square: variances by design
+    double ww = 0, wwr = 0, wwrr = 0;  // w (w - q) times 1, outcome, its square: variances by design
     double direct = 0, directVariance = 0;
-    double robust = 0, robustVariance = 0;
-    double hits = 0;  // weighted jobs whose outcome is unlike the class's usual one
+    double robust = 0, robustVariance = 0, robustSquares = 0;  // squares of what the variance is a sum of
+    double pooledVariance = 0;  // the same, as if each job's error were that of what it did
+    double hits = 0;            // weighted jobs whose outcome is unlike the class's usual one
   };
   std::array<Of, kMeasures> of{};
 };
@@ -110,7 +111,15 @@
   const Estimate& best() const { return by[static_cast<std::size_t>(Method::doublyRobust)]; }
 };
 
-bool explained(const CheckSums& pooled, const std::map<std::uint32_t, CheckSums>& engines);
+bool odd(const CheckSums& sums);  // past what chance does
+bool moved(const CheckSums& pooled);
+template <typename Name>
+bool explained(const CheckSums& pooled, const std::map<Name, CheckSums>& engines) {
+  if (moved(pooled) || odd(pooled)) return false;
+  for (const auto& [name, each] : engines)
+    if (odd(each)) return false;
+  return true;
+}
 Answer judge(const ClassSums& sums, Policy policy, Measure measure, bool explained);
 // First less second; told where the interval leaves no doubt of which is better.
 Estimate compare(const ClassSums& sums, Policy first, Policy second, Measure measure, bool explained);
--- a/src/operating/keeper.cpp
+++ b/src/operating/keeper.cpp
@@ -158,6 +158,7 @@
   told.turnedAway = turnedAway_;
   told.expectedEnd = outlook_.end(open);
   if (share_) told.share = share_();
+  if (hindsight_) told.hindsight = hindsight_();
   if (const drain::Course* course = drain_.course()) {
     Status::Course& made = told.drain.emplace();
     made.number = course->number;
--- a/src/operating/keeper.hpp
+++ b/src/operating/keeper.hpp
@@ -10,6 +10,7 @@
 
 #include "drain/drain.hpp"
 #include "drain/outlook.hpp"
+#include "hindsight/told.hpp"
 #include "routing/client_side.hpp"
 #include "routing/desk.hpp"
 
@@ -63,6 +64,16 @@
     static constexpr std::size_t kMostEngines = 1024;
   };
   std::optional<Share> share;
+
+  // What looking back tells, where that is switched on: of this controller, and of all that share.
+  struct Hindsight {
+    Span window{0};
+    std::size_t records = 0, held = 0, open = 0;
+    std::uint64_t finished = 0, dropped = 0;
+    hindsight::Told own;
+    std::optional<hindsight::Told> fleet;
+  };
+  std::optional<Hindsight> hindsight;
 };
 
 class Keeper final : public routing::Gate {
@@ -98,6 +109,7 @@
   routing::Desk::Found setAddress(const std::string& engine, const std::string& address,
                                   reach::Routes::ByHand what, Span until, const std::string& by);
   void tellShare(std::function<Status::Share()> of) { share_ = std::move(of); }
+  void tellHindsight(std::function<Status::Hindsight()> of) { hindsight_ = std::move(of); }
   void tellChanges(std::function<void()> to) { changed_ = std::move(to); }  // of the state
   void learnLengths();                                                      // of jobs, for the expected end
 
@@ -116,6 +128,7 @@
   const std::function<void()> exit_;
   std::function<void()> changed_;
   std::function<Status::Share()> share_;
+  std::function<Status::Hindsight()> hindsight_;
   drain::Drain drain_;
   drain::Outlook outlook_;
   std::uint64_t turnedAway_ = 0;
--- a/src/operating/settings.cpp
+++ b/src/operating/settings.cpp
@@ -190,6 +190,13 @@
        [](const Settings& settings) { return "\"" + settings.share.cluster + "\""; }},
       duration(
           "share", "keep", 1s, 24h, [](Settings & s) -> auto& { return s.share.keep; }),
+      {"hindsight", "records",
+       [](Settings& settings, const hcl::Value& value) {
+         settings.hindsight.records = wholeIn(value, 0, 65536);
+       },
+       [](const Settings& settings) { return std::to_string(settings.hindsight.records); }},
+      duration(
+          "hindsight", "window", 10s, 1h, [](Settings & s) -> auto& { return s.hindsight.window; }),
       {"log", "form",
        [](Settings& settings, const hcl::Value& value) {
          const std::string& form = textIn(value);
@@ -360,6 +367,8 @@
     for (const char* key : {"share.peers", "share.period", "share.cluster", "share.keep"})
       if (origins.count(key) > 0)
         reading.wrong(placeOf(key), "share.listen", "it is expected where share has other keys");
+  if (settings.hindsight.records == 0 && origins.count("hindsight.window") > 0)
+    reading.wrong(placeOf("hindsight.window"), "hindsight.records", "it is expected where there is a window");
   for (const Key& each : keys())
     settings.shown.push_back({each.full(), each.show(settings),
                               origins.count(each.full()) > 0 ? origins[each.full()] : "default"});
--- a/src/operating/settings.hpp
+++ b/src/operating/settings.hpp
@@ -37,6 +37,13 @@
   bool operator==(const ShareTerms&) const = default;
 };
 
+// What is kept to look back at decisions (docs/hindsight.md).
+struct HindsightTerms {
+  std::size_t records = 0;  // 0: nothing is kept
+  std::chrono::microseconds window{std::chrono::minutes(5)};
+  bool operator==(const HindsightTerms&) const = default;
+};
+
 enum class LogForm { text, json };
 
 struct Settings {
@@ -44,6 +51,7 @@
   drain::Terms drain;
   std::vector<reach::Family> prefer = reach::Terms{}.prefer;
   ShareTerms share;
+  HindsightTerms hindsight;
   LogForm logForm = LogForm::text;
   Level logLevel = Level::info;
   std::map<std::string, Level> topicLevels;
--- a/src/operating/words.cpp
+++ b/src/operating/words.cpp
@@ -92,6 +92,56 @@
             {"engines", std::move(engines)}}}};
 }
 
+Json of(const hindsight::Estimate& estimate) {
+  if (!estimate.told()) return wordsOf(estimate.verdict);
+  return {{"value", estimate.value}, {"low", estimate.low}, {"high", estimate.high}};
+}
+
+Json of(const hindsight::Told& told) {
+  Json classes = Json::array(), engines = Json::object(), locations = Json::object();
+  for (const auto& each : told.classes) {
+    Json others = Json::object();
+    for (const auto& other : each.others)
+      others[other.name] = {{"within_reach", other.reach},
+                            {"out_of_reach", other.beyond},
+                            {"effective_jobs", other.effective},
+                            {"in_time", of(other.value[0])},
+                            {"latency_s", of(other.value[1])},
+                            {"in_time_change", of(other.better[0])},
+                            {"latency_change_s", of(other.better[1])}};
+    classes.push_back({{"class", each.name.empty() ? Json(nullptr) : Json(each.name)},
+                       {"jobs", each.jobs},
+                       {"in_time", each.inTime},
+                       {"latency_s", each.latency},
+                       {"had_it_been", std::move(others)}});
+  }
+  const auto place = [](const hindsight::Told::Place& each) {
+    return Json{{"jobs", each.jobs},
+                {"in_time_regret", of(each.regret[0])},
+                {"latency_regret_s", of(each.regret[1])}};
+  };
+  for (const auto& each : told.engines) engines[each.name] = place(each);
+  for (const auto& each : told.locations) locations[each.name] = place(each);
+  return {{"controllers", told.controllers},
+          {"explained", told.explained},
+          {"classes", std::move(classes)},
+          {"engines", std::move(engines)},
+          {"locations", std::move(locations)}};
+}
+
+Json of(const Status::Hindsight& looked) {
+  Json made{{"window_ms", ms(looked.window)},
+            {"records", looked.records},
+            {"held", looked.held},
+            {"open", looked.open},
+            {"finished", looked.finished},
+            {"dropped", looked.dropped},
+            {"own", of(looked.own)},
+            {"fleet", nullptr}};
+  if (looked.fleet) made["fleet"] = of(*looked.fleet);
+  return made;
+}
+
 Json of(const Status& status) {
   Json open{{"jobs", status.open.jobs}};
   Json byType = Json::object();
@@ -120,6 +170,7 @@
                             {"in_ms", ms(status.expectedEnd->in)},
                             {"from_answers", status.expectedEnd->from}};
   if (status.share) made["share"] = of(*status.share);
+  if (status.hindsight) made["hindsight"] = of(*status.hindsight);
   made["drain"] = nullptr;
   if (!status.drain) return made;
   const Status::Course& drain = *status.drain;
--- a/src/program/serve.cpp
+++ b/src/program/serve.cpp
@@ -63,6 +63,10 @@
       say("configuration", "only a restart changes what is shared");
       read.share = owner.settings.share;
     }
+    if (read.hindsight != owner.settings.hindsight) {
+      say("configuration", "only a restart changes what is kept to look back at");
+      read.hindsight = owner.settings.hindsight;
+    }
     owner.settings = std::move(read);
     keeper.change(owner.settings.drain);
     keeper.prefer(owner.settings.prefer);
@@ -147,6 +151,56 @@
   return told;
 }
 
+// Looks back every kLooked at most, however often it is asked.
+class LookBack {
+ public:
+  LookBack(const Node& node, const operating::HindsightTerms& terms, const routing::Desk& desk)
+      : node_(node), desk_(desk), recorder_(node.told.deployment, {terms.records, terms.window}) {}
+  hindsight::Recorder& recorder() { return recorder_; }
+
+  void tell(share::Store& store, Span now) {
+    if (look()) hindsight::tell(store, now, share::kHindsight, entries_);
+  }
+  operating::Status::Hindsight status(const share::Store* store, Span now) {
+    look();
+    const auto counts = recorder_.counts();
+    operating::Status::Hindsight told;
+    told.window = recorder_.terms().window;
+    told.records = recorder_.terms().records;
+    told.held = held_;
+    told.open = counts.open;
+    told.finished = counts.finished;
+    told.dropped = counts.dropped;
+    hindsight::Fleet own;
+    for (const hindsight::Entry& each : entries_) own.hear(node_.name, 1, each.key, each.value);
+    told.own = hindsight::toldOf(own);
+    if (store) told.fleet = hindsight::toldOf(hindsight::heard(*store, now, share::kHindsight));
+    return told;
+  }
+
+ private:
+  static constexpr Span kLooked{std::chrono::seconds(2)};
+  bool look() {  // true: afresh, and to be told
+    const Span now = desk_.now();
+    if (version_ > 0 && now - lookedAt_ < kLooked) return false;
+    lookedAt_ = now;
+    const auto records = recorder_.records(now);
+    held_ = records.size();
+    hindsight::Names names{node_.told.typeNames, node_.told.locationNames, {}};
+    desk_.eachExecutor([&](const routing::Executor& each) { names.engines[each.number] = each.id; });
+    entries_ = hindsight::entriesOf(hindsight::summarise(records), names, ++version_);
+    return true;
+  }
+
+  const Node& node_;
+  const routing::Desk& desk_;
+  hindsight::Recorder recorder_;
+  std::vector<hindsight::Entry> entries_;
+  std::size_t held_ = 0;
+  std::uint64_t version_ = 0;
+  Span lookedAt_{0};
+};
+
 transport::Task<> heed(Signals& signals, std::function<void()> leaving, std::function<void()> reloading) {
   for (;;) {
     const int signal = co_await signals.next();
@@ -206,6 +260,16 @@
                      owner.settings.share.listen + ", cluster " + shares->cluster);
   }
 
+  std::optional<LookBack> lookBack;
+  if (owner.settings.hindsight.records > 0) {
+    lookBack.emplace(node, owner.settings.hindsight, desk);
+    desk.lookBack(lookBack->recorder());
+    if (post) post->beforeTurns([&](Span now) { lookBack->tell(post->store(), now); });
+    keeper.tellHindsight(
+        [&] { return lookBack->status(post ? &post->store() : nullptr, post ? post->now() : desk.now()); });
+    say("hindsight", std::to_string(owner.settings.hindsight.records) + " records at most");
+  }
+
   Signals signals(scheduler);
   transport::Group running(scheduler, [&](const char* what) { say("leaving", what, {}, Level::error); });
   running.spawn(heed(
--- a/src/routing/desk.cpp
+++ b/src/routing/desk.cpp
@@ -45,6 +45,7 @@
 void Desk::left(Exchange& exchange) {
   exchange.asker = nullptr;
   ++counts_.left;
+  if (recorder_) recorder_->over(now(), exchange, false);
   touch(exchange);
   controller_.gaveUp(now(), exchange);
   forgetEnded();
@@ -187,6 +188,7 @@
 // ---- what goes out --------------------------------------------------------------------------------------
 
 void Desk::dispatch(Dispatch& made) {
+  if (recorder_) recorder_->started(made);
   Exchange& exchange = exchangeOf(*made.job);
   exchange.sendings.push_back(std::make_unique<Sending>(exchange, made, scheduler_));
   Sending& sending = *exchange.sendings.back();
@@ -216,6 +218,7 @@
 void Desk::answer(Exchange& exchange, Exchange::Answer made) {
   touch(exchange);
   exchange.answer = made;
+  if (recorder_) recorder_->over(now(), exchange, made == Exchange::Answer::done);
   ++counts_.answers[static_cast<std::size_t>(made)];
   if (Exchange::Asker* asker = std::exchange(exchange.asker, nullptr)) asker->answered(exchange);
   if (answered_) answered_(exchange);
@@ -256,6 +259,15 @@
 // The change log is always followed; what may fail is told in its time.
 void Desk::watchList() { asked_ = true; }
 
+void Desk::weighed(const Job& job, const std::vector<Weighed>& all) {
+  if (recorder_) recorder_->weighed(job, all);
+}
+
+void Desk::lookBack(hindsight::Recorder& recorder) {
+  recorder_ = &recorder;
+  controller_.tellWeighed(true);
+}
+
 void Desk::log(std::string_view text) { say_("module", std::string(text)); }
 
 // ---- lives ----------------------------------------------------------------------------------------------
--- a/src/routing/desk.hpp
+++ b/src/routing/desk.hpp
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "choice.hpp"
+#include "hindsight/recorder.hpp"
 #include "protocol/change_log.hpp"
 #include "protocol/settings.hpp"
 #include "routing/exchange.hpp"
@@ -46,6 +47,8 @@
   void answerBy(Span end);     // this process ends then: nothing is awaited for longer
   void endAll();               // each open job gets its final answer now
 
+  void lookBack(hindsight::Recorder& recorder);  // keeps records of all decisions from here on
+
   // Told of each job that got one, as soon as that is on its way.
   using Answered = std::function<void(const Exchange&)>;
   void tellAnswered(Answered to) { answered_ = std::move(to); }
@@ -84,6 +87,7 @@
   void tellPeers(const std::vector<PeerNote>& notes) override;
   void watchList() override;
   void log(std::string_view text) override;
+  void weighed(const Job& job, const std::vector<Weighed>& all) override;
 
   void ended(Sending& sending, Outcome outcome) override;
 
@@ -105,6 +109,7 @@
   bool asked_ = false;  // for the list
   Totals counts_;
   Answered answered_;
+  hindsight::Recorder* recorder_ = nullptr;
   std::list<std::unique_ptr<Exchange>> exchanges_;
   std::unordered_set<std::string> held_;  // their references
   std::unordered_map<std::string, std::unique_ptr<Executor>> executors_;
--- a/src/standin/sharing.hpp
+++ b/src/standin/sharing.hpp
@@ -21,6 +21,7 @@
   std::string period = "100ms";
   std::string keep = "10m";
   std::function<std::string(unsigned member)> clusterOf{};
+  std::string more{};  // of the operator's file
 };
 
 class Sharing {
@@ -105,7 +106,7 @@
     made.operatorsFileOf = [this, terms](unsigned member) {
       return "share {\n  listen = \"" + mesh.realText(member) + "\"\n  peers = " + mesh.peersText(member) +
              "\n  period = \"" + terms.period + "\"\n  keep = \"" + terms.keep + "\"\n  cluster = \"" +
-             (terms.clusterOf ? terms.clusterOf(member) : std::string("test")) + "\"\n}\n";
+             (terms.clusterOf ? terms.clusterOf(member) : std::string("test")) + "\"\n}\n" + terms.more;
     };
     return made;
   }
--- a/tests/hindsight_test.cpp
+++ b/tests/hindsight_test.cpp
@@ -3,11 +3,13 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <algorithm>
 #include <cmath>
 #include <random>
 
 #include "fake_host.hpp"
 #include "hindsight/estimate.hpp"
+#include "hindsight/fleet.hpp"
 #include "hindsight/propensity.hpp"
 #include "hindsight/recorder.hpp"
 
@@ -169,6 +171,65 @@
   EXPECT_LT(regret(summary.engines.at(1), Measure::latency, true).low, 0);
 }
 
+// ---- the fleet's ----------------------------------------------------------------------------------------
+
+struct Said {
+  std::string owner;
+  std::uint64_t generation;
+  Entry entry;
+};
+
+// Each controller tells several times, some start anew; whatever is lost of the earlier, doubled or
+// reordered, of each the last word of its last generation is counted, once.
+RC_GTEST_PROP(HindsightFleet, NothingIsCountedTwice, ()) {
+  std::mt19937_64 dice(*rc::gen::arbitrary<std::uint32_t>());
+  const Names names{{"look-up"}, {"here"}, {{0, "e0"}, {1, "e1"}, {2, "e2"}}};
+  std::vector<Said> all;
+  double jobs = 0, latency = 0;
+  for (const std::string owner : {"n1", "n2", "n3"}) {
+    const int generations = 1 + static_cast<int>(chance(dice) * 2), words = 2;
+    for (int generation = 1; generation <= generations; ++generation)
+      for (int word = 1; word <= words; ++word) {
+        World world(dice());
+        world.play(3 + static_cast<int>(chance(dice) * 5));
+        std::vector<const Record*> records;
+        for (const Record& each : world.records) records.push_back(&each);
+        for (Entry& each : entriesOf(summarise(records), names, static_cast<std::uint64_t>(word))) {
+          RC_ASSERT(each.value.size() <= 1024U);
+          all.push_back({owner, static_cast<std::uint64_t>(generation), std::move(each)});
+        }
+        if (generation == generations && word == words) {
+          jobs += static_cast<double>(records.size());
+          for (const Record* each : records) latency += each->latency;
+        }
+      }
+  }
+  std::vector<Said> heard = all;
+  for (const Said& each : all)
+    if (chance(dice) < 0.5) heard.push_back(each);
+  std::shuffle(heard.begin(), heard.end(), dice);
+  hindsight::Fleet fleet;
+  for (const Said& each : heard) fleet.hear(each.owner, each.generation, each.entry.key, each.entry.value);
+  const auto view = fleet.view();
+  RC_ASSERT(view.all.jobs == jobs);
+  RC_ASSERT(std::abs(view.all.logged[1] - latency) < 1e-4);
+  RC_ASSERT(view.pooled.jobs == jobs);
+  for (const Said& each : heard)
+    RC_ASSERT(!fleet.hear(each.owner, each.generation, each.entry.key, each.entry.value));
+}
+
+TEST(HindsightFleet, WhatCantBeReadIsRefusedAndCounted) {
+  hindsight::Fleet fleet;
+  const Entry good = entriesOf(Summary{}, {}, 1).front();
+  for (const std::string& bad : {std::string(), std::string("\xc1"), std::string("\x92\x01\x01"),
+                                 good.value.substr(0, good.value.size() - 1), std::string(2000, 'x')})
+    EXPECT_FALSE(fleet.hear("n1", 1, "p", bad));
+  EXPECT_FALSE(fleet.hear("n1", 1, "x", good.value));
+  EXPECT_FALSE(fleet.hear("n1", 1, "clook-up", good.value));  // of another kind
+  EXPECT_EQ(fleet.refused(), 7U);
+  EXPECT_TRUE(fleet.hear("n1", 1, good.key, good.value));
+}
+
 // ---- the records, from the real module ------------------------------------------------------------------
 
 class Listening : public FakeHost {
