--- a/deploy/operator.hcl
+++ b/deploy/operator.hcl
@@ -42,3 +42,9 @@
 #   capacity = "65536MiB"
 #   group    = "1024MiB"
 # }
+
+# Records to look back at decisions (docs/operating/hindsight.md); off without this block.
+# hindsight {
+#   records = 4096
+#   window  = "5m"
+# }
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -301,6 +301,7 @@
   Engine* best = nullptr;
   double bestScore = 0;
   bool anySound = false;
+  weighed_.clear();
   for (const bool sound : {true, false}) {
     if (!sound && anySound) break;
     double looks = reach();
@@ -321,14 +322,15 @@
       // Where many guess alike, the room one job takes would send all to large engines; and what this
       // controller sent last is not what an engine read last.
       const double more = thin_ ? engine->cores : job.type->threads;
+      const double luck = 1 + 0.1 * chance();
       double used = markUsed(more, *engine);
       // Crossing has a price and gains nothing while there is room here: below its mark one elsewhere counts
       // as fuller than it is.
       const double left = 1 + (more - job.type->threads) / (engine->cores * kMark) - used;
       if (engine->listing.location != site_.location)
         used += std::max(0.0, left) * std::min(1.0, kCrossing * site_.crossLocationPrice);
-      double score = used * (isWarm || thin_ ? 1 : 1.25) * (before ? 2 : 1) * (1 + 0.1 * chance()) *
-                     host_.leaning(job, *engine);
+      double score =
+          used * (isWarm || thin_ ? 1 : 1.25) * (before ? 2 : 1) * luck * host_.leaning(job, *engine);
       // A load holds its data set on its engine, and jobs that read it stand still there: on half of the
       // engines, by a hash that all controllers share; what reads goes to the other half.
       if (site_.loadsHold && (job.type->load || job.type->waits)) {
@@ -338,6 +340,9 @@
       // One that turns some away costs so many dispatches a job, not the work of those that it takes: left
       // out whole, three of five that did so left theirs to two, which then had too much.
       score *= 1 + engine->away.sum(now_) / (engine->good.sum(now_) + 1);
+      if (telling_)
+        weighed_.push_back(
+            {engine, score / luck, score, markUsed(job.type->threads, *engine), startChance(job, *engine)});
       if (best && score >= bestScore) continue;
       best = engine;
       bestScore = score;
@@ -352,14 +357,22 @@
   return load / (engine.cores * kMark * easing(engine).ease);
 }
 
+// That a job starts at once on an engine drawn for it.
+double Controller::startChance(const Job& job, Engine& engine) {
+  if (hopeless(job, markUsed(job.type->threads, engine))) return 0;
+  const double over = markUsed(asks(job, engine), engine) - 1;
+  const double mine = engine.byType[job.type->index].threads;
+  const bool byFloor = mine + job.type->threads <= floorThreads(job, engine, others(engine));
+  return over <= 0 || byFloor ? 1 : job.overShare ? 0 : std::exp(-16 * over) / 4;
+}
+
 // Start on a fitting engine under the mark, or above it by a falling chance; else draw again a little later.
 Controller::Step Controller::draw(Job& job) {
   if (Engine* best = choose(job)) {
-    const double over = markUsed(asks(job, *best), *best) - 1;
-    if (hopeless(job, markUsed(job.type->threads, *best))) return Step::end;
-    const double mine = best->byType[job.type->index].threads;
-    const bool byFloor = mine + job.type->threads <= floorThreads(job, *best, others(*best));
-    if (over <= 0 || byFloor || (!job.overShare && chance() < std::exp(-16 * over) / 4)) {
+    if (telling_) host_.weighed(job, weighed_);
+    const double starts = startChance(job, *best);
+    if (starts <= 0 && hopeless(job, markUsed(job.type->threads, *best))) return Step::end;
+    if (starts >= 1 || (!job.overShare && chance() < starts)) {
       start(job, *best);
       return Step::pass;
     }
--- a/src/choice.hpp
+++ b/src/choice.hpp
@@ -17,6 +17,15 @@
 
 namespace paddletrack {
 
+// An engine that was weighed for a job. It is taken where `score` times 1 to 1.1, by a chance of its own,
+// comes out least; `starts` is the chance that the job then starts there at once.
+struct Weighed {
+  Engine* engine = nullptr;
+  double score = 0, drawn = 0;  // without its chance, and with it
+  double used = 0;              // of its mark, with this job
+  double starts = 0;
+};
+
 // What a controller can do. It runs at once and never calls back into the controller.
 class Host {
  public:
@@ -35,6 +44,8 @@
   virtual void log(std::string_view) = 0;
   // Times an engine's score for a job: below 1 it is rather chosen (docs/rebalance.md).
   virtual double leaning(const Job&, const Engine&) { return 1; }
+  // Where tellWeighed is on: at each draw that has an engine to take, before the job starts or waits.
+  virtual void weighed(const Job&, const std::vector<Weighed>&) {}
 };
 
 struct TrueCost {
@@ -64,6 +75,7 @@
   void listFailed(Span now);
   void woken(Span now);
   void letGo(Span now, const std::vector<Job*>& jobs);  // they are wanted here no longer
+  void tellWeighed(bool on) { telling_ = on; }
 
  private:
   enum class Step { pass, keep, end };
@@ -118,6 +130,7 @@
   void survey();
   Engine* choose(const Job& job);
   double markUsed(double more, Engine& engine);
+  double startChance(const Job& job, Engine& engine);
   void start(Job& job, Engine& engine);
   void giveUp(Job& job);
 
@@ -172,6 +185,8 @@
   std::optional<Span> nextWake_, stallEnded_;
   Span stalled_{0};
   Span nextSurvey_{0}, nextTell_{0}, nextAsk_{0};
+  bool telling_ = false;
+  std::vector<Weighed> weighed_;
 };
 
 }  // namespace paddletrack
--- a/src/operating/keeper.cpp
+++ b/src/operating/keeper.cpp
@@ -160,6 +160,7 @@
   told.expectedEnd = outlook_.end(open);
   if (share_) told.share = share_();
   if (list_) told.list = list_();
+  if (hindsight_) told.hindsight = hindsight_();
   if (const drain::Course* course = drain_.course()) {
     Status::Course& made = told.drain.emplace();
     made.number = course->number;
--- a/src/operating/settings.cpp
+++ b/src/operating/settings.cpp
@@ -217,6 +217,13 @@
       {"rebalance", "lean",
        [](Settings& settings, const hcl::Value& value) { settings.rebalance.lean = wholeIn(value, 1, 100); },
        [](const Settings& settings) { return std::to_string(settings.rebalance.lean); }},
+      {"hindsight", "records",
+       [](Settings& settings, const hcl::Value& value) {
+         settings.hindsight.records = wholeIn(value, 0, 65536);
+       },
+       [](const Settings& settings) { return std::to_string(settings.hindsight.records); }},
+      duration(
+          "hindsight", "window", 10s, 1h, [](Settings & s) -> auto& { return s.hindsight.window; }),
       {"log", "form",
        [](Settings& settings, const hcl::Value& value) {
          const std::string& form = textIn(value);
@@ -397,6 +404,8 @@
     if (settings.rebalance.guard * 4 > settings.rebalance.period)
       reading.wrong(placeOf(key), "rebalance.guard", "a fourth of rebalance.period at most is expected");
   }
+  if (settings.hindsight.records == 0 && origins.count("hindsight.window") > 0)
+    reading.wrong(placeOf("hindsight.window"), "hindsight.records", "it is expected where there is a window");
   for (const Key& each : keys())
     settings.shown.push_back({each.full(), each.show(settings),
                               origins.count(each.full()) > 0 ? origins[each.full()] : "default"});
--- a/src/operating/settings.hpp
+++ b/src/operating/settings.hpp
@@ -47,6 +47,13 @@
   bool operator==(const RebalanceTerms&) const = default;
 };
 
+// What is kept to look back at decisions (docs/hindsight.md).
+struct HindsightTerms {
+  std::size_t records = 0;  // 0: nothing is kept
+  std::chrono::microseconds window{std::chrono::minutes(5)};
+  bool operator==(const HindsightTerms&) const = default;
+};
+
 enum class LogForm { text, json };
 
 struct Settings {
@@ -56,6 +63,7 @@
   std::vector<reach::Family> prefer = reach::Terms{}.prefer;
   ShareTerms share;
   RebalanceTerms rebalance;
+  HindsightTerms hindsight;
   LogForm logForm = LogForm::text;
   Level logLevel = Level::info;
   std::map<std::string, Level> topicLevels;
--- a/src/rig/main.cpp
+++ b/src/rig/main.cpp
@@ -54,6 +54,13 @@
   rebalance->add_option("--rate", moved, "jobs a second there")->check(CLI::Range(1.0, 2000.0));
   rebalance->add_option("--phase", phase, "seconds: three to warm, two after the drain, two after the join")
       ->check(CLI::Range(2, 600));
+  unsigned days = 56, workers = 3;
+  std::uint64_t firstDay = 1;
+  CLI::App* hindsight = app.add_subcommand(
+      "hindsight", "estimates of what other policies would have done, held against days replayed with them");
+  hindsight->add_option("--days", days, "four pairs of day and policy each")->check(CLI::Range(1, 1000));
+  hindsight->add_option("--workers", workers, "processes at once")->check(CLI::Range(1, 8));
+  hindsight->add_option("--seed", firstDay, "of the first day");
   std::vector<unsigned> fleets{3, 10, 30};
   unsigned shared = 12;
   CLI::App* share = app.add_subcommand(
@@ -92,6 +99,7 @@
     if (addresses->parsed()) return measureAddresses(jobs);
     if (rebalance->parsed())
       return played > 0 ? measureWhere(program, played, moved, phase) : measureRebalance(small);
+    if (hindsight->parsed()) return measureHindsight(days, workers, firstDay);
     if (share->parsed()) return measureShare(program, fleets, shared);
     if (soak->parsed()) return measureSoak(program, soaked, minutes);
     return measureCost(program, before);
--- a/src/rig/rig.hpp
+++ b/src/rig/rig.hpp
@@ -100,6 +100,7 @@
 int measureWhere(const std::string& program, unsigned rounds, double perSecond, unsigned phaseSeconds);
 int measureShare(const std::string& program, const std::vector<unsigned>& fleets, unsigned rounds);
 int measureSoak(const std::string& program, double perSecond, double minutes);
+int measureHindsight(unsigned days, unsigned workers, std::uint64_t seed);
 
 struct ColdStart {
   unsigned controllers = 200, engines = 40;
