Errors get kinds of their own, with place and hint, in one header and one table

Operators saw strings from thirty places, each with what happened, few with where or what to do, and none that a program could tell apart. src/base/error.hpp has one base, a table of kinds with hint and exit code, types for what is caught by type, and the log says kind, place and hint as fields.

--- a/src/base/say.hpp
+++ b/src/base/say.hpp
@@ -6,6 +6,8 @@
 #include <utility>
 #include <vector>
 
+#include "base/error.hpp"
+
 namespace paddletrack {
 
 enum class Level { debug, info, warning, error };
@@ -27,6 +29,15 @@
   void operator()(const char* topic, std::string line, Fields fields = {}, Level level = Level::info) const {
     told_({level, topic, std::move(line), fields});
   }
+  // An error: its text as the line (after `before`, if any), its kind, place and hint as fields.
+  void operator()(const char* topic, const Error& error, Fields more = {}, Level level = Level::warning,
+                  const std::string& before = "") const {
+    Said said{level, topic, before + error.what(), {{"error", error.name()}}};
+    if (!error.where().empty()) said.fields.emplace_back("where", error.where());
+    said.fields.emplace_back("hint", error.hint());
+    said.fields.insert(said.fields.end(), more);
+    told_(said);
+  }
 
  private:
   std::function<void(const Said&)> told_;
