Numbered points at the seams fail one by one in a test build, and a rig plays them

Every system call of transport, door, signals and files, each timer and each growing table has a site and a number of the hit in a build with PADDLETRACK_FAULTS (the test preset); elsewhere the macros are the bare call. The rig counts the points of one story (jobs of all effects, a list change, SIGHUP to another change log, drain and back, SIGTERM), then plays it once for each point and kind and checks answers, effects, descriptors, sanitizers and the exit.

--- a/src/operating/door.cpp
+++ b/src/operating/door.cpp
@@ -10,6 +10,7 @@
 #include <cstring>
 #include <stdexcept>
 
+#include "fault/fault.hpp"
 #include "operating/words.hpp"
 
 namespace paddletrack::operating {
@@ -36,9 +37,12 @@
 
 // Whether a process listens there; a full backlog is a sign of one as well.
 bool alive(const transport::Address& address) {
-  Owned probe{::socket(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0)};
+  Owned probe{PADDLETRACK_CALL(-1, "socket_file.probe", "EMFILE",
+                               ::socket(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0))};
   if (probe.fd < 0) return true;
-  return ::connect(probe.fd, address.raw(), address.length()) == 0 || errno != ECONNREFUSED;
+  return PADDLETRACK_CALL(-1, "socket_file.connect", "again EACCES",
+                          ::connect(probe.fd, address.raw(), address.length())) == 0 ||
+         errno != ECONNREFUSED;
 }
 
 }  // namespace
@@ -47,26 +51,33 @@
   const transport::Address address("unix:" + path);
   const std::size_t slash = path.rfind('/');
   // Two that start at once must not take each other's fresh socket for a dead one.
-  Owned folder{::open(slash == 0 ? "/" : path.substr(0, slash).c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC)};
+  Owned folder{PADDLETRACK_CALL(
+      -1, "socket_file.folder", "EMFILE EACCES",
+      ::open(slash == 0 ? "/" : path.substr(0, slash).c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC))};
   if (folder.fd < 0) failed(path, "its folder");
-  if (::flock(folder.fd, LOCK_EX) != 0) failed(path, "its folder");
+  if (PADDLETRACK_CALL(-1, "socket_file.lock", "EINTR ENOMEM", ::flock(folder.fd, LOCK_EX)) != 0)
+    failed(path, "its folder");
   struct stat there {};
-  if (::lstat(path.c_str(), &there) == 0) {
+  if (PADDLETRACK_CALL(-1, "socket_file.look", "EACCES", ::lstat(path.c_str(), &there)) == 0) {
     if (!S_ISSOCK(there.st_mode)) fail(path, "something that is no socket stands there; it is left as it is");
     if (alive(address)) fail(path, "another process listens there");
-    if (::unlink(path.c_str()) != 0) failed(path, "the dead socket there can't be removed");
+    if (PADDLETRACK_CALL(-1, "socket_file.take_over", "EACCES", ::unlink(path.c_str())) != 0)
+      failed(path, "the dead socket there can't be removed");
   } else if (errno != ENOENT) {
     failed(path, "can't be looked at");
   }
-  Owned made{::socket(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0)};
+  Owned made{PADDLETRACK_CALL(-1, "socket_file.socket", "EMFILE ENOMEM",
+                              ::socket(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0))};
   if (made.fd < 0) failed(path, "socket");
   const mode_t before = ::umask(0177);
-  const bool bound = ::bind(made.fd, address.raw(), address.length()) == 0;
+  const bool bound = PADDLETRACK_CALL(-1, "socket_file.bind", "EADDRINUSE EACCES",
+                                      ::bind(made.fd, address.raw(), address.length())) == 0;
   const int error = errno;
   ::umask(before);
   errno = error;
   if (!bound) failed(path, "can't be made");
-  if (::lstat(path.c_str(), &there) != 0 || ::listen(made.fd, kBacklog) != 0) {
+  if (PADDLETRACK_CALL(-1, "socket_file.look_again", "EACCES", ::lstat(path.c_str(), &there)) != 0 ||
+      PADDLETRACK_CALL(-1, "socket_file.listen", "EADDRINUSE", ::listen(made.fd, kBacklog)) != 0) {
     const int cause = errno;
     ::unlink(path.c_str());
     errno = cause;
@@ -82,7 +93,8 @@
 SocketFile::~SocketFile() {
   if (fd_ >= 0) ::close(fd_);
   struct stat there {};
-  if (::lstat(path_.c_str(), &there) == 0 && there.st_dev == device_ && there.st_ino == inode_)
+  if (PADDLETRACK_CALL(-1, "socket_file.end", "EACCES", ::lstat(path_.c_str(), &there)) == 0 &&
+      there.st_dev == device_ && there.st_ino == inode_)
     ::unlink(path_.c_str());
 }
 
@@ -221,7 +233,9 @@
 bool Door::letIn(int fd, std::string& who) const {
   ucred peer{};
   socklen_t size = sizeof peer;
-  if (::getsockopt(fd, SOL_SOCKET, SO_PEERCRED, &peer, &size) != 0) return false;
+  if (PADDLETRACK_CALL(fd, "credentials", "ENOMEM",
+                       ::getsockopt(fd, SOL_SOCKET, SO_PEERCRED, &peer, &size)) != 0)
+    return false;
   who = "user " + std::to_string(peer.uid) + " process " + std::to_string(peer.pid);
   return peer.uid == ::geteuid() || peer.uid == 0;
 }
--- a/src/operating/settings.cpp
+++ b/src/operating/settings.cpp
@@ -10,6 +10,7 @@
 #include <optional>
 #include <sstream>
 
+#include "fault/fault.hpp"
 #include "transport/connection.hpp"
 
 namespace paddletrack::operating {
@@ -322,7 +323,9 @@
 Settings readSettings(const std::string& path) {
   std::ifstream file(path, std::ios::binary);
   std::ostringstream text;
-  if (!file || !(text << file.rdbuf())) throw Miswritten(path + ": can't be read");
+  if (PADDLETRACK_CALL(-1, "operators_file.open", "EMFILE ENOENT", 0) != 0 || !file ||
+      !(text << file.rdbuf()))
+    throw Miswritten(path + ": can't be read");
   try {
     return settingsOf(hcl::parse(text.str()), path);
   } catch (const hcl::Wrong& error) {
--- a/src/program/configuration.cpp
+++ b/src/program/configuration.cpp
@@ -4,6 +4,8 @@
 #include <fstream>
 #include <sstream>
 
+#include "fault/fault.hpp"
+
 namespace paddletrack::program {
 namespace {
 
@@ -39,7 +41,8 @@
 Node readNode(const std::string& path) {
   std::ifstream file(path, std::ios::binary);
   std::ostringstream text;
-  if (!file || !(text << file.rdbuf())) throw Misconfigured(path + ": can't be read");
+  if (PADDLETRACK_CALL(-1, "configuration.open", "EMFILE ENOENT", 0) != 0 || !file || !(text << file.rdbuf()))
+    throw Misconfigured(path + ": can't be read");
   return inside("", [&] {
     const protocol::Json read = protocol::parseJson(text.str());
     Node node{read.text("name"), address(read, "listen"), address(read, "changelog"), 0, 0, 0, 0, {}, {}, {}};
--- a/src/program/signals.cpp
+++ b/src/program/signals.cpp
@@ -5,6 +5,8 @@
 
 #include <csignal>
 
+#include "fault/fault.hpp"
+
 namespace paddletrack::program {
 namespace {
 
@@ -17,7 +19,10 @@
 
 int opened() {
   const sigset_t wanted = heeded();
-  return ::signalfd(-1, &wanted, SFD_NONBLOCK | SFD_CLOEXEC);
+  const int fd = PADDLETRACK_CALL(-1, "signals.open", "EMFILE ENOMEM",
+                                  ::signalfd(-1, &wanted, SFD_NONBLOCK | SFD_CLOEXEC));
+  PADDLETRACK_MARK(role(fd, "signals"));
+  return fd;
 }
 
 }  // namespace
@@ -33,7 +38,8 @@
 transport::Task<int> Signals::next() {
   for (;;) {
     signalfd_siginfo told{};
-    if (::read(descriptor_.fd(), &told, sizeof told) == static_cast<ssize_t>(sizeof told))
+    if (PADDLETRACK_CALL(descriptor_.fd(), "read", "again EINTR",
+                         ::read(descriptor_.fd(), &told, sizeof told)) == static_cast<ssize_t>(sizeof told))
       co_return static_cast<int>(told.ssi_signo);
     co_await descriptor_.readable.wait();
   }
--- a/src/rig/main.cpp
+++ b/src/rig/main.cpp
@@ -6,6 +6,8 @@
 #include "program/signals.hpp"
 #include "rig/rig.hpp"
 
+using paddletrack::rig::FaultTerms;
+
 int main(int argc, char** argv) {
   CLI::App app("Controllers, stand-in executors and a load, all on loopback.", "paddletrack_rig");
   app.require_subcommand(1);
@@ -41,6 +43,15 @@
       app.add_subcommand("soak", "one controller under steady load, its resident memory as it goes");
   soak->add_option("--minutes", minutes)->check(CLI::Range(0.5, 600.0));
   soak->add_option("--rate", soaked, "jobs a second")->check(CLI::Range(1.0, 2000.0));
+  FaultTerms wanted;
+  CLI::App* faults = app.add_subcommand(
+      "faults", "fails one numbered point after another of a controller (a build with PADDLETRACK_FAULTS)");
+  faults->add_flag("--all", wanted.all, "every point in every kind, not a drawn slice");
+  faults->add_option("--only", wanted.only, "this one, and its log")->type_name("SITE#N=KIND");
+  faults->add_option("--most", wanted.most, "points of the slice")->check(CLI::Range(1, 100000));
+  faults->add_option("--seed", wanted.seed, "that draws the slice");
+  faults->add_option("--workers", wanted.workers, "runs at once")->check(CLI::Range(1, 16));
+  faults->add_option("--area", wanted.area, "of loopback: 127.AREA.x.x")->check(CLI::Range(1, 250));
   CLI11_PARSE(app, argc, argv);
   try {
     using namespace paddletrack::rig;
@@ -52,6 +63,10 @@
     if (roll->parsed()) return measureRoll(program, rolled);
     if (fleet->parsed()) return measureFleet(program, before, engines);
     if (addresses->parsed()) return measureAddresses(jobs);
+    if (faults->parsed()) {
+      wanted.program = program;
+      return injectFaults(wanted);
+    }
     if (soak->parsed()) return measureSoak(program, soaked, minutes);
     return measureCost(program, before);
   } catch (const std::exception& error) {
--- a/src/rig/rig.hpp
+++ b/src/rig/rig.hpp
@@ -96,6 +96,14 @@
 int measureAddresses(unsigned jobs);
 int measureFleet(const std::string& program, const std::string& before, unsigned engines);
 int measureCost(const std::string& program, const std::string& before);
+// Faults at numbered points (src/fault/fault.hpp): all of them, `most` of them drawn by `seed`, or the one
+// named by `only` as SITE#N=KIND, with the controller's log; so many at once. Loopback 127.AREA.0.0/16.
+struct FaultTerms {
+  std::string program, only;
+  bool all = false;
+  unsigned most = 40, seed = 1, workers = 4, area = 36;
+};
+int injectFaults(const FaultTerms& terms);
 int measureSoak(const std::string& program, double perSecond, double minutes);
 
 }  // namespace paddletrack::rig
--- a/src/routing/client_side.cpp
+++ b/src/routing/client_side.cpp
@@ -7,6 +7,7 @@
 #include <tuple>
 #include <utility>
 
+#include "fault/fault.hpp"
 #include "protocol/statement.hpp"
 
 namespace paddletrack::routing {
@@ -155,6 +156,7 @@
     jobNamed_ = read.reference;
     typeNamed_ = read.type;
     const protocol::Told& told = side_.desk_.told();
+    PADDLETRACK_TABLE("exchange");
     auto made = std::make_unique<Exchange>();
     Exchange& exchange = *made;
     exchange.number = ++side_.taken_;
@@ -185,6 +187,7 @@
     served_ = true;
     unusable_ = 0;
     exchange.asker = this;
+    PADDLETRACK_TABLE("open");
     open_.emplace(message.sequence, &exchange);
     side_.desk_.take(std::move(made));
   }
--- a/src/routing/desk.cpp
+++ b/src/routing/desk.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <exception>
 
+#include "fault/fault.hpp"
+
 namespace paddletrack::routing {
 
 namespace {
@@ -34,7 +36,9 @@
 
 void Desk::take(std::unique_ptr<Exchange> taken) {
   Exchange& exchange = *taken;
+  PADDLETRACK_TABLE("references");
   held_.insert(exchange.reference);
+  PADDLETRACK_TABLE("jobs");
   exchange.place = exchanges_.insert(exchanges_.end(), std::move(taken));
   if (end_) exchange.expires = std::min(exchange.expires, *end_);
   ++counts_.taken;
@@ -103,6 +107,7 @@
     }
     std::unique_ptr<Executor>& known = executors_[entry.id];
     if (!known) {
+      PADDLETRACK_TABLE("executors");
       known = std::make_unique<Executor>();
       known->id = entry.id;
       known->number = ++numbers_;
@@ -187,6 +192,7 @@
 // ---- what goes out --------------------------------------------------------------------------------------
 
 void Desk::dispatch(Dispatch& made) {
+  PADDLETRACK_TABLE("dispatches");
   Exchange& exchange = exchangeOf(*made.job);
   exchange.sendings.push_back(std::make_unique<Sending>(exchange, made, scheduler_));
   Sending& sending = *exchange.sendings.back();
--- a/src/routing/follower.cpp
+++ b/src/routing/follower.cpp
@@ -3,6 +3,8 @@
 #include <cstring>
 #include <exception>
 
+#include "fault/fault.hpp"
+
 namespace paddletrack::routing {
 namespace {
 
@@ -63,6 +65,7 @@
 }
 
 transport::Task<> Follower::session() {
+  PADDLETRACK_MARK(dials("list"));
   transport::Dialled dialled = co_await transport::dial(scheduler_, log_, scheduler_.now() + kBeat);
   if (!dialled.descriptor) {
     say_("changelog", std::string("out of reach: ") + std::strerror(dialled.error));
--- a/src/routing/server_side.cpp
+++ b/src/routing/server_side.cpp
@@ -5,6 +5,8 @@
 #include <cstring>
 #include <tuple>
 
+#include "fault/fault.hpp"
+
 namespace paddletrack::routing {
 namespace {
 
@@ -88,6 +90,7 @@
          Level::warning);
     return nullptr;
   }
+  PADDLETRACK_TABLE("links");
   links_.emplace_front(executor, ++serials_);
   best = &links_.front();
   best->place = links_.begin();
@@ -102,6 +105,7 @@
 }
 
 void ServerSide::write(Link& link, Sending& sending) {
+  PADDLETRACK_TABLE("written");
   const Exchange& exchange = sending.exchange;
   protocol::resp::Terms terms;
   const auto left = std::chrono::ceil<std::chrono::milliseconds>(sending.until - scheduler_.now());
@@ -254,6 +258,7 @@
   Executor& executor = link.executor;
   const auto at = executor.addresses.find(made.route);
   if (at != executor.addresses.end()) {
+    PADDLETRACK_MARK(dials("executor"));
     transport::Dialled dialled =
         co_await transport::dial(scheduler_, at->second, scheduler_.now() + bounds_.dialTimeout);
     made.roundTrip = clock() - made.begun;
--- a/src/standin/executor.hpp
+++ b/src/standin/executor.hpp
@@ -57,6 +57,10 @@
   std::size_t open() const { return open_.size(); }  // asks that are neither answered, quit, nor cut off
   std::uint64_t asked() const { return asked_; }
   std::uint64_t ran() const { return ran_; }
+  unsigned ran(const std::string& id) const {
+    const auto at = times_.find(id);
+    return at == times_.end() ? 0 : at->second;
+  }
   std::uint64_t ranTwice() const { return ranTwice_; }  // ids whose work came to its end more than once
   std::uint64_t askedAt(std::size_t place) const { return places_[place]->asked; }
   void cut();  // every connection, as a process that dies; it listens on
--- a/src/standin/load.cpp
+++ b/src/standin/load.cpp
@@ -238,7 +238,7 @@
 void Load::lose(std::size_t number) {
   if (closing_) return;
   Job& job = jobs_[number];
-  if (!job.again && scheduler_.now() - job.sent < kCross) {
+  if (!once_ && !job.again && scheduler_.now() - job.sent < kCross) {
     job.again = true;
     return place(number);
   }
--- a/src/standin/load.hpp
+++ b/src/standin/load.hpp
@@ -51,6 +51,7 @@
   void end() { perSecond_ = 0; }                               // no new jobs; open ones go on
   std::size_t send(std::size_t kind, std::size_t controller);  // one job at once; its number
   void beats(milliseconds every) { beat_ = every; }
+  void sendsOnce() { once_ = true; }  // no job a second time, whatever became of its connection
 
   const Books& books() const { return books_; }
   const std::deque<Job>& jobs() const { return jobs_; }
@@ -81,7 +82,7 @@
   std::minstd_rand dice_;
   std::uint64_t references_;
   std::size_t turn_ = 0;
-  bool closing_ = false;
+  bool closing_ = false, once_ = false;
   std::deque<Job> jobs_;
   Books books_;
   transport::Group running_;
--- a/src/standin/site.cpp
+++ b/src/standin/site.cpp
@@ -62,21 +62,21 @@
 
 Site::Site(transport::Scheduler& scheduler, transport::Unsent& unsent, const SiteTerms& terms)
     : terms_(terms), changeLog_(scheduler, unsent, transport::Address(address(250))) {
-  std::vector<ChangeLog::Server> servers;
   for (unsigned each = 0; each < terms.executors; ++each) {
     constexpr unsigned kHosts = 190;  // of one port
     const std::string at = address(1 + each % kHosts, 18443 + each / kHosts);
     executors_.push_back(std::make_unique<Executor>(scheduler, unsent, transport::Address(at)));
-    servers.push_back({"s-" + std::to_string(each + 1), at});
-    if (terms.listed) terms.listed(servers.back(), each, folder_.path());
+    listed_.push_back({"s-" + std::to_string(each + 1), at});
+    if (terms.listed) terms.listed(listed_.back(), each, folder_.path());
   }
-  changeLog_.tell(servers, true);
+  changeLog_.tell(listed_, true);
   processes_.resize(terms.controllers);
   for (std::size_t each = 0; each < terms.controllers; ++each) start(each);
 }
 
 std::string Site::address(unsigned host, unsigned port) const {
-  return "127.0." + std::to_string(terms_.net) + "." + std::to_string(host) + ":" + std::to_string(port);
+  return "127." + std::to_string(terms_.net / 256) + "." + std::to_string(terms_.net % 256) + "." +
+         std::to_string(host) + ":" + std::to_string(port);
 }
 
 std::vector<transport::Address> Site::fronts() const {
@@ -85,10 +85,9 @@
   return all;
 }
 
-void Site::start(std::size_t which) {
-  const std::string config = folder_.path() + "/config" + std::to_string(which) + ".json";
-  std::ofstream(config) << configuration(which);
-  std::vector<std::string> arguments{"serve", "--config", config};
+void Site::start(std::size_t which, const std::vector<std::string>& before) {
+  std::ofstream(config(which)) << configuration(which);
+  std::vector<std::string> arguments{"serve", "--config", config(which)};
   if (terms_.doors) {
     std::ofstream(operatorsFile(which)) << "door { socket = \"" + door(which) + "\" }\ndrain { notice = \"" +
                                                terms_.notice + "\" }\n" + terms_.operatorsFile;
@@ -96,10 +95,10 @@
   }
   processes_[which].reset();
   std::string program = terms_.program;
-  if (!terms_.before.empty()) {
+  if (!before.empty()) {
     arguments.insert(arguments.begin(), program);
-    arguments.insert(arguments.begin(), terms_.before.begin() + 1, terms_.before.end());
-    program = terms_.before.front();
+    arguments.insert(arguments.begin(), before.begin() + 1, before.end());
+    program = before.front();
   }
   processes_[which] = std::make_unique<Process>(program, arguments, log(which));
 }
--- a/src/standin/site.hpp
+++ b/src/standin/site.hpp
@@ -47,7 +47,8 @@
 struct SiteTerms {
   std::string program;
   std::vector<std::string> before{};  // another program that starts it, with its arguments
-  int net = 0;                        // of 127.0.NET.0/24, so that runs beside each other do not meet
+  int net =
+      0;  // of 127.0.NET.0/24 (above 255 on of 127.1 and so on), so that runs beside each other do not meet
   unsigned executors = 4, controllers = 1;
   unsigned memoryMb = 192, sockets = 1024, cores = 16;
   bool doors = true;
@@ -61,13 +62,19 @@
  public:
   Site(transport::Scheduler& scheduler, transport::Unsent& unsent, const SiteTerms& terms);
 
-  void start(std::size_t controller);  // or again
+  void start(std::size_t controller) { start(controller, terms_.before); }  // or again
+  void start(std::size_t controller, const std::vector<std::string>& before);
   Process& controller(std::size_t which) { return *processes_[which]; }
   std::string door(std::size_t which) const { return folder_.path() + "/door" + std::to_string(which); }
   std::string log(std::size_t which) const { return folder_.path() + "/log" + std::to_string(which); }
   std::string operatorsFile(std::size_t which) const {
     return folder_.path() + "/op" + std::to_string(which) + ".hcl";
   }
+  std::string config(std::size_t which) const {
+    return folder_.path() + "/config" + std::to_string(which) + ".json";
+  }
+  const std::vector<ChangeLog::Server>& listed() const { return listed_; }
+  transport::Address at(unsigned host) const { return transport::Address(address(host)); }
   std::vector<transport::Address> fronts() const;
   Executor& executor(std::size_t which) { return *executors_[which]; }
   ChangeLog& changeLog() { return changeLog_; }
@@ -85,6 +92,7 @@
   const SiteTerms terms_;
   Folder folder_;
   ChangeLog changeLog_;
+  std::vector<ChangeLog::Server> listed_;
   std::vector<std::unique_ptr<Executor>> executors_;
   std::vector<std::unique_ptr<Process>> processes_;
 };
--- a/src/transport/connection.cpp
+++ b/src/transport/connection.cpp
@@ -13,6 +13,8 @@
 #include <stdexcept>
 #include <system_error>
 
+#include "fault/fault.hpp"
+
 namespace paddletrack::transport {
 namespace {
 
@@ -27,13 +29,18 @@
 }
 
 int listening(const Address& address) {
-  const int fd = streamSocket(address.raw()->sa_family);
+  const int fd =
+      PADDLETRACK_CALL(-1, "front.socket", "EMFILE ENOMEM", streamSocket(address.raw()->sa_family));
   const int on = 1;
   if (fd < 0) throw std::system_error(errno, std::generic_category(), "socket");
+  PADDLETRACK_MARK(role(fd, "front"));
   ::setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
   if (address.family() == AF_INET6) ::setsockopt(fd, IPPROTO_IPV6, IPV6_V6ONLY, &on, sizeof on);
-  if (::bind(fd, address.raw(), address.length()) != 0 || ::listen(fd, 1024) != 0) {
+  if (PADDLETRACK_CALL(fd, "bind", "EADDRINUSE EADDRNOTAVAIL EACCES",
+                       ::bind(fd, address.raw(), address.length())) != 0 ||
+      PADDLETRACK_CALL(fd, "listen", "EADDRINUSE", ::listen(fd, 1024)) != 0) {
     const int error = errno;
+    PADDLETRACK_MARK(forget(fd));
     ::close(fd);
     throw std::system_error(error, std::generic_category(), "listen");
   }
@@ -110,7 +117,8 @@
       continue;
     }
     const auto [at, size] = input_.space();
-    const ssize_t got = ::read(descriptor_->fd(), at, size);
+    const ssize_t got = PADDLETRACK_CALL(descriptor_->fd(), "read", "again short EINTR ECONNRESET",
+                                         ::read(descriptor_->fd(), at, PADDLETRACK_SIZE(size)));
     if (got > 0) {
       input_.grew(static_cast<std::size_t>(got));
       dry_ = static_cast<std::size_t>(got) < size;
@@ -129,6 +137,7 @@
 
 void Connection::queue(const Slice& piece) {
   if (failed_ || piece.size() == 0) return;
+  PADDLETRACK_TABLE("unsent");
   const bool unfair = unsent() + piece.size() > all_.most / Unsent::kFairParts;
   if (all_.held + piece.size() > (unfair ? all_.most : 2 * all_.most)) return shut();
   pieces_.push_back(piece);
@@ -160,7 +169,9 @@
     msghdr message{};
     message.msg_iov = gathered.data();
     message.msg_iovlen = count;
-    const ssize_t sent = ::sendmsg(descriptor_->fd(), &message, MSG_NOSIGNAL);
+    const ssize_t sent =
+        PADDLETRACK_CALL(descriptor_->fd(), "write", "again short EINTR EPIPE ECONNRESET",
+                         PADDLETRACK_CUT(message, ::sendmsg(descriptor_->fd(), &message, MSG_NOSIGNAL)));
     if (sent < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
       co_await descriptor_->writable.wait();
       continue;
@@ -206,11 +217,16 @@
     : scheduler_(scheduler), descriptor_(scheduler, listening(address)) {}
 
 Listener::Listener(Scheduler& scheduler, int listening)
-    : scheduler_(scheduler), descriptor_(scheduler, listening) {}
+    : scheduler_(scheduler), descriptor_(scheduler, listening) {
+  PADDLETRACK_MARK(role(listening, "door"));
+}
 
 Task<std::unique_ptr<Descriptor>> Listener::accept() {
   for (;;) {
-    const int fd = ::accept4(descriptor_.fd(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    const int fd =
+        PADDLETRACK_CALL(descriptor_.fd(), "accept", "again EMFILE ENOMEM ECONNABORTED EINTR",
+                         ::accept4(descriptor_.fd(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
+    PADDLETRACK_MARK(heir(descriptor_.fd(), fd));
     if (fd >= 0) co_return std::make_unique<Descriptor>(scheduler_, fd);
     if (errno == EAGAIN || errno == EWOULDBLOCK) {
       co_await descriptor_.readable.wait();
@@ -223,13 +239,16 @@
 
 Task<Dialled> dial(Scheduler& scheduler, Address address, Moment until) {
   Dialled made;
-  const int fd = streamSocket(address.raw()->sa_family);
+  const int fd =
+      PADDLETRACK_CALL(fault::kDial, "socket", "EMFILE ENOBUFS", streamSocket(address.raw()->sa_family));
+  PADDLETRACK_MARK(role(fd, nullptr));
   if (fd < 0) {
     made.error = errno;
     co_return made;
   }
   auto descriptor = std::make_unique<Descriptor>(scheduler, fd);
-  const int begun = ::connect(fd, address.raw(), address.length());
+  const int begun = PADDLETRACK_CALL(fd, "connect", "ECONNREFUSED EADDRNOTAVAIL ENETUNREACH EINTR",
+                                     ::connect(fd, address.raw(), address.length()));
   if (begun != 0 && errno != EINPROGRESS) {
     made.error = errno;
     co_return made;
@@ -238,11 +257,13 @@
     const bool told = co_await descriptor->writable.wait(until);
     socklen_t length = sizeof made.error;
     ::getsockopt(fd, SOL_SOCKET, SO_ERROR, &made.error, &length);
+    PADDLETRACK_VALUE(fd, "connected", "ECONNREFUSED EHOSTUNREACH", made.error);
     if (!told && made.error == 0) made.error = ETIMEDOUT;
     if (made.error != 0) co_return made;
     sockaddr_storage peer{};  // an edge may tell of the time before the connect
     socklen_t size = sizeof peer;
-    up = ::getpeername(fd, reinterpret_cast<sockaddr*>(&peer), &size) == 0;
+    up = PADDLETRACK_CALL(fd, "getpeername", "ENOTCONN",
+                          ::getpeername(fd, reinterpret_cast<sockaddr*>(&peer), &size)) == 0;
   }
   made.descriptor = std::move(descriptor);
   co_return made;
--- a/src/transport/scheduler.cpp
+++ b/src/transport/scheduler.cpp
@@ -8,6 +8,8 @@
 #include <cerrno>
 #include <system_error>
 
+#include "fault/fault.hpp"
+
 namespace paddletrack::transport {
 
 void Call::soon() {
@@ -17,7 +19,8 @@
 
 void Call::at(Moment moment) {
   cancel();
-  later_ = scheduler_.timers_.emplace(moment, this);
+  PADDLETRACK_TABLE("timers");
+  later_ = scheduler_.timers_.emplace(PADDLETRACK_TIMER("at", moment), this);
 }
 
 void Call::cancel() {
@@ -45,7 +48,8 @@
   if (signal_.waiting_ == this) signal_.waiting_ = nullptr;
 }
 
-Scheduler::Scheduler() : epoll_(::epoll_create1(EPOLL_CLOEXEC)) {
+Scheduler::Scheduler()
+    : epoll_(PADDLETRACK_CALL(-1, "epoll_create", "EMFILE ENOMEM", ::epoll_create1(EPOLL_CLOEXEC))) {
   if (epoll_ < 0) throw std::system_error(errno, std::generic_category(), "epoll_create1");
 }
 
@@ -93,7 +97,8 @@
     wait = static_cast<int>(std::clamp<long long>(left, 0, 1000));
   }
   std::array<epoll_event, 64> events;
-  const int count = ::epoll_wait(epoll_, events.data(), static_cast<int>(events.size()), wait);
+  const int count = PADDLETRACK_CALL(
+      -1, "epoll_wait", "EINTR", ::epoll_wait(epoll_, events.data(), static_cast<int>(events.size()), wait));
   if (count < 0 && errno != EINTR) throw std::system_error(errno, std::generic_category(), "epoll_wait");
   for (int each = 0; each < count; ++each) {
     const epoll_event& event = events[static_cast<std::size_t>(each)];
@@ -110,14 +115,19 @@
   epoll_event wanted{};
   wanted.events = EPOLLIN | EPOLLOUT | EPOLLRDHUP | EPOLLET;
   wanted.data.ptr = this;
-  if (::epoll_ctl(scheduler_.epoll_, EPOLL_CTL_ADD, fd_, &wanted) != 0) {
+  if (PADDLETRACK_CALL(fd_, "epoll_add", "ENOMEM ENOSPC",
+                       ::epoll_ctl(scheduler_.epoll_, EPOLL_CTL_ADD, fd_, &wanted)) != 0) {
     const int error = errno;
+    PADDLETRACK_MARK(forget(fd_));
     ::close(fd_);
     throw std::system_error(error, std::generic_category(), "epoll_ctl");
   }
+  PADDLETRACK_MARK(watched(scheduler_.epoll_, fd_, this));
 }
 
 Descriptor::~Descriptor() {
+  PADDLETRACK_PASS(fd_, "close");
+  PADDLETRACK_MARK(forget(fd_));
   ::epoll_ctl(scheduler_.epoll_, EPOLL_CTL_DEL, fd_, nullptr);
   ::close(fd_);
 }
@@ -126,6 +136,7 @@
     : scheduler_(scheduler), failed_(std::move(failed)), reap_(scheduler, [this] { ended_.clear(); }) {}
 
 void Group::spawn(Task<> task) {
+  PADDLETRACK_TABLE("tasks");
   running_.emplace_back(scheduler_, std::move(task));
   const auto self = std::prev(running_.end());
   self->run = watch(self);
--- a/src/transport/slice.hpp
+++ b/src/transport/slice.hpp
@@ -6,6 +6,8 @@
 #include <string>
 #include <string_view>
 
+#include "fault/fault.hpp"
+
 namespace paddletrack::transport {
 
 // Bytes that stay where they were read or made for as long as anyone holds them.
@@ -46,6 +48,7 @@
     if (held == 0 && slab_.use_count() == 1 && size_ >= wanted && size_ <= 2 * usual_) begin_ = end_ = 0;
     if (!slab_ || end_ == size_ || begin_ + expected_ > size_) {
       const std::size_t size = std::max(wanted, held + usual_ / 2);
+      PADDLETRACK_TABLE("input");
       std::shared_ptr<char[]> fresh(new char[size]);
       if (held > 0) std::memcpy(fresh.get(), slab_.get() + begin_, held);
       slab_ = std::move(fresh);
