--- a/src/base/error.hpp
+++ b/src/base/error.hpp
@@ -7,6 +7,7 @@
 #include <cerrno>
 #include <cstddef>
 #include <cstring>
+#include <new>
 #include <stdexcept>
 #include <string>
 
@@ -23,6 +24,7 @@
   systemFailed,
   listenFailed,
   doorFailed,
+  outOfMemory,
   acceptFailed,
   descriptorsShort,
   // what peers do
@@ -68,6 +70,8 @@
      "see who listens at that address, and whether this machine has it"},
     {ErrorKind::doorFailed, "door_failed", 1,
      "see what stands at door.socket, and whether its folder is there and may be written"},
+    {ErrorKind::outOfMemory, "out_of_memory", 1,
+     "give the machine more memory, or lower limits.memory_mb; the process is to be started again"},
     {ErrorKind::acceptFailed, "accept_failed", 1,
      "one connection was lost, later ones are taken; if it stays, look at descriptors and memory"},
     {ErrorKind::descriptorsShort, "descriptors_short", 1,
@@ -141,11 +145,16 @@
 
 using SystemFailed = SystemErrorOf<ErrorKind::systemFailed>;
 using ListenFailed = SystemErrorOf<ErrorKind::listenFailed>;
+using FileUnreadable = ErrorOf<ErrorKind::fileUnreadable>;
 
-// What was caught, with its kind if it has one; `where` and `otherwise` are for one that has none.
+// What was caught, with its kind if it has one; `where` is for one that has no place, `otherwise` for one
+// that has no kind.
 inline Error typed(const std::exception& caught, const std::string& where,
                    ErrorKind otherwise = ErrorKind::unexpected) {
-  if (const auto* error = dynamic_cast<const Error*>(&caught)) return *error;
+  if (const auto* error = dynamic_cast<const Error*>(&caught))
+    return error->where().empty() ? Error(error->kind(), where, error->happened(), error->hint()) : *error;
+  if (dynamic_cast<const std::bad_alloc*>(&caught))
+    return Error(ErrorKind::outOfMemory, where, "no memory for a table that grows");
   return Error(otherwise, where, caught.what());
 }
 
--- a/src/command/call.cpp
+++ b/src/command/call.cpp
@@ -5,6 +5,7 @@
 #include <unistd.h>
 
 #include <cerrno>
+#include <cstdio>
 #include <cstring>
 
 #include "transport/connection.hpp"
@@ -24,6 +25,12 @@
 
 }  // namespace
 
+int told(const Error& error, const char* before) {
+  std::fprintf(stderr, "paddletrack: %s%s\n  (%s) %s\n", before, error.what(), error.name(),
+               error.hint().c_str());
+  return error.exit();
+}
+
 Call::Call(const std::string& path) : path_(path) {
   std::optional<transport::Address> address;
   try {
@@ -32,11 +39,11 @@
     throw NoAnswer(error.what());
   }
   fd_ = ::socket(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-  if (fd_ < 0) throw NoAnswer(path + ": " + std::strerror(errno));
+  if (fd_ < 0) throw NoAnswer(path, std::strerror(errno));
   if (::connect(fd_, address->raw(), address->length()) != 0) {
     const std::string cause = std::strerror(errno);
     ::close(fd_);
-    throw NoAnswer(path + ": " + cause);
+    throw NoAnswer(path, cause);
   }
 }
 
@@ -48,9 +55,9 @@
     if (sent > 0) {
       at += static_cast<std::size_t>(sent);
     } else if (errno == EAGAIN) {
-      if (waited(fd_, POLLOUT, until) == 0) throw NoAnswer(path_ + ": it does not read");
+      if (waited(fd_, POLLOUT, until) == 0) throw NoAnswer(path_, "it does not read");
     } else if (errno != EINTR) {
-      throw NoAnswer(path_ + ": " + std::strerror(errno));
+      throw NoAnswer(path_, std::strerror(errno));
     }
   }
 }
@@ -61,12 +68,12 @@
       Json read = Json::parse(input_.substr(0, end), nullptr, false);
       input_.erase(0, end + 1);
       if (read.is_discarded() || !read.is_object())
-        throw NoAnswer(path_ + ": what answers there is no controller");
+        throw NoAnswer(path_, "what answers there is no controller");
       if (const auto version = read.find("v"); version == read.end() || *version != 1)
-        throw NoAnswer(path_ + ": it speaks another version");
+        throw NoAnswer(path_, "it speaks another version");
       return read;
     }
-    if (input_.size() > kLongest) throw NoAnswer(path_ + ": what answers there is no controller");
+    if (input_.size() > kLongest) throw NoAnswer(path_, "what answers there is no controller");
     const int ready = waited(fd_, POLLIN, until);
     if (ready == 0) return std::nullopt;
     if (ready < 0) continue;
@@ -75,9 +82,9 @@
     if (got > 0) {
       input_.append(bytes, static_cast<std::size_t>(got));
     } else if (got == 0) {
-      throw NoAnswer(path_ + ": the controller has closed the connection");
+      throw NoAnswer(path_, "the controller has closed the connection");
     } else if (errno != EAGAIN && errno != EINTR) {
-      throw NoAnswer(path_ + ": " + std::strerror(errno));
+      throw NoAnswer(path_, std::strerror(errno));
     }
   }
 }
@@ -87,7 +94,7 @@
   say(line, until);
   while (auto heard = hear(until))
     if (heard->contains("ok")) return *heard;
-  throw NoAnswer(path_ + ": no answer within " + std::to_string(kPatience.count()) + " s");
+  throw NoAnswer(path_, "no answer within " + std::to_string(kPatience.count()) + " s");
 }
 
 }  // namespace paddletrack::command
--- a/src/command/call.hpp
+++ b/src/command/call.hpp
@@ -4,10 +4,10 @@
 #include <chrono>
 #include <nlohmann/json.hpp>
 #include <optional>
-#include <stdexcept>
 #include <string>
 
 #include "base/bucket_ring.hpp"
+#include "base/error.hpp"
 
 namespace paddletrack::command {
 
@@ -19,10 +19,13 @@
 using Until = std::chrono::steady_clock::time_point;
 
 // Nobody answers at the door, or what answers is not understood.
-struct NoAnswer : std::runtime_error {
-  using std::runtime_error::runtime_error;
+struct NoAnswer : ErrorOf<ErrorKind::noAnswer> {
+  using ErrorOf::ErrorOf;
 };
 
+// Says an error on standard error, with its kind and hint in a second line; its exit code.
+int told(const Error& error, const char* before = "");
+
 class Call {
  public:
   explicit Call(const std::string& path);
--- a/src/command/drain.cpp
+++ b/src/command/drain.cpp
@@ -34,7 +34,7 @@
   if (json) {
     std::printf("%s\n", answer.dump().c_str());
   } else {
-    std::fprintf(stderr, "paddletrack: refused: %s\n", answer["error"]["text"].get<std::string>().c_str());
+    told(Error(ErrorKind::refused, "refused", answer["error"]["text"].get<std::string>()));
   }
   return kRefused;
 }
@@ -70,7 +70,7 @@
   return line;
 }
 
-int watch(Call& call, const DrainWish& wish) {
+int watch(const std::string& path, Call& call, const DrainWish& wish) {
   const Json first = call.ask(operating::watchRequest(kEvery));
   if (first["ok"] != true) return failed(first, wish.json);
   const bool terminal = ::isatty(STDOUT_FILENO) == 1 && !wish.json;
@@ -93,7 +93,7 @@
       return *code;
     }
     const auto heard = call.hear(std::chrono::steady_clock::now() + kSilent);
-    if (!heard) throw NoAnswer("no progress is told any more");
+    if (!heard) throw NoAnswer(path, "no progress is told any more");
     if (heard->contains("status")) status = (*heard)["status"];
   }
 }
@@ -130,7 +130,7 @@
     const Json answer = call.ask(wish.cancel ? operating::cancelRequest()
                                              : operating::drainRequest(wish.deadline, wish.comeBack));
     if (answer["ok"] != true) return failed(answer, wish.json);
-    if (wish.watch && !wish.cancel) return watch(call, wish);
+    if (wish.watch && !wish.cancel) return watch(path, call, wish);
     if (wish.json) {
       std::printf("%s\n", answer["status"].dump().c_str());
     } else {
@@ -138,8 +138,7 @@
     }
     return kWell;
   } catch (const NoAnswer& error) {
-    std::fprintf(stderr, "paddletrack: %s\n", error.what());
-    return kNoAnswer;
+    return told(error);
   }
 }
 
@@ -147,19 +146,19 @@
   try {
     const Json answer = Call(path).ask(operating::statusRequest());
     if (answer["ok"] != true) return failed(answer, json);
-    const Json& told = answer["status"];
+    const Json& heard = answer["status"];
     if (json) {
-      std::printf("%s\n", told.dump().c_str());
+      std::printf("%s\n", heard.dump().c_str());
       return kWell;
     }
-    const Json &open = told["open"], &totals = told["totals"], &drain = told["drain"];
+    const Json &open = heard["open"], &totals = heard["totals"], &drain = heard["drain"];
     const auto row = [](const char* name, const std::string& value) {
       std::printf("%-14s %s\n", name, value.c_str());
     };
-    row("controller", told["name"].get<std::string>() + ", process " + told["process"].dump() + ", up " +
-                          seconds(told["up_ms"]));
+    row("controller", heard["name"].get<std::string>() + ", process " + heard["process"].dump() + ", up " +
+                          seconds(heard["up_ms"]));
     row("state",
-        told["state"].get<std::string>() + (told["stopping"] == true ? ", the process is to end" : ""));
+        heard["state"].get<std::string>() + (heard["stopping"] == true ? ", the process is to end" : ""));
     std::string types;
     for (const auto& [name, count] : open["by_type"].items())
       types += (types.empty() ? "" : ", ") + count.dump() + " " + name;
@@ -169,11 +168,10 @@
                            totals["throttled"].dump() + " throttled, " + totals["cancelled"].dump() +
                            " cancelled for good, " + totals["left"].dump() + " left, " +
                            totals["turned_away"].dump() + " turned away");
-    if (!drain.is_null()) row(("drain " + drain["number"].dump()).c_str(), progressLine(told));
+    if (!drain.is_null()) row(("drain " + drain["number"].dump()).c_str(), progressLine(heard));
     return kWell;
   } catch (const NoAnswer& error) {
-    std::fprintf(stderr, "paddletrack: %s\n", error.what());
-    return kNoAnswer;
+    return told(error);
   }
 }
 
--- a/src/command/engines.cpp
+++ b/src/command/engines.cpp
@@ -60,11 +60,9 @@
       from = answer["next"].get<std::string>();
     }
     if (shown > 0 || one.empty()) return kWell;
-    std::fprintf(stderr, "paddletrack: engine '%s' is not known\n", one.c_str());
-    return kRefused;
+    return told(Error(ErrorKind::refused, "engine '" + one + "'", "it is not known"));
   } catch (const NoAnswer& error) {
-    std::fprintf(stderr, "paddletrack: %s\n", error.what());
-    return kNoAnswer;
+    return told(error);
   }
 }
 
@@ -73,11 +71,9 @@
     const Json answer =
         Call(path).ask(operating::addressRequest(wish.engine, wish.address, wish.what, wish.until));
     if (answer["ok"] == true) return kWell;
-    std::fprintf(stderr, "paddletrack: refused: %s\n", answer["error"]["text"].get<std::string>().c_str());
-    return kRefused;
+    return told(Error(ErrorKind::refused, "refused", answer["error"]["text"].get<std::string>()));
   } catch (const NoAnswer& error) {
-    std::fprintf(stderr, "paddletrack: %s\n", error.what());
-    return kNoAnswer;
+    return told(error);
   }
 }
 
--- a/src/command/roll.cpp
+++ b/src/command/roll.cpp
@@ -45,10 +45,9 @@
     try {
       const Json answer = asked(request);
       if (answer["ok"] == true) return true;
-      std::fprintf(stderr, "paddletrack: %s: %s\n", path_.c_str(),
-                   answer["error"]["text"].get<std::string>().c_str());
+      told(Error(ErrorKind::refused, path_, answer["error"]["text"].get<std::string>()));
     } catch (const std::exception& error) {
-      std::fprintf(stderr, "paddletrack: %s\n", error.what());
+      told(typed(error, path_, ErrorKind::noAnswer));
       call_.reset();
     }
     return false;
--- a/src/hcl/hcl.hpp
+++ b/src/hcl/hcl.hpp
@@ -4,13 +4,14 @@
 #pragma once
 
 #include <cstddef>
-#include <stdexcept>
 #include <string>
 #include <string_view>
 #include <utility>
 #include <variant>
 #include <vector>
 
+#include "base/error.hpp"
+
 namespace paddletrack::hcl {
 
 constexpr std::size_t kLongestText = 256 * 1024;
@@ -21,8 +22,8 @@
 };
 
 // What the text does not say as it should, and where.
-struct Wrong : std::runtime_error {
-  Wrong(Place at, const std::string& what) : std::runtime_error(what), place(at) {}
+struct Wrong : ErrorOf<ErrorKind::operatorFileWrong> {
+  Wrong(Place at, const std::string& what) : ErrorOf(what), place(at) {}
   Place place;
 };
 
--- a/src/operating/door.cpp
+++ b/src/operating/door.cpp
@@ -8,8 +8,8 @@
 
 #include <cerrno>
 #include <cstring>
-#include <stdexcept>
 
+#include "base/error.hpp"
 #include "fault/fault.hpp"
 #include "operating/words.hpp"
 
@@ -22,10 +22,10 @@
 constexpr std::size_t kUsualInput = 1024;
 
 [[noreturn]] void fail(const std::string& path, const std::string& what) {
-  throw std::runtime_error("door.socket: " + path + ": " + what);
+  throw Error(ErrorKind::doorFailed, "door.socket: " + path, what);
 }
 [[noreturn]] void failed(const std::string& path, const char* what) {
-  fail(path, std::string(what) + ": " + std::strerror(errno));
+  throw SystemErrorOf<ErrorKind::doorFailed>("door.socket: " + path, what, errno);
 }
 
 struct Owned {
@@ -216,7 +216,8 @@
     try {
       std::unique_ptr<transport::Descriptor> accepted = co_await listener_.accept();
       if (sessions_.size() >= terms_.clients) {
-        say_("door", "full: " + std::to_string(terms_.clients) + " clients", {}, Level::warning);
+        say_("door", Error(ErrorKind::doorFull, terms_.socket,
+                           "full: " + std::to_string(terms_.clients) + " clients"));
         const std::string busy =
             refusal("null", "busy", "the door has as many clients as it may (door.clients)");
         ::send(accepted->fd(), busy.data(), busy.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
@@ -224,7 +225,7 @@
         running_.spawn(serve(std::move(accepted)));
       }
     } catch (const std::exception& error) {
-      say_("door", error.what(), {}, Level::warning);
+      say_("door", Error(ErrorKind::acceptFailed, terms_.socket, error.what()));
     }
     co_await scheduler_.turn();
   }
@@ -243,7 +244,7 @@
 transport::Task<> Door::serve(std::unique_ptr<transport::Descriptor> accepted) {
   std::string who = "somebody unknown";
   if (!letIn(accepted->fd(), who)) {
-    say_("door", who + " is not let in", {}, Level::warning);
+    say_("door", Error(ErrorKind::notLetIn, terms_.socket, who + " is not let in"));
     co_return;
   }
   Session session(*this, std::move(accepted), std::move(who));
--- a/src/operating/door.hpp
+++ b/src/operating/door.hpp
@@ -15,7 +15,7 @@
 namespace paddletrack::operating {
 
 // The socket's file: made under mode 0600, taken over from a dead process but from no live one, and removed
-// at the end if it is still this one. Throws std::runtime_error with the path and the cause.
+// at the end if it is still this one. Throws an Error (doorFailed) with the path and the cause.
 class SocketFile {
  public:
   explicit SocketFile(const std::string& path);
--- a/src/operating/settings.cpp
+++ b/src/operating/settings.cpp
@@ -164,8 +164,9 @@
   explicit Reading(const std::string& path) : path_(path) {}
 
   [[noreturn]] void wrong(hcl::Place at, const std::string& key, const std::string& what) const {
-    throw Miswritten(path_ + ":" + std::to_string(at.line) + ":" + std::to_string(at.column) + ": " +
-                     (key.empty() ? "" : key + ": ") + what);
+    throw Miswritten(path_ + ":" + std::to_string(at.line) + ":" + std::to_string(at.column) +
+                         (key.empty() ? "" : ": " + key),
+                     what);
   }
 
   [[noreturn]] void unknown(hcl::Place at, const std::string& what, const std::string& name,
@@ -325,12 +326,12 @@
   std::ostringstream text;
   if (PADDLETRACK_CALL(-1, "operators_file.open", "EMFILE ENOENT", 0) != 0 || !file ||
       !(text << file.rdbuf()))
-    throw Miswritten(path + ": can't be read");
+    throw FileUnreadable(path, "can't be read");
   try {
     return settingsOf(hcl::parse(text.str()), path);
   } catch (const hcl::Wrong& error) {
-    throw Miswritten(path + ":" + std::to_string(error.place.line) + ":" +
-                     std::to_string(error.place.column) + ": " + error.what());
+    throw Miswritten(path + ":" + std::to_string(error.place.line) + ":" + std::to_string(error.place.column),
+                     error.what());
   }
 }
 
--- a/src/operating/settings.hpp
+++ b/src/operating/settings.hpp
@@ -3,10 +3,10 @@
 
 #include <chrono>
 #include <map>
-#include <stdexcept>
 #include <string>
 #include <vector>
 
+#include "base/error.hpp"
 #include "base/say.hpp"
 #include "drain/drain.hpp"
 #include "hcl/hcl.hpp"
@@ -14,9 +14,9 @@
 
 namespace paddletrack::operating {
 
-// "FILE:LINE:COLUMN: KEY: what was expected".
-struct Miswritten : std::runtime_error {
-  using std::runtime_error::runtime_error;
+// "FILE:LINE:COLUMN: KEY: what was expected"; its place is all but the last.
+struct Miswritten : ErrorOf<ErrorKind::operatorFileWrong> {
+  using ErrorOf::ErrorOf;
 };
 
 struct DoorTerms {
--- a/src/operating/words.cpp
+++ b/src/operating/words.cpp
@@ -52,7 +52,7 @@
   const auto at = from.find(key);
   if (at == from.end() || at->is_null()) return std::nullopt;
   if (!at->is_number_integer())
-    throw BadRequest("bad_value", std::string(key) + ": whole milliseconds are expected");
+    throw BadRequest("bad_value", std::string(key), "whole milliseconds are expected");
   constexpr std::int64_t kMost = 1000LL * 86400 * 365;
   const bool huge = at->is_number_unsigned() && at->get<std::uint64_t>() > static_cast<std::uint64_t>(kMost);
   const std::int64_t value = huge ? kMost : std::max<std::int64_t>(at->get<std::int64_t>(), -1);
@@ -120,22 +120,22 @@
   Request request;
   if (const auto at = read.find("id"); at != read.end()) {
     if (!at->is_string() && !at->is_number_integer() && !at->is_null())
-      throw BadRequest("bad_value", "id: a text or a whole number is expected");
+      throw BadRequest("bad_value", "id", "a text or a whole number is expected");
     id = at->dump(-1, ' ', false, Json::error_handler_t::replace);
     if (id.size() > kLongestId) {
       id = "null";
-      throw BadRequest("bad_value", "id: " + std::to_string(kLongestId) + " bytes at most");
+      throw BadRequest("bad_value", "id", std::to_string(kLongestId) + " bytes at most");
     }
   }
   request.id = id;
   const auto version = read.find("v");
   if (version == read.end() || !version->is_number_integer())
-    throw BadRequest("bad_version", "v: the version is expected, " + std::to_string(kVersion));
+    throw BadRequest("bad_version", "v", "the version is expected, " + std::to_string(kVersion));
   if (*version != kVersion)
-    throw BadRequest("bad_version", "v: this door speaks version " + std::to_string(kVersion) + " alone");
+    throw BadRequest("bad_version", "v", "this door speaks version " + std::to_string(kVersion) + " alone");
   const auto wish = read.find("do");
   if (wish == read.end() || !wish->is_string())
-    throw BadRequest("bad_value", "do: what is wanted is expected");
+    throw BadRequest("bad_value", "do", "what is wanted is expected");
   const std::string& wanted = wish->get_ref<const std::string&>();
   const auto* known =
       std::find_if(kWishes.begin(), kWishes.end(), [&](const auto& each) { return wanted == each.first; });
@@ -143,8 +143,9 @@
     std::vector<std::string> names;
     for (const auto& each : kWishes) names.emplace_back(each.first);
     const std::string near = nearest(wanted.substr(0, 40), names);
-    throw BadRequest("unknown_wish", "do: '" + wanted.substr(0, 40) + "' is unknown" +
-                                         (near.empty() ? "" : "; '" + near + "' is meant?"));
+    throw BadRequest(
+        "unknown_wish", "do",
+        "'" + wanted.substr(0, 40) + "' is unknown" + (near.empty() ? "" : "; '" + near + "' is meant?"));
   }
   request.wish = known->second;
   for (const auto& [key, value] : read.items()) {
@@ -160,7 +161,7 @@
     const auto at = read.find(key);
     if (at == read.end() && !needed) return std::string();
     if (at == read.end() || !at->is_string())
-      throw BadRequest("bad_value", std::string(key) + ": a text is expected");
+      throw BadRequest("bad_value", std::string(key), "a text is expected");
     return at->get<std::string>();
   };
   if (request.wish == Wish::engines) request.from = textOf("from", false);
@@ -171,20 +172,21 @@
     const auto* hand =
         std::find_if(kByHand.begin(), kByHand.end(), [&](const auto& each) { return what == each.first; });
     if (hand == kByHand.end())
-      throw BadRequest("bad_value", "what: \"avoid\", \"use\" or \"free\" is expected");
+      throw BadRequest("bad_value", "what", "\"avoid\", \"use\" or \"free\" is expected");
     request.byHand = hand->second;
     request.until = span(read, "for_ms").value_or(Span{0});
     const bool free = request.byHand == reach::Routes::ByHand::free;
     if (!free && (request.until <= Span{0} || request.until > kMostByHand))
-      throw BadRequest("bad_value",
-                       "for_ms: up to " + shownDuration(kMostByHand) + " is expected; it ends by itself");
+      throw BadRequest("bad_value", "for_ms",
+                       "up to " + shownDuration(kMostByHand) + " is expected; it ends by itself");
   }
   request.deadline = span(read, "deadline_ms");
   request.comeBack = span(read, "come_back_ms");
   if (const auto every = span(read, "every_ms")) {
     if (*every < kLeastEvery || *every > kMostEvery)
-      throw BadRequest("bad_value", "every_ms: from " + std::to_string(ms(kLeastEvery)) + " to " +
-                                        std::to_string(ms(kMostEvery)) + " is expected");
+      throw BadRequest("bad_value", "every_ms",
+                       "from " + std::to_string(ms(kLeastEvery)) + " to " + std::to_string(ms(kMostEvery)) +
+                           " is expected");
     request.every = *every;
   }
   return request;
--- a/src/operating/words.hpp
+++ b/src/operating/words.hpp
@@ -2,10 +2,10 @@
 #pragma once
 
 #include <optional>
-#include <stdexcept>
 #include <string>
 #include <string_view>
 
+#include "base/error.hpp"
 #include "operating/keeper.hpp"
 
 namespace paddletrack::operating {
@@ -13,8 +13,10 @@
 constexpr int kVersion = 1;
 
 // A message that can't be used, with a code that stays the same through versions.
-struct BadRequest : std::runtime_error {
-  BadRequest(const char* named, const std::string& what) : std::runtime_error(what), code(named) {}
+struct BadRequest : ErrorOf<ErrorKind::requestWrong> {
+  BadRequest(const char* named, const std::string& what) : ErrorOf(what), code(named) {}
+  BadRequest(const char* named, const std::string& key, const std::string& what)
+      : ErrorOf(key, what), code(named) {}
   const char* code;
 };
 
--- a/src/program/configuration.cpp
+++ b/src/program/configuration.cpp
@@ -15,24 +15,33 @@
   try {
     return transport::Address(from.text(key));
   } catch (const std::invalid_argument& error) {
-    throw protocol::Unreadable(std::string(key) + ": " + error.what());
+    throw protocol::Unreadable(key, error.what());
   }
 }
 
 std::size_t atLeast(std::size_t least, const protocol::Json& from, const char* key) {
   const std::size_t value = from.whole(key);
-  if (value < least)
-    throw protocol::Unreadable(std::string(key) + ": at least " + std::to_string(least) + " is wanted");
+  if (value < least) throw protocol::Unreadable(key, "at least " + std::to_string(least) + " is wanted");
   return value;
 }
 
 // Runs a part of the reading; what goes wrong is told with where in the file that is.
 template <typename Read>
-auto inside(const char* where, Read read) {
+auto inside(const std::string& where, Read read) {
   try {
     return read();
   } catch (const protocol::Unreadable& error) {
-    throw Misconfigured(std::string(where) + error.what());
+    throw Misconfigured(where + (error.where().empty() ? "" : ": " + error.where()), error.happened());
+  }
+}
+
+// The same for a block of keys.
+template <typename Read>
+void within(const char* block, Read read) {
+  try {
+    read();
+  } catch (const protocol::Unreadable& error) {
+    throw protocol::Unreadable(block + error.where(), error.happened());
   }
 }
 
@@ -42,20 +51,20 @@
   std::ifstream file(path, std::ios::binary);
   std::ostringstream text;
   if (PADDLETRACK_CALL(-1, "configuration.open", "EMFILE ENOENT", 0) != 0 || !file || !(text << file.rdbuf()))
-    throw Misconfigured(path + ": can't be read");
-  return inside("", [&] {
+    throw FileUnreadable(path, "can't be read");
+  return inside(path, [&] {
     const protocol::Json read = protocol::parseJson(text.str());
     Node node{read.text("name"), address(read, "listen"), address(read, "changelog"), 0, 0, 0, 0, {}, {}, {}};
     const std::string& seed = read.text("seed");
     const auto [end, error] = std::from_chars(seed.data(), seed.data() + seed.size(), node.seed, 16);
     if (error != std::errc{} || end != seed.data() + seed.size())
-      throw protocol::Unreadable("seed: up to 16 hex digits are wanted");
-    inside("limits.", [&] {
+      throw protocol::Unreadable("seed", "up to 16 hex digits are wanted");
+    within("limits.", [&] {
       const protocol::Json& limits = read.at("limits");
       node.memoryBytes = atLeast(kLeastMemoryMb, limits, "memory_mb") << 20;
       node.descriptors = atLeast(kLeastDescriptors, limits, "sockets");
     });
-    inside("known.", [&] {
+    within("known.", [&] {
       const protocol::Json& known = read.at("known");
       node.known = known.whole("seq");
       for (const protocol::Json& each : known.list("results"))
@@ -64,9 +73,9 @@
     node.settings = protocol::pathsOfJson(read.at("settings"));
     node.told = protocol::decode(node.settings);
     if (node.told.dialTimeout <= Span{0})
-      throw protocol::Unreadable("settings: limits.dialTimeoutUs: is missing");
+      throw protocol::Unreadable("settings: limits.dialTimeoutUs", "is missing");
     if (node.told.idleClose <= Span{0})
-      throw protocol::Unreadable("settings: limits.idleCloseUs: is missing");
+      throw protocol::Unreadable("settings: limits.idleCloseUs", "is missing");
     return node;
   });
 }
--- a/src/program/configuration.hpp
+++ b/src/program/configuration.hpp
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <cstdint>
-#include <stdexcept>
 #include <string>
 #include <vector>
 
@@ -11,9 +10,9 @@
 
 namespace paddletrack::program {
 
-// What is wrong with the configuration, with the key at fault.
-struct Misconfigured : std::runtime_error {
-  using std::runtime_error::runtime_error;
+// What is wrong with the configuration; its place is the file and the key at fault.
+struct Misconfigured : ErrorOf<ErrorKind::configurationWrong> {
+  using ErrorOf::ErrorOf;
 };
 
 // What one controller is told, read and checked.
@@ -28,7 +27,7 @@
   protocol::Told told;       // decoded
 };
 
-Node readNode(const std::string& path);
+Node readNode(const std::string& path);  // throws FileUnreadable, Misconfigured
 
 // The keys in which two readings differ and which only a restart changes, for the log; empty: none.
 std::string fixedDifferences(const Node& before, const Node& now);
--- a/src/program/main.cpp
+++ b/src/program/main.cpp
@@ -5,6 +5,7 @@
 #include <map>
 #include <string>
 
+#include "command/call.hpp"
 #include "command/completion.hpp"
 #include "command/drain.hpp"
 #include "command/engines.hpp"
@@ -53,7 +54,7 @@
     const std::string named = file.empty() ? "" : operating::readSettings(file).door.socket;
     if (named.empty())
       throw operating::Miswritten(
-          "no door is named: --socket, or --operator with a file that has door.socket");
+          file, "no door is named: --socket, or --operator with a file that has door.socket");
     return named;
   }
 };
@@ -192,13 +193,8 @@
     if (!owner.path.empty()) std::printf("%s: in order\n", owner.path.c_str());
     return command::kWell;
   } catch (const program::Misconfigured& error) {
-    std::fprintf(stderr, "paddletrack: configuration: %s\n", error.what());
-    return command::kMisconfigured;
-  } catch (const operating::Miswritten& error) {
-    std::fprintf(stderr, "paddletrack: %s\n", error.what());
-    return command::kMisconfigured;
+    return command::told(error, "configuration: ");
   } catch (const std::exception& error) {
-    std::fprintf(stderr, "paddletrack: %s\n", error.what());
-    return command::kBroken;
+    return command::told(paddletrack::typed(error, ""));
   }
 }
--- a/src/program/serve.cpp
+++ b/src/program/serve.cpp
@@ -15,6 +15,7 @@
 
 using std::chrono::milliseconds;
 
+constexpr const char* kNotTaken = "not taken, the old one stays: ";
 constexpr milliseconds kCounted{10000};  // between lines of counts
 
 // How the limits told are shared out.
@@ -44,7 +45,7 @@
     say("configuration",
         follower.move(read.changeLog) ? "read again: the change log has moved" : "read again");
   } catch (const std::exception& error) {
-    say("configuration", std::string("not taken, the old one stays: ") + error.what(), {}, Level::warning);
+    say("configuration", typed(error, path), {}, Level::warning, kNotTaken);
   }
 }
 
@@ -64,7 +65,7 @@
     log.change(owner.form(), owner.level(), owner.settings.topicLevels);
     say("configuration", "the operator's file is read again");
   } catch (const std::exception& error) {
-    say("configuration", std::string("not taken, the old one stays: ") + error.what(), {}, Level::warning);
+    say("configuration", typed(error, owner.path), {}, Level::warning, kNotTaken);
   }
 }
 
@@ -92,8 +93,8 @@
   const bool hasDoor = !owner.settings.door.socket.empty();
   const std::size_t own = kOwnDescriptors + (hasDoor ? owner.settings.door.clients + 2 : 0);
   if (own + kLeastShared > node.descriptors)
-    throw Misconfigured("door.clients: " + std::to_string(owner.settings.door.clients) +
-                        " leave too few of limits.sockets");
+    throw Misconfigured(owner.path + ": door.clients",
+                        std::to_string(owner.settings.door.clients) + " leave too few of limits.sockets");
   const std::size_t connections = (node.descriptors - own) * 2 / 3;
   const std::size_t links = node.descriptors - own - connections;
   routing::Desk::Bounds bounds;
@@ -115,7 +116,9 @@
   }
 
   Signals signals(scheduler);
-  transport::Group running(scheduler, [&](const char* what) { say("leaving", what, {}, Level::error); });
+  transport::Group running(scheduler, [&](const char* what) {
+    say("leaving", Error(ErrorKind::unexpected, "", what), {}, Level::error);
+  });
   running.spawn(heed(
       signals, [&] { keeper.stop(); },
       [&] {
--- a/src/program/signals.cpp
+++ b/src/program/signals.cpp
@@ -3,8 +3,10 @@
 #include <sys/signalfd.h>
 #include <unistd.h>
 
+#include <cerrno>
 #include <csignal>
 
+#include "base/error.hpp"
 #include "fault/fault.hpp"
 
 namespace paddletrack::program {
@@ -21,6 +23,7 @@
   const sigset_t wanted = heeded();
   const int fd = PADDLETRACK_CALL(-1, "signals.open", "EMFILE ENOMEM",
                                   ::signalfd(-1, &wanted, SFD_NONBLOCK | SFD_CLOEXEC));
+  if (fd < 0) throw SystemFailed("signals", "signalfd", errno);
   PADDLETRACK_MARK(role(fd, "signals"));
   return fd;
 }
--- a/src/protocol/change_log.cpp
+++ b/src/protocol/change_log.cpp
@@ -16,7 +16,7 @@
     entry.address = server.text("addr");
     if (const Json* more = server.find("addrs")) {
       const auto* all = std::get_if<Json::Elements>(&more->value);
-      if (!all) throw Unreadable("addrs: a list is wanted");
+      if (!all) throw Unreadable("addrs", "a list is wanted");
       for (const Json& each : *all) {
         const auto* text = std::get_if<std::string>(&each.value);
         entry.more.push_back(text ? *text : std::string());  // no text: named where addresses are read
@@ -31,7 +31,7 @@
     } else if (state == "left") {
       entry.standing = Standing::gone;
     } else if (state != "active") {
-      throw Unreadable("state: '" + state + "' is unknown");
+      throw Unreadable("state", "'" + state + "' is unknown");
     }
     entry.startedMs = static_cast<std::int64_t>(server.whole("started_ms"));
     read.entries.push_back(std::move(entry));
--- a/src/protocol/json.cpp
+++ b/src/protocol/json.cpp
@@ -166,7 +166,7 @@
 template <typename Wanted>
 const Wanted& as(const Json& from, std::string_view name, const char* kind) {
   const auto* held = std::get_if<Wanted>(&from.at(name).value);
-  if (!held) throw Unreadable(std::string(name) + ": " + kind + " is wanted");
+  if (!held) throw Unreadable(std::string(name), std::string(kind) + " is wanted");
   return *held;
 }
 
@@ -182,7 +182,7 @@
 
 const Json& Json::at(std::string_view name) const {
   const Json* found = find(name);
-  if (!found) throw Unreadable(std::string(name) + ": is missing");
+  if (!found) throw Unreadable(std::string(name), "is missing");
   return *found;
 }
 
@@ -195,7 +195,7 @@
 std::uint64_t Json::whole(std::string_view name) const {
   const double read = number(name);
   if (!(read >= 0 && read < 9e15 && read == std::floor(read)))
-    throw Unreadable(std::string(name) + ": a whole number is wanted");
+    throw Unreadable(std::string(name), "a whole number is wanted");
   return static_cast<std::uint64_t>(read);
 }
 
--- a/src/protocol/json.hpp
+++ b/src/protocol/json.hpp
@@ -1,18 +1,19 @@
 #pragma once
 
 #include <cstdint>
-#include <stdexcept>
 #include <string>
 #include <string_view>
 #include <utility>
 #include <variant>
 #include <vector>
 
+#include "base/error.hpp"
+
 namespace paddletrack::protocol {
 
-// What a peer or a file wrote does not follow its page. The text says what and where.
-struct Unreadable : std::runtime_error {
-  using std::runtime_error::runtime_error;
+// What a peer or a file wrote does not follow its page. Its place, if any, is the key or field.
+struct Unreadable : ErrorOf<ErrorKind::peerUnreadable> {
+  using ErrorOf::ErrorOf;
 };
 
 // One JSON value (RFC 8259), members in the order written.
--- a/src/protocol/settings.cpp
+++ b/src/protocol/settings.cpp
@@ -23,7 +23,7 @@
   double value = 0;
   const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
   if (error != std::errc{} || end != text.data() + text.size()) {
-    throw Unreadable("settings: " + key + ": '" + std::string(text) + "' is not a number");
+    throw Unreadable("settings: " + key, "'" + std::string(text) + "' is not a number");
   }
   return value;
 }
@@ -46,7 +46,7 @@
   double within(const std::string& key, double least, double most) const {
     const double value = real(key);
     if (value >= least && value <= most) return value;
-    throw Unreadable("settings: " + key + ": '" + text(key) + "' is out of range");
+    throw Unreadable("settings: " + key, "'" + text(key) + "' is out of range");
   }
   bool yes(const std::string& key) const { return text(key) == "true"; }
   std::vector<std::string> list(const std::string& key) const { return split(text(key), ','); }
@@ -88,7 +88,7 @@
       }
       Paths one;
       flatten((*elements)[each], "", one);
-      if (one.size() != 1) throw Unreadable("settings: " + path + ": a list within a list");
+      if (one.size() != 1) throw Unreadable("settings: " + path, "a list within a list");
       std::string text = one.begin()->second;
       std::replace(text.begin(), text.end(), ',', '_');
       joined += (each > 0 ? "," : "") + text;
@@ -115,7 +115,7 @@
   else if (effect == "fragile")
     made.effect = Effect::runOnce;
   else if (effect != "retryable")
-    throw Unreadable("settings: " + at + "idempotency: '" + effect + "' is unknown");
+    throw Unreadable("settings: " + at + "idempotency", "'" + effect + "' is unknown");
   if (group == "zone") made.repeatGroup = RepeatGroup::location;
   if (group == "cell") made.repeatGroup = RepeatGroup::cell;
   made.repeatWindow = lines.time(at + "windowUs");
@@ -139,7 +139,7 @@
   for (const std::string& line : split(lines, '\n')) {
     if (line.empty()) continue;
     const std::size_t at = line.find('=');
-    if (at == std::string::npos || at == 0) throw Unreadable("settings: '" + line + "' is not path=value");
+    if (at == std::string::npos || at == 0) throw Unreadable("settings", "'" + line + "' is not path=value");
     paths[line.substr(0, at)] = line.substr(at + 1);
   }
   return paths;
@@ -161,7 +161,7 @@
     made.types.push_back(type(lines, each));
     told.typeNames.push_back(lines.text("profiles." + std::to_string(each) + ".name"));
   }
-  if (made.types.empty()) throw Unreadable("settings: profiles.count: no reservation type");
+  if (made.types.empty()) throw Unreadable("settings: profiles.count", "no reservation type");
   for (std::size_t each = 0; each < lines.whole("tenants.count"); ++each) {
     const std::string at = "tenants." + std::to_string(each) + ".";
     made.customers.push_back({lines.real(at + "quotaPerS")});
@@ -174,7 +174,8 @@
   made.memoryHeeded = lines.yes("familyInfo.memoryHeeded");
   made.memoryPages = lines.text("familyInfo.memoryShort") == "page";
   const double cap = lines.within("familyInfo.grantCap", 0, 1);
-  for (const Machine& each : made.machines) made.mostGrantMb = std::max(made.mostGrantMb, cap * each.memoryMb);
+  for (const Machine& each : made.machines)
+    made.mostGrantMb = std::max(made.mostGrantMb, cap * each.memoryMb);
   made.prioritiesHeeded = lines.yes("familyInfo.lanesCount");
   made.progressPace = lines.time("familyInfo.progressPaceUs");
   made.reportsOnProbe = lines.text("reporting.source") == "on_probe";
@@ -211,8 +212,7 @@
 
 std::size_t placeOf(const std::vector<std::string>& names, std::string_view name, const char* what) {
   const auto at = std::find(names.begin(), names.end(), name);
-  if (at == names.end())
-    throw Unreadable(std::string(what) + ": '" + std::string(name.substr(0, 40)) + "' is unknown");
+  if (at == names.end()) throw Unreadable(what, "'" + std::string(name.substr(0, 40)) + "' is unknown");
   return static_cast<std::size_t>(at - names.begin());
 }
 
--- a/src/routing/client_side.cpp
+++ b/src/routing/client_side.cpp
@@ -40,8 +40,7 @@
 double figure(std::string_view name, std::string_view text, double most) {
   const std::optional<double> read = number(text);
   if (!read || *read < 0 || *read > most)
-    throw protocol::Unreadable(std::string(name) + ": '" + std::string(text.substr(0, 40)) +
-                               "' can't be used");
+    throw protocol::Unreadable(std::string(name), "'" + std::string(text.substr(0, 40)) + "' can't be used");
   return *read;
 }
 
@@ -141,10 +140,10 @@
       if (!call || open_.count(message.sequence) > 0) throw;  // no answer could be told from another's
       if (++unusable_ > kMostUnusable) throw;
       ++side_.counts_.refused;
-      side_.say_("request", std::string("request not taken: ") + error.what(),
+      side_.say_("request", Error(ErrorKind::jobRefused, error.where(), error.happened()),
                  {{"job", std::string(jobNamed_.substr(0, kLoggedName))},
                   {"reservation_type", std::string(typeNamed_.substr(0, kLoggedName))}},
-                 Level::warning);
+                 Level::warning, "request not taken: ");
       send(thrift::exception(message.method, message.sequence, thrift::Fault::protocol, error.what()));
     }
   }
@@ -164,9 +163,9 @@
     exchange.typeName = read.type;
     if (read.reference.size() != 16 ||
         read.reference.find_first_not_of("0123456789abcdefABCDEF") != std::string_view::npos)
-      throw protocol::Unreadable("ref: 16 hex digits are wanted");
+      throw protocol::Unreadable("ref", "16 hex digits are wanted");
     exchange.reference = read.reference;
-    if (side_.desk_.holds(exchange.reference)) throw protocol::Unreadable("ref: it is in use");
+    if (side_.desk_.holds(exchange.reference)) throw protocol::Unreadable("ref", "it is in use");
     if (!told.customerNames.empty())
       exchange.customer = protocol::placeOf(told.customerNames, read.customer, "project");
     exchange.taken = side_.desk_.now();
@@ -250,8 +249,7 @@
       listener_(scheduler, address),
       room_(scheduler),
       sessions_(scheduler, [this](const char* what) {
-        ++counts_.unreadable;
-        say_("client", std::string("connection closed: ") + what, {}, Level::warning);
+        say_("client", Error(ErrorKind::unexpected, "a client's connection", what));
       }) {
   sessions_.spawn(listen());
 }
@@ -266,7 +264,7 @@
       std::unique_ptr<transport::Descriptor> accepted = co_await listener_.accept();
       sessions_.spawn(serve(std::move(accepted)));
     } catch (const std::exception& error) {  // one connection could not be had: the next may
-      say_("client", error.what());
+      say_("client", Error(ErrorKind::acceptFailed, "a client's connection", error.what()));
     }
     co_await scheduler_.turn();
   }
@@ -299,8 +297,16 @@
 }
 
 transport::Task<> ClientSide::serve(std::unique_ptr<transport::Descriptor> accepted) {
-  Session session(*this, std::move(accepted));
-  co_await session.run();
+  try {
+    Session session(*this, std::move(accepted));
+    co_await session.run();
+  } catch (const protocol::Unreadable& error) {
+    ++counts_.unreadable;
+    say_("client", Error(ErrorKind::clientUnreadable, error.where(), error.happened()), {}, Level::warning,
+         "connection closed: ");
+  } catch (const std::exception& error) {
+    say_("client", typed(error, "a client's connection"), {}, Level::warning, "connection closed: ");
+  }
 }
 
 }  // namespace paddletrack::routing
--- a/src/routing/desk.cpp
+++ b/src/routing/desk.cpp
@@ -95,8 +95,10 @@
       listing.kind = static_cast<unsigned>(protocol::placeOf(told_.machineNames, entry.kind, "kind"));
       if (entry.more.empty()) transport::Address{entry.address};  // throws where it is none
     } catch (const std::exception& error) {
-      say_("changelog", "executor " + entry.id + " passed over: " + error.what(), {{"engine", entry.id}},
-           Level::warning);
+      say_("changelog",
+           Error(ErrorKind::entryUnusable, "executor " + entry.id,
+                 std::string("passed over: ") + error.what()),
+           {{"engine", entry.id}});
       continue;
     }
     listing.cell = entry.cell;
--- a/src/routing/follower.cpp
+++ b/src/routing/follower.cpp
@@ -30,9 +30,15 @@
   begin();
 }
 
+std::string Follower::where() const { return "the list at " + log_.text(); }
+
+void Follower::said(ErrorKind kind, const std::string& what) {
+  say_("changelog", Error(kind, where(), what));
+}
+
 // The session under way, if any, ends here with all that is its own.
 void Follower::begin() {
-  running_.emplace(scheduler_, [this](const char* what) { say_("changelog", what); });
+  running_.emplace(scheduler_, [this](const char* what) { said(ErrorKind::unexpected, what); });
   running_->spawn(follow());
 }
 
@@ -51,10 +57,11 @@
     try {
       co_await session();
     } catch (const protocol::Unreadable& error) {
-      say_("changelog", std::string(nonsense_ > 0 ? "read afresh: " : "read again: ") + error.what());
+      said(ErrorKind::listUnreadable,
+           std::string(nonsense_ > 0 ? "read afresh: " : "read again: ") + error.what());
       if (++nonsense_ > 1) last_ = 0;
     } catch (const std::exception& error) {
-      say_("changelog", error.what());
+      say_("changelog", typed(error, where()));
     }
     desk_.listFailed();
     const milliseconds most = kFirstWait * (1 << std::min(failures_, kMostDoublings));
@@ -68,7 +75,7 @@
   PADDLETRACK_MARK(dials("list"));
   transport::Dialled dialled = co_await transport::dial(scheduler_, log_, scheduler_.now() + kBeat);
   if (!dialled.descriptor) {
-    say_("changelog", std::string("out of reach: ") + std::strerror(dialled.error));
+    said(ErrorKind::listUnreachable, std::string("out of reach: ") + std::strerror(dialled.error));
     co_return;
   }
   transport::Connection connection(scheduler_, std::move(dialled.descriptor), kUsualInput, kMostInput,
@@ -88,8 +95,11 @@
     if (input.view().size() > 0) input.expect(input.view().size() * 2);
   }
   if (input.full()) throw protocol::Unreadable("a line without an end");
-  say_("changelog", connection.end() == transport::Connection::End::none ? "silent: connecting anew"
-                                                                         : "cut: connecting anew");
+  if (connection.end() == transport::Connection::End::none) {
+    said(ErrorKind::listSilent, "silent: connecting anew");
+  } else {
+    said(ErrorKind::listCut, "cut: connecting anew");
+  }
 }
 
 void Follower::line(std::string_view text) {
--- a/src/routing/follower.hpp
+++ b/src/routing/follower.hpp
@@ -23,6 +23,8 @@
   transport::Task<> follow();
   transport::Task<> session();
   void line(std::string_view text);
+  std::string where() const;
+  void said(ErrorKind kind, const std::string& what);
 
   transport::Scheduler& scheduler_;
   transport::Unsent& unsent_;
--- a/src/routing/server_side.cpp
+++ b/src/routing/server_side.cpp
@@ -38,7 +38,8 @@
                       for (Sending* each : std::exchange(unplaced_, {}))
                         ends_.ended(*each, Outcome::unreachable);
                     }),
-      running_(scheduler, [this](const char* what) { say_("executor", what); }) {}
+      running_(scheduler,
+               [this](const char* what) { say_("executor", Error(ErrorKind::unexpected, "", what)); }) {}
 
 void ServerSide::send(Sending& sending) {
   Link* link = pick(sending);
@@ -86,8 +87,10 @@
   if ((best && best->load() == 0) || (silent && proving)) return best;
   if (best && links_.size() >= bounds_.links - bounds_.links / kSpareParts) return best;
   if (links_.size() + beside_ >= bounds_.links) {
-    say_("descriptors", "no connection is left for another dispatch", {{"engine", executor.id}},
-         Level::warning);
+    say_("descriptors",
+         Error(ErrorKind::descriptorsShort, "executor " + executor.id,
+               "no connection is left for another dispatch"),
+         {{"engine", executor.id}});
     return nullptr;
   }
   PADDLETRACK_TABLE("links");
@@ -179,8 +182,12 @@
       static_cast<double>(dice_() - dice_.min()) / static_cast<double>(dice_.max() - dice_.min());
   const bool several = executor.routes.all().size() > 1;
   if (several && lesson != reach::Lesson::good)
-    say_("address", "executor " + executor.id + " at " + route + ": " + nameOf(lesson),
-         {{"engine", executor.id}, {"address", route}}, Level::warning);
+    say_(
+        "address",
+        Error(lesson == reach::Lesson::refused || lesson == reach::Lesson::noAnswer ? ErrorKind::connectFailed
+                                                                                    : ErrorKind::peerSilent,
+              "executor " + executor.id + " at " + route, nameOf(lesson)),
+        {{"engine", executor.id}, {"address", route}});
   if (several && lesson == reach::Lesson::good && executor.routes.failed(route))
     say_("address", "executor " + executor.id + " at " + route + ": good again",
          {{"engine", executor.id}, {"address", route}});
@@ -198,14 +205,17 @@
                                                                   : reach::Family::ipv4;
       if (addresses.emplace(each, address).second) named.push_back({each, family});
     } catch (const std::invalid_argument& error) {
-      say_("changelog", "executor " + executor.id + ": address passed over: " + error.what(),
-           {{"engine", executor.id}}, Level::warning);
+      say_("changelog",
+           Error(ErrorKind::entryUnusable, "executor " + executor.id,
+                 std::string("address passed over: ") + error.what()),
+           {{"engine", executor.id}});
     }
   }
   if (const std::size_t leftOut = executor.routes.list(named, another); leftOut > 0)
     say_("changelog",
-         "executor " + executor.id + ": " + std::to_string(leftOut) + " addresses too many, passed over",
-         {{"engine", executor.id}}, Level::warning);
+         Error(ErrorKind::entryUnusable, "executor " + executor.id,
+               std::to_string(leftOut) + " addresses too many, passed over"),
+         {{"engine", executor.id}});
   executor.addresses = std::move(addresses);
   for (Link* link : std::vector<Link*>(executor.links)) {
     if (link->route.empty() || executor.addresses.count(link->route) > 0) continue;
@@ -281,8 +291,9 @@
       }
     } else if (!dialled.descriptor) {
       if (dialled.error == ETIMEDOUT) made.lesson = reach::Lesson::noAnswer;
-      say_("dial", "executor " + executor.id + ": no connection: " + std::strerror(dialled.error),
-           {{"engine", executor.id}, {"address", made.route}}, Level::warning);
+      say_("dial",
+           SystemErrorOf<ErrorKind::connectFailed>("executor " + executor.id, "no connection", dialled.error),
+           {{"engine", executor.id}, {"address", made.route}});
     }
   }
   made.ended = true;
@@ -349,8 +360,11 @@
   try {
     co_await work(link);
   } catch (const std::exception& error) {
-    say_("executor", "executor " + link.executor.id + ": " + error.what() + "; connection given up",
-         {{"engine", link.executor.id}}, Level::warning);
+    const Error known = typed(error, "");
+    say_("executor",
+         Error(known.kind(), "executor " + link.executor.id,
+               error.what() + std::string("; connection given up"), known.hint()),
+         {{"engine", link.executor.id}, {"address", link.route}});
     spoil(link);
   }
   lose(link);
@@ -400,8 +414,9 @@
   if (link.asked) {
     if (!link.silent) learn(link.executor, link.route, reach::Lesson::silent);
     if (!link.silent)
-      say_("silent", "executor " + link.executor.id + ": a connection answers nothing",
-           {{"engine", link.executor.id}}, Level::warning);
+      say_("silent",
+           Error(ErrorKind::peerSilent, "executor " + link.executor.id, "a connection answers nothing"),
+           {{"engine", link.executor.id}, {"address", link.route}});
     link.silent = true;
   } else {
     link.asked = scheduler_.now();
--- a/src/transport/connection.cpp
+++ b/src/transport/connection.cpp
@@ -11,8 +11,8 @@
 #include <cerrno>
 #include <charconv>
 #include <stdexcept>
-#include <system_error>
 
+#include "base/error.hpp"
 #include "fault/fault.hpp"
 
 namespace paddletrack::transport {
@@ -32,7 +32,7 @@
   const int fd =
       PADDLETRACK_CALL(-1, "front.socket", "EMFILE ENOMEM", streamSocket(address.raw()->sa_family));
   const int on = 1;
-  if (fd < 0) throw std::system_error(errno, std::generic_category(), "socket");
+  if (fd < 0) throw ListenFailed(address.text(), "socket", errno);
   PADDLETRACK_MARK(role(fd, "front"));
   ::setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
   if (address.family() == AF_INET6) ::setsockopt(fd, IPPROTO_IPV6, IPV6_V6ONLY, &on, sizeof on);
@@ -42,7 +42,7 @@
     const int error = errno;
     PADDLETRACK_MARK(forget(fd));
     ::close(fd);
-    throw std::system_error(error, std::generic_category(), "listen");
+    throw ListenFailed(address.text(), "listen", error);
   }
   return fd;
 }
@@ -89,6 +89,19 @@
   ip.sin_port = htons(static_cast<std::uint16_t>(port));
 }
 
+std::string Address::text() const {
+  if (family() == AF_UNIX) return std::string("unix:") + reinterpret_cast<const sockaddr_un&>(raw_).sun_path;
+  std::array<char, INET6_ADDRSTRLEN> host{};
+  if (family() == AF_INET6) {
+    const auto& six = reinterpret_cast<const sockaddr_in6&>(raw_);
+    ::inet_ntop(AF_INET6, &six.sin6_addr, host.data(), host.size());
+    return "[" + std::string(host.data()) + "]:" + std::to_string(ntohs(six.sin6_port));
+  }
+  const auto& ip = reinterpret_cast<const sockaddr_in&>(raw_);
+  ::inet_ntop(AF_INET, &ip.sin_addr, host.data(), host.size());
+  return std::string(host.data()) + ":" + std::to_string(ntohs(ip.sin_port));
+}
+
 Connection::Connection(Scheduler& scheduler, std::unique_ptr<Descriptor> descriptor, std::size_t usualInput,
                        std::size_t mostInput, Unsent& unsent)
     : scheduler_(scheduler),
--- a/src/transport/connection.hpp
+++ b/src/transport/connection.hpp
@@ -23,6 +23,7 @@
   explicit Address(const std::string& text);
   const sockaddr* raw() const { return reinterpret_cast<const sockaddr*>(&raw_); }
   socklen_t length() const { return length_; }
+  std::string text() const;                      // as it was written
   int family() const { return raw_.ss_family; }  // AF_INET, AF_INET6 or AF_UNIX
   bool operator==(const Address& other) const {
     return length_ == other.length_ && std::memcmp(&raw_, &other.raw_, length_) == 0;
--- a/src/transport/scheduler.cpp
+++ b/src/transport/scheduler.cpp
@@ -6,8 +6,8 @@
 #include <algorithm>
 #include <array>
 #include <cerrno>
-#include <system_error>
 
+#include "base/error.hpp"
 #include "fault/fault.hpp"
 
 namespace paddletrack::transport {
@@ -50,7 +50,7 @@
 
 Scheduler::Scheduler()
     : epoll_(PADDLETRACK_CALL(-1, "epoll_create", "EMFILE ENOMEM", ::epoll_create1(EPOLL_CLOEXEC))) {
-  if (epoll_ < 0) throw std::system_error(errno, std::generic_category(), "epoll_create1");
+  if (epoll_ < 0) throw SystemFailed("the loop", "epoll_create1", errno);
 }
 
 Scheduler::~Scheduler() { ::close(epoll_); }
@@ -99,7 +99,7 @@
   std::array<epoll_event, 64> events;
   const int count = PADDLETRACK_CALL(
       -1, "epoll_wait", "EINTR", ::epoll_wait(epoll_, events.data(), static_cast<int>(events.size()), wait));
-  if (count < 0 && errno != EINTR) throw std::system_error(errno, std::generic_category(), "epoll_wait");
+  if (count < 0 && errno != EINTR) throw SystemFailed("the loop", "epoll_wait", errno);
   for (int each = 0; each < count; ++each) {
     const epoll_event& event = events[static_cast<std::size_t>(each)];
     auto* descriptor = static_cast<Descriptor*>(event.data.ptr);
@@ -120,7 +120,7 @@
     const int error = errno;
     PADDLETRACK_MARK(forget(fd_));
     ::close(fd_);
-    throw std::system_error(error, std::generic_category(), "epoll_ctl");
+    throw SystemFailed("the loop", "epoll_ctl", error);
   }
   PADDLETRACK_MARK(watched(scheduler_.epoll_, fd_, this));
 }
