A signal does not end the wait for the door's folder

Cause: flock was tried once; EINTR while another process starts in the same folder ended serve with 1. It is tried again. The tests of numbered faults begin here, with the errors of the start and what a build without them makes of them. Result: socket_file.lock#1=EINTR is recovered, before it ended the process.

--- a/src/operating/door.cpp
+++ b/src/operating/door.cpp
@@ -55,8 +55,8 @@
       -1, "socket_file.folder", "EMFILE EACCES",
       ::open(slash == 0 ? "/" : path.substr(0, slash).c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC))};
   if (folder.fd < 0) failed(path, "its folder");
-  if (PADDLETRACK_CALL(-1, "socket_file.lock", "EINTR ENOMEM", ::flock(folder.fd, LOCK_EX)) != 0)
-    failed(path, "its folder");
+  while (PADDLETRACK_CALL(-1, "socket_file.lock", "EINTR ENOMEM", ::flock(folder.fd, LOCK_EX)) != 0)
+    if (errno != EINTR) failed(path, "its folder");
   struct stat there {};
   if (PADDLETRACK_CALL(-1, "socket_file.look", "EACCES", ::lstat(path.c_str(), &there)) == 0) {
     if (!S_ISSOCK(there.st_mode)) fail(path, "something that is no socket stands there; it is left as it is");
--- /dev/null
+++ b/tests/fault_test.cpp
@@ -0,0 +1,49 @@
+// Faults at numbered points, by the rig: a slice of all, and each one that was found to go wrong.
+#include <gtest/gtest.h>
+
+#include <array>
+#include <cstdio>
+#include <string>
+
+namespace paddletrack {
+namespace {
+
+struct Told {
+  int code = -1;
+  std::string text;
+  bool has(const std::string& what) const { return text.find(what) != std::string::npos; }
+};
+
+Told rig(const std::string& arguments) {
+  Told told;
+  FILE* out = ::popen((PADDLETRACK_RIG " faults " + arguments + " 2>&1").c_str(), "r");
+  std::array<char, 4096> bytes;
+  for (std::size_t got; (got = std::fread(bytes.data(), 1, bytes.size(), out)) > 0;)
+    told.text.append(bytes.data(), got);
+  told.code = ::pclose(out);
+  return told;
+}
+
+// One point: it was reached, and what came of it is as it should be.
+Told only(const std::string& point) {
+  Told told = rig("--only '" + point + "'");
+  EXPECT_EQ(told.code, 0) << told.text;
+  EXPECT_FALSE(told.has("not reached")) << told.text;
+  return told;
+}
+
+// A signal while the door's folder is locked by another that starts ended the process.
+TEST(Faults, ASignalDoesNotEndTheWaitForTheDoorsFolder) {
+  EXPECT_FALSE(only("socket_file.lock#1=EINTR").has("ended;"));
+}
+
+TEST(Faults, WhatCantBeHadAtTheStartIsNamedWithItsPlaceAndItsKind) {
+  const Told bind = only("front.bind#1=EADDRINUSE");
+  EXPECT_TRUE(bind.has(":18443: listen: Address already in use")) << bind.text;
+  EXPECT_TRUE(bind.has("(listen_failed)")) << bind.text;
+  const Told signals = only("signals.open#1=EMFILE");
+  EXPECT_TRUE(signals.has("signals: signalfd: Too many open files\n  (system_failed)")) << signals.text;
+}
+
+}  // namespace
+}  // namespace paddletrack
