Bytes that can't be queued end their connection

Cause: bad_alloc from the queue of unsent bytes went up through the desk; the answer was lost, the connection stayed and its client waited out its time (3.4 s of 3 s allowed). Half a message is none: the connection is shut, its peer told.

--- a/src/transport/connection.cpp
+++ b/src/transport/connection.cpp
@@ -150,10 +150,14 @@
 
 void Connection::queue(const Slice& piece) {
   if (failed_ || piece.size() == 0) return;
-  PADDLETRACK_TABLE("unsent");
   const bool unfair = unsent() + piece.size() > all_.most / Unsent::kFairParts;
   if (all_.held + piece.size() > (unfair ? all_.most : 2 * all_.most)) return shut();
-  pieces_.push_back(piece);
+  try {
+    PADDLETRACK_TABLE("unsent");
+    pieces_.push_back(piece);
+  } catch (const std::bad_alloc&) {  // half a message is none: the peer is told by the end
+    return shut();
+  }
   queued_ += piece.size();
   all_.held += piece.size();
   wanted_.set();
--- a/tests/fault_test.cpp
+++ b/tests/fault_test.cpp
@@ -32,6 +32,11 @@
   return told;
 }
 
+// The answer was lost on its way and nobody told: its client waited out its time.
+TEST(Faults, AnAnswerThatCantBeQueuedEndsItsConnection) {
+  for (const char* point : {"table.unsent#40=ENOMEM", "table.unsent#47=ENOMEM"}) only(point);
+}
+
 // A signal while the door's folder is locked by another that starts ended the process.
 TEST(Faults, ASignalDoesNotEndTheWaitForTheDoorsFolder) {
   EXPECT_FALSE(only("socket_file.lock#1=EINTR").has("ended;"));
