Dispatches held for a dial stay held until each is written

Cause: all were taken out of the list before the first was written; a failure there left the rest with a pointer to a connection that was gone (heap-use-after-free in giveUp at their time-out). Each leaves the list when its turn comes. Result: table.written#3 recovers, the dispatch counts as never run; before, the sanitizer ended the process.

--- a/src/routing/server_side.cpp
+++ b/src/routing/server_side.cpp
@@ -104,7 +104,16 @@
 
 void ServerSide::prove(Link& link) {
   link.proven = true;
-  for (Sending* each : std::exchange(link.held, {})) write(link, *each);
+  while (!link.held.empty()) {  // one at a time: what a failed one leaves is still held, and never ran
+    Sending& next = *link.held.front();
+    link.held.erase(link.held.begin());
+    try {
+      write(link, next);
+    } catch (const std::bad_alloc&) {
+      if (link.open.count(next.exchange.reference) == 0) link.held.push_back(&next);
+      throw;
+    }
+  }
 }
 
 void ServerSide::write(Link& link, Sending& sending) {
--- a/tests/fault_test.cpp
+++ b/tests/fault_test.cpp
@@ -32,6 +32,9 @@
   return told;
 }
 
+// Dispatches held for a dial were lost when the first of them could not be written.
+TEST(Faults, WhatCouldNotBeWrittenIsStillHeld) { only("table.written#3=ENOMEM"); }
+
 // The answer was lost on its way and nobody told: its client waited out its time.
 TEST(Faults, AnAnswerThatCantBeQueuedEndsItsConnection) {
   for (const char* point : {"table.unsent#40=ENOMEM", "table.unsent#47=ENOMEM"}) only(point);
