A job for which there is no memory is throttled, its connection goes on

Cause: the client side noted a job as open before the desk had it; where the desk's tables could not grow the job was gone, the note stayed (heap-use-after-free at the connection's end), and its reference counted as in use for good. The desk takes all or nothing, the client is told to come back: nothing has run. An answer that can't be made ends the connection. Result: four points recover with a throttled job; before, the sanitizer ended the process.

--- a/src/routing/client_side.cpp
+++ b/src/routing/client_side.cpp
@@ -123,7 +123,13 @@
     jobNamed_ = typeNamed_ = {};
     try {
       if (message.method == "submit" && call) {
-        submit(message);
+        try {
+          submit(message);
+        } catch (const std::bad_alloc&) {  // no room for it: the client may try again, nothing has run
+          open_.erase(message.sequence);
+          side_.say_("request", Error(ErrorKind::outOfMemory, "a job", "no memory for it, throttled"));
+          send(thrift::shed(message.sequence, std::nullopt));
+        }
       } else if (message.method == "revoke" && (call || message.kind == thrift::Kind::oneway)) {
         leave(thrift::readRevoke(message.arguments));
       } else if (message.method == "heartbeat" && call) {
@@ -202,6 +208,14 @@
   void answered(Exchange& exchange) override {
     open_.erase(exchange.sequence);
     since_ = side_.scheduler_.now();
+    try {
+      write(exchange);
+    } catch (const std::bad_alloc&) {  // its client is told by the end of the connection
+      connection_.shut();
+    }
+  }
+
+  void write(const Exchange& exchange) {
     switch (exchange.answer) {
       case Exchange::Answer::done: {
         std::size_t size = 0;
--- a/src/routing/desk.cpp
+++ b/src/routing/desk.cpp
@@ -36,10 +36,16 @@
 
 void Desk::take(std::unique_ptr<Exchange> taken) {
   Exchange& exchange = *taken;
-  PADDLETRACK_TABLE("references");
-  held_.insert(exchange.reference);
   PADDLETRACK_TABLE("jobs");
-  exchange.place = exchanges_.insert(exchanges_.end(), std::move(taken));
+  exchange.place = exchanges_.emplace(exchanges_.end());
+  try {
+    PADDLETRACK_TABLE("references");
+    held_.insert(exchange.reference);
+  } catch (const std::bad_alloc&) {
+    exchanges_.erase(exchange.place);
+    throw;
+  }
+  *exchange.place = std::move(taken);
   if (end_) exchange.expires = std::min(exchange.expires, *end_);
   ++counts_.taken;
   controller_.take(now(), exchange);
--- a/src/routing/desk.hpp
+++ b/src/routing/desk.hpp
@@ -38,6 +38,7 @@
     return held_.count(reference) > 0;
   }  // a job of it is alive
 
+  // Throws std::bad_alloc where there is no room for it: then it was never here.
   void take(std::unique_ptr<Exchange> taken);
   void left(Exchange& exchange);  // its client has
   void listed(const protocol::Change& change);
--- a/tests/fault_test.cpp
+++ b/tests/fault_test.cpp
@@ -32,6 +32,13 @@
   return told;
 }
 
+// The job stood among its connection's open ones and was gone: its client's end reached into freed memory.
+TEST(Faults, WithoutMemoryForAJobItIsThrottledAndTheConnectionGoesOn) {
+  for (const char* point :
+       {"table.exchange#3=ENOMEM", "table.open#3=ENOMEM", "table.jobs#3=ENOMEM", "table.references#3=ENOMEM"})
+    EXPECT_TRUE(only(point).has("throttled")) << point;
+}
+
 // Dispatches held for a dial were lost when the first of them could not be written.
 TEST(Faults, WhatCouldNotBeWrittenIsStillHeld) { only("table.written#3=ENOMEM"); }
 
