A decision that breaks off ends the process with an error of its kind

Cause: bad_alloc within a call of the decision module was caught as one connection's trouble; job, dispatches and counts were at odds from then on (null and freed pointers in later steps). The desk guards each step: serve says the error with its kind and ends with 1 at once, clients see their connections end, and the next start takes over.

--- a/src/program/serve.cpp
+++ b/src/program/serve.cpp
@@ -1,7 +1,9 @@
 #include "program/serve.hpp"
 
 #include <csignal>
+#include <cstdlib>
 
+#include "command/call.hpp"
 #include "operating/door.hpp"
 #include "operating/keeper.hpp"
 #include "program/log.hpp"
@@ -102,6 +104,7 @@
   bounds.links = {node.told.sharedBy, links, node.told.dialTimeout, node.told.idleClose,
                   owner.settings.prefer};
   routing::Desk desk(scheduler, unsent, node.told, bounds, node.seed, say);
+  desk.tellBroken([](const Error& error) { std::_Exit(command::told(error)); });
   for (const protocol::Change& change : node.changes) desk.listed(change);
   const std::size_t frame = std::min<std::size_t>(1 << 20, node.memoryBytes / kInputShare / connections);
   routing::ClientSide clients(scheduler, unsent, node.listen, {connections, frame, frame}, desk, say);
--- a/src/routing/desk.cpp
+++ b/src/routing/desk.cpp
@@ -24,7 +24,7 @@
       tellWithdrawn_(scheduler, [this] { tellWithdrawn(); }),
       wake_(scheduler,
             [this] {
-              controller_.woken(now());
+              decide([this] { controller_.woken(now()); });
               forgetEnded();
             }),
       servers_(scheduler, unsent, bounds.links, *this, say),
@@ -32,6 +32,18 @@
 
 Span Desk::now() const { return std::chrono::duration_cast<Span>(scheduler_.now() - start_); }
 
+// The module decides in steps, each with calls back to here: one that breaks off leaves job, dispatches and
+// counts at odds. Going on, or even taking all down in order, would answer from what is not so.
+template <typename Step>
+void Desk::decide(Step step) {
+  try {
+    step();
+  } catch (const std::exception& error) {
+    if (broken_) broken_(typed(error, "a decision under way"));
+    std::terminate();
+  }
+}
+
 // ---- what comes in --------------------------------------------------------------------------------------
 
 void Desk::take(std::unique_ptr<Exchange> taken) {
@@ -48,7 +60,7 @@
   *exchange.place = std::move(taken);
   if (end_) exchange.expires = std::min(exchange.expires, *end_);
   ++counts_.taken;
-  controller_.take(now(), exchange);
+  decide([&] { controller_.take(now(), exchange); });
   forgetEnded();
 }
 
@@ -56,7 +68,7 @@
   exchange.asker = nullptr;
   ++counts_.left;
   touch(exchange);
-  controller_.gaveUp(now(), exchange);
+  decide([&] { controller_.gaveUp(now(), exchange); });
   forgetEnded();
 }
 
@@ -87,7 +99,7 @@
   ++counts_.ends[static_cast<std::size_t>(outcome)];
   touch(sending.exchange);
   const bool over = sending.exchange.over || outcome == Outcome::done;
-  controller_.ended(now(), sending.dispatch, outcome, over, std::nullopt, nullptr);
+  decide([&] { controller_.ended(now(), sending.dispatch, outcome, over, std::nullopt, nullptr); });
   forgetEnded();
 }
 
@@ -144,13 +156,13 @@
     servers_.retire(*known);
     gone_.insert(known.get());
   }
-  controller_.listed(now(), change.whole, listings);
+  decide([&] { controller_.listed(now(), change.whole, listings); });
   forgetEnded();
 }
 
 void Desk::listFailed() {
   if (!std::exchange(asked_, false)) return;
-  controller_.listFailed(now());
+  decide([&] { controller_.listFailed(now()); });
   forgetEnded();
 }
 
@@ -182,7 +194,7 @@
   std::vector<Job*> jobs;
   for (const auto& each : exchanges_)
     if (!each->over) jobs.push_back(each.get());
-  controller_.letGo(now(), jobs);
+  decide([&] { controller_.letGo(now(), jobs); });
   forgetEnded();
 }
 
@@ -289,7 +301,7 @@
   }
   std::erase_if(gone_, [this](Executor* each) {
     if (each->known > 0 || !each->links.empty()) return false;
-    controller_.forget(*each);
+    decide([&] { controller_.forget(*each); });
     executors_.erase(std::string(each->id));
     return true;
   });
--- a/src/routing/desk.hpp
+++ b/src/routing/desk.hpp
@@ -47,6 +47,10 @@
   void answerBy(Span end);     // this process ends then: nothing is awaited for longer
   void endAll();               // each open job gets its final answer now
 
+  // Told where a decision could not be brought to its end: nothing it holds can be trusted any more. It must
+  // not return. Not set: std::terminate.
+  void tellBroken(std::function<void(const Error&)> to) { broken_ = std::move(to); }
+
   // Told of each job that got one, as soon as that is on its way.
   using Answered = std::function<void(const Exchange&)>;
   void tellAnswered(Answered to) { answered_ = std::move(to); }
@@ -88,6 +92,8 @@
 
   void ended(Sending& sending, Outcome outcome) override;
 
+  template <typename Step>
+  void decide(Step step);
   void tell(Sending& sending, Outcome outcome);
   void timedOut(Sending& sending);
   void tellWithdrawn();
@@ -106,6 +112,7 @@
   bool asked_ = false;  // for the list
   Totals counts_;
   Answered answered_;
+  std::function<void(const Error&)> broken_;
   std::list<std::unique_ptr<Exchange>> exchanges_;
   std::unordered_set<std::string> held_;  // their references
   std::unordered_map<std::string, std::unique_ptr<Executor>> executors_;
--- a/tests/fault_test.cpp
+++ b/tests/fault_test.cpp
@@ -39,6 +39,11 @@
     EXPECT_TRUE(only(point).has("throttled")) << point;
 }
 
+// The module's step broke off midway and the process went on from there, into null and freed pointers.
+TEST(Faults, ADecisionThatBreaksOffEndsTheProcessWithAnErrorOfItsKind) {
+  EXPECT_TRUE(only("table.dispatches#4=ENOMEM").has("(out_of_memory)"));
+}
+
 // Dispatches held for a dial were lost when the first of them could not be written.
 TEST(Faults, WhatCouldNotBeWrittenIsStillHeld) { only("table.written#3=ENOMEM"); }
 
