A stop that breaks off midway ends the process instead of never ending it

Cause: bad_alloc while SIGTERM cut the open jobs' times left the drain not told to stop; nothing looked again, and serve went on for good. Work on a signal that breaks off now ends the process with its error and exit 1. The rig counts an end with 1 after SIGTERM as an end, and --of plays every hit of one site and kind.

--- a/src/program/serve.cpp
+++ b/src/program/serve.cpp
@@ -74,7 +74,11 @@
 transport::Task<> heed(Signals& signals, std::function<void()> leaving, std::function<void()> reloading) {
   for (;;) {
     const int signal = co_await signals.next();
-    signal == SIGHUP ? reloading() : leaving();
+    try {
+      signal == SIGHUP ? reloading() : leaving();
+    } catch (const std::exception& error) {  // half told to end it would neither serve nor end
+      std::_Exit(command::told(typed(error, "a signal's work")));
+    }
   }
 }
 
--- a/src/rig/faults.cpp
+++ b/src/rig/faults.cpp
@@ -233,6 +233,7 @@
     if (killed && code == 128 + SIGKILL) {
       ended_ = true;
     } else if (ended_ || code != 0) {
+      ended_ = true;
       check(code == 1 || code == 2, "it ended with " + std::to_string(code));
       bool named = false;
       for (const ErrorRow& each : kErrorKinds)
@@ -362,6 +363,8 @@
     return 1;
   }
   const std::size_t cases = points.size();
+  if (!terms.of.empty())
+    std::erase_if(points, [&](const Point& each) { return each.site + "=" + each.kind != terms.of; });
   if (!terms.all) {
     // Sites first, hits after: one that is hit a thousand times is not drawn a thousand times as often.
     std::minstd_rand dice(terms.seed);
--- a/src/rig/main.cpp
+++ b/src/rig/main.cpp
@@ -48,6 +48,7 @@
       "faults", "fails one numbered point after another of a controller (a build with PADDLETRACK_FAULTS)");
   faults->add_flag("--all", wanted.all, "every point in every kind, not a drawn slice");
   faults->add_option("--only", wanted.only, "this one, and its log")->type_name("SITE#N=KIND");
+  faults->add_option("--of", wanted.of, "with --all: every hit of this one")->type_name("SITE=KIND");
   faults->add_option("--most", wanted.most, "points of the slice")->check(CLI::Range(1, 100000));
   faults->add_option("--seed", wanted.seed, "that draws the slice");
   faults->add_option("--workers", wanted.workers, "runs at once")->check(CLI::Range(1, 16));
--- a/src/rig/rig.hpp
+++ b/src/rig/rig.hpp
@@ -97,9 +97,10 @@
 int measureFleet(const std::string& program, const std::string& before, unsigned engines);
 int measureCost(const std::string& program, const std::string& before);
 // Faults at numbered points (src/fault/fault.hpp): all of them, `most` of them drawn by `seed`, or the one
-// named by `only` as SITE#N=KIND, with the controller's log; so many at once. Loopback 127.AREA.0.0/16.
+// named by `only` as SITE#N=KIND (`of`: all hits of SITE=KIND), with the controller's log; so many at once.
+// Loopback 127.AREA.0.0/16.
 struct FaultTerms {
-  std::string program, only;
+  std::string program, only, of;
   bool all = false;
   unsigned most = 40, seed = 1, workers = 4, area = 36;
 };
--- a/src/routing/desk.cpp
+++ b/src/routing/desk.cpp
@@ -182,6 +182,7 @@
 }
 
 void Desk::answerBy(Span end) {
+  PADDLETRACK_TABLE("answer_by");
   end_ = end;
   for (const auto& exchange : exchanges_) {
     exchange->expires = std::min(exchange->expires, end);
--- a/tests/fault_test.cpp
+++ b/tests/fault_test.cpp
@@ -73,6 +73,11 @@
     only(point);
 }
 
+// SIGTERM was half done: no time was set at which to look again, and the process went on for good.
+TEST(Faults, AStopThatBreaksOffEndsTheProcess) {
+  EXPECT_TRUE(only("table.answer_by#1=ENOMEM").has("a signal's work: no memory")) << "it went on";
+}
+
 TEST(Faults, WhatCantBeHadAtTheStartIsNamedWithItsPlaceAndItsKind) {
   const Told bind = only("front.bind#1=EADDRINUSE");
   EXPECT_TRUE(bind.has(":18443: listen: Address already in use")) << bind.text;
