--- a/src/operating/door.cpp
+++ b/src/operating/door.cpp
@@ -8,8 +8,9 @@
 
 #include <cerrno>
 #include <cstring>
-#include <stdexcept>
 
+#include "base/error.hpp"
+#include "fault/fault.hpp"
 #include "operating/words.hpp"
 
 namespace paddletrack::operating {
@@ -21,10 +22,10 @@
 constexpr std::size_t kUsualInput = 1024;
 
 [[noreturn]] void fail(const std::string& path, const std::string& what) {
-  throw std::runtime_error("door.socket: " + path + ": " + what);
+  throw Error(ErrorKind::doorFailed, "door.socket: " + path, what);
 }
 [[noreturn]] void failed(const std::string& path, const char* what) {
-  fail(path, std::string(what) + ": " + std::strerror(errno));
+  throw SystemErrorOf<ErrorKind::doorFailed>("door.socket: " + path, what, errno);
 }
 
 struct Owned {
@@ -36,9 +37,12 @@
 
 // Whether a process listens there; a full backlog is a sign of one as well.
 bool alive(const transport::Address& address) {
-  Owned probe{::socket(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0)};
+  Owned probe{PADDLETRACK_CALL(-1, "socket_file.probe", "EMFILE",
+                               ::socket(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0))};
   if (probe.fd < 0) return true;
-  return ::connect(probe.fd, address.raw(), address.length()) == 0 || errno != ECONNREFUSED;
+  return PADDLETRACK_CALL(-1, "socket_file.connect", "again EACCES",
+                          ::connect(probe.fd, address.raw(), address.length())) == 0 ||
+         errno != ECONNREFUSED;
 }
 
 }  // namespace
@@ -47,26 +51,33 @@
   const transport::Address address("unix:" + path);
   const std::size_t slash = path.rfind('/');
   // Two that start at once must not take each other's fresh socket for a dead one.
-  Owned folder{::open(slash == 0 ? "/" : path.substr(0, slash).c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC)};
+  Owned folder{PADDLETRACK_CALL(
+      -1, "socket_file.folder", "EMFILE EACCES",
+      ::open(slash == 0 ? "/" : path.substr(0, slash).c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC))};
   if (folder.fd < 0) failed(path, "its folder");
-  if (::flock(folder.fd, LOCK_EX) != 0) failed(path, "its folder");
+  while (PADDLETRACK_CALL(-1, "socket_file.lock", "EINTR ENOMEM", ::flock(folder.fd, LOCK_EX)) != 0)
+    if (errno != EINTR) failed(path, "its folder");
   struct stat there {};
-  if (::lstat(path.c_str(), &there) == 0) {
+  if (PADDLETRACK_CALL(-1, "socket_file.look", "EACCES", ::lstat(path.c_str(), &there)) == 0) {
     if (!S_ISSOCK(there.st_mode)) fail(path, "something that is no socket stands there; it is left as it is");
     if (alive(address)) fail(path, "another process listens there");
-    if (::unlink(path.c_str()) != 0) failed(path, "the dead socket there can't be removed");
+    if (PADDLETRACK_CALL(-1, "socket_file.take_over", "EACCES", ::unlink(path.c_str())) != 0)
+      failed(path, "the dead socket there can't be removed");
   } else if (errno != ENOENT) {
     failed(path, "can't be looked at");
   }
-  Owned made{::socket(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0)};
+  Owned made{PADDLETRACK_CALL(-1, "socket_file.socket", "EMFILE ENOMEM",
+                              ::socket(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0))};
   if (made.fd < 0) failed(path, "socket");
   const mode_t before = ::umask(0177);
-  const bool bound = ::bind(made.fd, address.raw(), address.length()) == 0;
+  const bool bound = PADDLETRACK_CALL(-1, "socket_file.bind", "EADDRINUSE EACCES",
+                                      ::bind(made.fd, address.raw(), address.length())) == 0;
   const int error = errno;
   ::umask(before);
   errno = error;
   if (!bound) failed(path, "can't be made");
-  if (::lstat(path.c_str(), &there) != 0 || ::listen(made.fd, kBacklog) != 0) {
+  if (PADDLETRACK_CALL(-1, "socket_file.look_again", "EACCES", ::lstat(path.c_str(), &there)) != 0 ||
+      PADDLETRACK_CALL(-1, "socket_file.listen", "EADDRINUSE", ::listen(made.fd, kBacklog)) != 0) {
     const int cause = errno;
     ::unlink(path.c_str());
     errno = cause;
@@ -82,7 +93,8 @@
 SocketFile::~SocketFile() {
   if (fd_ >= 0) ::close(fd_);
   struct stat there {};
-  if (::lstat(path_.c_str(), &there) == 0 && there.st_dev == device_ && there.st_ino == inode_)
+  if (PADDLETRACK_CALL(-1, "socket_file.end", "EACCES", ::lstat(path_.c_str(), &there)) == 0 &&
+      there.st_dev == device_ && there.st_ino == inode_)
     ::unlink(path_.c_str());
 }
 
@@ -204,7 +216,8 @@
     try {
       std::unique_ptr<transport::Descriptor> accepted = co_await listener_.accept();
       if (sessions_.size() >= terms_.clients) {
-        say_("door", "full: " + std::to_string(terms_.clients) + " clients", {}, Level::warning);
+        say_("door", Error(ErrorKind::doorFull, terms_.socket,
+                           "full: " + std::to_string(terms_.clients) + " clients"));
         const std::string busy =
             refusal("null", "busy", "the door has as many clients as it may (door.clients)");
         ::send(accepted->fd(), busy.data(), busy.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
@@ -212,7 +225,7 @@
         running_.spawn(serve(std::move(accepted)));
       }
     } catch (const std::exception& error) {
-      say_("door", error.what(), {}, Level::warning);
+      say_("door", Error(ErrorKind::acceptFailed, terms_.socket, error.what()));
     }
     co_await scheduler_.turn();
   }
@@ -221,7 +234,9 @@
 bool Door::letIn(int fd, std::string& who) const {
   ucred peer{};
   socklen_t size = sizeof peer;
-  if (::getsockopt(fd, SOL_SOCKET, SO_PEERCRED, &peer, &size) != 0) return false;
+  if (PADDLETRACK_CALL(fd, "credentials", "ENOMEM",
+                       ::getsockopt(fd, SOL_SOCKET, SO_PEERCRED, &peer, &size)) != 0)
+    return false;
   who = "user " + std::to_string(peer.uid) + " process " + std::to_string(peer.pid);
   return peer.uid == ::geteuid() || peer.uid == 0;
 }
@@ -229,7 +244,7 @@
 transport::Task<> Door::serve(std::unique_ptr<transport::Descriptor> accepted) {
   std::string who = "somebody unknown";
   if (!letIn(accepted->fd(), who)) {
-    say_("door", who + " is not let in", {}, Level::warning);
+    say_("door", Error(ErrorKind::notLetIn, terms_.socket, who + " is not let in"));
     co_return;
   }
   Session session(*this, std::move(accepted), std::move(who));
--- a/src/operating/settings.cpp
+++ b/src/operating/settings.cpp
@@ -10,6 +10,7 @@
 #include <optional>
 #include <sstream>
 
+#include "fault/fault.hpp"
 #include "transport/connection.hpp"
 
 namespace paddletrack::operating {
@@ -243,8 +244,9 @@
   explicit Reading(const std::string& path) : path_(path) {}
 
   [[noreturn]] void wrong(hcl::Place at, const std::string& key, const std::string& what) const {
-    throw Miswritten(path_ + ":" + std::to_string(at.line) + ":" + std::to_string(at.column) + ": " +
-                     (key.empty() ? "" : key + ": ") + what);
+    throw Miswritten(path_ + ":" + std::to_string(at.line) + ":" + std::to_string(at.column) +
+                         (key.empty() ? "" : ": " + key),
+                     what);
   }
 
   [[noreturn]] void unknown(hcl::Place at, const std::string& what, const std::string& name,
@@ -418,12 +420,14 @@
 Settings readSettings(const std::string& path) {
   std::ifstream file(path, std::ios::binary);
   std::ostringstream text;
-  if (!file || !(text << file.rdbuf())) throw Miswritten(path + ": can't be read");
+  if (PADDLETRACK_CALL(-1, "operators_file.open", "EMFILE ENOENT", 0) != 0 || !file ||
+      !(text << file.rdbuf()))
+    throw FileUnreadable(path, "can't be read");
   try {
     return settingsOf(hcl::parse(text.str()), path);
   } catch (const hcl::Wrong& error) {
-    throw Miswritten(path + ":" + std::to_string(error.place.line) + ":" +
-                     std::to_string(error.place.column) + ": " + error.what());
+    throw Miswritten(path + ":" + std::to_string(error.place.line) + ":" + std::to_string(error.place.column),
+                     error.what());
   }
 }
 
--- a/src/program/serve.cpp
+++ b/src/program/serve.cpp
@@ -1,8 +1,10 @@
 #include "program/serve.hpp"
 
 #include <csignal>
+#include <cstdlib>
 #include <functional>
 
+#include "command/call.hpp"
 #include "operating/door.hpp"
 #include "operating/keeper.hpp"
 #include "program/log.hpp"
@@ -18,6 +20,7 @@
 
 using std::chrono::milliseconds;
 
+constexpr const char* kNotTaken = "not taken, the old one stays: ";
 constexpr milliseconds kCounted{10000};  // between lines of counts
 
 // How the limits told are shared out.
@@ -47,7 +50,7 @@
     say("configuration",
         follower.move(read.changeLog) ? "read again: the change log has moved" : "read again");
   } catch (const std::exception& error) {
-    say("configuration", std::string("not taken, the old one stays: ") + error.what(), {}, Level::warning);
+    say("configuration", typed(error, path), {}, Level::warning, kNotTaken);
   }
 }
 
@@ -85,7 +88,7 @@
     log.change(owner.form(), owner.level(), owner.settings.topicLevels);
     say("configuration", "the operator's file is read again");
   } catch (const std::exception& error) {
-    say("configuration", std::string("not taken, the old one stays: ") + error.what(), {}, Level::warning);
+    say("configuration", typed(error, owner.path), {}, Level::warning, kNotTaken);
   }
 }
 
@@ -216,7 +219,11 @@
 transport::Task<> heed(Signals& signals, std::function<void()> leaving, std::function<void()> reloading) {
   for (;;) {
     const int signal = co_await signals.next();
-    signal == SIGHUP ? reloading() : leaving();
+    try {
+      signal == SIGHUP ? reloading() : leaving();
+    } catch (const std::exception& error) {  // half told to end it would neither serve nor end
+      std::_Exit(command::told(typed(error, "a signal's work")));
+    }
   }
 }
 
@@ -238,8 +245,8 @@
   const std::size_t used = kOwnDescriptors + (hasDoor ? owner.settings.door.clients + 2 : 0) +
                            (owner.settings.share.listen.empty() ? 0 : 1);
   if (used + kLeastShared > node.descriptors)
-    throw Misconfigured("door.clients: " + std::to_string(owner.settings.door.clients) +
-                        " leave too few of limits.sockets");
+    throw Misconfigured(owner.path + ": door.clients",
+                        std::to_string(owner.settings.door.clients) + " leave too few of limits.sockets");
   const std::size_t connections = (node.descriptors - used) * 2 / 3;
   const std::size_t links = node.descriptors - used - connections;
   routing::Desk::Bounds bounds;
@@ -247,6 +254,7 @@
   bounds.links = {node.told.sharedBy, links, node.told.dialTimeout, node.told.idleClose,
                   owner.settings.prefer};
   routing::Desk desk(scheduler, unsent, node.told, bounds, node.seed, say);
+  desk.tellBroken([](const Error& error) { std::_Exit(command::told(error)); });
   for (const protocol::Change& change : node.changes) desk.listed(change);
   const std::size_t frame = std::min<std::size_t>(1 << 20, node.memoryBytes / kInputShare / connections);
   routing::ClientSide clients(scheduler, unsent, node.listen, {connections, frame, frame}, desk, say);
@@ -297,7 +305,9 @@
   }
 
   Signals signals(scheduler);
-  transport::Group running(scheduler, [&](const char* what) { say("leaving", what, {}, Level::error); });
+  transport::Group running(scheduler, [&](const char* what) {
+    say("leaving", Error(ErrorKind::unexpected, "", what), {}, Level::error);
+  });
   running.spawn(heed(
       signals, [&] { keeper.stop(); },
       [&] {
--- a/src/program/signals.cpp
+++ b/src/program/signals.cpp
@@ -3,8 +3,12 @@
 #include <sys/signalfd.h>
 #include <unistd.h>
 
+#include <cerrno>
 #include <csignal>
 
+#include "base/error.hpp"
+#include "fault/fault.hpp"
+
 namespace paddletrack::program {
 namespace {
 
@@ -17,7 +21,11 @@
 
 int opened() {
   const sigset_t wanted = heeded();
-  return ::signalfd(-1, &wanted, SFD_NONBLOCK | SFD_CLOEXEC);
+  const int fd = PADDLETRACK_CALL(-1, "signals.open", "EMFILE ENOMEM",
+                                  ::signalfd(-1, &wanted, SFD_NONBLOCK | SFD_CLOEXEC));
+  if (fd < 0) throw SystemFailed("signals", "signalfd", errno);
+  PADDLETRACK_MARK(role(fd, "signals"));
+  return fd;
 }
 
 }  // namespace
@@ -33,8 +41,10 @@
 transport::Task<int> Signals::next() {
   for (;;) {
     signalfd_siginfo told{};
-    if (::read(descriptor_.fd(), &told, sizeof told) == static_cast<ssize_t>(sizeof told))
-      co_return static_cast<int>(told.ssi_signo);
+    const ssize_t got = PADDLETRACK_CALL(descriptor_.fd(), "read", "again EINTR",
+                                         ::read(descriptor_.fd(), &told, sizeof told));
+    if (got == static_cast<ssize_t>(sizeof told)) co_return static_cast<int>(told.ssi_signo);
+    if (got < 0 && errno == EINTR) continue;  // no new event comes for what is there already
     co_await descriptor_.readable.wait();
   }
 }
--- a/src/rig/main.cpp
+++ b/src/rig/main.cpp
@@ -85,6 +85,16 @@
   start->add_option("--before", cold.before, "an earlier build of the program to compare with");
   start->add_option("--with", cold.operatorsFile, "the operator's file's text when on");
   start->add_flag("--json", cold.json);
+  FaultTerms wanted;
+  CLI::App* faults = app.add_subcommand(
+      "faults", "fails one numbered point after another of a controller (a build with PADDLETRACK_FAULTS)");
+  faults->add_flag("--all", wanted.all, "every point in every kind, not a drawn slice");
+  faults->add_option("--only", wanted.only, "this one, and its log")->type_name("SITE#N=KIND");
+  faults->add_option("--of", wanted.of, "with --all: every hit of this one")->type_name("SITE=KIND");
+  faults->add_option("--most", wanted.most, "points of the slice")->check(CLI::Range(1, 100000));
+  faults->add_option("--seed", wanted.seed, "that draws the slice");
+  faults->add_option("--workers", wanted.workers, "runs at once")->check(CLI::Range(1, 16));
+  faults->add_option("--area", wanted.area, "of loopback: 127.AREA.x.x")->check(CLI::Range(1, 250));
   CLI11_PARSE(app, argc, argv);
   try {
     cold.knows = !empty;
@@ -101,6 +111,10 @@
       return played > 0 ? measureWhere(program, played, moved, phase) : measureRebalance(small);
     if (hindsight->parsed()) return measureHindsight(days, workers, firstDay);
     if (share->parsed()) return measureShare(program, fleets, shared);
+    if (faults->parsed()) {
+      wanted.program = program;
+      return injectFaults(wanted);
+    }
     if (soak->parsed()) return measureSoak(program, soaked, minutes);
     return measureCost(program, before);
   } catch (const std::exception& error) {
--- a/src/rig/rig.hpp
+++ b/src/rig/rig.hpp
@@ -99,6 +99,15 @@
 int measureRebalance(unsigned fleets);
 int measureWhere(const std::string& program, unsigned rounds, double perSecond, unsigned phaseSeconds);
 int measureShare(const std::string& program, const std::vector<unsigned>& fleets, unsigned rounds);
+// Faults at numbered points (src/fault/fault.hpp): all of them, `most` of them drawn by `seed`, or the one
+// named by `only` as SITE#N=KIND (`of`: all hits of SITE=KIND), with the controller's log; so many at once.
+// Loopback 127.AREA.0.0/16.
+struct FaultTerms {
+  std::string program, only, of;
+  bool all = false;
+  unsigned most = 40, seed = 1, workers = 4, area = 36;
+};
+int injectFaults(const FaultTerms& terms);
 int measureSoak(const std::string& program, double perSecond, double minutes);
 int measureHindsight(unsigned days, unsigned workers, std::uint64_t seed);
 
--- a/src/routing/desk.cpp
+++ b/src/routing/desk.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <exception>
 
+#include "fault/fault.hpp"
+
 namespace paddletrack::routing {
 
 namespace {
@@ -22,7 +24,7 @@
       tellWithdrawn_(scheduler, [this] { tellWithdrawn(); }),
       wake_(scheduler,
             [this] {
-              controller_.woken(now());
+              decide([this] { controller_.woken(now()); });
               forgetEnded();
             }),
       servers_(scheduler, unsent, bounds.links, *this, say),
@@ -30,15 +32,35 @@
 
 Span Desk::now() const { return std::chrono::duration_cast<Span>(scheduler_.now() - start_); }
 
+// The module decides in steps, each with calls back to here: one that breaks off leaves job, dispatches and
+// counts at odds. Going on, or even taking all down in order, would answer from what is not so.
+template <typename Step>
+void Desk::decide(Step step) {
+  try {
+    step();
+  } catch (const std::exception& error) {
+    if (broken_) broken_(typed(error, "a decision under way"));
+    std::terminate();
+  }
+}
+
 // ---- what comes in --------------------------------------------------------------------------------------
 
 void Desk::take(std::unique_ptr<Exchange> taken) {
   Exchange& exchange = *taken;
-  held_.insert(exchange.reference);
-  exchange.place = exchanges_.insert(exchanges_.end(), std::move(taken));
+  PADDLETRACK_TABLE("jobs");
+  exchange.place = exchanges_.emplace(exchanges_.end());
+  try {
+    PADDLETRACK_TABLE("references");
+    held_.insert(exchange.reference);
+  } catch (const std::bad_alloc&) {
+    exchanges_.erase(exchange.place);
+    throw;
+  }
+  *exchange.place = std::move(taken);
   if (end_) exchange.expires = std::min(exchange.expires, *end_);
   ++counts_.taken;
-  controller_.take(now(), exchange);
+  decide([&] { controller_.take(now(), exchange); });
   forgetEnded();
 }
 
@@ -47,7 +69,7 @@
   ++counts_.left;
   if (recorder_) recorder_->over(now(), exchange, false);
   touch(exchange);
-  controller_.gaveUp(now(), exchange);
+  decide([&] { controller_.gaveUp(now(), exchange); });
   forgetEnded();
 }
 
@@ -78,7 +100,7 @@
   ++counts_.ends[static_cast<std::size_t>(outcome)];
   touch(sending.exchange);
   const bool over = sending.exchange.over || outcome == Outcome::done;
-  controller_.ended(now(), sending.dispatch, outcome, over, std::nullopt, nullptr);
+  decide([&] { controller_.ended(now(), sending.dispatch, outcome, over, std::nullopt, nullptr); });
   forgetEnded();
 }
 
@@ -92,8 +114,10 @@
       listing.kind = static_cast<unsigned>(protocol::placeOf(told_.machineNames, entry.kind, "kind"));
       if (entry.more.empty()) transport::Address{entry.address};  // throws where it is none
     } catch (const std::exception& error) {
-      say_("changelog", "executor " + entry.id + " passed over: " + error.what(), {{"engine", entry.id}},
-           Level::warning);
+      say_("changelog",
+           Error(ErrorKind::entryUnusable, "executor " + entry.id,
+                 std::string("passed over: ") + error.what()),
+           {{"engine", entry.id}});
       continue;
     }
     listing.cell = entry.cell;
@@ -102,14 +126,17 @@
       const std::chrono::system_clock::time_point started{std::chrono::milliseconds(entry.startedMs)};
       listing.started = std::chrono::duration_cast<Span>(started - startOnClock_);
     }
-    std::unique_ptr<Executor>& known = executors_[entry.id];
-    if (!known) {
-      known = std::make_unique<Executor>();
-      known->id = entry.id;
-      known->number = ++numbers_;
-      say_("list", "engine " + std::to_string(known->number) + " is executor " + entry.id,
-           {{"engine", entry.id}, {"number", std::to_string(known->number)}});
+    auto at = executors_.find(entry.id);
+    if (at == executors_.end()) {
+      auto made = std::make_unique<Executor>();
+      made->id = entry.id;
+      PADDLETRACK_TABLE("executors");
+      at = executors_.emplace(entry.id, std::move(made)).first;
+      at->second->number = ++numbers_;
+      say_("list", "engine " + std::to_string(at->second->number) + " is executor " + entry.id,
+           {{"engine", entry.id}, {"number", std::to_string(at->second->number)}});
     }
+    Executor* const known = at->second.get();
     // Another process answers there now, or none: what is open may still end, nothing new goes that way.
     const bool same = known->listing.started == listing.started;
     if (listing.standing != Standing::ready || !same) servers_.retire(*known);
@@ -117,9 +144,9 @@
     if (std::find(names.begin(), names.end(), entry.address) == names.end())
       names.insert(names.begin(), entry.address);
     servers_.readdress(*known, names, !same);
-    gone_.erase(known.get());
-    if (listing.standing == Standing::gone) gone_.insert(known.get());
-    listings.emplace_back(known.get(), listing);
+    gone_.erase(known);
+    if (listing.standing == Standing::gone) gone_.insert(known);
+    listings.emplace_back(known, listing);
   }
   // What a whole list leaves out has gone as well.
   const auto named = [&](const Executor* each) {
@@ -130,13 +157,13 @@
     servers_.retire(*known);
     gone_.insert(known.get());
   }
-  controller_.listed(now(), change.whole, listings);
+  decide([&] { controller_.listed(now(), change.whole, listings); });
   forgetEnded();
 }
 
 void Desk::listFailed() {
   if (!std::exchange(asked_, false)) return;
-  controller_.listFailed(now());
+  decide([&] { controller_.listFailed(now()); });
   forgetEnded();
 }
 
@@ -156,6 +183,7 @@
 }
 
 void Desk::answerBy(Span end) {
+  PADDLETRACK_TABLE("answer_by");
   end_ = end;
   for (const auto& exchange : exchanges_) {
     exchange->expires = std::min(exchange->expires, end);
@@ -168,7 +196,7 @@
   std::vector<Job*> jobs;
   for (const auto& each : exchanges_)
     if (!each->over) jobs.push_back(each.get());
-  controller_.letGo(now(), jobs);
+  decide([&] { controller_.letGo(now(), jobs); });
   forgetEnded();
 }
 
@@ -189,6 +217,7 @@
 
 void Desk::dispatch(Dispatch& made) {
   if (recorder_) recorder_->started(made);
+  PADDLETRACK_TABLE("dispatches");
   Exchange& exchange = exchangeOf(*made.job);
   exchange.sendings.push_back(std::make_unique<Sending>(exchange, made, scheduler_));
   Sending& sending = *exchange.sendings.back();
@@ -287,7 +316,7 @@
   }
   std::erase_if(gone_, [this](Executor* each) {
     if (each->known > 0 || !each->links.empty()) return false;
-    controller_.forget(*each);
+    decide([&] { controller_.forget(*each); });
     executors_.erase(std::string(each->id));
     return true;
   });
--- a/src/routing/desk.hpp
+++ b/src/routing/desk.hpp
@@ -39,6 +39,7 @@
     return held_.count(reference) > 0;
   }  // a job of it is alive
 
+  // Throws std::bad_alloc where there is no room for it: then it was never here.
   void take(std::unique_ptr<Exchange> taken);
   void left(Exchange& exchange);  // its client has
   void listed(const protocol::Change& change);
@@ -48,6 +49,9 @@
   void endAll();               // each open job gets its final answer now
 
   void lookBack(hindsight::Recorder& recorder);  // keeps records of all decisions from here on
+  // Told where a decision could not be brought to its end: nothing it holds can be trusted any more. It must
+  // not return. Not set: std::terminate.
+  void tellBroken(std::function<void(const Error&)> to) { broken_ = std::move(to); }
 
   // Told of each job that got one, as soon as that is on its way.
   using Answered = std::function<void(const Exchange&)>;
@@ -102,6 +106,8 @@
 
   void ended(Sending& sending, Outcome outcome) override;
 
+  template <typename Step>
+  void decide(Step step);
   void tell(Sending& sending, Outcome outcome);
   void timedOut(Sending& sending);
   void tellWithdrawn();
@@ -122,6 +128,7 @@
   Answered answered_;
   Leaning* leaning_ = nullptr;
   hindsight::Recorder* recorder_ = nullptr;
+  std::function<void(const Error&)> broken_;
   std::list<std::unique_ptr<Exchange>> exchanges_;
   std::unordered_set<std::string> held_;  // their references
   std::unordered_map<std::string, std::unique_ptr<Executor>> executors_;
--- a/src/routing/follower.cpp
+++ b/src/routing/follower.cpp
@@ -5,6 +5,8 @@
 #include <exception>
 #include <utility>
 
+#include "fault/fault.hpp"
+
 namespace paddletrack::routing {
 namespace {
 
@@ -29,9 +31,15 @@
   begin();
 }
 
+std::string Follower::where() const { return "the list at " + log_.text(); }
+
+void Follower::said(ErrorKind kind, const std::string& what) {
+  say_("changelog", Error(kind, where(), what));
+}
+
 void Follower::begin() {
-  running_ =
-      std::make_unique<transport::Group>(scheduler_, [this](const char* what) { say_("changelog", what); });
+  running_ = std::make_unique<transport::Group>(
+      scheduler_, [this](const char* what) { said(ErrorKind::unexpected, what); });
   running_->spawn(follow(++way_));
 }
 
@@ -78,10 +86,11 @@
     try {
       how = co_await session(way);
     } catch (const protocol::Unreadable& error) {
-      say_("changelog", std::string(nonsense_ > 0 ? "read afresh: " : "read again: ") + error.what());
+      said(ErrorKind::listUnreadable,
+           std::string(nonsense_ > 0 ? "read afresh: " : "read again: ") + error.what());
       if (way == way_ && ++nonsense_ > 1) last_ = 0;
     } catch (const std::exception& error) {
-      say_("changelog", error.what());
+      say_("changelog", typed(error, where()));
     }
     if (way != way_) co_return;
     dials_.ended(desk_.now(), said_ ? End::told : how, desk_.ready());
@@ -98,9 +107,10 @@
 }
 
 transport::Task<Follower::End> Follower::session(std::uint64_t way) {
+  PADDLETRACK_MARK(dials("list"));
   transport::Dialled dialled = co_await transport::dial(scheduler_, log_, scheduler_.now() + kDial);
   if (!dialled.descriptor) {
-    say_("changelog", std::string("out of reach: ") + std::strerror(dialled.error));
+    said(ErrorKind::listUnreachable, std::string("out of reach: ") + std::strerror(dialled.error));
     co_return End::unreachable;
   }
   transport::Connection connection(scheduler_, std::move(dialled.descriptor), kUsualInput, kMostInput,
@@ -121,7 +131,8 @@
   }
   if (input.full()) throw protocol::Unreadable("a line without an end");
   const bool silent = connection.end() == transport::Connection::End::none;
-  say_("changelog", silent ? "silent: connecting anew" : "cut: connecting anew");
+  silent ? said(ErrorKind::listSilent, "silent: connecting anew")
+         : said(ErrorKind::listCut, "cut: connecting anew");
   co_return silent && !said_ ? End::silent : End::refused;
 }
 
@@ -149,8 +160,8 @@
   if (!follows && nonsense_ < 3)
     throw protocol::Unreadable("nothing of " + std::to_string(last_ + 1) + " before " +
                                std::to_string(read.number));
-  last_ = read.number;
   if (read.change) desk_.listed(*read.change);
+  last_ = read.number;  // not before: what could not be taken in is asked for again
 }
 
 }  // namespace paddletrack::routing
--- a/src/routing/follower.hpp
+++ b/src/routing/follower.hpp
@@ -40,6 +40,8 @@
   transport::Task<> moveAt(transport::Moment moment);
   transport::Task<End> session(std::uint64_t way);
   void line(std::string_view text, std::uint64_t way);
+  std::string where() const;
+  void said(ErrorKind kind, const std::string& what);
 
   transport::Scheduler& scheduler_;
   transport::Unsent& unsent_;
--- a/src/routing/server_side.cpp
+++ b/src/routing/server_side.cpp
@@ -5,6 +5,8 @@
 #include <cstring>
 #include <tuple>
 
+#include "fault/fault.hpp"
+
 namespace paddletrack::routing {
 namespace {
 
@@ -36,7 +38,8 @@
                       for (Sending* each : std::exchange(unplaced_, {}))
                         ends_.ended(*each, Outcome::unreachable);
                     }),
-      running_(scheduler, [this](const char* what) { say_("executor", what); }) {}
+      running_(scheduler,
+               [this](const char* what) { say_("executor", Error(ErrorKind::unexpected, "", what)); }) {}
 
 void ServerSide::send(Sending& sending) {
   Link* link = pick(sending);
@@ -84,10 +87,13 @@
   if ((best && best->load() == 0) || (silent && proving)) return best;
   if (best && links_.size() >= bounds_.links - bounds_.links / kSpareParts) return best;
   if (links_.size() + beside_ >= bounds_.links) {
-    say_("descriptors", "no connection is left for another dispatch", {{"engine", executor.id}},
-         Level::warning);
+    say_("descriptors",
+         Error(ErrorKind::descriptorsShort, "executor " + executor.id,
+               "no connection is left for another dispatch"),
+         {{"engine", executor.id}});
     return nullptr;
   }
+  PADDLETRACK_TABLE("links");
   links_.emplace_front(executor, ++serials_);
   best = &links_.front();
   best->place = links_.begin();
@@ -98,10 +104,20 @@
 
 void ServerSide::prove(Link& link) {
   link.proven = true;
-  for (Sending* each : std::exchange(link.held, {})) write(link, *each);
+  while (!link.held.empty()) {  // one at a time: what a failed one leaves is still held, and never ran
+    Sending& next = *link.held.front();
+    link.held.erase(link.held.begin());
+    try {
+      write(link, next);
+    } catch (const std::bad_alloc&) {
+      if (link.open.count(next.exchange.reference) == 0) link.held.push_back(&next);
+      throw;
+    }
+  }
 }
 
 void ServerSide::write(Link& link, Sending& sending) {
+  PADDLETRACK_TABLE("written");
   const Exchange& exchange = sending.exchange;
   protocol::resp::Terms terms;
   const auto left = std::chrono::ceil<std::chrono::milliseconds>(sending.until - scheduler_.now());
@@ -175,8 +191,12 @@
       static_cast<double>(dice_() - dice_.min()) / static_cast<double>(dice_.max() - dice_.min());
   const bool several = executor.routes.all().size() > 1;
   if (several && lesson != reach::Lesson::good)
-    say_("address", "executor " + executor.id + " at " + route + ": " + nameOf(lesson),
-         {{"engine", executor.id}, {"address", route}}, Level::warning);
+    say_(
+        "address",
+        Error(lesson == reach::Lesson::refused || lesson == reach::Lesson::noAnswer ? ErrorKind::connectFailed
+                                                                                    : ErrorKind::peerSilent,
+              "executor " + executor.id + " at " + route, nameOf(lesson)),
+        {{"engine", executor.id}, {"address", route}});
   if (several && lesson == reach::Lesson::good && executor.routes.failed(route))
     say_("address", "executor " + executor.id + " at " + route + ": good again",
          {{"engine", executor.id}, {"address", route}});
@@ -194,14 +214,17 @@
                                                                   : reach::Family::ipv4;
       if (addresses.emplace(each, address).second) named.push_back({each, family});
     } catch (const std::invalid_argument& error) {
-      say_("changelog", "executor " + executor.id + ": address passed over: " + error.what(),
-           {{"engine", executor.id}}, Level::warning);
+      say_("changelog",
+           Error(ErrorKind::entryUnusable, "executor " + executor.id,
+                 std::string("address passed over: ") + error.what()),
+           {{"engine", executor.id}});
     }
   }
   if (const std::size_t leftOut = executor.routes.list(named, another); leftOut > 0)
     say_("changelog",
-         "executor " + executor.id + ": " + std::to_string(leftOut) + " addresses too many, passed over",
-         {{"engine", executor.id}}, Level::warning);
+         Error(ErrorKind::entryUnusable, "executor " + executor.id,
+               std::to_string(leftOut) + " addresses too many, passed over"),
+         {{"engine", executor.id}});
   executor.addresses = std::move(addresses);
   for (Link* link : std::vector<Link*>(executor.links)) {
     if (link->route.empty() || executor.addresses.count(link->route) > 0) continue;
@@ -254,6 +277,7 @@
   Executor& executor = link.executor;
   const auto at = executor.addresses.find(made.route);
   if (at != executor.addresses.end()) {
+    PADDLETRACK_MARK(dials("executor"));
     transport::Dialled dialled =
         co_await transport::dial(scheduler_, at->second, scheduler_.now() + bounds_.dialTimeout);
     made.roundTrip = clock() - made.begun;
@@ -276,8 +300,9 @@
       }
     } else if (!dialled.descriptor) {
       if (dialled.error == ETIMEDOUT) made.lesson = reach::Lesson::noAnswer;
-      say_("dial", "executor " + executor.id + ": no connection: " + std::strerror(dialled.error),
-           {{"engine", executor.id}, {"address", made.route}}, Level::warning);
+      say_("dial",
+           SystemErrorOf<ErrorKind::connectFailed>("executor " + executor.id, "no connection", dialled.error),
+           {{"engine", executor.id}, {"address", made.route}});
     }
   }
   made.ended = true;
@@ -344,8 +369,11 @@
   try {
     co_await work(link);
   } catch (const std::exception& error) {
-    say_("executor", "executor " + link.executor.id + ": " + error.what() + "; connection given up",
-         {{"engine", link.executor.id}}, Level::warning);
+    const Error known = typed(error, "");
+    say_("executor",
+         Error(known.kind(), "executor " + link.executor.id,
+               error.what() + std::string("; connection given up"), known.hint()),
+         {{"engine", link.executor.id}, {"address", link.route}});
     spoil(link);
   }
   lose(link);
@@ -395,8 +423,9 @@
   if (link.asked) {
     if (!link.silent) learn(link.executor, link.route, reach::Lesson::silent);
     if (!link.silent)
-      say_("silent", "executor " + link.executor.id + ": a connection answers nothing",
-           {{"engine", link.executor.id}}, Level::warning);
+      say_("silent",
+           Error(ErrorKind::peerSilent, "executor " + link.executor.id, "a connection answers nothing"),
+           {{"engine", link.executor.id}, {"address", link.route}});
     link.silent = true;
   } else {
     link.asked = scheduler_.now();
--- a/src/standin/load.hpp
+++ b/src/standin/load.hpp
@@ -55,6 +55,7 @@
   // Each controller has clients of its own: their jobs go nowhere while it is not in service, else to those
   // that are.
   void ownClients(bool own) { own_ = own; }
+  void sendsOnce() { once_ = true; }  // no job a second time, whatever became of its connection
 
   const Books& books() const { return books_; }
   const std::deque<Job>& jobs() const { return jobs_; }
@@ -85,7 +86,7 @@
   std::minstd_rand dice_;
   std::uint64_t references_;
   std::size_t turn_ = 0;
-  bool closing_ = false, own_ = false;
+  bool closing_ = false, own_ = false, once_ = false;
   std::deque<Job> jobs_;
   Books books_;
   transport::Group running_;
