--- a/src/program/serve.cpp
+++ b/src/program/serve.cpp
@@ -159,7 +159,8 @@
   hindsight::Recorder& recorder() { return recorder_; }
 
   void tell(share::Store& store, Span now) {
-    if (look()) hindsight::tell(store, now, share::kHindsight, entries_);
+    look();
+    if (std::exchange(told_, version_) != version_) hindsight::tell(store, now, share::kHindsight, entries_);
   }
   operating::Status::Hindsight status(const share::Store* store, Span now) {
     look();
@@ -180,16 +181,15 @@
 
  private:
   static constexpr Span kLooked{std::chrono::seconds(2)};
-  bool look() {  // true: afresh, and to be told
+  void look() {
     const Span now = desk_.now();
-    if (version_ > 0 && now - lookedAt_ < kLooked) return false;
+    if (version_ > 0 && now - lookedAt_ < kLooked) return;
     lookedAt_ = now;
     const auto records = recorder_.records(now);
     held_ = records.size();
     hindsight::Names names{node_.told.typeNames, node_.told.locationNames, {}};
     desk_.eachExecutor([&](const routing::Executor& each) { names.engines[each.number] = each.id; });
     entries_ = hindsight::entriesOf(hindsight::summarise(records), names, ++version_);
-    return true;
   }
 
   const Node& node_;
@@ -197,7 +197,7 @@
   hindsight::Recorder recorder_;
   std::vector<hindsight::Entry> entries_;
   std::size_t held_ = 0;
-  std::uint64_t version_ = 0;
+  std::uint64_t version_ = 0, told_ = 0;  // told: to the others
   Span lookedAt_{0};
 };
 
