A dispatch that was held, moved or cut short leaves only while it still may

Cause: the module's word was taken as good until the connection was up or another was found. Seen with a test each, run without the mend: - ServerSide::prove wrote what was held whatever had become of its job.

Change: reach::mayLeave decides by job, engine and time; prove asks it at the moment of writing and tells neverSent for what stays, lose asks it before a move. An executor's incarnation goes up whenever it is told to take nothing new. A dispatch carries the moment by which it must have begun to leave: its time, for a repeat of a keyed job its window. The desk takes back whatever has not left of a job that is over, also where nothing may be withdrawn; a withdrawal that could be taken back whole is told as neverSent.

--- a/src/reach/reach.cpp
+++ b/src/reach/reach.cpp
@@ -202,6 +202,8 @@
 
 bool Dials::may(std::size_t ofEngine) const { return out_ < most_ && ofEngine < kMostOfEngine; }
 
+bool mayLeave(const Unsent& unsent) { return !unsent.over && unsent.takesNew && unsent.left > Span{0}; }
+
 // The border is the kernel: a message that it has not taken whole can never come whole, once its connection
 // has ended.
 Fate fateOf(const Parted& parted, std::size_t addresses, const Terms& terms) {
--- a/src/reach/reach.hpp
+++ b/src/reach/reach.hpp
@@ -126,11 +126,19 @@
   std::uint64_t ever_ = 0;
 };
 
+// A dispatch that has not left yet: it waits for a dial, or its connection ended before it was whole.
+struct Unsent {
+  bool over = false;     // its job is: it has its answer, or its client has gone
+  bool takesNew = true;  // its engine, and it is still the process that it was dispatched to
+  Span left{0};          // until it may run no more: its own time, and its type's window for repeats
+};
+bool mayLeave(const Unsent& unsent);
+
 // A dispatch whose connection has ended.
 struct Parted {
   bool whole = false;   // the kernel took all of its bytes: its executor may have it
   bool spoilt = false;  // the connection was ended here, for what came over it
-  bool wanted = true;   // its engine still takes new dispatches
+  bool wanted = true;   // it may leave all the same
   unsigned moved = 0;   // ways it has gone before
   Span left{0};         // of its job's time
 };
--- a/src/routing/desk.cpp
+++ b/src/routing/desk.cpp
@@ -187,8 +187,11 @@
   end_ = end;
   for (const auto& exchange : exchanges_) {
     exchange->expires = std::min(exchange->expires, end);
-    for (const auto& sending : exchange->sendings)
-      if (sending->dispatch.out) sending->timeout.at(outside(std::min(sending->dispatch.until, end)));
+    for (const auto& sending : exchange->sendings) {
+      if (!sending->dispatch.out) continue;
+      sending->timeout.at(outside(std::min(sending->dispatch.until, end)));
+      sending->leaveBy = std::min(sending->leaveBy, outside(end));
+    }
   }
 }
 
@@ -224,12 +227,25 @@
   sending.timeout.then([this, &sending] { timedOut(sending); });
   sending.until = outside(made.until);
   sending.timeout.at(sending.until);
+  sending.leaveBy = leaveBy(made);
+  sending.incarnation = static_cast<Executor*>(made.engine)->incarnation;
   ++static_cast<Executor*>(made.engine)->known;
   ++static_cast<Executor*>(made.engine)->sent;
   if (leaning_) leaning_->dispatched(exchange.dataSet, *static_cast<Executor*>(made.engine));
   servers_.send(sending);
 }
 
+// The window in which the module repeats a keyed job, as it holds it: from when the first may have run.
+transport::Moment Desk::leaveBy(const Dispatch& made) const {
+  Span by = made.until;
+  const ReservationType& type = *made.job->type;
+  if (type.effect == Effect::keyed)
+    for (const auto& each : made.job->dispatches)
+      if (each.get() != &made && !each->provenUnrun)
+        by = std::min(by, each->sent + type.repeatWindow - told_.deployment.tick);
+  return outside(by);
+}
+
 void Desk::terms(Job& job, double grantMb, int priority) {
   Exchange& exchange = exchangeOf(job);
   exchange.grantMb = grantMb;
@@ -260,7 +276,8 @@
   Sending& sending = *exchangeOf(*made.job).sendings[made.number];
   if (!sending.dispatch.out) return;
   if (std::find(withdrawn_.begin(), withdrawn_.end(), &sending) != withdrawn_.end()) return;
-  servers_.giveUp(sending);
+  sending.takenBack = servers_.takeBack(sending);
+  if (!sending.takenBack) servers_.giveUp(sending);
   sending.timeout.cancel();
   withdrawn_.push_back(&sending);
   tellWithdrawn_.soon();
@@ -309,7 +326,10 @@
 void Desk::forgetEnded() {
   for (Exchange* each : std::exchange(touched_, {})) {
     each->touched = false;
-    if (!each->over || each->out() > 0) continue;
+    if (!each->over) continue;
+    // Where nothing may be withdrawn a dispatch stays out, but one that has not left does not leave any more.
+    for (const auto& sending : each->sendings) takeBack(sending->dispatch);
+    if (each->out() > 0) continue;
     held_.erase(each->reference);
     for (const auto& sending : each->sendings) --static_cast<Executor*>(sending->dispatch.engine)->known;
     exchanges_.erase(each->place);
--- a/src/routing/desk.hpp
+++ b/src/routing/desk.hpp
@@ -113,6 +113,7 @@
   void tellWithdrawn();
   void answer(Exchange& exchange, Exchange::Answer answer);
   void touch(Exchange& exchange);
+  transport::Moment leaveBy(const Dispatch& made) const;
   void forgetEnded();
   transport::Moment outside(Span time) const { return start_ + time; }
 
--- a/src/routing/exchange.hpp
+++ b/src/routing/exchange.hpp
@@ -27,7 +27,9 @@
   Dispatch& dispatch;
   transport::Call timeout;
   transport::Moment until{};
-  bool takenBack = false;  // by the desk, before it left
+  transport::Moment leaveBy{};    // no byte of it leaves for the first time from then on
+  std::uint64_t incarnation = 0;  // of its executor, when it was dispatched
+  bool takenBack = false;         // by the desk, before it left
 
   // Of the server side, which alone reads and writes it. No link: it is over there.
   Link* link = nullptr;
--- a/src/routing/server_side.cpp
+++ b/src/routing/server_side.cpp
@@ -102,11 +102,25 @@
   return best;
 }
 
+// What may still run is the module's word of when it was dispatched: since then its job may have come to its
+// end, its engine to a drain or another start, and its time or its window for repeats may be over.
+bool ServerSide::mayLeave(const Sending& sending) const {
+  const auto& executor = *static_cast<const Executor*>(sending.dispatch.engine);
+  return reach::mayLeave({sending.exchange.over,
+                          executor.listed && executor.incarnation == sending.incarnation,
+                          std::chrono::duration_cast<Span>(sending.leaveBy - scheduler_.now())});
+}
+
+// The moment at which what was held for a dial leaves, or does not any more.
 void ServerSide::prove(Link& link) {
   link.proven = true;
-  while (!link.held.empty()) {  // one at a time: what a failed one leaves is still held, and never ran
-    Sending& next = *link.held.front();
-    link.held.erase(link.held.begin());
+  for (std::size_t at = 0; at < link.held.size();) {  // what a failed one leaves is still held, and never ran
+    Sending& next = *link.held[at];
+    if (!mayLeave(next)) {
+      ++at;
+      continue;
+    }
+    link.held.erase(link.held.begin() + static_cast<std::ptrdiff_t>(at));
     try {
       write(link, next);
     } catch (const std::bad_alloc&) {
@@ -114,6 +128,9 @@
       throw;
     }
   }
+  const std::vector<Sending*> kept = std::exchange(link.held, {});
+  for (Sending* each : kept) each->link = nullptr;
+  for (Sending* each : kept) ends_.ended(*each, Outcome::neverSent);
 }
 
 void ServerSide::write(Link& link, Sending& sending) {
@@ -133,10 +150,9 @@
 }
 
 void ServerSide::giveUp(Sending& sending) {
+  if (takeBack(sending)) return;
   Link* link = std::exchange(sending.link, nullptr);
-  std::erase(unplaced_, &sending);
   if (!link) return;
-  std::erase(link->held, &sending);
   const std::string& id = sending.exchange.reference;
   if (link->open.erase(id) > 0)
     link->connection->send(
@@ -173,6 +189,7 @@
 }
 
 void ServerSide::retire(Executor& executor) {
+  ++executor.incarnation;
   for (Link* link : executor.links) {
     link->retired = true;
     if (link->connection && link->load() == 0) link->connection->shut();
@@ -381,8 +398,7 @@
 
 transport::Task<> ServerSide::work(Link& link) {
   const bool up = co_await reachOut(link);
-  // While it was dialled its executor may have begun to drain: what it holds never left, and does not now.
-  if (!up || (!link.executor.listed && link.load() > 0)) co_return;
+  if (!up) co_return;
   prove(link);
   for (;;) {
     read(link);
@@ -517,9 +533,9 @@
   std::vector<std::pair<Sending*, reach::Fate>> ends;
   for (Sending* each : link.held) ends.emplace_back(each, reach::Fate::unreachable);
   for (const auto& [id, each] : link.open) {
-    const Span left = std::chrono::duration_cast<Span>(each->until - scheduler_.now());
+    const Span left = std::chrono::duration_cast<Span>(each->leaveBy - scheduler_.now());
     ends.emplace_back(
-        each, reach::fateOf({each->wholeAt <= written, link.spoilt, executor.listed, each->moved, left},
+        each, reach::fateOf({each->wholeAt <= written, link.spoilt, mayLeave(*each), each->moved, left},
                             executor.routes.all().size(), terms_));
   }
   for (const auto& [each, fate] : ends) each->link = nullptr;
--- a/src/routing/server_side.hpp
+++ b/src/routing/server_side.hpp
@@ -23,8 +23,9 @@
   std::unordered_map<std::string, transport::Address> addresses;  // of the routes, by name
   std::size_t dialling = 0;
   std::vector<Link*> links;
-  std::size_t known = 0;  // dispatches to it, of exchanges that are alive
-  std::uint64_t sent = 0;  // dispatches to it, ever
+  std::uint64_t incarnation = 0;  // another with each start and each time it was told to take nothing new
+  std::size_t known = 0;          // dispatches to it, of exchanges that are alive
+  std::uint64_t sent = 0;         // dispatches to it, ever
 };
 
 // One connection to one executor, from before its dial until it has been given back.
@@ -72,7 +73,7 @@
              const Say& say);
 
   void send(Sending& sending);
-  void giveUp(Sending& sending);      // nothing more of it will be told
+  void giveUp(Sending& sending);      // that may have left; nothing more of it will be told
   bool takeBack(Sending& sending);    // true: nothing whole of it has left, nor will
   void prioritise(Sending& sending);  // as its exchange now says
   std::string counts() const;
@@ -95,6 +96,7 @@
   void heard(Link& link);
   bool quiet(Link& link);
   bool usable(const Link& link, const Sending& sending) const;
+  bool mayLeave(const Sending& sending) const;
   void prove(Link& link);
   void read(Link& link);
   void answered(Link& link, const protocol::resp::Answer& answer);
--- a/tests/reach_test.cpp
+++ b/tests/reach_test.cpp
@@ -169,6 +169,13 @@
   EXPECT_EQ(fateOf({false, false, true, 0, 5s}, 1, kTerms), Fate::unreachable);  // as with one address ever
 }
 
+TEST(Fate, WhatHasNotLeftMayWhileItsJobItsEngineAndItsTimeAreStillThere) {
+  EXPECT_TRUE(mayLeave({false, true, 1us}));
+  EXPECT_FALSE(mayLeave({true, true, 1us}));
+  EXPECT_FALSE(mayLeave({false, false, 1us}));
+  EXPECT_FALSE(mayLeave({false, true, 0us}));
+}
+
 // Every order of what can happen to one dispatch over three addresses, eleven steps deep: dials that come up
 // or fail, writes that stop midway or are whole, connections that end, time that passes, an address that
 // leaves the list. Its bytes are never whole on two connections, it is never stuck, and no address is out for
