A refusal after the first page proves no longer that a statement never ran

Cause: ServerSide::answered took a 503 or 504 for the end 'turned away' also when the dispatch's 200 had come and its further pages were being fetched. Executors may answer a second time, some milliseconds late and with other words; the module then held it as proven unrun and sent a run-once statement again.

Change: once a first page has come such a word is a second answer and passed over, as a second 200 is. Five further crossings found sound keep their test: a reset when nothing, a part or all of a run-once statement was written, with the idle connection closed in the turn of the dispatch; an answer that crosses its time-out or its client's leaving; the first attempt's answer as the repeat is written; many ends in one turn within the budget of further dispatches; an answer that never ends, by time and by bytes.

--- a/src/routing/server_side.cpp
+++ b/src/routing/server_side.cpp
@@ -491,6 +491,7 @@
   switch (answer.word) {
     case Word::full:
     case Word::over:
+      if (sending.pagesWanted > 0) return;  // a second answer: the first counts, and says that it ran
       return over(link, sending, Outcome::turnedAway);
     case Word::ok:
       if (sending.pagesWanted > 0) return;  // a second copy: the first counts
--- a/tests/links_test.cpp
+++ b/tests/links_test.cpp
@@ -279,5 +279,169 @@
   }
 }
 
+// ---- ends and answers that cross ------------------------------------------------------------------------
+
+// By how much of it the executor had: none (it closes the idle connection in the turn of the dispatch), a
+// part, or all.
+TEST(Links, ARunOnceStatementGoesAgainOnlyIfItWasNotWhole) {
+  for (const bool closed : {true, false}) {
+    Front front;
+    int asks = 0;
+    Peer& peer =
+        front.peer(1, [&](Peer& self, Connection& to, const std::string& word, const std::string& id) {
+          asks += word == "ASK" ? 1 : 0;
+          answers(self, to, word, id);
+        });
+    front.list({1});
+    front.take(kOnce);
+    ASSERT_TRUE(front.over());
+    // Two turns after the cut its end is known to the poll, and this call comes before the link's own.
+    transport::Call second(front, [&] { front.take(kOnce); });
+    transport::Call first(front, [&] { second.soon(); });
+    transport::Call cut(front, [&] {
+      peer.cut();
+      closed ? first.soon() : static_cast<void>(front.take(kOnce));
+    });
+    cut.soon();
+    ASSERT_TRUE(front.until([&] { return front.taken == 2 && front.desk.open() == 0; }));
+    EXPECT_EQ(asks, closed ? 2 : 1);  // written as it closes: it may have run, and is not sent twice
+    EXPECT_EQ(front.client.all.back(), closed ? Exchange::Answer::done : Exchange::Answer::cancelled);
+  }
+  for (const bool whole : {false, true}) {
+    Front front;
+    Stuffed first(front, 3);
+    Peer& second = front.peer(1, answers);
+    front.list({3}, Standing::ready, 0, "one");
+    front.take(kOnce, 2s, Slice(std::string(whole ? 10 : kMoreThanAKernelTakes, 's')));
+    front.list({1}, Standing::ready, 0, "two");
+    ASSERT_TRUE(whole ? front.until([&] { return first.taken() && front.unsent.held == 0; }) : stuck(front));
+    front.settle();
+    first.cut();
+    EXPECT_TRUE(front.over());
+    EXPECT_EQ(second.heard, whole ? "" : "ASK ") << front.desk.counts();
+    EXPECT_EQ(front.client.all, std::vector{whole ? Exchange::Answer::cancelled : Exchange::Answer::done});
+  }
+}
+
+// A second answer that says the contrary: it ran, whatever comes then.
+TEST(Links, ALateRefusalOfWhatHasAnsweredIsNoProofThatItNeverRan) {
+  for (const std::string& word : {std::string("503"), std::string("504")}) {
+    Front front;
+    Peer& peer = front.peer(1, [&](Peer&, Connection& to, const std::string& what, const std::string& id) {
+      if (what == "ASK") Peer::say(to, {id, "200", "batches=2", "one\t\t\n"});
+      if (what == "ASK") Peer::say(to, {id, word, "-", ""});
+      if (what == "NEXT") Peer::say(to, {id, "chunk", "batch=1", "two\t\t\n"});
+    });
+    front.list({1});
+    front.take(kOnce);
+    EXPECT_TRUE(front.over());
+    EXPECT_EQ(peer.heard, "ASK NEXT 1 ");
+    EXPECT_EQ(front.client.rows, "one\t\t\ntwo\t\t\n");
+  }
+}
+
+// The answer is at this process's kernel, and the loop comes to look only when the time is over, or when its
+// client has gone.
+TEST(Links, AnAnswerThatCrossesItsTimeOutOrItsClientsLeavingEndsItOnce) {
+  for (const bool leaves : {false, true}) {
+    Front front(kWithdrawing);
+    Exchange* exchange = nullptr;
+    transport::Moment end{};
+    transport::Call cross(front, [&] {  // the peer has written: its turn came before
+      if (leaves) return front.desk.left(*exchange);
+      while (front.now() <= end) continue;
+    });
+    Peer& peer =
+        front.peer(1, [&](Peer& self, Connection& to, const std::string& word, const std::string& id) {
+          answers(self, to, word, id);
+          if (word == "ASK" && self.heard == "ASK ") cross.soon();
+        });
+    front.list({1});
+    exchange = &front.take(kAgain, 300ms);
+    end = front.now() + 300ms;
+    EXPECT_TRUE(front.over());
+    front.settle();
+    EXPECT_EQ(front.client.all.size(), leaves ? 0U : 1U);
+    EXPECT_EQ(front.ends(Outcome::done) + front.ends(Outcome::timedOut) + front.ends(Outcome::withdrawn), 1U)
+        << front.desk.counts();
+    const std::uint64_t before = front.ends(Outcome::done);
+    front.take(kAgain);  // what comes next on that connection is its own
+    EXPECT_TRUE(front.over());
+    EXPECT_EQ(front.ends(Outcome::done), before + 1);
+    EXPECT_EQ(peer.connections.size(), 1U);
+  }
+}
+
+// The first attempt answers after all, as the repeat is written: an id goes over a connection once, and the
+// end of the first has been told.
+TEST(Links, AnAnswerOfTheFirstAsTheRepeatIsWrittenCountsNoMore) {
+  Front front;
+  Connection* first = nullptr;
+  Peer& peer = front.peer(1, [&](Peer&, Connection& to, const std::string& word, const std::string& id) {
+    if (word != "ASK") return;
+    if (!first) {
+      first = &to;
+      return Peer::say(to, {id, "500", "-", ""});
+    }
+    Peer::say(*first, {id, "200", "batches=1", "old\t\t\n"});
+    Peer::say(to, {id, "200", "batches=1", "new\t\t\n"});
+  });
+  front.list({1});
+  front.take(kAgain);
+  EXPECT_TRUE(front.over());
+  front.settle();
+  EXPECT_EQ(front.client.rows, "new\t\t\n");
+  EXPECT_EQ(peer.connections.size(), 2U);
+  EXPECT_EQ(front.ends(Outcome::done), 1U);
+}
+
+// All on one connection, which ends: each end sets off further dispatches while the others are still told.
+TEST(Links, ManyEndsInOneTurnKeepToTheBudgetOfFurtherDispatches) {
+  Front front(kWithdrawing + "rules.extraFloor=3\nrules.repeatRatio=0\nrules.budgetSpanUs=10000000\n", 1);
+  int asks = 0;
+  Peer& peer = front.peer(1, [&](Peer& self, Connection& to, const std::string& word, const std::string& id) {
+    if (word != "ASK") return;
+    if (++asks == 10) to.shut();
+    if (asks > 10) answers(self, to, word, id);
+  });
+  front.list({1});
+  for (int each = 0; each < 10; ++each) front.take(kAgain);
+  EXPECT_TRUE(front.over());
+  front.settle();
+  EXPECT_EQ(front.ends(Outcome::reset), 10U) << front.desk.counts();
+  EXPECT_EQ(asks, 13);
+  EXPECT_EQ(front.client.all.size(), 10U);
+  EXPECT_EQ(peer.heard.size(), 13U * 4);
+}
+
+// ---- answers without an end -----------------------------------------------------------------------------
+
+TEST(Links, AnAnswerThatNeverEndsCostsItsConnectionByTimeOrByBytes) {
+  for (const bool drips : {true, false}) {
+    Front front("limits.dialTimeoutUs=50000\n");
+    Connection* to = nullptr;
+    transport::Call drip(front);
+    drip.then([&] {
+      to->send({Slice(drips ? std::string("x") : std::string(5990, 'x') + "\r\n$5990\r\n")});
+      drip.at(front.now() + 2ms);
+    });
+    front.peer(1, [&](Peer& self, Connection& asked, const std::string& word, const std::string& id) {
+      if (word != "ASK") return;
+      if (to) return answers(self, asked, word, id);
+      to = &asked;
+      asked.send({Slice("*8\r\n$16\r\n" + id + "\r\n$3\r\n200\r\n$9\r\nbatches=1\r\n$5990\r\n")});
+      drip.at(front.now());
+    });
+    front.list({1});
+    front.take(kAgain);
+    EXPECT_TRUE(
+        front.until([&] { return front.ends(Outcome::spoilt) + front.ends(Outcome::reset) == 1; }, 1s))
+        << front.desk.counts();
+    drip.cancel();
+    EXPECT_TRUE(front.over());
+    EXPECT_EQ(front.client.rows, "r\to\tw\n");
+  }
+}
+
 }  // namespace
 }  // namespace paddletrack::routing
