A statement that a bound of this process refused counts as never sent, not as reset

Cause: ServerSide::write took the connection's count of queued bytes after the send for the end of the statement. Where the send was refused by the bound on unsent bytes nothing was queued, so that end lay at what had been written before, and ServerSide::lose judged the statement whole at the kernel: a run-once job was answered as failed though nothing of it had left. Several held on one connection, written in one loop as it comes up, all go that way.

Change: the end is counted from the message's own bytes.

--- a/src/routing/server_side.cpp
+++ b/src/routing/server_side.cpp
@@ -143,10 +143,12 @@
   terms.priority = exchange.priority;
   link.open.emplace(exchange.reference, &sending);
   link.used = scheduler_.now();
-  link.connection->send({Slice(protocol::resp::askHead(exchange.reference, exchange.typeName, terms,
-                                                       exchange.statement.size())),
-                         exchange.statement, Slice::lasting(protocol::resp::kAskTail)});
-  sending.wholeAt = link.connection->queued();
+  const Slice head(
+      protocol::resp::askHead(exchange.reference, exchange.typeName, terms, exchange.statement.size()));
+  const Slice tail = Slice::lasting(protocol::resp::kAskTail);
+  // Counted here: what a bound refuses, or a connection that has been shut, is never queued and never whole.
+  sending.wholeAt = link.connection->queued() + head.size() + exchange.statement.size() + tail.size();
+  link.connection->send({head, exchange.statement, tail});
 }
 
 void ServerSide::giveUp(Sending& sending) {
--- a/tests/links_test.cpp
+++ b/tests/links_test.cpp
@@ -279,6 +279,23 @@
   }
 }
 
+// Nothing of it was taken on, by a bound of this process's own: it never ran, and a run-once job may go
+// again.
+TEST(Links, WhatABoundRefusedIsUnrun) {
+  Front front(kWithdrawing, 1);  // one connection: all that is held waits for it
+  front.peer(1, answers);
+  front.list({1});
+  for (int each = 0; each < 3; ++each) front.take(kOnce);
+  const std::size_t held = std::exchange(front.unsent.held, 2 * front.unsent.most);
+  ASSERT_TRUE(front.until([&] { return front.ends(Outcome::unreachable) >= 3; }, 500ms))
+      << front.desk.counts();
+  front.unsent.held -= 2 * front.unsent.most - held;
+  EXPECT_TRUE(front.over());
+  EXPECT_EQ(front.ends(Outcome::reset), 0U) << front.desk.counts();
+  const auto& all = front.client.all;
+  EXPECT_EQ(std::count(all.begin(), all.end(), Exchange::Answer::cancelled), 0);
+}
+
 // ---- ends and answers that cross ------------------------------------------------------------------------
 
 // By how much of it the executor had: none (it closes the idle connection in the turn of the dispatch), a
