A keyed repeat that is not whole at its window's end is kept back then

Cause: the window was asked for when the repeat is written, not when it comes whole. A repeat that its executor's kernel had taken in part only went on to the end of its job's time, and came whole and ran past the window.

Change: a dispatch's own timer fires at the end of its window first and takes back what has not left whole, in a dial or alone on a connection; what has left goes on to the end of its time. The process's own end, told by answerBy, shortens the dispatch's time itself, so that one timer follows from it.

--- a/src/routing/desk.cpp
+++ b/src/routing/desk.cpp
@@ -84,7 +84,12 @@
   tell(sending, outcome);
 }
 
+// At the end of its window for repeats what has not left whole is kept back; else at the end of its time.
 void Desk::timedOut(Sending& sending) {
+  if (scheduler_.now() < sending.until) {
+    if (!takeBack(sending.dispatch)) sending.timeout.at(sending.until);
+    return;
+  }
   servers_.giveUp(sending);
   tell(sending, Outcome::timedOut);
 }
@@ -189,8 +194,9 @@
     exchange->expires = std::min(exchange->expires, end);
     for (const auto& sending : exchange->sendings) {
       if (!sending->dispatch.out) continue;
-      sending->timeout.at(outside(std::min(sending->dispatch.until, end)));
-      sending->leaveBy = std::min(sending->leaveBy, outside(end));
+      sending->until = std::min(sending->until, outside(end));
+      sending->leaveBy = std::min(sending->leaveBy, sending->until);
+      sending->timeout.at(sending->leaveBy);
     }
   }
 }
@@ -226,8 +232,8 @@
   Sending& sending = *exchange.sendings.back();
   sending.timeout.then([this, &sending] { timedOut(sending); });
   sending.until = outside(made.until);
-  sending.timeout.at(sending.until);
   sending.leaveBy = leaveBy(made);
+  sending.timeout.at(sending.leaveBy);
   sending.incarnation = static_cast<Executor*>(made.engine)->incarnation;
   ++static_cast<Executor*>(made.engine)->known;
   ++static_cast<Executor*>(made.engine)->sent;
