A keyed job's idempotency key goes on to its executors with each dispatch

Change: the key is read, held with the exchange and written with each dispatch; one that would bring other fields along (a comma, a sign of equality, a blank, over 256 bytes) is refused.

--- a/src/protocol/resp.cpp
+++ b/src/protocol/resp.cpp
@@ -123,6 +123,7 @@
   std::string fields = "class=" + std::string(type) + ",wait=" + std::to_string(terms.waitMs);
   if (terms.grantMb >= 1) fields += ",mb=" + std::to_string(static_cast<long long>(std::ceil(terms.grantMb)));
   if (terms.priority) fields += ",nice=" + std::to_string(*terms.priority);
+  if (!terms.idempotencyKey.empty()) fields += ",once=" + std::string(terms.idempotencyKey);
   std::string out = "*4\r\n";
   bulk(out, "ASK");
   bulk(out, id);
--- a/src/protocol/resp.hpp
+++ b/src/protocol/resp.hpp
@@ -41,6 +41,7 @@
   std::int64_t waitMs = 0;
   double grantMb = 0;  // 0: the executor's own choice
   std::optional<int> priority;
+  std::string_view idempotencyKey = {};  // by which executors know a repeat; empty: none
 };
 std::string askHead(std::string_view id, std::string_view type, const Terms& terms, std::size_t statement);
 constexpr std::string_view kAskTail = "\r\n";
--- a/src/protocol/thrift.cpp
+++ b/src/protocol/thrift.cpp
@@ -201,7 +201,8 @@
                                           {"allow", &read.allow},
                                           {"project", &read.customer},
                                           {"effort", &read.effort},
-                                          {"ram", &read.memory}}) {
+                                          {"ram", &read.memory},
+                                          {"replay", &read.idempotencyKey}}) {
           if (name != known) continue;
           if (said.empty() || !kept->empty()) throw Unreadable("fields: each has one value");
           *kept = said;
--- a/src/protocol/thrift.hpp
+++ b/src/protocol/thrift.hpp
@@ -30,7 +30,7 @@
 
 // A request as its client wrote it; a field that is absent is empty.
 struct Submit {
-  std::string_view type, reference, allow, customer, effort, memory, statement;
+  std::string_view type, reference, allow, customer, effort, memory, idempotencyKey, statement;
 };
 Submit readSubmit(std::string_view arguments);
 std::int32_t readRevoke(std::string_view arguments);
--- a/src/routing/client_side.cpp
+++ b/src/routing/client_side.cpp
@@ -17,6 +17,7 @@
 
 constexpr std::size_t kUsualInput = 4 * 1024;
 constexpr std::size_t kLoggedName = 40;  // bytes that a client names things with
+constexpr std::size_t kLongestKey = 256;  // bytes of an idempotency key
 constexpr std::size_t kMostOpen = 32;    // requests on one connection
 
 // A request may be read late and its last answer written late while this process waits for its core: a job's
@@ -44,6 +45,15 @@
   return *read;
 }
 
+// It goes to executors as one of their fields, and must not bring others along.
+std::string_view passable(std::string_view idempotencyKey) {
+  if (idempotencyKey.size() > kLongestKey ||
+      std::any_of(idempotencyKey.begin(), idempotencyKey.end(),
+                  [](char each) { return each <= ' ' || each > '~' || each == ',' || each == '='; }))
+    throw protocol::Unreadable("replay", "it can't be passed on");
+  return idempotencyKey;
+}
+
 Span ofMilliseconds(double value) { return Span{std::llround(value * 1000)}; }
 
 }  // namespace
@@ -181,6 +191,7 @@
     if (!read.effort.empty()) exchange.toldCost = ofMilliseconds(figure("effort", read.effort, kDay));
     if (!read.memory.empty()) exchange.toldMemoryMb = figure("ram", read.memory, kTerabyte);
     exchange.dataSet = protocol::tableGroup(read.statement);
+    exchange.idempotencyKey = passable(read.idempotencyKey);
     exchange.statement = connection_.input().keep(read.statement);
     exchange.sequence = message.sequence;
     if (const auto away = side_.gate_ ? side_.gate_->turnsAway() : std::nullopt) {
--- a/src/routing/exchange.hpp
+++ b/src/routing/exchange.hpp
@@ -55,7 +55,7 @@
   // Written by the client side.
   Asker* asker = nullptr;
   std::int32_t sequence = 0;
-  std::string reference, typeName;
+  std::string reference, typeName, idempotencyKey;
   Slice statement;
 
   // Written by the desk.
--- a/src/routing/server_side.cpp
+++ b/src/routing/server_side.cpp
@@ -141,6 +141,7 @@
   terms.waitMs = std::max<std::int64_t>(1, left.count());
   terms.grantMb = exchange.grantMb;
   terms.priority = exchange.priority;
+  terms.idempotencyKey = exchange.idempotencyKey;
   link.open.emplace(exchange.reference, &sending);
   link.used = scheduler_.now();
   const Slice head(
--- a/tests/protocol_test.cpp
+++ b/tests/protocol_test.cpp
@@ -106,6 +106,14 @@
             std::string::npos);
 }
 
+TEST(Resp, AnAskCarriesTheKeyByWhichARepeatIsKnown) {
+  resp::Terms terms;
+  terms.waitMs = 1;
+  terms.idempotencyKey = "a76a927d";
+  EXPECT_NE(resp::askHead("ab", "load", terms, 0).find("class=load,wait=1,once=a76a927d\r\n"),
+            std::string::npos);
+}
+
 TEST(Statement, TheGroupIsTheNumberOfTheTablesSchema) {
   EXPECT_EQ(tableGroup("SELECT a.x FROM sales_17.orders a WHERE a.y = 'from log_3.t'"), 17U);
   EXPECT_EQ(
--- a/tests/routing_test.cpp
+++ b/tests/routing_test.cpp
@@ -231,6 +231,32 @@
   EXPECT_EQ(front.desk.open(), 0U);
 }
 
+// Without it executors could not tell a keyed job's second dispatch from another job.
+TEST(Routing, AnIdempotencyKeyGoesOnWithEachDispatchAndBringsNoOtherField) {
+  Front front;
+  std::string asked;
+  Peer& peer = front.executor(1, [&](Peer& self, Connection& connection, const std::string& word,
+                                     const std::string& id) {
+    asked += connection.input().view();
+    if (self.heard == "ASK ") return connection.shut();
+    answers(self, connection, word, id);
+  });
+  front.list({1});
+  const auto keyed = [](int sequence, const std::string& key) {
+    return protocol::thrift::submit(
+        sequence, {{"service", "q"}, {"ref", "00000000000000a1"}, {"allow", "2000"}, {"replay", key}}, "select 1");
+  };
+  EXPECT_TRUE(front.has(front.asked(keyed(1, "a76a927daf55dc95"), 200ms), "r\to\tw"));
+  EXPECT_EQ(peer.heard, "ASK ASK ");
+  const std::size_t first = asked.find(",once=a76a927daf55dc95\r\n");
+  ASSERT_NE(first, std::string::npos);
+  EXPECT_NE(asked.find(",once=a76a927daf55dc95\r\n", first + 1), std::string::npos);
+  for (const std::string& bad : {std::string("a,class=r"), std::string("a=b"), std::string("a\r\n"),
+                                 std::string(300, 'a')})
+    EXPECT_TRUE(front.has(front.asked(keyed(2, bad)), "replay: it can't be passed on")) << bad;
+  EXPECT_EQ(peer.heard, "ASK ASK ");
+}
+
 TEST(Routing, WhatCanBeTrustedGetsAnExceptionAndOthersGoOn) {
   Front front;
   front.executor(1, answers);
