No statement goes over a resting connection that is midway in a message

Cause: half a line may come from an executor when all of its connection's dispatches have ended. ServerSide::usable gave the next statement to that connection, which is ended when the rest does not come in time or can't be read together with what follows, and a run-once job with it. Test, run without the mend: HalfALineOnARestingConnectionCostsNoRunOnceJob: answers {done, cancelled}, wanted {done, done}; peer.connections.size() 1, wanted 2

Change: such a connection takes nothing until the message is whole; the next statement gets another.

--- a/src/routing/server_side.cpp
+++ b/src/routing/server_side.cpp
@@ -57,9 +57,11 @@
 }
 
 // An id goes over a connection once only: the end of an earlier dispatch of the same job, given up, may still
-// be on its way there.
+// be on its way there. A resting one midway in a message is in doubt: if the rest does not come it is ended,
+// with whatever else is on it.
 bool ServerSide::usable(const Link& link, const Sending& sending) const {
   if (link.retired || link.silent || link.load() >= bounds_.sharedBy) return false;
+  if (link.load() == 0 && link.midway) return false;
   if (link.open.count(sending.exchange.reference) > 0) return false;
   const auto& before = sending.exchange.sendings;
   return std::none_of(before.begin(), before.end(), [&](const auto& each) {
--- a/tests/links_test.cpp
+++ b/tests/links_test.cpp
@@ -457,6 +457,32 @@
   EXPECT_EQ(peer.heard.size(), 13U * 4);
 }
 
+// Half a line on a resting connection belongs to nobody's answer: what is sent there next would end with it.
+// It harms no job that takes another, and a connection that is shut over it ends nothing else.
+TEST(Links, HalfALineOnARestingConnectionCostsNoRunOnceJob) {
+  for (const bool retired : {false, true}) {
+    Front front;
+    int asks = 0;
+    Peer& peer =
+        front.peer(1, [&](Peer& self, Connection& to, const std::string& word, const std::string& id) {
+          asks += word == "ASK" ? 1 : 0;
+          answers(self, to, word, id);
+          if (asks == 1) to.send({Slice("*4\r\n$16\r\n" + id)});
+        });
+    front.list({1});
+    front.take(kOnce);
+    ASSERT_TRUE(front.over());
+    front.settle();
+    if (retired) front.list({1}, Standing::draining);
+    if (retired) front.list({1});
+    front.take(kOnce);
+    EXPECT_TRUE(front.over());
+    EXPECT_EQ(front.client.all, (std::vector{Exchange::Answer::done, Exchange::Answer::done}));
+    EXPECT_EQ(asks, 2);
+    EXPECT_EQ(peer.connections.size(), 2U);
+  }
+}
+
 // ---- hand-overs -----------------------------------------------------------------------------------------
 
 // Moved to a dial that hears nothing, where it ends in each way there is.
