Routing tests wait for a client's connection instead of 5 ms

Cause: Front::connected gave a dial 5 ms; on a busy machine it was not up by then and the test ended its process on a null connection (seen twice in six runs at load 12 to 22 of 6 cores: AFullHouseEndsWhoHasShownLeast, ALostPageFailsTheDispatch). Change: it goes on in steps of 5 ms until the connection is there, 2 s at most. What is tested is the same.

--- a/tests/routing_test.cpp
+++ b/tests/routing_test.cpp
@@ -73,7 +73,7 @@
       made = std::make_unique<Connection>(*this, std::move(dialled.descriptor), 4096, 65536, unsent);
     };
     group.spawn(dialling());
-    pass(5ms);
+    for (const transport::Moment end = now() + 2s; !made && now() < end;) pass(5ms);
     return made;
   }
   // Says bytes as a client and waits for what comes back.
