An answer whose rest came while this process stood still is read, not given up

Cause: ServerSide::work ended a connection that was midway in a message for a dial time-out by the clock alone. After a stall of this process timers fire before the poll, so the rest of the answer lay unread in the kernel as it was judged: the executor was held to have stood still and a run-once job was answered as failed. Test, run without the mend: AnAnswerWhoseRestCameWhileThisProcessStoodStillCounts: answers {cancelled}, wanted {done}; dispatches: 1 spoilt

Change: past its time a message gets one more read behind a poll, then the connection is ended as before.

--- a/src/routing/server_side.cpp
+++ b/src/routing/server_side.cpp
@@ -404,11 +404,19 @@
   const bool up = co_await reachOut(link);
   if (!up) co_return;
   prove(link);
-  for (;;) {
+  for (bool lookedAgain = false;;) {
     read(link);
     if (link.load() == 0 && link.retired) break;
-    if (link.midway && scheduler_.now() - *link.midway > bounds_.dialTimeout * kMidwayDials) stoodStill(link);
-    const bool more = co_await link.connection->receive(scheduler_.now() + bounds_.dialTimeout * kQuietDials);
+    Span patience = bounds_.dialTimeout * kQuietDials;
+    if (!link.midway || scheduler_.now() - *link.midway <= bounds_.dialTimeout * kMidwayDials) {
+      lookedAgain = false;
+    } else if (std::exchange(lookedAgain, true)) {
+      stoodStill(link);
+    } else {  // it may have been this process: what lies in the kernel by the next poll still counts
+      co_await scheduler_.turn();
+      patience = Span{0};
+    }
+    const bool more = co_await link.connection->receive(scheduler_.now() + patience);
     if (more) {
       heard(link);
     } else if (link.connection->end() != Connection::End::none || link.connection->input().full()) {
--- a/tests/links_test.cpp
+++ b/tests/links_test.cpp
@@ -457,6 +457,31 @@
   EXPECT_EQ(peer.heard.size(), 13U * 4);
 }
 
+// This process stands still midway in an answer, for longer than an executor may: the rest lies in its
+// kernel.
+TEST(Links, AnAnswerWhoseRestCameWhileThisProcessStoodStillCounts) {
+  Front front("limits.dialTimeoutUs=400000\n");
+  Connection* to = nullptr;
+  std::string rest;
+  front.peer(1, [&](Peer&, Connection& asked, const std::string& word, const std::string& id) {
+    if (word != "ASK") return;
+    to = &asked;
+    rest = "\r\n$3\r\n200\r\n$9\r\nbatches=1\r\n$6\r\nr\to\tw\n\r\n";
+    asked.send({Slice("*4\r\n$16\r\n" + id)});
+  });
+  front.list({1});
+  front.take(kOnce);
+  ASSERT_TRUE(front.until([&] { return to != nullptr; }));
+  front.settle();                     // it has the first half
+  transport::Call stall(front, [&] {  // the peer's write has its turn before
+    for (const transport::Moment end = front.now() + 900ms; front.now() < end;) continue;
+  });
+  to->send({Slice(rest)});
+  stall.soon();
+  EXPECT_TRUE(front.over());
+  EXPECT_EQ(front.client.all, std::vector{Exchange::Answer::done}) << front.desk.counts();
+}
+
 // Half a line on a resting connection belongs to nobody's answer: what is sent there next would end with it.
 // It harms no job that takes another, and a connection that is shut over it ends nothing else.
 TEST(Links, HalfALineOnARestingConnectionCostsNoRunOnceJob) {
