--- a/src/routing/server_side.cpp
+++ b/src/routing/server_side.cpp
@@ -57,9 +57,11 @@
 }
 
 // An id goes over a connection once only: the end of an earlier dispatch of the same job, given up, may still
-// be on its way there.
+// be on its way there. A resting one midway in a message is in doubt: if the rest does not come it is ended,
+// with whatever else is on it.
 bool ServerSide::usable(const Link& link, const Sending& sending) const {
   if (link.retired || link.silent || link.load() >= bounds_.sharedBy) return false;
+  if (link.load() == 0 && link.midway) return false;
   if (link.open.count(sending.exchange.reference) > 0) return false;
   const auto& before = sending.exchange.sendings;
   return std::none_of(before.begin(), before.end(), [&](const auto& each) {
@@ -403,11 +405,19 @@
   const bool up = co_await reachOut(link);
   if (!up) co_return;
   prove(link);
-  for (;;) {
+  for (bool lookedAgain = false;;) {
     read(link);
     if (link.load() == 0 && link.retired) break;
-    if (link.midway && scheduler_.now() - *link.midway > bounds_.dialTimeout * kMidwayDials) stoodStill(link);
-    const bool more = co_await link.connection->receive(scheduler_.now() + bounds_.dialTimeout * kQuietDials);
+    Span patience = bounds_.dialTimeout * kQuietDials;
+    if (!link.midway || scheduler_.now() - *link.midway <= bounds_.dialTimeout * kMidwayDials) {
+      lookedAgain = false;
+    } else if (std::exchange(lookedAgain, true)) {
+      stoodStill(link);
+    } else {  // it may have been this process: what lies in the kernel by the next poll still counts
+      co_await scheduler_.turn();
+      patience = Span{0};
+    }
+    const bool more = co_await link.connection->receive(scheduler_.now() + patience);
     if (more) {
       heard(link);
     } else if (link.connection->end() != Connection::End::none || link.connection->input().full()) {
