After a silent watch, two dials that tell nothing stay within the 7 s that count as told

Cause: the first session that said nothing after a dial doubled the patience at once, also where a list is known and only what changes is missing: 1.5 s silent, 1.5 s for the next session, 3 s for the second, and the waits between them. Change: ListDials::patience; where a list is known the first silence in a row does not double it. The stand-in list can leave sessions untold, or tell them bytes in place of an answer.

--- a/src/coldstart/list_dials.cpp
+++ b/src/coldstart/list_dials.cpp
@@ -26,7 +26,7 @@
 }  // namespace
 
 ListDials::ListDials(const Terms& terms, bool knows, std::uint64_t seed, Span now)
-    : terms_(terms), dice_(scattered(seed)) {
+    : terms_(terms), dice_(scattered(seed)), spared_(knows) {
   due_ = moves(now, knows);
 }
 
@@ -41,7 +41,13 @@
   return Span{std::uniform_int_distribution<Span::rep>(least.count(), std::max(least, most).count())(dice_)};
 }
 
-Span ListDials::patience() const { return kSilent * (1 << std::min(mute_, kMostPatience)); }
+// Patience is for a service that is slow with many who know nothing. What an engine does unseen counts as
+// told after 7 s: from the last line on, one silent session, two dials that tell nothing and the waits
+// between them have to be shorter than that.
+Span ListDials::patience() const {
+  const unsigned doublings = mute_ > 0 && spared_ ? mute_ - 1 : mute_;
+  return kSilent * (1 << std::min(doublings, kMostPatience));
+}
 
 Span ListDials::moves(Span now, bool knows) { return now + drawn(Span{0}, window(knows)); }
 
--- a/src/coldstart/list_dials.hpp
+++ b/src/coldstart/list_dials.hpp
@@ -28,12 +28,12 @@
 
   ListDials(const Terms& terms, bool knows, std::uint64_t seed, Span now);
 
-  Span due() const { return due_; }           // the next dial begins then
-  Span patience() const;                      // how long a session is waited for until its first line
-  void told() { mute_ = failures_ = 0; }      // a line that can be used has come
-  void ended(Span now, End how, bool knows);  // and the next dial's time is drawn
-  Span moves(Span now, bool knows);           // to another list service: then
-  void moved(Span now);                       // and it is dialled at once
+  Span due() const { return due_; }  // the next dial begins then
+  Span patience() const;             // how long a session is waited for until its first line
+  void told() { mute_ = failures_ = 0, spared_ = true; }  // a line that can be used has come
+  void ended(Span now, End how, bool knows);              // and the next dial's time is drawn
+  Span moves(Span now, bool knows);                       // to another list service: then
+  void moved(Span now);                                   // and it is dialled at once
   // An engine of the list can't be reached: what is known may be old. Brings the next dial forward, once.
   void doubt(Span now);
 
@@ -47,6 +47,7 @@
   std::minstd_rand dice_;
   Span due_{0}, again_{0};  // the last wait of a row of them; 0: none has been yet
   unsigned failures_ = 0, mute_ = 0;
+  bool spared_;  // a list is known: the first silence in a row does not make it more patient
   bool hurried_ = false;
 };
 
--- a/src/standin/change_log.cpp
+++ b/src/standin/change_log.cpp
@@ -48,6 +48,10 @@
   for (transport::Connection* each : told_) each->send({Slice(events_.back() + "\n")});
 }
 
+void ChangeLog::say(const std::string& bytes) {
+  for (transport::Connection* each : told_) each->send({Slice(bytes)});
+}
+
 std::string ChangeLog::known() const {
   std::string out = R"({"seq":)" + std::to_string(events_.size()) + R"(,"results":[)";
   for (const std::string& each : events_) out += (out.back() == '[' ? "" : ",") + each;
@@ -79,6 +83,12 @@
   }
   asked.push_back(scheduler_.now());
   if (from == 0) askedAll.push_back(scheduler_.now());
+  if (manner.unheard > 0 || !manner.instead.empty()) {
+    const std::string instead = manner.unheard > 0 ? std::string() : manner.instead;
+    if (manner.unheard > 0) --manner.unheard;
+    co_await holdOff(connection, instead);
+    co_return;
+  }
   // One at a time, also for those who have gone meanwhile: the work is done before that is seen.
   if (manner.each.count() > 0) {
     free_ = std::max(free_, scheduler_.now()) + manner.each;
@@ -104,4 +114,15 @@
   }
 }
 
+// Until the other side has gone.
+transport::Task<> ChangeLog::holdOff(transport::Connection& connection, const std::string& instead) {
+  const std::size_t step = manner.drip.count() > 0 ? 1 : std::max<std::size_t>(instead.size(), 1);
+  const std::chrono::milliseconds rest = manner.drip.count() > 0 ? manner.drip : std::chrono::seconds(1);
+  for (std::size_t at = 0; connection.end() == transport::Connection::End::none; at += step) {
+    if (at < instead.size()) connection.send({Slice(instead.substr(at, step))});
+    connection.input().consume(connection.input().view().size());
+    co_await connection.receive(scheduler_.now() + rest);
+  }
+}
+
 }  // namespace paddletrack::standin
--- a/src/standin/change_log.hpp
+++ b/src/standin/change_log.hpp
@@ -24,7 +24,9 @@
   void tell(const std::vector<Server>& servers, bool full = false);
   // Says nothing more, also to those that come anew, until it is told to; who came meanwhile is then cut off.
   void hush(bool silent) { silent_ = silent; }
+  void say(const std::string& bytes);  // as they are, to all that are being told
   std::uint64_t last() const { return events_.size(); }
+  std::size_t sessions() const { return told_.size(); }  // that are being told
   std::string known() const;  // all events so far, as a controller's configuration holds them
 
   struct Manner {
@@ -33,6 +35,9 @@
     std::size_t cutAfter = 0;               // bytes of an answer, then the connection ends; 0: none is cut
     std::optional<std::uint64_t> endsAt{};  // an old copy: it knows of nothing after this number
     bool mute = false;                      // after its answer it says nothing more
+    unsigned unheard = 0;                   // so many of the next sessions are told not one byte
+    std::string instead{};                  // all that the next sessions are told; what is told is not heard
+    std::chrono::milliseconds drip{0};      // its bytes come one by one, so far apart; 0: all at once
   };
   Manner manner;
   void close();  // down: listens no longer, all its connections end
@@ -45,6 +50,7 @@
  private:
   transport::Task<> listen();
   transport::Task<> serve(std::unique_ptr<transport::Descriptor> descriptor);
+  transport::Task<> holdOff(transport::Connection& connection, const std::string& instead);
   std::uint64_t end() const { return std::min<std::uint64_t>(manner.endsAt.value_or(last()), last()); }
 
   transport::Scheduler& scheduler_;
--- /dev/null
+++ b/tests/watch_test.cpp
@@ -0,0 +1,133 @@
+// The watch on the list of engines: the follower against list services that fall silent, lag, lie or go, and
+// processes whose list is away while idle clients hold every descriptor, or while they are killed.
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <csignal>
+#include <cstdio>
+#include <filesystem>
+#include <fstream>
+
+#include "routing/follower.hpp"
+#include "standin/loop.hpp"
+#include "standin/site.hpp"
+
+namespace paddletrack {
+namespace {
+
+using namespace std::chrono_literals;
+using coldstart::ListDials;
+using coldstart::Span;
+using End = ListDials::End;
+using standin::ChangeLog;
+
+// Of 127.NET/256.NET%256.0/24, one for this process: runs beside each other do not meet.
+int net() { return 170 * 256 + ::getpid() % 4096; }
+std::string at(unsigned host) {
+  return "127." + std::to_string(net() / 256) + "." + std::to_string(net() % 256) + "." +
+         std::to_string(host) + ":18443";
+}
+
+// What the list has to tell counts as told so long after, whether or not it arrived.
+constexpr Span kCountsAsTold{7s};
+constexpr Span kDialled{1s};  // until a dial that never comes up is given up
+
+// ---- the module -----------------------------------------------------------------------------------------
+
+// A session falls silent; the next ones end so, and the one after them tells at once. From the last line on.
+Span until(std::uint64_t seed, const std::vector<End>& next) {
+  ListDials dials({}, true, seed, Span{0});
+  dials.told();
+  Span now = dials.patience();
+  dials.ended(now, End::told, true);
+  for (const End how : next) {
+    now = dials.due() + (how == End::silent ? dials.patience() : kDialled);
+    dials.ended(now, how, true);
+  }
+  return dials.due();
+}
+
+TEST(Watch, AfterASilentOneTwoDialsThatTellNothingAreWithinWhatCountsAsTold) {
+  Span worst{0};
+  for (std::uint64_t seed = 0; seed < 2000; ++seed)
+    for (const auto& next : std::vector<std::vector<End>>{{End::silent, End::silent},
+                                                          {End::silent, End::unreachable},
+                                                          {End::unreachable, End::silent},
+                                                          {End::unreachable, End::unreachable}})
+      worst = std::max(worst, until(seed, next));
+  EXPECT_LE(worst, kCountsAsTold - Span(500ms));  // the rest is for the way there and back
+}
+
+// ---- the follower ---------------------------------------------------------------------------------------
+
+const std::string kSite =
+    "balancers=1\nzones=hall\nmachineTypes=std-8\nfamilyInfo.kindCores=8\nprofiles.count=1\nprofiles.0.name="
+    "q\n"
+    "profiles.0.idempotency=retryable\nprofiles.0.onTimeUs=400000\nprofiles.0.giveUpUs=2000000\n"
+    "limits.mostTries=3\nlimits.streamsPerConn=4\nlimits.dialTimeoutUs=20000\nlimits.idleCloseUs=400000\n"
+    "tickUs=5000\n";
+
+std::vector<ChangeLog::Server> engines(unsigned count, const std::string& state = "active") {
+  std::vector<ChangeLog::Server> all;
+  for (unsigned each = 1; each <= count; ++each)
+    all.push_back({"s-" + std::to_string(each), at(each), state});
+  return all;
+}
+
+// Two list services and a controller's desk that follows the first; both know of four engines.
+struct Watch : standin::Loop {
+  explicit Watch(const coldstart::Terms& terms = {}) : terms_(terms) {
+    first.tell(engines(4), true);
+    other.tell(engines(4), true);
+  }
+  void follow() { follower.emplace(*this, unsent, kFirst, 0, 7, desk, say, terms_); }
+  bool follows() {
+    return until([&] { return follower->view().following && follower->view().number >= 1; }, 4s);
+  }
+  std::size_t count(Standing standing) const {
+    std::size_t count = 0;
+    desk.eachExecutor([&](const routing::Executor& each) { count += each.listing.standing == standing; });
+    return count;
+  }
+  bool logs(const std::string& what) const { return logged.find(what) != std::string::npos; }
+  const coldstart::Terms terms_;
+  const transport::Address kFirst{at(250)}, kOther{at(251)}, kDead{at(252)};
+  ChangeLog first{*this, unsent, kFirst}, other{*this, unsent, kOther};
+  std::string logged;
+  const Say say{[this](const Said& said) { logged += std::string(said.topic) + ": " + said.line + "\n"; }};
+  protocol::Told told = protocol::decode(protocol::pathsOfLines(kSite));
+  routing::Desk desk{*this, unsent, told, {100, {told.sharedBy, 20, told.dialTimeout, told.idleClose, {}}},
+                     7,     say};
+  std::optional<routing::Follower> follower;
+};
+
+TEST(Watch, OneSilentFromItsFirstSecondIsLeft) {
+  Watch watch;
+  watch.first.manner.unheard = 1;
+  watch.follow();
+  EXPECT_TRUE(watch.follows());
+  EXPECT_EQ(watch.first.asked.size(), 2u);
+  EXPECT_TRUE(watch.logs("silent: connecting anew"));
+}
+
+// After a good time; engines begin to drain and go unseen, and two sessions more say nothing.
+TEST(Watch, WhatAnEngineDidUnseenIsKnownBeforeItCountsAsTold) {
+  Watch watch;
+  watch.follow();
+  ASSERT_TRUE(watch.follows());
+  watch.pass(1200ms);
+  watch.first.manner.mute = true;
+  watch.first.manner.unheard = 2;
+  watch.first.tell(engines(1, "leaving"));
+  watch.first.tell({{"s-2", at(2), "left"}});
+  const transport::Moment told = watch.now();
+  EXPECT_EQ(watch.count(Standing::ready), 4u);
+  EXPECT_TRUE(watch.until([&] { return watch.count(Standing::ready) == 2; }, 10s));
+  EXPECT_LE(watch.now() - told, kCountsAsTold);
+  EXPECT_EQ(watch.count(Standing::draining), 1u);
+  EXPECT_EQ(watch.first.asked.size(), 4u);
+}
+
+}  // namespace
+}  // namespace paddletrack
