A moved watch keeps the session that tells until the new list tells as much; empty lines are no news

Found by tests over two list services, each run without the mend: - Empty lines kept a session that told nothing for good, each counted as news: "Value of: watch.follows() Actual: false". - SIGHUP elsewhere and back at once dialled the list that was followed a second time: "watch.first.asked.size() Which is: 2". - The new list's first line ended the old session before it was looked at, also one that lags or can't be used: "Value of: watch.until([&] { return watch.count(Standing::draining) == 2; }, 2s) Actual: false", a drain that the old list told. - The old session's silence was told under the new list's address: "127.0.180.252:18443: silent: connecting anew". Change: Follower::line checks first and ends the session before only at the last number known, and says whether it told something; only the current way's lines speak of the current list; `move` back to the one followed drops what was pending. Sound, with tests: both tell in one turn; a dead list and back; a list past the bound of its line; a list read afresh.

--- a/src/routing/follower.hpp
+++ b/src/routing/follower.hpp
@@ -12,14 +12,15 @@
 
 // Follows the change log: resumes after any cut where it was, and after what can't be read or is missing; if
 // that comes again it starts afresh. Moved elsewhere, it keeps the session that tells until the new one has
-// told something.
+// told as much as is known.
 class Follower {
  public:
   Follower(transport::Scheduler& scheduler, transport::Unsent& unsent, const transport::Address& log,
            std::uint64_t known, std::uint64_t seed, Desk& desk, const Say& say,
            const coldstart::Terms& terms = {});
 
-  // Followed there soon, where it is not spread at once; until then the old one is. Whether it is another.
+  // Followed there soon, where it is not spread at once; until then the old one is. Whether it is another
+  // than was last asked for; back to the one that is still followed, and that one stays.
   bool move(const transport::Address& log);
 
   struct View {
@@ -35,13 +36,12 @@
  private:
   using End = coldstart::ListDials::End;
   void begin();
-  transport::Task<> follow(std::uint64_t way);
+  transport::Task<> follow(std::uint64_t way, transport::Address log);
   transport::Task<> wait();
   transport::Task<> moveAt(transport::Moment moment);
-  transport::Task<End> session(std::uint64_t way);
-  void line(std::string_view text, std::uint64_t way);
-  std::string where() const;
-  void said(ErrorKind kind, const std::string& what);
+  transport::Task<End> session(std::uint64_t way, transport::Address log);
+  bool line(std::string_view text, std::uint64_t way);  // whether it told something
+  void said(ErrorKind kind, const transport::Address& log, const std::string& what);
 
   transport::Scheduler& scheduler_;
   transport::Unsent& unsent_;
--- a/tests/watch_test.cpp
+++ b/tests/watch_test.cpp
@@ -111,6 +111,25 @@
   EXPECT_TRUE(watch.logs("silent: connecting anew"));
 }
 
+// Bytes that are no line of it are no news: neither one a second, nor half a line for ever, nor empty lines.
+TEST(Watch, OneThatTellsNoWholeLineIsLeft) {
+  struct Way {
+    std::string instead;
+    std::chrono::milliseconds drip;
+  };
+  for (const Way& way : {Way{std::string(60, '1'), 400ms}, Way{R"({"seq":)", 0ms},
+                         Way{std::string(60, '\n'), 400ms}, Way{"0\n" + std::string(60, '\n'), 400ms}}) {
+    Watch watch;
+    watch.first.manner.instead = way.instead;
+    watch.first.manner.drip = way.drip;
+    watch.follow();
+    EXPECT_TRUE(watch.until([&] { return watch.first.asked.size() == 1; }, 1s));
+    watch.first.manner.instead.clear();
+    EXPECT_TRUE(watch.follows()) << way.instead;
+    EXPECT_EQ(watch.first.asked.size(), 2u);
+  }
+}
+
 // After a good time; engines begin to drain and go unseen, and two sessions more say nothing.
 TEST(Watch, WhatAnEngineDidUnseenIsKnownBeforeItCountsAsTold) {
   Watch watch;
@@ -129,5 +148,115 @@
   EXPECT_EQ(watch.first.asked.size(), 4u);
 }
 
+// In one turn: the list that is followed is none to go to, and goes on telling as it did.
+TEST(Watch, MovedTwiceAtOnceAndBackItStaysAndADeadListDoesNotEndIt) {
+  Watch watch;
+  watch.follow();
+  ASSERT_TRUE(watch.follows());
+  EXPECT_TRUE(watch.follower->move(watch.kDead));
+  EXPECT_TRUE(watch.follower->move(watch.kOther));
+  EXPECT_TRUE(watch.follower->move(watch.kFirst));
+  EXPECT_FALSE(watch.follower->move(watch.kFirst));
+  watch.pass(300ms);
+  EXPECT_EQ(watch.first.asked.size(), 1u);
+  EXPECT_EQ(watch.other.asked.size(), 0u);
+  EXPECT_TRUE(watch.follower->move(watch.kDead));
+  EXPECT_TRUE(watch.until([&] { return watch.follower->view().failures >= 2; }, 4s));
+  watch.first.tell(engines(1, "leaving"));  // told by the session from before
+  EXPECT_TRUE(watch.until([&] { return watch.count(Standing::draining) == 1; }, 1s));
+  EXPECT_TRUE(watch.follower->move(watch.kFirst));
+  EXPECT_TRUE(watch.follows());
+  EXPECT_TRUE(watch.until([&] { return watch.first.asked.size() == 2 && watch.first.sessions() == 1; }, 2s));
+}
+
+TEST(Watch, MovedWhileItIsSilentToOneThatNeverComesUpAndFromThereOn) {
+  Watch watch;
+  watch.follow();
+  ASSERT_TRUE(watch.follows());
+  const standin::Mute mute(watch.kDead);
+  watch.first.manner.mute = true;
+  EXPECT_TRUE(watch.follower->move(watch.kDead));
+  EXPECT_TRUE(watch.until([&] { return watch.first.sessions() == 0; }, 4s));  // left, and not dialled again
+  watch.pass(100ms);
+  EXPECT_TRUE(watch.logs(watch.kFirst.text() + ": silent")) << watch.logged;
+  EXPECT_FALSE(watch.logs(watch.kDead.text() + ": silent")) << watch.logged;
+  watch.other.tell(engines(1, "leaving"));
+  EXPECT_TRUE(watch.follower->move(watch.kOther));
+  EXPECT_TRUE(watch.until([&] { return watch.count(Standing::draining) == 1; }, 2s));
+  EXPECT_EQ(watch.first.asked.size(), 1u);
+}
+
+TEST(Watch, AsLongAsTheNewListLagsTheOldOneTells) {
+  Watch watch;
+  watch.first.tell(engines(1, "leaving"));
+  watch.follow();
+  ASSERT_TRUE(watch.follows());
+  EXPECT_TRUE(watch.follower->move(watch.kOther));
+  EXPECT_TRUE(watch.until([&] { return watch.follower->view().behind; }, 2s));
+  watch.first.tell(engines(2, "leaving"));
+  EXPECT_TRUE(watch.until([&] { return watch.count(Standing::draining) == 2; }, 2s));
+  for (unsigned each = 1; each <= 2; ++each) watch.other.tell(engines(each, "leaving"));
+  EXPECT_TRUE(watch.until([&] { return watch.first.sessions() == 0; }, 2s));  // now it is of no more use
+  watch.other.tell(engines(3, "leaving"));
+  EXPECT_TRUE(watch.until([&] { return watch.count(Standing::draining) == 3; }, 1s));
+  EXPECT_EQ(watch.follower->view().number, 4u);
+}
+
+// The one's first line ends the other's session, whose own line has come in the same turn.
+TEST(Watch, OldAndNewTellInOneTurn) {
+  for (const bool oldFirst : {true, false}) {
+    Watch watch;
+    watch.follow();
+    ASSERT_TRUE(watch.follows());
+    watch.other.manner.mute = true;
+    EXPECT_TRUE(watch.follower->move(watch.kOther));
+    ASSERT_TRUE(watch.until([&] { return watch.other.sessions() == 1; }, 2s));
+    const std::string same = ChangeLog::event(2, false, engines(1, "leaving")) + "\n";
+    if (oldFirst) watch.first.say(same);
+    watch.other.say(same);
+    if (!oldFirst) watch.first.say(same);
+    EXPECT_TRUE(watch.until([&] { return watch.first.sessions() == 0; }, 1s));
+    EXPECT_EQ(watch.count(Standing::draining), 1u);
+    EXPECT_EQ(watch.follower->view().number, 2u);
+    EXPECT_EQ(watch.first.asked.size() + watch.other.asked.size(), 2u);
+  }
+}
+
+// The old one's beats, one after each of them, are no word for what the new one tells.
+TEST(Watch, ANewListThatCannotBeFollowedIsReadAfreshThoughTheOldOneBeats) {
+  Watch watch;
+  watch.follow();
+  ASSERT_TRUE(watch.follows());
+  watch.other.manner.instead = ChangeLog::event(9, false, engines(1, "leaving")) + "\n";
+  EXPECT_TRUE(watch.follower->move(watch.kOther));
+  for (std::size_t each = 1; each <= 4 && watch.other.askedAll.empty(); ++each) {
+    ASSERT_TRUE(watch.until([&] { return watch.other.asked.size() >= each; }, 3s));
+    watch.pass(20ms);
+    watch.first.say("1\n");
+  }
+  EXPECT_GE(watch.other.askedAll.size(), 1u);
+  EXPECT_TRUE(watch.until([&] { return watch.follower->view().number == 9; }, 3s));
+  EXPECT_EQ(watch.count(Standing::draining), 1u);
+}
+
+// All of a list is one line: a thousand engines with ids of 500 bytes go in; past its bound the line is said
+// and what is known stays.
+TEST(Watch, AListOfAThousandEnginesIsReadAndOnePastTheBoundIsSaid) {
+  const auto many = [](unsigned count) {
+    std::vector<ChangeLog::Server> all;
+    for (unsigned each = 0; each < count; ++each)
+      all.push_back({std::string(500, 'x') + std::to_string(each), at(1)});
+    return all;
+  };
+  Watch watch;
+  watch.first.tell(many(1000), true);
+  watch.follow();
+  ASSERT_TRUE(watch.follows());
+  EXPECT_TRUE(watch.until([&] { return watch.count(Standing::ready) == 1000; }, 8s));
+  watch.first.tell(many(2000), true);
+  EXPECT_TRUE(watch.until([&] { return watch.logs("a line without an end"); }, 8s));
+  EXPECT_EQ(watch.count(Standing::ready), 1000u);
+}
+
 }  // namespace
 }  // namespace paddletrack
