Count the descriptors a process needs for itself: two lists, a file read again, those it inherits

Cause: 8 were kept back, all in use while one list connection takes over from another; the file of a further SIGHUP could not be opened then. Descriptors that the starter left open were not counted, so clients took what the list needs. Change: 10 are kept back, and as many as are open at the start beyond the standard streams, as far as the least leaves room. The least for clients and engines goes down by those two: no configuration that started is refused now. Without the mend (64 descriptors, idle clients, jobs on all links): "Value of: fleet.until([&] { return fleet.logs("read again") >= each; }, 5s) Actual: false" at the second SIGHUP; without the inherited ones: "Value of: fleet.until([&] { return fleet.list().asked.size() > asked; }, 3s) Actual: false" after the list came back. With both: 63 of 64 at most, test passes.

--- a/src/program/serve.cpp
+++ b/src/program/serve.cpp
@@ -1,5 +1,8 @@
 #include "program/serve.hpp"
 
+#include <fcntl.h>
+
+#include <algorithm>
 #include <csignal>
 #include <cstdlib>
 #include <functional>
@@ -27,8 +30,19 @@
 constexpr std::size_t kUnsentShare = 4;   // of the memory: a fourth for bytes on their way out
 constexpr std::size_t kInputShare = 8;    // an eighth for requests that are still coming in
 constexpr std::size_t kOpenBytes = 8192;  // that an open request may cost, with its result; a fourth for all
-constexpr std::size_t kLeastShared = 16;  // descriptors, for clients and executors
-constexpr std::size_t kOwnDescriptors = 8;  // standard streams, epoll, signals, listener, change log, spare
+constexpr std::size_t kLeastShared = 14;  // descriptors, for clients and executors
+// Standard streams, epoll, signals, listener, the change log and the one it moves to, a file that is read
+// again, one to spare.
+constexpr std::size_t kOwnDescriptors = 3 + 1 + 1 + 1 + 2 + 1 + 1;
+
+// Those that whoever started this process left open beside the standard streams: none of them is to be had.
+std::size_t inherited(std::size_t bound) {
+  constexpr std::size_t kFirst = 3, kLooked = 4096;
+  std::size_t count = 0;
+  for (std::size_t each = kFirst; each < std::min(bound, kLooked); ++each)
+    count += ::fcntl(static_cast<int>(each), F_GETFD) >= 0 ? 1 : 0;
+  return count;
+}
 
 transport::Task<> count(transport::Scheduler& scheduler, const routing::Desk& desk,
                         const routing::ClientSide& clients, const Say& say) {
@@ -230,6 +244,7 @@
 }  // namespace
 
 int serve(const Node& node, const std::string& path, Operator owner) {
+  const std::size_t held = inherited(node.descriptors);
   Log log;
   log.change(owner.form(), owner.level(), owner.settings.topicLevels);
   const Say say([&log](const Said& said) { log.say(said); });
@@ -242,11 +257,13 @@
 
   // Usual clients hold a third of the descriptors, executors are few: the rest is room for the others.
   const bool hasDoor = !owner.settings.door.socket.empty();
-  const std::size_t used = kOwnDescriptors + (hasDoor ? owner.settings.door.clients + 2 : 0) +
-                           (owner.settings.share.listen.empty() ? 0 : 1);
-  if (used + kLeastShared > node.descriptors)
+  const std::size_t wanted = kOwnDescriptors + (hasDoor ? owner.settings.door.clients + 2 : 0) +
+                             (owner.settings.share.listen.empty() ? 0 : 1);
+  if (wanted + kLeastShared > node.descriptors)
     throw Misconfigured(owner.path + ": door.clients",
                         std::to_string(owner.settings.door.clients) + " leave too few of limits.sockets");
+  // Many inherited ones are no reason not to start: they take no more than what is beyond the least.
+  const std::size_t used = wanted + std::min(held, node.descriptors - wanted - kLeastShared);
   const std::size_t connections = (node.descriptors - used) * 2 / 3;
   const std::size_t links = node.descriptors - used - connections;
   routing::Desk::Bounds bounds;
--- a/tests/watch_test.cpp
+++ b/tests/watch_test.cpp
@@ -258,5 +258,147 @@
   EXPECT_EQ(watch.count(Standing::ready), 1000u);
 }
 
+// ---- processes ------------------------------------------------------------------------------------------
+
+struct Fleet : standin::Loop {
+  Fleet() {
+    terms.program = PADDLETRACK_PROGRAM;
+    terms.net = net();
+    terms.executors = 8;
+    terms.doors = terms.starts = false;
+  }
+  void begin() {
+    site.emplace(*this, unsent, terms);
+    load.emplace(*this, unsent, site->fronts(), 3);
+    load->beats(50ms);
+    load->ownClients(true);
+    for (std::size_t each = 0; each < terms.controllers; ++each) site->start(each);
+  }
+  std::size_t ready() const {
+    std::size_t count = 0;
+    for (std::size_t each = 0; each < terms.controllers; ++each) count += load->inService(each) ? 1 : 0;
+    return count;
+  }
+  bool allReady(std::chrono::milliseconds most) {
+    return until([&] { return ready() == terms.controllers; }, most);
+  }
+  std::string log(std::size_t which) const {
+    std::ifstream file(site->log(which));
+    return {std::istreambuf_iterator<char>(file), {}};
+  }
+  std::size_t logs(const std::string& what) const {
+    const std::string all = log(0);
+    std::size_t count = 0;
+    for (std::size_t at = 0; (at = all.find(what, at)) != std::string::npos; ++at) ++count;
+    return count;
+  }
+  std::size_t descriptors() {
+    const std::filesystem::path all("/proc/" + std::to_string(site->controller(0).id()) + "/fd");
+    return static_cast<std::size_t>(std::distance(std::filesystem::directory_iterator(all), {}));
+  }
+  ChangeLog& list() { return site->changeLog(); }
+  standin::SiteTerms terms;
+  std::optional<standin::Site> site;
+  std::optional<standin::Load> load;
+  transport::Group idle{*this, [](const char*) {}};  // clients that ask for nothing, and come again
+};
+
+// All open watches fall silent at once; a quarter of the engines begin to drain right after.
+TEST(Watch, NoJobGoesToWhatBeganToDrainUnseen) {
+  Fleet fleet;
+  fleet.terms.controllers = 3;
+  fleet.begin();
+  ASSERT_TRUE(fleet.allReady(15s));
+  ASSERT_TRUE(fleet.until([&] { return fleet.list().sessions() == 3; }, 5s));
+  fleet.load->begin(60, {standin::Site::lookUps()});
+  fleet.list().manner.mute = true;
+  fleet.list().tell({{"s-1", fleet.site->address(1), "leaving"}, {"s-2", fleet.site->address(2), "leaving"}});
+  const transport::Moment told = fleet.now();
+  EXPECT_TRUE(fleet.until([&] { return fleet.list().asked.size() >= 6; }, 7s));
+  EXPECT_LE(fleet.now() - told, kCountsAsTold);
+  fleet.pass(300ms);
+  const std::uint64_t before = fleet.site->executor(0).asked() + fleet.site->executor(1).asked();
+  const std::uint64_t all = fleet.load->books().sent;
+  EXPECT_TRUE(fleet.until([&] { return fleet.load->books().sent >= all + 60; }, 10s));
+  fleet.load->end();
+  EXPECT_TRUE(fleet.until([&] { return fleet.load->books().open == 0; }, 6s));
+  EXPECT_EQ(fleet.site->executor(0).asked() + fleet.site->executor(1).asked(), before);
+  EXPECT_EQ(fleet.load->books().lost, 0u);
+}
+
+transport::Task<> idles(Fleet& fleet, bool speaks) {
+  const std::string beat =
+      protocol::thrift::message("heartbeat", protocol::thrift::Kind::call, 1, std::string("\2\0\1\0\0", 5));
+  for (;;) {
+    transport::Dialled dialled = co_await transport::dial(fleet, fleet.site->fronts()[0], fleet.now() + 10s);
+    if (dialled.descriptor) {
+      transport::Connection connection(fleet, std::move(dialled.descriptor), 256, 4096, fleet.unsent);
+      if (speaks) connection.send({transport::Slice(beat)});
+      for (bool more = true; more;) {
+        more = co_await connection.receive();
+        connection.input().consume(connection.input().view().size());
+      }
+    }
+    co_await fleet.sleepUntil(fleet.now() + 20ms);
+  }
+}
+
+// As many descriptors as it is allowed and not one more; idle clients hold all they can get, jobs all the
+// connections to engines.
+TEST(Watch, IdleClientsInEveryDescriptorKeepNeitherTheListNorUsualClientsOut) {
+  constexpr std::size_t kSockets = 64;
+  Fleet fleet;
+  fleet.terms.sockets = kSockets;
+  fleet.terms.executors = 24;
+  const std::string bound = std::to_string(kSockets);
+  fleet.terms.before = {"/usr/bin/prlimit", "--nofile=" + bound + ":" + bound, "/bin/sh", "-c",
+                        R"(exec 7</dev/null 8</dev/null 9</dev/null; exec "$0" "$@")"};  // it inherits three
+  fleet.begin();
+  ASSERT_TRUE(fleet.allReady(15s));
+  ChangeLog other(fleet, fleet.unsent, transport::Address(fleet.site->address(251)));
+  other.tell(fleet.site->listed(), true);
+  other.manner.unheard = 100;  // up, and not a word: the first is followed beside it
+  standin::Load::Kind slow = standin::Site::lookUps();
+  slow.least = slow.most = 2500ms;
+  fleet.load->begin(60, {slow});
+  for (unsigned each = 0; each < 100; ++each) fleet.idle.spawn(idles(fleet, each % 2 == 0));
+  std::size_t most = 0;
+  const auto full = [&] { return (most = std::max(most, fleet.descriptors())) >= kSockets - 3; };
+  EXPECT_TRUE(fleet.until(full, 8s)) << most;
+  for (std::size_t each = 1; each <= 4; ++each) {  // two list connections are open at each second of these
+    fleet.site->moveList(0, each % 2 == 1 ? fleet.site->address(251) : fleet.site->address(250));
+    EXPECT_TRUE(fleet.until([&] { return fleet.logs("read again") >= each; }, 5s)) << each << fleet.log(0);
+    const bool there = fleet.until(
+        [&] {
+          most = std::max(most, fleet.descriptors());
+          return each % 2 == 1 ? other.asked.size() > each / 2 : fleet.list().asked.size() > each / 2;
+        },
+        5s);
+    EXPECT_TRUE(there) << each;
+  }
+  EXPECT_EQ(fleet.logs("not taken"), 0u) << fleet.log(0);
+  std::printf("descriptors: %zu of %zu at most\n", most, kSockets);
+  // The list goes, its descriptor is anybody's; it comes back while as many clients knock as before.
+  fleet.list().close();
+  fleet.pass(2s);
+  const std::size_t asked = fleet.list().asked.size();
+  fleet.list().open();
+  EXPECT_TRUE(fleet.until([&] { return fleet.list().asked.size() > asked; }, 3s));
+  fleet.list().tell({{"s-1", fleet.site->address(1), "leaving"}});
+  EXPECT_TRUE(fleet.until([&] { return fleet.list().sessions() == 1; }, 2s));
+  // A usual client gets in and is served.
+  fleet.load->end();
+  EXPECT_TRUE(fleet.until([&] { return fleet.load->books().open == 0; }, 8s));
+  fleet.load->begin(0, {standin::Site::lookUps()});
+  const auto done = [&] {
+    return fleet.load->books().answers[static_cast<std::size_t>(standin::Heard::What::done)];
+  };
+  const std::uint64_t before = done();
+  EXPECT_TRUE(fleet.until([&] { return fleet.load->inService(0); }, 5s));
+  for (int each = 0; each < 5; ++each) fleet.load->send(0, 0);
+  EXPECT_TRUE(fleet.until([&] { return done() == before + 5; }, 5s));
+  EXPECT_EQ(fleet.logs("Too many open files"), 0u) << fleet.log(0);
+}
+
 }  // namespace
 }  // namespace paddletrack
