--- a/tests/watch_test.cpp
+++ b/tests/watch_test.cpp
@@ -400,5 +400,65 @@
   EXPECT_EQ(fleet.logs("Too many open files"), 0u) << fleet.log(0);
 }
 
+// Seven in ten killed at once and started again, with clients that knock. PADDLETRACK_RESTARTS: so many
+// processes in place of ten.
+struct Restarted {
+  bool knows;       // the configuration holds the list
+  const char* how;  // the list service is at the start
+  std::chrono::milliseconds down, each;
+};
+
+void restart(const Restarted& way) {
+  const char* wanted = std::getenv("PADDLETRACK_RESTARTS");
+  Fleet fleet;
+  fleet.terms.controllers = wanted ? static_cast<unsigned>(std::stoul(wanted)) : 10;
+  fleet.terms.knows = way.knows;
+  fleet.begin();
+  ASSERT_TRUE(fleet.allReady(60s));
+  const std::size_t killed = fleet.terms.controllers * 7 / 10;
+  fleet.load->begin(5.0 * fleet.terms.controllers, {standin::Site::lookUps()});
+  if (way.down > 0ms) fleet.list().close();
+  fleet.list().manner.each = way.each;
+  for (std::size_t each = 0; each < killed; ++each) fleet.site->controller(each).signal(SIGKILL);
+  const auto gone = [&] {
+    for (std::size_t each = 0; each < killed; ++each)
+      if (!fleet.site->controller(each).ended() || fleet.load->inService(each)) return false;
+    return true;
+  };
+  ASSERT_TRUE(fleet.until(gone, 10s));
+  const transport::Moment begun = fleet.now();
+  for (std::size_t each = 0; each < killed; ++each) fleet.site->start(each);
+  std::vector<std::chrono::milliseconds> ready;
+  std::vector<bool> was(killed);
+  const auto look = [&] {
+    const auto since = std::chrono::duration_cast<std::chrono::milliseconds>(fleet.now() - begun);
+    if (!fleet.list().isOpen() && since >= way.down) fleet.list().open();
+    for (std::size_t each = 0; each < killed; ++each)
+      if (!was[each] && fleet.load->inService(each)) was[each] = true, ready.push_back(since);
+    return ready.size() == killed;
+  };
+  const bool all = fleet.until(look, 30s);
+  const std::size_t nine = (killed * 9 + 9) / 10;
+  std::printf("%s, list %s: %zu of %zu ready; nine in ten after %lld ms, the last after %lld ms\n",
+              way.knows ? "known" : "nothing known", way.how, ready.size(), killed,
+              ready.size() < nine ? -1LL : static_cast<long long>(ready[nine - 1].count()),
+              ready.empty() ? -1LL : static_cast<long long>(ready.back().count()));
+  EXPECT_TRUE(all);
+  ASSERT_GE(ready.size(), nine);
+  EXPECT_LE(ready[nine - 1], 10s);
+  // Whoever knows does not wait for the service: it was away till then, or had no time for half of them.
+  if (way.knows && way.down > 0ms && !wanted) {
+    EXPECT_LT(ready[nine - 1], way.down);
+  }
+}
+
+TEST(Watch, NineInTenRestartedAreReadyInTimeWithTheListDown) { restart({true, "down", 6s, 0ms}); }
+TEST(Watch, NineInTenRestartedAreReadyInTimeWithNothingKnownAndTheListDown) {
+  restart({false, "down", 3s, 0ms});
+}
+TEST(Watch, NineInTenRestartedAreReadyInTimeWithNothingKnownAndASlowList) {
+  restart({false, "slow", 0ms, 20ms});
+}
+
 }  // namespace
 }  // namespace paddletrack
