--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -23,6 +23,7 @@
 constexpr double kWaitShare = 1.0 / 20;  // of the job timeout: a queued job is throttled after this
 constexpr double kColdSafety = 0.5;      // of what the cold rule allows: speeds and costs are only estimates
 constexpr double kColdJobs = 8;     // at once are what a cold engine can do: their type is let in by chance
+constexpr double kFewAnswers = 20;  // of a type: their mean may still be far from its usual work
 constexpr double kGrantOver = 1.1;  // of the expected need, at least: the scatter of a good estimate
 constexpr double kGrantMost = 2.5;  // of the expected need: more than this an estimate hardly errs
 constexpr double kEngineGrantOver = 1.5;  // of the usual need: what engines grant where they decide
@@ -57,6 +58,7 @@
       site_(deployment),
       dice_(static_cast<std::minstd_rand::result_type>(seed % 2147483646 + 1)),
       now_(now),
+      began_(now),
       lore_(deployment.types.size()),
       floors_(deployment.types.size()),
       customerTaken_(deployment.customers.size(), BucketRing<double>(span(1))),
@@ -423,7 +425,7 @@
   shortsOut_ += job.type == shortest_ ? dispatch->threads : 0;
   if (!told_)
     fleetThreads_ = std::max(fleetThreads_, ofOthers(threadsOut_ / kMark));  // no burst after a stall
-  engine.coldSent.add(now_, meanCost(*job.type));
+  engine.coldSent.add(now_, coldCost(job));
   started_.add(now_, 1);
   if (!job.dispatches.empty()) further_.add(now_, 1);
   if (site_.memoryHeeded || site_.prioritiesHeeded) host_.terms(job, granted, priority(job));
@@ -612,22 +614,31 @@
   return engine.listing.started && now_ - *engine.listing.started < site_.coldFor;
 }
 
-// Rule 4: this controller's part of what all together may send a cold engine in any window. The engine counts
-// as no warmer than at its start, a job as the usual work of its type. A part that holds no whole job is
+// Rule 4: this controller's part of what all together may send a cold engine in any window, also in one that
+// opened while it was. A cold engine counts as no warmer than at its start. A part that holds no whole job is
 // rounded by chance to what the engine can do at its start: one draw a job, so that waiting wins nothing, and
-// only for types so small against the whole that the sum keeps close to what is expected.
+// only for jobs so small against the whole that the sum keeps close to what is expected.
 bool Controller::coldAllows(const Job& job, Engine& engine) {
-  if (!isCold(engine) || site_.fallMultiple <= 0) return true;
-  const double cores = site_.machines[engine.listing.kind].cores, cost = meanCost(*job.type);
-  const double able = site_.coldStart * cores * seconds(site_.fallSpan);
+  const auto& started = engine.listing.started;
+  if (!started || now_ - *started >= site_.coldFor + site_.fallSpan || site_.fallMultiple <= 0) return true;
+  const double cores = site_.machines[engine.listing.kind].cores, cost = coldCost(job);
+  const double able = (isCold(engine) ? site_.coldStart : 1) * cores * seconds(site_.fallSpan);
   const double part = able * site_.fallMultiple * kColdSafety / site_.controllers;
   if (cost <= part) return engine.coldSent.sum(now_) + cost <= part;
-  const double lived = std::min(seconds(now_), seconds(shortest_->slaTime) * 3.5);
+  const double lived = std::min(seconds(now_ - began_), seconds(shortest_->slaTime) * 3.5);
   const double wanted = (drawn_.sum(now_) + 1) / std::max(lived, 1e-3) * cost * seconds(site_.fallSpan);
   const double dice = std::fmod(job.dice + engine.rank * cores * 64, 1);
   return cost * kColdJobs <= able && dice * wanted * site_.controllers < able;
 }
 
+// A job counts as what it is told to take, its type's usual work at least: the usual, learned from a few
+// answers, may be a tenth of what is. Where jobs tell nothing, no less than at the start until more have come.
+double Controller::coldCost(const Job& job) const {
+  const ReservationType& type = *job.type;
+  const bool known = job.toldCost || lore_[type.index].costSeen >= kFewAnswers;
+  return std::max({meanCost(type), job.tokens, known ? 0 : seconds(type.slaTime) * type.threads});
+}
+
 // Rule 7.
 bool Controller::furtherAllows(const Job& job) {
   if (job.dispatches.empty() || site_.furtherSpan <= Span{0}) return true;
--- a/src/choice.hpp
+++ b/src/choice.hpp
@@ -107,6 +107,7 @@
   bool mayThrottle(const Job& job) const;
   bool repeatsSafely(const Job& job, const Engine& engine) const;
   bool placed(const Job& job, const Engine& engine) const;
+  double coldCost(const Job& job) const;
   bool coldAllows(const Job& job, Engine& engine);
   bool furtherAllows(const Job& job);
   double furtherLeft(double part);  // of the budget, or of a part of it
@@ -158,7 +159,7 @@
   Host& host_;
   const Deployment& site_;
   std::minstd_rand dice_;
-  Span now_;
+  Span now_, began_;
   std::vector<Engine*> engines_;
   std::vector<TypeLore> lore_;
   std::vector<double> floors_;
