--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -614,25 +614,25 @@
   return engine.listing.started && now_ - *engine.listing.started < site_.coldFor;
 }
 
-// Rule 4: this controller's part of what all together may send a cold engine in any window, also in one that
-// opened while it was. A cold engine counts as no warmer than at its start. A part that holds no whole job is
-// rounded by chance to what the engine can do at its start: one draw a job, so that waiting wins nothing, and
-// only for jobs so small against the whole that the sum keeps close to what is expected.
+// Rule 4: this controller's part of what all together may send a cold engine in any window. The engine counts
+// as no warmer than at its start. A part that holds no whole job is rounded by chance: one draw a job, so
+// that waiting wins nothing, and only for jobs so small against what the engine can do at its start that the
+// sum keeps close to what is expected.
 bool Controller::coldAllows(const Job& job, Engine& engine) {
-  const auto& started = engine.listing.started;
-  if (!started || now_ - *started >= site_.coldFor + site_.fallSpan || site_.fallMultiple <= 0) return true;
+  if (!isCold(engine) || site_.fallMultiple <= 0) return true;
   const double cores = site_.machines[engine.listing.kind].cores, cost = coldCost(job);
-  const double able = (isCold(engine) ? site_.coldStart : 1) * cores * seconds(site_.fallSpan);
+  const double able = site_.coldStart * cores * seconds(site_.fallSpan);
   const double part = able * site_.fallMultiple * kColdSafety / site_.controllers;
   if (cost <= part) return engine.coldSent.sum(now_) + cost <= part;
   const double lived = std::min(seconds(now_ - began_), seconds(shortest_->slaTime) * 3.5);
   const double wanted = (drawn_.sum(now_) + 1) / std::max(lived, 1e-3) * cost * seconds(site_.fallSpan);
   const double dice = std::fmod(job.dice + engine.rank * cores * 64, 1);
-  return cost * kColdJobs <= able && dice * wanted * site_.controllers < able;
+  return cost * kColdJobs <= able && dice * wanted < part;
 }
 
 // A job counts as what it is told to take, its type's usual work at least: the usual, learned from a few
-// answers, may be a tenth of what is. Where jobs tell nothing, no less than at the start until more have come.
+// answers, may be a tenth of what is. Where jobs tell nothing, no less than at the start until more have
+// come.
 double Controller::coldCost(const Job& job) const {
   const ReservationType& type = *job.type;
   const bool known = job.toldCost || lore_[type.index].costSeen >= kFewAnswers;
