A keyed repeat keeps to the group first sent to, a throttled one to its window; zero waits end

Cause: repeatsSafely asked for the group that the earlier engine has now, not when it was sent; mayThrottle left out how long the client is told to stay away; keepUntil drew a job again in its own instant where tick and SLA time are zero. Run without the mend: AKeyedRepeatGoesToTheGroupThatTheFirstWasSentTo: job.dispatches.size() Which is: 2, wanted 1 AThrottledKeyedJobCanComeBackWithinItsWindow: Expected: (after + comeBack + 5ms) < (900ms), actual: 1033065us vs 900ms AKeyedRepeatAtItsWindowsEdge: host.throttled.size() Which is: 1, wanted 0 MissingAndZeroSettings: did not end within 20 s (an endless loop in advance) Change: a dispatch keeps its engine's location and cell; mayThrottle counts the told come-back and a tick; a wait is a microsecond at least.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -385,11 +385,13 @@
   return Step::keep;
 }
 
-// No wait outlasts the job: a key that rests past a job's time must not keep it from its answer.
+// No wait outlasts the job: a key that rests past a job's time must not keep it from its answer. Nor is one
+// drawn again in the same instant, whatever the settings leave at zero.
 void Controller::keepUntil(Job& job, Span when) {
   if (job.waiting) std::erase_if(draws_, [&](const auto& each) { return each.second == &job; });
   job.waiting = true;
-  draws_.emplace(std::max(now_ + site_.tick, std::min(when, job.expires - 2 * site_.tick)), &job);
+  draws_.emplace(std::max(now_ + std::max(site_.tick, Span{1}), std::min(when, job.expires - 2 * site_.tick)),
+                 &job);
 }
 
 // Where nothing can be withdrawn and answers get lost (dispatches ran out of time without a note or an
@@ -411,6 +413,7 @@
   dispatch->engine = &engine;
   dispatch->number = static_cast<std::uint8_t>(job.dispatches.size());
   dispatch->sent = now_;
+  dispatch->location = engine.listing.location, dispatch->cell = engine.listing.cell;
   dispatch->until = ownTime(job);
   dispatch->threads = job.type->threads;
   dispatch->tokens = job.tokens;
@@ -537,13 +540,13 @@
 
 // The final answer goes out at once, with a time to come back where the rules let the client try again.
 void Controller::giveUp(Job& job) {
+  const Span comeBack = span(slaSeconds(job) / 4 * (0.5 + chance()));
+  const Span told = site_.comeBackHeard ? std::min(comeBack, site_.longestComeBack) : Span{0};
   // What has not left (its connection is still dialled) can be kept from leaving, and is then proven unrun.
   for (const auto& each : job.dispatches)
-    if (each->out && !mayThrottle(job)) each->provenUnrun = host_.takeBack(*each);
-  const bool harmless = mayThrottle(job);
+    if (each->out && !mayThrottle(job, told)) each->provenUnrun = host_.takeBack(*each);
+  const bool harmless = mayThrottle(job, told);
   finish(job);
-  const Span comeBack = span(slaSeconds(job) / 4 * (0.5 + chance()));
-  const Span told = site_.comeBackHeard ? std::min(comeBack, site_.longestComeBack) : Span{0};
   harmless ? host_.throttle(job, told) : host_.cancelForGood(job);
   leaveLine(job);
 }
@@ -586,19 +589,19 @@
     if (each->provenUnrun || job.type->effect == Effect::restartable) return true;
     if (job.type->effect == Effect::runOnce) return false;
     if (now_ + site_.tick - each->sent >= job.type->repeatWindow) return false;
-    const Listing& before = each->engine->listing;
-    if (job.type->repeatGroup == RepeatGroup::location) return before.location == engine.listing.location;
-    if (job.type->repeatGroup == RepeatGroup::cell) return before.cell == engine.listing.cell;
+    if (job.type->repeatGroup == RepeatGroup::location) return each->location == engine.listing.location;
+    if (job.type->repeatGroup == RepeatGroup::cell) return each->cell == engine.listing.cell;
     return true;
   });
 }
 
-bool Controller::mayThrottle(const Job& job) const {
+// The client tries again once it may come back, which has to be within the window as well.
+bool Controller::mayThrottle(const Job& job, Span comeBackIn) const {
   if (job.type->effect == Effect::restartable) return true;
   return std::all_of(job.dispatches.begin(), job.dispatches.end(), [&](const auto& each) {
     return each->provenUnrun ||
            (job.type->effect == Effect::keyed && job.type->repeatGroup == RepeatGroup::all &&
-            now_ - each->sent < job.type->repeatWindow);
+            now_ + site_.tick + comeBackIn - each->sent < job.type->repeatWindow);
   });
 }
 
--- a/src/choice.hpp
+++ b/src/choice.hpp
@@ -104,7 +104,7 @@
   void finish(Job& job);
 
   bool mayRun(const Job& job) const;
-  bool mayThrottle(const Job& job) const;
+  bool mayThrottle(const Job& job, Span comeBackIn) const;
   bool repeatsSafely(const Job& job, const Engine& engine) const;
   bool placed(const Job& job, const Engine& engine) const;
   double coldCost(const Job& job) const;
--- a/src/model/job.hpp
+++ b/src/model/job.hpp
@@ -31,6 +31,7 @@
   bool out = true;
   bool provenUnrun = false;
   bool withdrawn = false;
+  unsigned location = 0, cell = 0;  // of its engine, as listed when it was sent
 };
 
 struct Job {
