--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -23,6 +23,7 @@
 constexpr double kWaitShare = 1.0 / 20;  // of the job timeout: a queued job is throttled after this
 constexpr double kColdSafety = 0.5;      // of what the cold rule allows: speeds and costs are only estimates
 constexpr double kColdJobs = 8;     // at once are what a cold engine can do: their type is let in by chance
+constexpr double kFewAnswers = 20;  // of a type: their mean may still be far from its usual work
 constexpr double kGrantOver = 1.1;  // of the expected need, at least: the scatter of a good estimate
 constexpr double kGrantMost = 2.5;  // of the expected need: more than this an estimate hardly errs
 constexpr double kEngineGrantOver = 1.5;  // of the usual need: what engines grant where they decide
@@ -57,6 +58,7 @@
       site_(deployment),
       dice_(static_cast<std::minstd_rand::result_type>(seed % 2147483646 + 1)),
       now_(now),
+      began_(now),
       lore_(deployment.types.size()),
       floors_(deployment.types.size()),
       customerTaken_(deployment.customers.size(), BucketRing<double>(span(1))),
@@ -383,11 +385,13 @@
   return Step::keep;
 }
 
-// No wait outlasts the job: a key that rests past a job's time must not keep it from its answer.
+// No wait outlasts the job: a key that rests past a job's time must not keep it from its answer. Nor is one
+// drawn again in the same instant, whatever the settings leave at zero.
 void Controller::keepUntil(Job& job, Span when) {
   if (job.waiting) std::erase_if(draws_, [&](const auto& each) { return each.second == &job; });
   job.waiting = true;
-  draws_.emplace(std::max(now_ + site_.tick, std::min(when, job.expires - 2 * site_.tick)), &job);
+  draws_.emplace(std::max(now_ + std::max(site_.tick, Span{1}), std::min(when, job.expires - 2 * site_.tick)),
+                 &job);
 }
 
 // Where nothing can be withdrawn and answers get lost (dispatches ran out of time without a note or an
@@ -409,6 +413,7 @@
   dispatch->engine = &engine;
   dispatch->number = static_cast<std::uint8_t>(job.dispatches.size());
   dispatch->sent = now_;
+  dispatch->location = engine.listing.location, dispatch->cell = engine.listing.cell;
   dispatch->until = ownTime(job);
   dispatch->threads = job.type->threads;
   dispatch->tokens = job.tokens;
@@ -423,7 +428,7 @@
   shortsOut_ += job.type == shortest_ ? dispatch->threads : 0;
   if (!told_)
     fleetThreads_ = std::max(fleetThreads_, ofOthers(threadsOut_ / kMark));  // no burst after a stall
-  engine.coldSent.add(now_, meanCost(*job.type));
+  engine.coldSent.add(now_, coldCost(job));
   started_.add(now_, 1);
   if (!job.dispatches.empty()) further_.add(now_, 1);
   if (site_.memoryHeeded || site_.prioritiesHeeded) host_.terms(job, granted, priority(job));
@@ -535,13 +540,13 @@
 
 // The final answer goes out at once, with a time to come back where the rules let the client try again.
 void Controller::giveUp(Job& job) {
+  const Span comeBack = span(slaSeconds(job) / 4 * (0.5 + chance()));
+  const Span told = site_.comeBackHeard ? std::min(comeBack, site_.longestComeBack) : Span{0};
   // What has not left (its connection is still dialled) can be kept from leaving, and is then proven unrun.
   for (const auto& each : job.dispatches)
-    if (each->out && !mayThrottle(job)) each->provenUnrun = host_.takeBack(*each);
-  const bool harmless = mayThrottle(job);
+    if (each->out && !mayThrottle(job, told)) each->provenUnrun = host_.takeBack(*each);
+  const bool harmless = mayThrottle(job, told);
   finish(job);
-  const Span comeBack = span(slaSeconds(job) / 4 * (0.5 + chance()));
-  const Span told = site_.comeBackHeard ? std::min(comeBack, site_.longestComeBack) : Span{0};
   harmless ? host_.throttle(job, told) : host_.cancelForGood(job);
   leaveLine(job);
 }
@@ -584,19 +589,19 @@
     if (each->provenUnrun || job.type->effect == Effect::restartable) return true;
     if (job.type->effect == Effect::runOnce) return false;
     if (now_ + site_.tick - each->sent >= job.type->repeatWindow) return false;
-    const Listing& before = each->engine->listing;
-    if (job.type->repeatGroup == RepeatGroup::location) return before.location == engine.listing.location;
-    if (job.type->repeatGroup == RepeatGroup::cell) return before.cell == engine.listing.cell;
+    if (job.type->repeatGroup == RepeatGroup::location) return each->location == engine.listing.location;
+    if (job.type->repeatGroup == RepeatGroup::cell) return each->cell == engine.listing.cell;
     return true;
   });
 }
 
-bool Controller::mayThrottle(const Job& job) const {
+// The client tries again once it may come back, which has to be within the window as well.
+bool Controller::mayThrottle(const Job& job, Span comeBackIn) const {
   if (job.type->effect == Effect::restartable) return true;
   return std::all_of(job.dispatches.begin(), job.dispatches.end(), [&](const auto& each) {
     return each->provenUnrun ||
            (job.type->effect == Effect::keyed && job.type->repeatGroup == RepeatGroup::all &&
-            now_ - each->sent < job.type->repeatWindow);
+            now_ + site_.tick + comeBackIn - each->sent < job.type->repeatWindow);
   });
 }
 
@@ -613,19 +618,28 @@
 }
 
 // Rule 4: this controller's part of what all together may send a cold engine in any window. The engine counts
-// as no warmer than at its start, a job as the usual work of its type. A part that holds no whole job is
-// rounded by chance to what the engine can do at its start: one draw a job, so that waiting wins nothing, and
-// only for types so small against the whole that the sum keeps close to what is expected.
+// as no warmer than at its start. A part that holds no whole job is rounded by chance: one draw a job, so
+// that waiting wins nothing, and only for jobs so small against what the engine can do at its start that the
+// sum keeps close to what is expected.
 bool Controller::coldAllows(const Job& job, Engine& engine) {
   if (!isCold(engine) || site_.fallMultiple <= 0) return true;
-  const double cores = site_.machines[engine.listing.kind].cores, cost = meanCost(*job.type);
+  const double cores = site_.machines[engine.listing.kind].cores, cost = coldCost(job);
   const double able = site_.coldStart * cores * seconds(site_.fallSpan);
   const double part = able * site_.fallMultiple * kColdSafety / site_.controllers;
   if (cost <= part) return engine.coldSent.sum(now_) + cost <= part;
-  const double lived = std::min(seconds(now_), seconds(shortest_->slaTime) * 3.5);
+  const double lived = std::min(seconds(now_ - began_), seconds(shortest_->slaTime) * 3.5);
   const double wanted = (drawn_.sum(now_) + 1) / std::max(lived, 1e-3) * cost * seconds(site_.fallSpan);
   const double dice = std::fmod(job.dice + engine.rank * cores * 64, 1);
-  return cost * kColdJobs <= able && dice * wanted * site_.controllers < able;
+  return cost * kColdJobs <= able && dice * wanted < part;
+}
+
+// A job counts as what it is told to take, its type's usual work at least: the usual, learned from a few
+// answers, may be a tenth of what is. Where jobs tell nothing, no less than at the start until more have
+// come.
+double Controller::coldCost(const Job& job) const {
+  const ReservationType& type = *job.type;
+  const bool known = job.toldCost || lore_[type.index].costSeen >= kFewAnswers;
+  return std::max({meanCost(type), job.tokens, known ? 0 : seconds(type.slaTime) * type.threads});
 }
 
 // Rule 7.
