A client's end is noticed while its answers are backed up, and closes no longer reset

(1) ClientSide::Session::run read nothing while it waited in drained(): a close, reset, half-close or revoke went unnoticed for up to the idle time. It now knows all that has come before it takes any of it; withdrawals act at once, also on requests not yet taken; nothing is taken from a client that has hung up. (2) The idle end, the push-out of a full house and the process's exit closed without a last read, over what was in the socket. (3) At the exit the backlog was reset: it is accepted first; Drain says close, and exit once no connection is left or 150 ms after the last moment.

--- a/src/drain/drain.cpp
+++ b/src/drain/drain.cpp
@@ -14,6 +14,8 @@
 // sooner than the longest job timeout, at most so long, and a last stretch.
 using std::chrono::milliseconds;
 constexpr milliseconds kStillComing{760}, kLongestRest{3000}, kLastStretch{700}, kMargin{300};
+// Of the margin, for connections to be half-closed and read out at the very end.
+constexpr milliseconds kParting{150};
 
 constexpr Span kPace = std::chrono::milliseconds(5);  // between looks while one is awaited
 // A look that comes so late means that the process stood still: what came meanwhile has not been read yet.
@@ -114,7 +116,10 @@
   if (last_) {
     if (planned_ && now > *planned_ + kLate) readsUntil_ = now + kReadsOn;
     const bool nothingOwed = books.jobs == 0 && books.coming == 0 && flushed;
-    act.exit = now >= readsUntil_ && (now >= *last_ || (now >= settledFrom_ && nothingOwed));
+    const bool ripe = now >= readsUntil_ && (now >= *last_ || (now >= settledFrom_ && nothingOwed));
+    closes_ = closes_ || ripe;
+    act.close = closes_;
+    act.exit = ripe && (books.connections == 0 || now >= *last_ + kParting);
     planned_ = nextLook(now);
   }
   return act;
@@ -130,6 +135,7 @@
   if (last_) {
     const Span usual = std::max(std::min(now + kPace * 4, *last_), std::min(settledFrom_, *last_));
     sooner(std::max(usual, readsUntil_));
+    if (closes_) sooner(std::max(now + kPace, readsUntil_));
   }
   return next;
 }
--- a/src/drain/drain.hpp
+++ b/src/drain/drain.hpp
@@ -39,6 +39,7 @@
   std::size_t jobs = 0;    // taken and without a final answer
   std::size_t unsent = 0;  // bytes of answers that the kernel has not taken yet
   std::size_t coming = 0;  // clients that have just come or are midway in a message
+  std::size_t connections = 0;  // of clients, those included that are about to end, and the listener
   std::array<std::uint64_t, 4>
       answers{};                 // since the start: left by their client, done, throttled, cancelled
   std::uint64_t turnedAway = 0;  // throttled by the drain itself, never taken
@@ -79,6 +80,7 @@
 
   struct Act {
     bool endJobs = false;  // give each open job its final answer now
+    bool close = false;    // the listener and, once nothing is open on it, each connection are to end
     bool exit = false;     // the process may end
   };
   // Moves on as far as time and books allow. To be called again when an act has been done, when a job has
@@ -105,6 +107,7 @@
   Span since_{0};                // the state
   std::optional<Span> last_;     // SIGTERM has come: the process ends then
   Span settledFrom_{0};          // and not before
+  bool closes_ = false;          // connections are ending, what comes on one that has not yet is still served
   std::optional<Span> planned_;  // the next look since then
   Span readsUntil_{0};           // it stood still: no end before what came meanwhile is read
 };
--- a/src/operating/keeper.cpp
+++ b/src/operating/keeper.cpp
@@ -95,6 +95,7 @@
   desk_.eachOpen([&](const routing::Exchange&) { ++books.jobs; });
   books.unsent = clients_.unsent();
   books.coming = clients_.coming();
+  books.connections = clients_.ending();
   books.answers = desk_.totals().answers;
   books.answers[0] = desk_.totals().left;
   books.turnedAway = turnedAway_;
@@ -106,6 +107,7 @@
     const drain::State before = drain_.state();
     const drain::Drain::Act act = drain_.look(desk_.now(), books());
     if (drain_.state() != before) enters(before);
+    if (act.close) clients_.close();
     if (act.exit) {
       say_("leaving", std::to_string(desk_.open()) + " requests open at the end");
       return exit_();
--- a/src/routing/client_side.hpp
+++ b/src/routing/client_side.hpp
@@ -40,12 +40,20 @@
   std::size_t unsent() const;  // bytes of answers that the kernel has not taken
   std::size_t coming() const;  // connections that have just come or are midway in a message
   std::size_t connected() const { return connected_.size(); }
+  // The end: who waits in the backlog is let in, then nobody; a connection ends where nothing is open on it
+  // now. To be called until none is left.
+  void close();
+  bool closing() const { return closing_; }
+  std::size_t ending() const {  // that have not ended yet, and the listener
+    return connected_.size() + lingering_.size() + (listener_ ? 1 : 0);
+  }
   std::string counts() const;  // for the log
 
  private:
   class Session;
   transport::Task<> listen();
-  void makeRoom();
+  bool crowded() const;
+  void makeRoom(bool ahead);  // before the house is full
   transport::Task<> serve(std::unique_ptr<transport::Descriptor> accepted);
 
   transport::Scheduler& scheduler_;
@@ -55,8 +63,10 @@
   const Say& say_;
   Gate* gate_;
   std::uint32_t taken_ = 0;
-  transport::Listener listener_;
+  std::optional<transport::Listener> listener_;
+  bool closing_ = false;
   std::list<Session*> connected_;  // in the order they came
+  std::list<Session*> lingering_;  // half-closed, in the order in which they were; they count as connections
   transport::Signal room_;
   struct Counts {
     std::uint64_t accepted = 0, refused = 0, unreadable = 0, unfinished = 0, idle = 0, pushedOut = 0;
--- a/src/transport/connection.cpp
+++ b/src/transport/connection.cpp
@@ -133,6 +133,7 @@
     const ssize_t got = PADDLETRACK_CALL(descriptor_->fd(), "read", "again short EINTR ECONNRESET",
                                          ::read(descriptor_->fd(), at, PADDLETRACK_SIZE(size)));
     if (got > 0) {
+      looksAgain_ = false;
       input_.grew(static_cast<std::size_t>(got));
       dry_ = static_cast<std::size_t>(got) < size;
       co_return true;
@@ -142,12 +143,31 @@
     } else if (errno == EAGAIN || errno == EWOULDBLOCK) {
       dry_ = true;
       descriptor_->clearHungUp();  // a sign from before it was connected
+      if (std::exchange(looksAgain_, false)) co_return false;
     } else if (errno != EINTR) {
       end_ = End::reset;
     }
   }
 }
 
+void Connection::lookAgain() {
+  dry_ = false;
+  looksAgain_ = true;
+  descriptor_->readable.set();
+}
+
+Task<bool> Connection::stirred(Moment until) {
+  const std::uint64_t before = written_;
+  stirs_ = true;
+  bool stirs = true;
+  while (stirs && !failed_ && !hungUp() && written_ == before && (dry_ || input_.full())) {
+    stirs = co_await descriptor_->readable.wait(until);
+    if (stirs) dry_ = false;  // the sign is used up, and what it told of is still to be read
+  }
+  stirs_ = false;
+  co_return stirs;
+}
+
 void Connection::queue(const Slice& piece) {
   if (failed_ || piece.size() == 0) return;
   const bool unfair = unsent() + piece.size() > all_.most / Unsent::kFairParts;
@@ -211,6 +231,7 @@
       pieces_.pop_front();
     }
     drained_.set();
+    if (stirs_) descriptor_->readable.set();
     if (!pieces_.empty()) co_await scheduler_.turn();
   }
 }
@@ -230,6 +251,17 @@
   descriptor_->readable.set();
 }
 
+Task<> Connection::linger(Moment until, std::size_t most) {
+  const bool out = co_await drained(0, until);
+  if (!out || failed_) co_return;
+  ::shutdown(descriptor_->fd(), SHUT_WR);
+  std::size_t dropped = 0;
+  for (bool more = true; more && dropped < most; more = co_await receive(until)) {
+    dropped += input_.view().size();
+    input_.consume(input_.view().size());
+  }
+}
+
 Listener::Listener(Scheduler& scheduler, const Address& address)
     : scheduler_(scheduler), descriptor_(scheduler, listening(address)) {}
 
@@ -246,6 +278,7 @@
     PADDLETRACK_MARK(heir(descriptor_.fd(), fd));
     if (fd >= 0) co_return std::make_unique<Descriptor>(scheduler_, fd);
     if (errno == EAGAIN || errno == EWOULDBLOCK) {
+      if (finishing_) co_return nullptr;
       co_await descriptor_.readable.wait();
     } else if (errno != EINTR && errno != ECONNABORTED) {
       // Out of descriptors or memory: what waits in the backlog stays there until some are given back.
@@ -254,6 +287,11 @@
   }
 }
 
+void Listener::finish() {
+  finishing_ = true;
+  descriptor_.readable.set();
+}
+
 Task<Dialled> dial(Scheduler& scheduler, Address address, Moment until) {
   Dialled made;
   const int fd =
--- a/src/transport/connection.hpp
+++ b/src/transport/connection.hpp
@@ -55,7 +55,16 @@
   // Waits for more input (until a moment at most) and says whether there is any.
   Task<bool> receive(std::optional<Moment> until = std::nullopt);
   Inbox& input() { return input_; }
+  const Inbox& input() const { return input_; }
   End end() const { return end_; }
+  // Of one that was accepted: whether the peer has ended its way here, though not all of it may be read.
+  bool hungUp() const { return end_ != End::none || descriptor_->hungUp(); }
+  bool dry() const { return dry_; }  // all that had come was read
+  // The next receive reads, whatever signs there were, and returns also where nothing had come.
+  void lookAgain();
+  // Waits, without reading, until something has come that there is room for, the peer has hung up, or bytes
+  // were written; false when the moment came first.
+  Task<bool> stirred(Moment until);
 
   // Queued as it is; the bytes stay shared.
   void send(std::initializer_list<Slice> pieces);
@@ -66,6 +75,9 @@
   // Until no more than so many bytes are unsent, or the end; false when the moment came first.
   Task<bool> drained(std::size_t most, Moment until);
   void shut();  // what comes and goes from now on is dropped; reading ends
+  // Half-closes once all is written, then reads out and drops what still comes, up to a moment and so many
+  // bytes: closed over unread bytes, a connection is reset, and takes answers along that are not read yet.
+  Task<> linger(Moment until, std::size_t most);
 
  private:
   void queue(const Slice& piece);
@@ -78,6 +90,7 @@
   End end_ = End::none;
   bool failed_ = false;
   bool dry_ = true;  // nothing to read until the next sign
+  bool looksAgain_ = false, stirs_ = false;
   std::deque<Slice> pieces_;
   std::size_t offset_ = 0;  // of the first piece, already written
   std::uint64_t queued_ = 0, written_ = 0;
@@ -90,11 +103,13 @@
  public:
   Listener(Scheduler& scheduler, const Address& address);
   Listener(Scheduler& scheduler, int listening);  // which it owns from now on
-  Task<std::unique_ptr<Descriptor>> accept();
+  Task<std::unique_ptr<Descriptor>> accept();  // none: it has finished, and nobody waited any more
+  void finish();
 
  private:
   Scheduler& scheduler_;
   Descriptor descriptor_;
+  bool finishing_ = false;
 };
 
 // A connected descriptor, or none and why not.
--- a/src/transport/slice.hpp
+++ b/src/transport/slice.hpp
@@ -47,7 +47,9 @@
     const std::size_t held = end_ - begin_, wanted = std::max(usual_, expected_);
     if (held == 0 && slab_.use_count() == 1 && size_ >= wanted && size_ <= 2 * usual_) begin_ = end_ = 0;
     if (!slab_ || end_ == size_ || begin_ + expected_ > size_) {
-      const std::size_t size = std::max(wanted, held + usual_ / 2);
+      // Twice what is held, so that what piles up is not copied over and over; not far past the bound.
+      const std::size_t more = held + usual_ / 2;
+      const std::size_t size = std::max(wanted, std::max(more, std::min(2 * held, most_)));
       PADDLETRACK_TABLE("input");
       std::shared_ptr<char[]> fresh(new char[size]);
       if (held > 0) std::memcpy(fresh.get(), slab_.get() + begin_, held);
