At SIGHUP another controller's or customer's file is named and not taken

Cause: reload took the change log's address of any file that could be read, and only said that 'only a restart changes name, listen, settings...': the controller then followed another customer's list of engines. Change: a file with another name, listen, zones or machineTypes is refused whole, as one with a bad value is.

Without it Customers.AnothersFileOrABadOneAtSighupIsNamedAndNotTaken failed: 'place.says(words) Actual: false, name: oulu' beside 'read again: the change log has moved', and 'strange.accepted.empty() Actual: false'.

--- a/src/program/configuration.cpp
+++ b/src/program/configuration.cpp
@@ -123,6 +123,14 @@
   });
 }
 
+std::string anothers(const Node& before, const Node& now) {
+  if (before.name != now.name) return "name: '" + now.name + "'";
+  if (before.listen.text() != now.listen.text()) return "listen: '" + now.listen.text() + "'";
+  if (before.told.locationNames != now.told.locationNames) return "settings: zones";
+  if (before.told.machineNames != now.told.machineNames) return "settings: machineTypes";
+  return "";
+}
+
 std::string fixedDifferences(const Node& before, const Node& now) {
   std::string differ;
   const auto note = [&](bool same, const std::string& key) {
--- a/src/program/configuration.hpp
+++ b/src/program/configuration.hpp
@@ -29,6 +29,10 @@
 
 Node readNode(const std::string& path);  // throws FileUnreadable, Misconfigured
 
+// The key by which `now` is another controller's or customer's file, with what stands there; empty: it is
+// not. That file's change log tells of engines in words that mean nothing here, or something else.
+std::string anothers(const Node& before, const Node& now);
+
 // The keys in which two readings differ and which only a restart changes, for the log; empty: none.
 std::string fixedDifferences(const Node& before, const Node& now);
 
--- a/src/program/serve.cpp
+++ b/src/program/serve.cpp
@@ -45,6 +45,8 @@
 void reload(const std::string& path, const Node& node, routing::Follower& follower, const Say& say) {
   try {
     const Node read = readNode(path);
+    if (const std::string key = anothers(node, read); !key.empty())
+      throw Misconfigured(path + ": " + key, "it is another controller's or customer's");
     const std::string fixed = fixedDifferences(node, read);
     if (!fixed.empty()) say("configuration", "only a restart changes " + fixed);
     say("configuration",
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -360,6 +360,38 @@
   EXPECT_EQ(second.executor.ran(), all[1].classes.size());
 }
 
+// At SIGHUP a file of another customer, or one with a bad value, is named, and all stays as it was: the list
+// of another's executors most of all.
+TEST(Customers, AnothersFileOrABadOneAtSighupIsNamedAndNotTaken) {
+  const std::vector<Customer> all = customers();
+  standin::Loop loop;
+  const std::vector<std::string> nets{"127.0.214", "127.0.215"};
+  const json own = of(all[0], nets[0]);
+  Place place(loop, own, nets[0]);
+  ChangeLog strange(loop, loop.unsent, transport::Address(nets[1] + ".250:18443"));
+  ASSERT_TRUE(loop.until([&] { return place.log.asked.size() == 1; }));
+  strange.tell({{"s-9", nets[1] + ".1:18443", "active", all[0].zones[0], all[0].kinds[0]}}, true);
+  const auto reload = [&](json told, const std::string& words = "") {
+    told["changelog"] = nets[1] + ".250:18443";
+    place.files.put(told);
+    place.process->signal(SIGHUP);
+    EXPECT_TRUE(loop.until([&] { return place.says(words); })) << words << "\n" << textOf(place.said());
+  };
+  json named = own, zones = own, kinds = own, bad = own;
+  named["name"] = "another";
+  zones["settings"]["zones"] = all[1].zones;
+  kinds["settings"]["machineTypes"] = all[1].kinds;
+  bad["settings"]["limits"]["mostTries"] = "nan";
+  reload(of(all[1], nets[1]), "name: '" + all[1].names.front() + "'");
+  reload(named, "name: 'another'");
+  reload(zones, "settings: zones");
+  reload(kinds, "settings: machineTypes");
+  reload(bad, "settings: limits.mostTries: 'nan'");
+  EXPECT_TRUE(strange.accepted.empty());
+  reload(own);  // the same file, but for the log's address
+  EXPECT_TRUE(loop.until([&] { return !strange.asked.empty(); }));
+}
+
 TEST(Configuration, ABadValueEndsTheStartWithTwo) {
   standin::Loop loop;
   for (const char* command : {"serve", "check-config"}) {
