Many descriptors and little memory: each connection still has room for a request

Cause: the longest frame is an eighth of the memory over the connections, and these came from limits.sockets alone: with 16 MB and 2^20 descriptors 2 bytes, so that not even a heartbeat was read. Connections are now at most what that eighth holds at 8 KiB each; at 192 MB and 1,024 descriptors nothing changes.

Without it Configuration.TheLeastThatIsNeededServes failed: 'client: connection closed: a frame of 22 bytes', not in service within 10 s.

--- a/src/program/serve.cpp
+++ b/src/program/serve.cpp
@@ -249,7 +249,9 @@
   if (used + kLeastShared > node.descriptors)
     throw Misconfigured(owner.path + ": door.clients",
                         std::to_string(owner.settings.door.clients) + " leave too few of limits.sockets");
-  const std::size_t connections = (node.descriptors - used) * 2 / 3;
+  // However many descriptors there are, each connection has room for a request.
+  const std::size_t connections =
+      std::min((node.descriptors - used) * 2 / 3, node.memoryBytes / kInputShare / kOpenBytes);
   const std::size_t links = node.descriptors - used - connections;
   routing::Desk::Bounds bounds;
   bounds.open = std::min(node.told.mostOpen, node.memoryBytes / 4 / kOpenBytes);
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -406,5 +406,26 @@
   }
 }
 
+// Only what is needed is told, and limits that are in order each but let no request in when one is divided
+// by the other: much of descriptors, little of memory.
+TEST(Configuration, TheLeastThatIsNeededServes) {
+  standin::Loop loop;
+  for (const unsigned sockets : {32U, 1U << 20}) {
+    json told = least();
+    told["limits"] = {{"memory_mb", 16}, {"sockets", sockets}};
+    Place place(loop, told, "127.0.214");
+    Load load(loop, loop.unsent, {transport::Address("127.0.214.200:18443")}, 7);
+    load.beats(20ms);
+    ASSERT_TRUE(loop.until([&] { return load.inService(0); })) << sockets << textOf(place.said());
+    load.begin(0, {{"q", "", 1, 1ms, 1ms, 2s, std::string(4000, 'x')}});
+    load.send(0, 0);
+    ASSERT_TRUE(loop.until([&] { return load.books().open == 0; }));
+    EXPECT_EQ(load.jobs().front().what, standin::Heard::What::done) << sockets << textOf(place.said());
+    place.process->signal(SIGTERM);
+    ASSERT_TRUE(loop.until([&] { return place.process->ended().has_value(); }));
+    EXPECT_EQ(place.process->ended(), 0);
+  }
+}
+
 }  // namespace
 }  // namespace paddletrack
