Tests of settings take loopback nets of their own process

Cause: three of them shared one net, so that ctest -j2, or two builds on one machine, could let them meet. Change: the net comes from the process's number. Two whole runs of them side by side passed.

--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -1,5 +1,6 @@
 // Another customer's settings: what is told decides, nothing is known beforehand, shared, or read wrongly.
 #include <gtest/gtest.h>
+#include <unistd.h>
 
 #include <cctype>
 #include <csignal>
@@ -22,6 +23,12 @@
 
 const std::string kSource = PADDLETRACK_SOURCE;
 
+// Loopback nets of this process's own: tests that run beside each other do not meet.
+std::string ownNet(unsigned which) {
+  const auto process = static_cast<unsigned>(::getpid());
+  return "127." + std::to_string(100 + process / 100 % 100) + "." + std::to_string(process % 100 * 2 + which);
+}
+
 std::string textOf(const std::filesystem::path& path) {
   std::ifstream file(path, std::ios::binary);
   return {std::istreambuf_iterator<char>(file), {}};
@@ -331,7 +338,7 @@
 TEST(Customers, TwoOnOneMachineServeTheirOwnClassesAlone) {
   const std::vector<Customer> all = customers();
   standin::Loop loop;
-  const std::vector<std::string> nets{"127.0.214", "127.0.215"};
+  const std::vector<std::string> nets{ownNet(0), ownNet(1)};
   Place first(loop, of(all[0], nets[0]), nets[0]), second(loop, of(all[1], nets[1]), nets[1]);
   Load load(loop, loop.unsent,
             {transport::Address(nets[0] + ".200:18443"), transport::Address(nets[1] + ".200:18443")}, 7);
@@ -365,7 +372,7 @@
 TEST(Customers, AnothersFileOrABadOneAtSighupIsNamedAndNotTaken) {
   const std::vector<Customer> all = customers();
   standin::Loop loop;
-  const std::vector<std::string> nets{"127.0.214", "127.0.215"};
+  const std::vector<std::string> nets{ownNet(0), ownNet(1)};
   const json own = of(all[0], nets[0]);
   Place place(loop, own, nets[0]);
   ChangeLog strange(loop, loop.unsent, transport::Address(nets[1] + ".250:18443"));
@@ -413,8 +420,10 @@
   for (const unsigned sockets : {32U, 1U << 20}) {
     json told = least();
     told["limits"] = {{"memory_mb", 16}, {"sockets", sockets}};
-    Place place(loop, told, "127.0.214");
-    Load load(loop, loop.unsent, {transport::Address("127.0.214.200:18443")}, 7);
+    told["listen"] = ownNet(0) + ".200:18443";
+    told["changelog"] = ownNet(0) + ".250:18443";
+    Place place(loop, told, ownNet(0));
+    Load load(loop, loop.unsent, {transport::Address(ownNet(0) + ".200:18443")}, 7);
     load.beats(20ms);
     ASSERT_TRUE(loop.until([&] { return load.inService(0); })) << sockets << textOf(place.said());
     load.begin(0, {{"q", "", 1, 1ms, 1ms, 2s, std::string(4000, 'x')}});
