--- a/src/program/serve.cpp
+++ b/src/program/serve.cpp
@@ -59,6 +59,8 @@
 void reload(const std::string& path, const Node& node, routing::Follower& follower, const Say& say) {
   try {
     const Node read = readNode(path);
+    if (const std::string key = anothers(node, read); !key.empty())
+      throw Misconfigured(path + ": " + key, "it is another controller's or customer's");
     const std::string fixed = fixedDifferences(node, read);
     if (!fixed.empty()) say("configuration", "only a restart changes " + fixed);
     say("configuration",
@@ -264,7 +266,9 @@
                         std::to_string(owner.settings.door.clients) + " leave too few of limits.sockets");
   // Many inherited ones are no reason not to start: they take no more than what is beyond the least.
   const std::size_t used = wanted + std::min(held, node.descriptors - wanted - kLeastShared);
-  const std::size_t connections = (node.descriptors - used) * 2 / 3;
+  // However many descriptors there are, each connection has room for a request.
+  const std::size_t connections =
+      std::min((node.descriptors - used) * 2 / 3, node.memoryBytes / kInputShare / kOpenBytes);
   const std::size_t links = node.descriptors - used - connections;
   routing::Desk::Bounds bounds;
   bounds.open = std::min(node.told.mostOpen, node.memoryBytes / 4 / kOpenBytes);
