--- a/src/standin/executor.cpp
+++ b/src/standin/executor.cpp
@@ -1,5 +1,7 @@
 #include "standin/executor.hpp"
 
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <charconv>
 
@@ -10,6 +12,7 @@
 namespace {
 
 using protocol::resp::Array;
+using transport::Moment;
 
 constexpr std::size_t kLongest = 32 << 20;  // of a statement
 
@@ -49,6 +52,7 @@
   Session(Executor& executor, Place& place, std::unique_ptr<transport::Descriptor> accepted)
       : executor_(executor),
         place_(place),
+        fd_(accepted->fd()),
         connection_(executor.scheduler_, std::move(accepted), 16 * 1024, kLongest + 4096, executor.unsent_),
         working_(executor.scheduler_, [](const char*) {}) {
     executor_.sessions_.insert(this);
@@ -56,7 +60,10 @@
   }
   ~Session() {
     executor_.sessions_.erase(this);
-    for (const auto& [id, script] : scripts_) executor_.open_.erase({this, id});
+    for (const auto& [id, script] : scripts_) {
+      executor_.open_.erase({this, id});
+      told(Event::Kind::cut, id);
+    }
   }
 
   const Place& place() const { return place_; }
@@ -65,9 +72,13 @@
     if (place_.fault == Fault::reset) co_return;
     for (;;) {
       if (place_.fault == Fault::deaf) co_await executor_.scheduler_.sleepUntil(transport::Moment::max());
+      transport::Inbox& input = connection_.input();
+      const bool fresh = input.view().empty();
       const bool more = co_await connection_.receive();
       if (!more) co_return;
-      transport::Inbox& input = connection_.input();
+      const Bounds read{executor_.scheduler_.now(),
+                        executor_.events_ ? executor_.events_->polled() : Moment{}};
+      if (fresh) began_ = read;
       for (;;) {
         const Array array = protocol::resp::read(input.view(), kLongest);
         if (array.size == 0) {
@@ -76,12 +87,37 @@
         }
         command(array);
         input.consume(array.size);
+        began_ = read;
       }
     }
   }
   void cut() { connection_.shut(); }
+  void cut(Which which, bool resets, std::uint64_t attempt) {
+    const auto here = [&](const auto& each) { return each.second == attempt; };
+    if (which == Which::idle && !scripts_.empty()) return;
+    if (which == Which::one && std::none_of(attempts_.begin(), attempts_.end(), here)) return;
+    const linger none{1, 0};
+    if (resets) ::setsockopt(fd_, SOL_SOCKET, SO_LINGER, &none, sizeof none);
+    cut();
+  }
 
  private:
+  struct Bounds {
+    Moment at{}, since{};
+  };
+  void told(Event::Kind kind, const std::string& id, std::string what = {}, std::string rows = {}) {
+    if (!executor_.events_) return;
+    Event event{.kind = kind, .reference = id, .executor = executor_.number_};
+    if (kind == Event::Kind::came) {
+      event.attempt = attempts_[id] = executor_.events_->attempt();
+      event.at = began_.at, event.since = began_.since;
+    } else if (const auto at = attempts_.find(id); at != attempts_.end()) {
+      event.attempt = at->second;
+      attempts_.erase(at);
+    }
+    event.what = std::move(what), event.text = std::move(rows);
+    executor_.events_->tell(std::move(event));
+  }
   void command(const Array& array) {
     const std::string word(array.words[0]), id(array.words[1]);
     if (executor_.raw) {
@@ -96,6 +132,7 @@
       if (at == scripts_.end()) return;
       executor_.open_.erase({this, id});
       scripts_.erase(at);
+      if (word == "QUIT") told(Event::Kind::withdrawn, id);
     } else if (word == "NEXT") {
       if (at == scripts_.end()) return say(connection_, {id, "500", "-", ""});
       if (!at->second.half) page(id, number(array.words[2]));
@@ -104,9 +141,14 @@
 
   void ask(const std::string& id, std::string_view statement) {
     ++place_.asked;
-    if (place_.fault == Fault::resetOnAsk) return connection_.shut();
+    told(Event::Kind::came, id);
     Script script = scriptOf(statement);
     if (executor_.over) executor_.over(script, id);
+    if (script.fault == Fault::none) script.fault = place_.fault;
+    if (script.fault == Fault::resetOnAsk) {
+      told(Event::Kind::cut, id);
+      return connection_.shut();
+    }
     ++executor_.asked_;
     executor_.asks.push_back(executor_.scheduler_.now());
     if (executor_.warmth_.groups > 0 && !executor_.warms(protocol::tableGroup(statement)))
@@ -124,10 +166,13 @@
       ++executor_.ran_;
       if (++executor_.times_[id] == 2) ++executor_.ranTwice_;
     }
-    if (place_.fault == Fault::halfAnswer) {
+    if (script.fault == Fault::halfAnswer) {
       connection_.send({transport::Slice::lasting("*4\r\n$16\r\n")});
       co_return;
     }
+    std::string all;
+    for (unsigned each = 0; script.answer == "200" && each < script.pages; ++each) all += rows(id, each);
+    told(Event::Kind::finished, id, script.answer, std::move(all));
     if (script.answer == "200") {
       say(connection_, {id, "200", "batches=" + std::to_string(script.pages), rows(id, 0)});
       if (script.pages > 1) co_return;  // it keeps them until they are fetched
@@ -136,7 +181,7 @@
     }
     executor_.open_.erase({this, id});
     scripts_.erase(id);
-    if (place_.fault != Fault::twice) co_return;
+    if (script.fault != Fault::twice) co_return;
     co_await executor_.scheduler_.sleepUntil(executor_.scheduler_.now() + milliseconds(7));
     say(connection_, {id, "200", "batches=2", rows(id, 0)});
     say(connection_, {id, "chunk", "batch=1", rows(id, 1)});
@@ -153,9 +198,12 @@
 
   Executor& executor_;
   Place& place_;
+  const int fd_;  // the connection's
   transport::Connection connection_;
-  std::map<std::string, Script> scripts_;  // of what is open here
-  std::map<std::string, unsigned> sent_;   // pages, by id
+  Bounds began_;                                   // when the first byte was read of what comes next
+  std::map<std::string, std::uint64_t> attempts_;  // that are out, by id, where they are recorded
+  std::map<std::string, Script> scripts_;          // of what is open here
+  std::map<std::string, unsigned> sent_;           // pages, by id
   transport::Group working_;
 };
 
@@ -212,6 +260,10 @@
   co_await session.run();
 }
 
+void Executor::cut(Which which, bool resets, std::uint64_t attempt) {
+  for (Session* each : sessions_) each->cut(which, resets, attempt);
+}
+
 void Executor::cut() {
   for (Session* each : sessions_) each->cut();
 }
--- a/src/standin/executor.hpp
+++ b/src/standin/executor.hpp
@@ -12,12 +12,22 @@
 #include <string>
 #include <vector>
 
+#include "standin/events.hpp"
 #include "transport/connection.hpp"
 
 namespace paddletrack::standin {
 
 using std::chrono::milliseconds;
 
+enum class ExecutorFault {
+  none,
+  deaf,        // accepts, reads nothing
+  reset,       // ends each connection as soon as it has accepted it
+  resetOnAsk,  // ends the connection when an ask has come whole, before it runs
+  halfAnswer,  // runs, writes the half of its answer, and nothing more
+  twice,       // says each answer again some milliseconds later, with another page count
+};
+
 // What becomes of one statement: "select 1 /* ms=200 pages=3 answer=503 */". Words: `ms` until the answer,
 // `pages` in all, `answer` (200, 500, 503, 504), `half` (the first page comes, no other).
 struct Script {
@@ -25,6 +35,7 @@
   unsigned pages = 1;
   std::string answer = "200";
   bool half = false;
+  ExecutorFault fault = ExecutorFault::none;  // of this ask alone, else that of its place: the last three
 };
 Script scriptOf(std::string_view statement);
 
@@ -34,14 +45,7 @@
 
   // Further addresses of the same engine; places are numbered from 0, the first is the constructor's.
   std::size_t also(const transport::Address& address);
-  enum class Fault {
-    none,
-    deaf,        // accepts, reads nothing
-    reset,       // ends each connection as soon as it has accepted it
-    resetOnAsk,  // ends the connection when an ask has come whole, before it runs
-    halfAnswer,  // runs, writes the half of its answer, and nothing more
-    twice,       // says each answer again some milliseconds later, with another page count
-  };
+  using Fault = ExecutorFault;
   void fail(std::size_t place, Fault fault);
   void close(std::size_t place);  // listens there no longer, and ends what is connected there
 
@@ -76,6 +80,13 @@
   std::uint64_t ranTwice() const { return ranTwice_; }  // ids whose work came to its end more than once
   std::uint64_t askedAt(std::size_t place) const { return places_[place]->asked; }
   void cut();  // every connection, as a process that dies; it listens on
+  enum class Which { all, idle, one };
+  // As cut, of those on which nothing is open, or of the one that has the attempt; `resets` closes them with
+  // a reset also where nothing is unread.
+  void cut(Which which, bool resets, std::uint64_t attempt = 0);
+  void record(Events& events, std::size_t number) {
+    events_ = &events, number_ = number;
+  }  // under this number
 
  private:
   class Session;
@@ -94,6 +105,8 @@
 
   transport::Scheduler& scheduler_;
   transport::Unsent& unsent_;
+  Events* events_ = nullptr;
+  std::size_t number_ = 0;
   std::vector<std::unique_ptr<Place>> places_;
   std::set<Session*> sessions_;
   std::set<std::pair<const Session*, std::string>> open_;
--- a/src/standin/load.cpp
+++ b/src/standin/load.cpp
@@ -1,9 +1,10 @@
 #include "standin/load.hpp"
 
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <cstdio>
 #include <optional>
-#include <set>
 
 namespace paddletrack::standin {
 namespace {
@@ -17,7 +18,12 @@
 constexpr std::size_t kMostOpen = 30;  // on one connection
 constexpr milliseconds kIdle{3500};    // clients close what they do not use
 constexpr milliseconds kCross{50};     // a job that crosses a close is sent once more
-constexpr milliseconds kLate{400};     // past its time: never answered
+constexpr std::size_t kNoJob = static_cast<std::size_t>(-1);
+
+const char* nameOf(Heard::What what) {
+  static constexpr std::array kNames{"done", "throttled", "cancelled", "exception", "good", "bad"};
+  return kNames[static_cast<std::size_t>(what)];
+}
 
 }  // namespace
 
@@ -29,7 +35,18 @@
   }
   ~Line() {
     std::erase(load_.controllers_[controller_].lines, this);
-    for (const auto& [sequence, job] : std::exchange(open_, {})) load_.lose(job);
+    // A client that records closes over a job that is late alone: to the others on its connection it has
+    // gone.
+    const bool own = load_.events_ && end_ == How::late;
+    for (const auto& [sequence, job] : std::exchange(open_, {})) {
+      if (own && !late(job)) {
+        load_.left(job, "closed");
+      } else {
+        load_.lose(job, !connection_ || connection_->written() < ends_[sequence] ? "unsent"
+                        : own                                                    ? "timeout"
+                                                                                 : "closed");
+      }
+    }
   }
 
   bool room() const { return open_.size() < kMostOpen && !ending_; }
@@ -51,10 +68,44 @@
                           {"effort", std::to_string(ms.count())},
                           {"ram", "16"}};
     if (!kind.customer.empty()) fields.emplace_back("project", kind.customer);
-    const std::string sent =
-        thrift::submit(sequence_, fields,
-                       "select * from s_" + std::to_string(kind.group) + ".t /* ms=" + std::to_string(ms.count()) + " " + kind.script + " */");
+    const std::string sent = thrift::submit(sequence_, fields,
+                                            "select * from s_" + std::to_string(kind.group) + ".t /* ms=" +
+                                                std::to_string(ms.count()) + " " + kind.script + " */");
     connection_ ? connection_->send({Slice(sent)}) : held_.push_back(Slice(sent));
+    ends_[sequence_] = given_ += sent.size();
+  }
+
+  bool has(std::size_t job) const {
+    return connection_ &&
+           std::any_of(open_.begin(), open_.end(), [&](const auto& each) { return each.second == job; });
+  }
+  bool leave(std::size_t job, Leave how) {
+    if (end_ != How::none) return false;
+    if (how == Leave::revokes) {
+      const auto at =
+          std::find_if(open_.begin(), open_.end(), [&](const auto& each) { return each.second == job; });
+      const std::string sent = thrift::revoke(at->first);
+      connection_->send({Slice(sent)});
+      given_ += sent.size();
+      done_.emplace(*at);
+      open_.erase(at);
+      load_.left(job, "revoked");
+      return true;
+    }
+    if (connection_->unsent() > 0) return false;
+    ending_ = true;
+    if (how == Leave::halfCloses) {
+      end_ = How::halfClosed;
+      ::shutdown(fd_, SHUT_WR);
+      for (const auto& [sequence, each] : open_) load_.left(each, "half-closed");
+      return true;
+    }
+    end_ = how == Leave::resets ? How::reset : How::closed;
+    connection_->shut();
+    return true;
+  }
+  void rest() {
+    if (open_.empty() && connection_) ending_ = true, connection_->shut();
   }
 
   transport::Task<> run() {
@@ -62,6 +113,7 @@
     transport::Dialled dialled = co_await transport::dial(scheduler, load_.controllers_[controller_].address,
                                                           scheduler.now() + milliseconds(2000));
     if (!dialled.descriptor) co_return;
+    fd_ = dialled.descriptor->fd();
     connection_.emplace(scheduler, std::move(dialled.descriptor), 16 * 1024, 1 << 20, load_.unsent_);
     connection_->send(held_);
     while (co_await more()) {
@@ -76,15 +128,25 @@
         input.consume(whole);
         const auto at = open_.find(heard.sequence);
         if (at == open_.end()) {
-          done_.count(heard.sequence) > 0 ? ++load_.books_.doubled : ++load_.books_.unasked;
+          const auto done = done_.find(heard.sequence);
+          if (done == done_.end() || !load_.jobs_[done->second].gone)
+            done != done_.end() ? ++load_.books_.doubled : ++load_.books_.unasked;
+          done != done_.end() ? load_.answered(done->second, heard)
+                              : load_.told(Event::Kind::answered, kNoJob, nameOf(heard.what));
           continue;
         }
         const std::size_t job = at->second;
         open_.erase(at);
-        done_.insert(heard.sequence);
+        done_.emplace(heard.sequence, job);
         load_.ended(job, heard);
       }
     }
+    if (end_ != How::closed && end_ != How::reset) co_return;
+    const linger none{1, 0};
+    if (end_ == How::reset) ::setsockopt(fd_, SOL_SOCKET, SO_LINGER, &none, sizeof none);
+    connection_.reset();  // only then it has gone
+    for (const auto& [sequence, job] : std::exchange(open_, {}))
+      load_.left(job, end_ == How::reset ? "reset" : "closed");
   }
 
  private:
@@ -93,7 +155,10 @@
     for (;;) {
       const Moment now = load_.scheduler_.now();
       if (open_.empty() && now >= used_ + kIdle) co_return false;
-      if (!open_.empty() && now >= oldest() + kLate) co_return false;  // its jobs are lost
+      if (!open_.empty() && now >= oldest() + load_.late_) {  // its jobs are lost
+        if (end_ == How::none) end_ = How::late;
+        co_return false;
+      }
       const bool any = co_await connection_->receive(now + milliseconds(100));
       if (any) co_return true;
       if (connection_->end() != Connection::End::none) {
@@ -102,6 +167,10 @@
       }
     }
   }
+  bool late(std::size_t job) const {
+    return load_.scheduler_.now() >=
+           load_.jobs_[job].sent + load_.kinds_[load_.jobs_[job].kind].allow + load_.late_;
+  }
   // When the first of the open jobs has no time left.
   Moment oldest() const {
     Moment first = Moment::max();
@@ -115,7 +184,11 @@
   std::optional<Connection> connection_;
   std::deque<Slice> held_;  // until it is up
   std::map<std::int32_t, std::size_t> open_;
-  std::set<std::int32_t> done_;
+  std::map<std::int32_t, std::size_t> done_;    // answered or given up
+  std::map<std::int32_t, std::uint64_t> ends_;  // of each in all that was given to the connection
+  std::uint64_t given_ = 0;
+  enum class How { none, late, halfClosed, closed, reset } end_ = How::none;  // by itself
+  int fd_ = -1;                                                               // the connection's
   std::int32_t sequence_ = 0;
   Moment used_{};
   bool ending_ = false;
@@ -177,7 +250,7 @@
         co_await transport::dial(scheduler_, one.address, scheduler_.now() + milliseconds(500));
     if (dialled.descriptor) {
       Connection connection(scheduler_, std::move(dialled.descriptor), 1024, 4096, unsent_);
-      for (std::int32_t sequence = 1;; ++sequence) {
+      for (std::int32_t sequence = 1; !rests_; ++sequence) {
         connection.send({Slice(thrift::heartbeatCall(sequence))});
         const bool more = co_await connection.receive(scheduler_.now() + milliseconds(1000));
         if (!more) break;
@@ -190,7 +263,9 @@
       }
     }
     one.good = false;
-    co_await scheduler_.sleepUntil(scheduler_.now() + beat_);
+    do {
+      co_await scheduler_.sleepUntil(scheduler_.now() + beat_);
+    } while (rests_);
   }
 }
 
@@ -205,8 +280,41 @@
   ++books_.sent;
   ++books_.open;
   ++controllers_[controller].open;
-  place(jobs_.size() - 1);
-  return jobs_.size() - 1;
+  const std::size_t made = jobs_.size() - 1;
+  told(Event::Kind::sent, made, kinds_[kind].type.c_str());
+  place(made);
+  return made;
+}
+
+std::size_t Load::sendAgain(std::size_t job, std::size_t controller) {
+  former_ = jobs_[job].reference;
+  const std::size_t made = send(jobs_[job].kind, controller);
+  former_.clear();
+  return made;
+}
+
+bool Load::leave(std::size_t job, Leave how) {
+  for (Line* each : controllers_[jobs_[job].controller].lines)
+    if (each->has(job)) return each->leave(job, how);
+  return false;
+}
+
+void Load::rest() {
+  rests_ = true;
+  for (Controller& each : controllers_)
+    for (Line* line : each.lines) line->rest();
+}
+
+void Load::told(Event::Kind kind, std::size_t number, const char* what, std::string text) {
+  if (!events_) return;
+  Event event{.kind = kind, .what = what, .text = std::move(text)};
+  if (number != kNoJob) {
+    event.reference = jobs_[number].reference;
+    event.controller = jobs_[number].controller;
+    event.span = kinds_[jobs_[number].kind].allow;
+    if (kind == Event::Kind::sent) event.former = former_;
+  }
+  events_->tell(std::move(event));
 }
 
 void Load::place(std::size_t job) {
@@ -224,8 +332,24 @@
 
 transport::Task<> Load::hold(std::unique_ptr<Line> line) { co_await line->run(); }
 
+void Load::answered(std::size_t number, const Heard& heard) {
+  told(Event::Kind::answered, number, nameOf(heard.what), heard.body);
+}
+
+// Its client has gone: no answer is owed.
+void Load::left(std::size_t number, const char* how) {
+  Job& job = jobs_[number];
+  if (closing_ || job.gone) return;
+  job.gone = true;
+  job.ended = scheduler_.now();
+  --books_.open;
+  --controllers_[job.controller].open;
+  told(Event::Kind::gone, number, how);
+}
+
 void Load::ended(std::size_t number, const Heard& heard) {
   Job& job = jobs_[number];
+  if (job.gone) return answered(number, heard);
   ++job.answers;
   job.ended = scheduler_.now();
   job.what = heard.what;
@@ -233,12 +357,13 @@
   ++books_.answers[std::min<std::size_t>(static_cast<std::size_t>(heard.what), 3)];
   --books_.open;
   --controllers_[job.controller].open;
+  answered(number, heard);
 }
 
 // Its connection ended. One that crossed an idle close is sent once more, on another.
-void Load::lose(std::size_t number) {
-  if (closing_) return;
+void Load::lose(std::size_t number, const char* how) {
   Job& job = jobs_[number];
+  if (closing_ || job.gone) return;
   if (!once_ && !job.again && scheduler_.now() - job.sent < kCross) {
     job.again = true;
     return place(number);
@@ -248,6 +373,7 @@
   ++books_.lost;
   --books_.open;
   --controllers_[job.controller].open;
+  told(Event::Kind::lost, number, how);
 }
 
 }  // namespace paddletrack::standin
--- a/src/standin/load.hpp
+++ b/src/standin/load.hpp
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "protocol/thrift.hpp"
+#include "standin/events.hpp"
 #include "transport/connection.hpp"
 
 namespace paddletrack::standin {
@@ -36,6 +37,7 @@
     unsigned answers = 0;  // that came; more than one is wrong
     bool lost = false;     // its connection ended, or its time, without one
     bool again = false;    // it crossed a close and was sent a second time, as clients may
+    bool gone = false;     // its client left
     Heard::What what = Heard::What::exception;
     std::optional<std::int64_t> comeBackMs;
   };
@@ -55,6 +57,16 @@
   // Each controller has clients of its own: their jobs go nowhere while it is not in service, else to those
   // that are.
   void ownClients(bool own) { own_ = own; }
+  // All that becomes of jobs. A job whose connection ends is then left to its test, also to send it again.
+  void record(Events& events) { events_ = &events, once_ = true; }
+  std::size_t sendAgain(std::size_t job, std::size_t controller);  // with a reference of its own
+  enum class Leave { revokes, closes, halfCloses, resets };
+  // Its client gives it up; but for a revoke, all that is open on its connection. False: it is not open, or
+  // its connection is not up.
+  bool leave(std::size_t job, Leave how);
+  void rest();  // closes all connections on which nothing is open, those of the heartbeats too, until `wake`
+  void wake() { rests_ = false; }
+  void patience(milliseconds late) { late_ = late; }  // past a job's time: then its client closes
   void sendsOnce() { once_ = true; }  // no job a second time, whatever became of its connection
 
   const Books& books() const { return books_; }
@@ -75,18 +87,23 @@
   transport::Task<> hold(std::unique_ptr<Line> line);
   void place(std::size_t job);
   void ended(std::size_t job, const Heard& heard);
-  void lose(std::size_t job);
+  void answered(std::size_t job, const Heard& heard);
+  void lose(std::size_t job, const char* how);
+  void left(std::size_t job, const char* how);
+  void told(Event::Kind kind, std::size_t job, const char* what, std::string text = {});
 
   transport::Scheduler& scheduler_;
   transport::Unsent& unsent_;
   std::vector<Controller> controllers_;
   std::vector<Kind> kinds_;
   double perSecond_ = 0;
-  milliseconds beat_{100};
+  milliseconds beat_{100}, late_{400};
   std::minstd_rand dice_;
   std::uint64_t references_;
   std::size_t turn_ = 0;
-  bool closing_ = false, own_ = false, once_ = false;
+  bool closing_ = false, own_ = false, once_ = false, rests_ = false;
+  Events* events_ = nullptr;
+  std::string former_{};  // reference of the job that is sent again just now
   std::deque<Job> jobs_;
   Books books_;
   transport::Group running_;
