Tests: braces where an assertion is under a condition

Cause: -Wdangling-else under -Werror, first seen when all parts were built together. Change: braces; what is asserted is as it was. Measured: the test binary builds.

--- a/tests/choice_crossings_test.cpp
+++ b/tests/choice_crossings_test.cpp
@@ -142,7 +142,9 @@
     host.now += after;
     host.end(*job.dispatches[0], Outcome::reset);
     EXPECT_EQ(host.throttled.size() + host.cancelled.size(), 1U);
-    if (after <= 300ms) EXPECT_EQ(host.throttled.size(), 1U);
+    if (after <= 300ms) {
+      EXPECT_EQ(host.throttled.size(), 1U);
+    }
     for (const Span comeBack : host.comeBacks) EXPECT_LT(after + comeBack + 5ms, 900ms) << after.count();
   }
 }
