--- a/src/routing/server_side.cpp
+++ b/src/routing/server_side.cpp
@@ -57,9 +57,11 @@
 }
 
 // An id goes over a connection once only: the end of an earlier dispatch of the same job, given up, may still
-// be on its way there.
+// be on its way there. A resting one midway in a message is in doubt: if the rest does not come it is ended,
+// with whatever else is on it.
 bool ServerSide::usable(const Link& link, const Sending& sending) const {
   if (link.retired || link.silent || link.load() >= bounds_.sharedBy) return false;
+  if (link.load() == 0 && link.midway) return false;
   if (link.open.count(sending.exchange.reference) > 0) return false;
   const auto& before = sending.exchange.sendings;
   return std::none_of(before.begin(), before.end(), [&](const auto& each) {
@@ -102,11 +104,25 @@
   return best;
 }
 
+// What may still run is the module's word of when it was dispatched: since then its job may have come to its
+// end, its engine to a drain or another start, and its time or its window for repeats may be over.
+bool ServerSide::mayLeave(const Sending& sending) const {
+  const auto& executor = *static_cast<const Executor*>(sending.dispatch.engine);
+  return reach::mayLeave({sending.exchange.over,
+                          executor.listed && executor.incarnation == sending.incarnation,
+                          std::chrono::duration_cast<Span>(sending.leaveBy - scheduler_.now())});
+}
+
+// The moment at which what was held for a dial leaves, or does not any more.
 void ServerSide::prove(Link& link) {
   link.proven = true;
-  while (!link.held.empty()) {  // one at a time: what a failed one leaves is still held, and never ran
-    Sending& next = *link.held.front();
-    link.held.erase(link.held.begin());
+  for (std::size_t at = 0; at < link.held.size();) {  // what a failed one leaves is still held, and never ran
+    Sending& next = *link.held[at];
+    if (!mayLeave(next)) {
+      ++at;
+      continue;
+    }
+    link.held.erase(link.held.begin() + static_cast<std::ptrdiff_t>(at));
     try {
       write(link, next);
     } catch (const std::bad_alloc&) {
@@ -114,6 +130,9 @@
       throw;
     }
   }
+  const std::vector<Sending*> kept = std::exchange(link.held, {});
+  for (Sending* each : kept) each->link = nullptr;
+  for (Sending* each : kept) ends_.ended(*each, Outcome::neverSent);
 }
 
 void ServerSide::write(Link& link, Sending& sending) {
@@ -124,19 +143,21 @@
   terms.waitMs = std::max<std::int64_t>(1, left.count());
   terms.grantMb = exchange.grantMb;
   terms.priority = exchange.priority;
+  terms.idempotencyKey = exchange.idempotencyKey;
   link.open.emplace(exchange.reference, &sending);
   link.used = scheduler_.now();
-  link.connection->send({Slice(protocol::resp::askHead(exchange.reference, exchange.typeName, terms,
-                                                       exchange.statement.size())),
-                         exchange.statement, Slice::lasting(protocol::resp::kAskTail)});
-  sending.wholeAt = link.connection->queued();
+  const Slice head(
+      protocol::resp::askHead(exchange.reference, exchange.typeName, terms, exchange.statement.size()));
+  const Slice tail = Slice::lasting(protocol::resp::kAskTail);
+  // Counted here: what a bound refuses, or a connection that has been shut, is never queued and never whole.
+  sending.wholeAt = link.connection->queued() + head.size() + exchange.statement.size() + tail.size();
+  link.connection->send({head, exchange.statement, tail});
 }
 
 void ServerSide::giveUp(Sending& sending) {
+  if (takeBack(sending)) return;
   Link* link = std::exchange(sending.link, nullptr);
-  std::erase(unplaced_, &sending);
   if (!link) return;
-  std::erase(link->held, &sending);
   const std::string& id = sending.exchange.reference;
   if (link->open.erase(id) > 0)
     link->connection->send(
@@ -173,6 +194,7 @@
 }
 
 void ServerSide::retire(Executor& executor) {
+  ++executor.incarnation;
   for (Link* link : executor.links) {
     link->retired = true;
     if (link->connection && link->load() == 0) link->connection->shut();
@@ -381,14 +403,21 @@
 
 transport::Task<> ServerSide::work(Link& link) {
   const bool up = co_await reachOut(link);
-  // While it was dialled its executor may have begun to drain: what it holds never left, and does not now.
-  if (!up || (!link.executor.listed && link.load() > 0)) co_return;
+  if (!up) co_return;
   prove(link);
-  for (;;) {
+  for (bool lookedAgain = false;;) {
     read(link);
     if (link.load() == 0 && link.retired) break;
-    if (link.midway && scheduler_.now() - *link.midway > bounds_.dialTimeout * kMidwayDials) stoodStill(link);
-    const bool more = co_await link.connection->receive(scheduler_.now() + bounds_.dialTimeout * kQuietDials);
+    Span patience = bounds_.dialTimeout * kQuietDials;
+    if (!link.midway || scheduler_.now() - *link.midway <= bounds_.dialTimeout * kMidwayDials) {
+      lookedAgain = false;
+    } else if (std::exchange(lookedAgain, true)) {
+      stoodStill(link);
+    } else {  // it may have been this process: what lies in the kernel by the next poll still counts
+      co_await scheduler_.turn();
+      patience = Span{0};
+    }
+    const bool more = co_await link.connection->receive(scheduler_.now() + patience);
     if (more) {
       heard(link);
     } else if (link.connection->end() != Connection::End::none || link.connection->input().full()) {
@@ -475,6 +504,7 @@
   switch (answer.word) {
     case Word::full:
     case Word::over:
+      if (sending.pagesWanted > 0) return;  // a second answer: the first counts, and says that it ran
       return over(link, sending, Outcome::turnedAway);
     case Word::ok:
       if (sending.pagesWanted > 0) return;  // a second copy: the first counts
@@ -517,9 +547,9 @@
   std::vector<std::pair<Sending*, reach::Fate>> ends;
   for (Sending* each : link.held) ends.emplace_back(each, reach::Fate::unreachable);
   for (const auto& [id, each] : link.open) {
-    const Span left = std::chrono::duration_cast<Span>(each->until - scheduler_.now());
+    const Span left = std::chrono::duration_cast<Span>(each->leaveBy - scheduler_.now());
     ends.emplace_back(
-        each, reach::fateOf({each->wholeAt <= written, link.spoilt, executor.listed, each->moved, left},
+        each, reach::fateOf({each->wholeAt <= written, link.spoilt, mayLeave(*each), each->moved, left},
                             executor.routes.all().size(), terms_));
   }
   for (const auto& [each, fate] : ends) each->link = nullptr;
