The oracle takes off only waits for a core: what a controller does itself is its own time

Cause: the time in which a controller ran was taken off as well, which hid attempts begun late behind its own work; it had been taken off because the client's side then sent on what stood in its input with the client's end behind it. Change: waits for a core alone are taken off, as strict as the rule.

--- a/src/standin/events.hpp
+++ b/src/standin/events.hpp
@@ -29,9 +29,7 @@
     exited,     // it ended with the code `count`
     served,     // it is in service after a start
     idle,  // it has nothing to do: `what` names a measure (descriptors, memory, jobs), `count` the figure
-    busy,  // `count` microseconds since this was told last it ran or waited for a core; kSelf: the stand-ins
-           // waited for one
-           // did
+    busy,  // `count` microseconds since this was told last it waited for a core; kSelf: the stand-ins did
   };
   Kind kind{};
   transport::Moment at{};     // when it was done, or read
--- a/src/standin/oracle.cpp
+++ b/src/standin/oracle.cpp
@@ -58,8 +58,7 @@
     const auto found = busy_.find(process);
     return found == busy_.end() || found->second.empty() ? 0 : found->second.rbegin()->second;
   }
-  // How long processes had work and no core, or were at it, between two moments. What a controller leaves
-  // undone counts while it rests.
+  // How long processes had work and no core, between two moments.
   Moment::duration busy(std::initializer_list<std::size_t> processes, Moment from, Moment to) const {
     std::int64_t sum = 0;
     for (const std::size_t process : processes) {
--- a/tests/crossings_test.cpp
+++ b/tests/crossings_test.cpp
@@ -409,7 +409,7 @@
     --stopping_;
   }
 
-  // How long each process was at work or waited for a core, by the kernel's own books.
+  // How long each process waited for a core, by the kernel's own books. What it did meanwhile is its own time.
   transport::Task<> watch() {
     std::map<std::pair<std::size_t, pid_t>, std::int64_t> before;
     for (;;) {
@@ -418,7 +418,6 @@
         std::ifstream file("/proc/" + std::to_string(process) + "/schedstat");
         std::int64_t ran = 0, waited = 0;
         file >> ran >> waited;
-        if (each < kControllers) waited += ran;
         auto [last, fresh] = before.emplace(std::pair(each, process), waited);
         const std::int64_t us = fresh ? 0 : (waited - last->second) / 1000;
         if (us < 500) continue;
