--- a/src/transport/scheduler.hpp
+++ b/src/transport/scheduler.hpp
@@ -12,33 +12,33 @@
 namespace paddletrack::transport {
 
 using Clock = std::chrono::steady_clock;
-using Moment = Clock::time_point;
+using TimePoint = Clock::time_point;
 
 class Scheduler;
 class Descriptor;
 
 // Something that the loop calls once: soon, or at a moment. Asking anew replaces what was asked before;
 // destroying it takes it back.
-class Call {
+class ScheduledCall {
  public:
-  Call(Scheduler& scheduler, std::function<void()> action)
+  ScheduledCall(Scheduler& scheduler, std::function<void()> action)
       : scheduler_(scheduler), action_(std::move(action)) {}
-  explicit Call(Scheduler& scheduler) : scheduler_(scheduler) {}
-  Call(const Call&) = delete;
-  Call& operator=(const Call&) = delete;
-  ~Call() { cancel(); }
-
-  void then(std::function<void()> action) { action_ = std::move(action); }
-  void soon();
-  void at(Moment moment);
+  explicit ScheduledCall(Scheduler& scheduler) : scheduler_(scheduler) {}
+  ScheduledCall(const ScheduledCall&) = delete;
+  ScheduledCall& operator=(const ScheduledCall&) = delete;
+  ~ScheduledCall() { cancel(); }
+
+  void setAction(std::function<void()> action) { action_ = std::move(action); }
+  void runSoon();
+  void runAt(TimePoint timePoint);
   void cancel();
 
  private:
   friend class Scheduler;
   Scheduler& scheduler_;
   std::function<void()> action_;
-  std::optional<std::list<Call*>::iterator> soon_;
-  std::optional<std::multimap<Moment, Call*>::iterator> later_;
+  std::optional<std::list<ScheduledCall*>::iterator> readyPosition_;
+  std::optional<std::multimap<TimePoint, ScheduledCall*>::iterator> timerPosition_;
 };
 
 // Set by one side, awaited by one coroutine at a time. It stays set until a wait takes it.
@@ -49,28 +49,30 @@
   void set();
 
   // True when it was set, false when the moment came first.
-  class Wait {
+  class SignalAwaiter {
    public:
-    Wait(Signal& signal, std::optional<Moment> until) : signal_(signal), until_(until) {}
-    Wait(const Wait&) = delete;
-    Wait& operator=(const Wait&) = delete;
-    ~Wait();
-    bool await_ready() const noexcept { return signal_.set_; }
+    SignalAwaiter(Signal& signal, std::optional<TimePoint> deadline) : signal_(signal), deadline_(deadline) {}
+    SignalAwaiter(const SignalAwaiter&) = delete;
+    SignalAwaiter& operator=(const SignalAwaiter&) = delete;
+    ~SignalAwaiter();
+    bool await_ready() const noexcept { return signal_.isSet_; }
     void await_suspend(std::coroutine_handle<> waiting);
-    bool await_resume() noexcept { return std::exchange(signal_.set_, false); }
+    bool await_resume() noexcept { return std::exchange(signal_.isSet_, false); }
 
    private:
     friend class Signal;
     Signal& signal_;
-    std::optional<Moment> until_;
-    std::optional<Call> resume_;
+    std::optional<TimePoint> deadline_;
+    std::optional<ScheduledCall> resume_;
   };
-  Wait wait(std::optional<Moment> until = std::nullopt) { return Wait(*this, until); }
+  SignalAwaiter wait(std::optional<TimePoint> deadline = std::nullopt) {
+    return SignalAwaiter(*this, deadline);
+  }
 
  private:
   Scheduler& scheduler_;
-  bool set_ = false;
-  Wait* waiting_ = nullptr;
+  bool isSet_ = false;
+  SignalAwaiter* awaiter_ = nullptr;
 };
 
 // The loop of one thread: a run queue, timers and epoll.
@@ -81,48 +83,49 @@
   Scheduler& operator=(const Scheduler&) = delete;
   ~Scheduler();
 
-  Moment now() const { return Clock::now(); }
+  TimePoint now() const { return Clock::now(); }
   void run();  // until stop
   void stop() { stopped_ = true; }
 
   // How late a timer has been at most since this was last asked.
-  Clock::duration worstLateness() { return std::exchange(worstLateness_, {}); }
+  Clock::duration takeMaxTimerLateness() { return std::exchange(maxTimerLateness_, {}); }
 
   // Lets all others that are ready have their turn.
-  auto turn() { return Pause(*this, std::nullopt); }
-  auto sleepUntil(Moment moment) { return Pause(*this, moment); }
+  auto yield() { return SleepAwaiter(*this, std::nullopt); }
+  auto sleepUntil(TimePoint timePoint) { return SleepAwaiter(*this, timePoint); }
 
  private:
-  friend class Call;
+  friend class ScheduledCall;
   friend class Descriptor;
-  class Pause {
+  class SleepAwaiter {
    public:
-    Pause(Scheduler& scheduler, std::optional<Moment> until) : scheduler_(scheduler), until_(until) {}
-    Pause(const Pause&) = delete;
-    Pause& operator=(const Pause&) = delete;
+    SleepAwaiter(Scheduler& scheduler, std::optional<TimePoint> deadline)
+        : scheduler_(scheduler), deadline_(deadline) {}
+    SleepAwaiter(const SleepAwaiter&) = delete;
+    SleepAwaiter& operator=(const SleepAwaiter&) = delete;
     bool await_ready() const noexcept { return false; }
     void await_suspend(std::coroutine_handle<> waiting) {
       resume_.emplace(scheduler_, [waiting] { waiting.resume(); });
-      until_ ? resume_->at(*until_) : resume_->soon();
+      deadline_ ? resume_->runAt(*deadline_) : resume_->runSoon();
     }
     void await_resume() const noexcept {}
 
    private:
     Scheduler& scheduler_;
-    std::optional<Moment> until_;
-    std::optional<Call> resume_;
+    std::optional<TimePoint> deadline_;
+    std::optional<ScheduledCall> resume_;
   };
 
-  void fireDue();
+  void runDueTimers();
   void runReady();
   void poll();
-  static void fire(Call& call);
+  static void runCall(ScheduledCall& isCall);
 
   int epoll_;
   bool stopped_ = false;
-  std::list<Call*> ready_;
-  std::multimap<Moment, Call*> timers_;
-  Clock::duration worstLateness_{};
+  std::list<ScheduledCall*> ready_;
+  std::multimap<TimePoint, ScheduledCall*> timers_;
+  Clock::duration maxTimerLateness_{};
 };
 
 // One open file descriptor and its place in the loop; both end with it.
@@ -134,41 +137,41 @@
   ~Descriptor();
 
   int fd() const { return fd_; }
-  bool hungUp() const { return hungUp_; }  // the peer has ended: what is left to read ends too
-  void clearHungUp() { hungUp_ = false; }
+  bool isHungUp() const { return isHungUp_; }  // the peer has ended: what is left to read ends too
+  void clearHangUp() { isHungUp_ = false; }
   Signal readable, writable;
 
  private:
   friend class Scheduler;
   Scheduler& scheduler_;
   int fd_;
-  bool hungUp_ = false;
+  bool isHungUp_ = false;
 };
 
 // Coroutines that run by themselves. Each is destroyed when it has ended, all of them with the group.
-class Group {
+class TaskGroup {
  public:
-  using Failed = std::function<void(const char* what)>;
-  Group(Scheduler& scheduler, Failed failed);
+  using FailureHandler = std::function<void(const char* message)>;
+  TaskGroup(Scheduler& scheduler, FailureHandler failureHandler);
   void spawn(Task<> task);
   std::size_t size() const { return running_.size(); }
 
  private:
-  struct Root;
-  using Roots = std::list<Root>;
-  struct Root {
-    Root(Scheduler& scheduler, Task<> made)
-        : task(std::move(made)), begin(scheduler, [this] { run.start(); }) {}
+  struct Entry;
+  using Entries = std::list<Entry>;
+  struct Entry {
+    Entry(Scheduler& scheduler, Task<> rootTask)
+        : task(std::move(rootTask)), startCall(scheduler, [this] { supervisor.start(); }) {}
     Task<> task;
-    Task<> run;
-    Call begin;
+    Task<> supervisor;
+    ScheduledCall startCall;
   };
-  Task<> watch(Roots::iterator self);
+  Task<> supervise(Entries::iterator entry);
 
   Scheduler& scheduler_;
-  Failed failed_;
-  Roots running_, ended_;
-  Call reap_;
+  FailureHandler failureHandler_;
+  Entries running_, finished_;
+  ScheduledCall reapCall_;
 };
 
 }  // namespace paddletrack::transport
--- a/src/transport/task.hpp
+++ b/src/transport/task.hpp
@@ -13,36 +13,36 @@
 namespace detail {
 
 struct Promise {
-  std::coroutine_handle<> waiting;  // resumed when this one has ended
+  std::coroutine_handle<> continuation;  // resumed when this one has ended
   std::exception_ptr error;
 
   std::suspend_always initial_suspend() noexcept { return {}; }
-  struct Final {
+  struct FinalAwaiter {
     bool await_ready() noexcept { return false; }
     template <typename P>
-    std::coroutine_handle<> await_suspend(std::coroutine_handle<P> ended) noexcept {
-      const std::coroutine_handle<> next = ended.promise().waiting;
+    std::coroutine_handle<> await_suspend(std::coroutine_handle<P> finished) noexcept {
+      const std::coroutine_handle<> next = finished.promise().continuation;
       return next ? next : std::noop_coroutine();
     }
     void await_resume() noexcept {}
   };
-  Final final_suspend() noexcept { return {}; }
+  FinalAwaiter final_suspend() noexcept { return {}; }
   void unhandled_exception() { error = std::current_exception(); }
 };
 
 template <typename T>
-struct PromiseOf : Promise {
+struct TaskPromise : Promise {
   std::optional<T> value;
   Task<T> get_return_object();
-  void return_value(T made) { value = std::move(made); }
-  T take() { return std::move(*value); }
+  void return_value(T result) { value = std::move(result); }
+  T takeResult() { return std::move(*value); }
 };
 
 template <>
-struct PromiseOf<void> : Promise {
+struct TaskPromise<void> : Promise {
   Task<void> get_return_object();
   void return_void() {}
-  void take() {}
+  void takeResult() {}
 };
 
 }  // namespace detail
@@ -52,7 +52,7 @@
 template <typename T>
 class [[nodiscard]] Task {
  public:
-  using promise_type = detail::PromiseOf<T>;
+  using promise_type = detail::TaskPromise<T>;
   using Handle = std::coroutine_handle<promise_type>;
 
   Task() = default;
@@ -73,12 +73,12 @@
       Handle handle;
       bool await_ready() noexcept { return false; }
       std::coroutine_handle<> await_suspend(std::coroutine_handle<> waiting) noexcept {
-        handle.promise().waiting = waiting;
+        handle.promise().continuation = waiting;
         return handle;
       }
       T await_resume() {
         if (handle.promise().error) std::rethrow_exception(handle.promise().error);
-        return handle.promise().take();
+        return handle.promise().takeResult();
       }
     };
     return Awaiter{handle_};
@@ -89,10 +89,10 @@
 };
 
 template <typename T>
-Task<T> detail::PromiseOf<T>::get_return_object() {
+Task<T> detail::TaskPromise<T>::get_return_object() {
   return Task<T>(Task<T>::Handle::from_promise(*this));
 }
-inline Task<void> detail::PromiseOf<void>::get_return_object() {
+inline Task<void> detail::TaskPromise<void>::get_return_object() {
   return Task<void>(Task<void>::Handle::from_promise(*this));
 }
 
--- /dev/null
+++ b/tests/counterfactual/counterfactual_fleet_test.cpp
@@ -0,0 +1,63 @@
+// Looking back over a fleet: processes of the program with faults between them.
+#include <gtest/gtest.h>
+
+#include <csignal>
+
+#include "fakes/gossip_cluster.hpp"
+
+namespace paddletrack::fakes {
+namespace {
+
+using namespace std::chrono_literals;
+
+struct CounterfactualFixture : TestScheduler, GossipCluster {
+  using TestScheduler::runFor;
+  CounterfactualFixture(int subnet, unsigned members)
+      : GossipCluster(
+            *static_cast<TestScheduler*>(this),
+            {PADDLETRACK_PROGRAM, subnet, members, 1, "100ms", "10m", {}, "hindsight { records = 512 }\n"}) {}
+  // Jobs in the sums: its own, and those of all that share.
+  double countRequests(unsigned member, const char* scope) {
+    const Json statusReport = status(member);
+    if (statusReport.is_null() || !statusReport.contains("hindsight")) return -1;
+    return statusReport["hindsight"][scope]["classes"][0]["jobs"].get<double>();
+  }
+  bool waitForFleetSum(const std::vector<unsigned>& members, double expected, milliseconds timeout = 12s) {
+    return GossipCluster::waitForMembers(
+               members, [&](unsigned value) { return countRequests(value, "fleet") == expected; }, timeout)
+        .has_value();
+  }
+};
+
+TEST(CounterfactualFleetProcesses, KeepsSumsOfDeadControllerAndCountsOnceWhenMessagesAreFaulty) {
+  CounterfactualFixture fleet(171, 3);
+  NetworkFaults faults;
+  faults.maxDelay = 20ms;
+  faults.duplicateProbability = 0.5;
+  faults.reorderProbability = 0.3;
+  faults.reorderDelay = 200ms;
+  fleet.mesh.setAllFaults(faults);
+  ASSERT_TRUE(fleet.start());
+  for (const unsigned allMember : fleet.allMembers()) fleet.runRequests(allMember, 10 + allMember);
+  ASSERT_TRUE(fleet.waitForFleetSum(fleet.allMembers(), 33)) << fleet.status(0).dump();
+  EXPECT_EQ(fleet.countRequests(1, "own"), 11);
+  fleet.sendSignal(0, SIGKILL);
+  fleet.mesh.partition({1});
+  fleet.runRequests(1, 5);
+  fleet.runRequests(2, 7);
+  EXPECT_TRUE(
+      fleet.waitForFleetSum({1}, 38));  // each side has its own news, and what the dead one had shared
+  EXPECT_TRUE(fleet.waitForFleetSum({2}, 40));
+  fleet.mesh.heal();
+  fleet.mesh.setAllFaults(faults);
+  EXPECT_TRUE(fleet.waitForFleetSum({1, 2}, 45));
+  fleet.runFor(3s);  // tellings of the same sums again
+  EXPECT_EQ(fleet.countRequests(1, "fleet"), 45);
+  EXPECT_EQ(fleet.countRequests(2, "fleet"), 45);
+  const auto told = fleet.status(1)["hindsight"]["fleet"];
+  EXPECT_EQ(told["controllers"], 3);
+  EXPECT_EQ(told["classes"][0]["had_it_been"]["nearest"]["in_time"].is_string(), true);  // 45 jobs: too few
+}
+
+}  // namespace
+}  // namespace paddletrack::fakes
--- a/tests/fault_off_test.cpp
+++ b/tests/failpoint/fail_point_disabled_test.cpp
@@ -1,10 +1,11 @@
-// What a build without PADDLETRACK_FAULTS makes of the numbered points: the bare call, value, or nothing.
-#undef PADDLETRACK_FAULTS
+// What a build without PADDLETRACK_FAIL_POINTS makes of the numbered points: the bare call, value, or
+// nothing.
+#undef PADDLETRACK_FAIL_POINTS
 #include <gtest/gtest.h>
 
 #include <string_view>
 
-#include "fault/fault.hpp"
+#include "failpoint/failpoint.hpp"
 
 #define PADDLETRACK_TEXT(...) #__VA_ARGS__
 #define PADDLETRACK_MADE(...) std::string_view(PADDLETRACK_TEXT(__VA_ARGS__))
@@ -20,7 +21,7 @@
 static_assert(PADDLETRACK_MADE(PADDLETRACK_VALUE(1, "connected", "EIO", to)) == "static_cast<void>(0)");
 static_assert(PADDLETRACK_MADE(PADDLETRACK_MARK(forget(1))) == "static_cast<void>(0)");
 
-TEST(FaultsOff, ACallIsMadeOnceAndItsValueIsItsOwn) {
+TEST(FailPointDisabled, CallsOnceAndReturnsOwnValueWhenCompiledOut) {
   int calls = 0;
   const auto call = [&] { return ++calls, 7; };
   EXPECT_EQ(PADDLETRACK_CALL(-1, "any", "EINTR", call()), 7);
--- a/tests/deploy_test.cpp
+++ b/tests/program/deploy_command_test.cpp
@@ -33,18 +33,18 @@
 using namespace std::chrono_literals;
 namespace fs = std::filesystem;
 
-std::string slurp(const fs::path& path) {
-  std::ifstream in(path);
-  std::stringstream text;
-  text << in.rdbuf();
-  return text.str();
+std::string readFile(const fs::path& path) {
+  std::ifstream file(path);
+  std::stringstream contents;
+  contents << file.rdbuf();
+  return contents.str();
 }
 
 // The words of `run` after its `exec`; empty if the line is not one `exec` of plain words.
-std::vector<std::string> runWords(const std::string& toml) {
-  std::smatch found;
-  if (!std::regex_search(toml, found, std::regex(R"re(\nrun = "([^"]*)")re"))) return {};
-  std::istringstream line(found[1].str());
+std::vector<std::string> parseRunCommand(const std::string& toml) {
+  std::smatch match;
+  if (!std::regex_search(toml, match, std::regex(R"re(\nrun = "([^"]*)")re"))) return {};
+  std::istringstream line(match[1].str());
   std::vector<std::string> words;
   for (std::string word; line >> word;) {
     if (word.find_first_of("|&;<>()$`\\'\"*?") != std::string::npos) return {};
@@ -58,126 +58,127 @@
 // Refuses as the bench's page says: starting programs (execve; this launcher uses execveat), fork, vfork and
 // clone without CLONE_THREAD, clone3, io_uring: ENOSYS; splice: EINVAL; sendfile: ENOSYS; socket() of any
 // family but AF_INET: EAFNOSUPPORT. Everything else is let through.
-void refuseAsTheBench() {
+void installSystemCallFilter() {
   constexpr auto kDeny = [](int error) { return SECCOMP_RET_ERRNO | (error & SECCOMP_RET_DATA); };
   constexpr unsigned kNr = offsetof(seccomp_data, nr), kArch = offsetof(seccomp_data, arch);
   constexpr unsigned kArg0 = offsetof(seccomp_data, args[0]);
-  std::vector<sock_filter> code = {
+  std::vector<sock_filter> instructions = {
       BPF_STMT(BPF_LD | BPF_W | BPF_ABS, kArch),
       BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K, AUDIT_ARCH_X86_64, 1, 0),
       BPF_STMT(BPF_RET | BPF_K, SECCOMP_RET_KILL_PROCESS),
       BPF_STMT(BPF_LD | BPF_W | BPF_ABS, kNr),
   };
   const auto refuse = [&](long nr, int error) {
-    code.push_back(BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K, static_cast<unsigned>(nr), 0, 1));
-    code.push_back(BPF_STMT(BPF_RET | BPF_K, kDeny(error)));
+    instructions.push_back(BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K, static_cast<unsigned>(nr), 0, 1));
+    instructions.push_back(BPF_STMT(BPF_RET | BPF_K, kDeny(error)));
   };
   for (long nr : {SYS_execve, SYS_fork, SYS_vfork, SYS_clone3, SYS_io_uring_setup, SYS_io_uring_enter,
                   SYS_io_uring_register, SYS_sendfile})
     refuse(nr, ENOSYS);
   refuse(SYS_splice, EINVAL);
   // clone: a thread (CLONE_THREAD) passes, a process does not.
-  code.push_back(BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K, SYS_clone, 0, 4));
-  code.push_back(BPF_STMT(BPF_LD | BPF_W | BPF_ABS, kArg0));
-  code.push_back(BPF_JUMP(BPF_JMP | BPF_JSET | BPF_K, CLONE_THREAD, 1, 0));
-  code.push_back(BPF_STMT(BPF_RET | BPF_K, kDeny(ENOSYS)));
-  code.push_back(BPF_STMT(BPF_RET | BPF_K, SECCOMP_RET_ALLOW));
+  instructions.push_back(BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K, SYS_clone, 0, 4));
+  instructions.push_back(BPF_STMT(BPF_LD | BPF_W | BPF_ABS, kArg0));
+  instructions.push_back(BPF_JUMP(BPF_JMP | BPF_JSET | BPF_K, CLONE_THREAD, 1, 0));
+  instructions.push_back(BPF_STMT(BPF_RET | BPF_K, kDeny(ENOSYS)));
+  instructions.push_back(BPF_STMT(BPF_RET | BPF_K, SECCOMP_RET_ALLOW));
   // socket: AF_INET passes.
-  code.push_back(BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K, SYS_socket, 0, 4));
-  code.push_back(BPF_STMT(BPF_LD | BPF_W | BPF_ABS, kArg0));
-  code.push_back(BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K, AF_INET, 1, 0));
-  code.push_back(BPF_STMT(BPF_RET | BPF_K, kDeny(EAFNOSUPPORT)));
-  code.push_back(BPF_STMT(BPF_RET | BPF_K, SECCOMP_RET_ALLOW));
-  code.push_back(BPF_STMT(BPF_RET | BPF_K, SECCOMP_RET_ALLOW));  // all else
-  sock_fprog program{static_cast<unsigned short>(code.size()), code.data()};
+  instructions.push_back(BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K, SYS_socket, 0, 4));
+  instructions.push_back(BPF_STMT(BPF_LD | BPF_W | BPF_ABS, kArg0));
+  instructions.push_back(BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K, AF_INET, 1, 0));
+  instructions.push_back(BPF_STMT(BPF_RET | BPF_K, kDeny(EAFNOSUPPORT)));
+  instructions.push_back(BPF_STMT(BPF_RET | BPF_K, SECCOMP_RET_ALLOW));
+  instructions.push_back(BPF_STMT(BPF_RET | BPF_K, SECCOMP_RET_ALLOW));  // all else
+  sock_fprog program{static_cast<unsigned short>(instructions.size()), instructions.data()};
   if (::prctl(PR_SET_NO_NEW_PRIVS, 1, 0, 0, 0) != 0 ||
       ::syscall(SYS_seccomp, SECCOMP_SET_MODE_FILTER, 0, &program))
     ::_exit(126);
 }
 
 // Whether the ELF file asks for an interpreter, that is, is linked dynamically.
-bool dynamic(const fs::path& file) {
-  std::ifstream in(file, std::ios::binary);
-  Elf64_Ehdr head{};
-  in.read(reinterpret_cast<char*>(&head), sizeof head);
-  for (int each = 0; in && each < head.e_phnum; ++each) {
-    Elf64_Phdr part{};
-    in.seekg(static_cast<std::streamoff>(head.e_phoff + each * head.e_phentsize));
-    in.read(reinterpret_cast<char*>(&part), sizeof part);
-    if (part.p_type == PT_INTERP) return true;
+bool isDynamicallyLinked(const fs::path& path) {
+  std::ifstream file(path, std::ios::binary);
+  Elf64_Ehdr elfHeader{};
+  file.read(reinterpret_cast<char*>(&elfHeader), sizeof elfHeader);
+  for (int index = 0; file && index < elfHeader.e_phnum; ++index) {
+    Elf64_Phdr programHeader{};
+    file.seekg(static_cast<std::streamoff>(elfHeader.e_phoff + index * elfHeader.e_phentsize));
+    file.read(reinterpret_cast<char*>(&programHeader), sizeof programHeader);
+    if (programHeader.p_type == PT_INTERP) return true;
   }
   return false;
 }
 
 // Processor time of the process in clock ticks, from /proc/PID/stat (utime + stime).
-long ticks(pid_t pid) {
-  std::string stat = slurp("/proc/" + std::to_string(pid) + "/stat");
-  std::istringstream after(stat.substr(stat.rfind(')') + 2));
+long readCpuTicks(pid_t pid) {
+  std::string stat = readFile("/proc/" + std::to_string(pid) + "/stat");
+  std::istringstream fields(stat.substr(stat.rfind(')') + 2));
   std::string field;
-  long user = 0, system = 0;
-  for (int each = 3; each <= 15 && after >> field; ++each) {
-    if (each == 14) user = std::stol(field);
-    if (each == 15) system = std::stol(field);
+  long userTicks = 0, systemTicks = 0;
+  for (int index = 3; index <= 15 && fields >> field; ++index) {
+    if (index == 14) userTicks = std::stol(field);
+    if (index == 15) systemTicks = std::stol(field);
   }
-  return user + system;
+  return userTicks + systemTicks;
 }
 
-struct Started {
+struct ChildProcess {
   pid_t pid = 0;
-  ~Started() {
+  ~ChildProcess() {
     if (pid > 0) ::kill(pid, SIGKILL), ::waitpid(pid, nullptr, 0);
   }
 };
 
-pid_t spawn(const std::vector<std::string>& words, const fs::path& at, bool filtered,
-            const std::string& output = "/dev/null") {
+pid_t spawnProcess(const std::vector<std::string>& arguments, const fs::path& directory,
+                   bool filterSystemCalls, const std::string& outputPath = "/dev/null") {
   const pid_t pid = ::fork();
   if (pid != 0) return pid;
-  ::chdir(at.c_str());
-  const int out = ::open(output.c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0644);
-  ::dup2(out, 1), ::dup2(out, 2);
+  ::chdir(directory.c_str());
+  const int outputDescriptor = ::open(outputPath.c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0644);
+  ::dup2(outputDescriptor, 1), ::dup2(outputDescriptor, 2);
   std::vector<char*> argv;
-  for (const std::string& word : words) argv.push_back(const_cast<char*>(word.c_str()));
+  for (const std::string& word : arguments) argv.push_back(const_cast<char*>(word.c_str()));
   argv.push_back(nullptr);
   ::unsetenv("GW_OPERATOR");
-  if (filtered) {
+  if (filterSystemCalls) {
     ::setenv("ASAN_OPTIONS", "detect_leaks=0", 1);  // the leak check's own clone is no part of the program
-    refuseAsTheBench();
+    installSystemCallFilter();
   }
   ::syscall(SYS_execveat, AT_FDCWD, argv[0], argv.data(), environ, 0);
   ::_exit(127);
 }
 
-TEST(Deploy, RunIsOneExecOfTheControllerAndServesUnderTheBenchesRefusals) {
+TEST(DeployCommand, ExecsOneControllerAndServesWhenSystemCallsAreRestricted) {
   const std::vector<std::string> words =
-      runWords(slurp(fs::path(PADDLETRACK_SOURCE) / "deploy/balancer.toml"));
+      parseRunCommand(readFile(fs::path(PADDLETRACK_SOURCE) / "deploy/balancer.toml"));
   ASSERT_GE(words.size(), 2u) << "run is not one exec of plain words";
   ASSERT_EQ(words[0], "build/paddletrack");
-  ASSERT_TRUE(dynamic(PADDLETRACK_PROGRAM));
+  ASSERT_TRUE(isDynamicallyLinked(PADDLETRACK_PROGRAM));
 
   // A root where build/paddletrack is the program under test, with a configuration as the bench gives one.
   const fs::path root = fs::path(::testing::TempDir()) / ("paddletrack_deploy_" + std::to_string(::getpid()));
   fs::create_directories(root / "build");
   fs::create_symlink(PADDLETRACK_PROGRAM, root / "build/paddletrack");
-  std::string config = slurp(fs::path(PADDLETRACK_SOURCE) / "examples/config.json");
+  std::string config = readFile(fs::path(PADDLETRACK_SOURCE) / "examples/config.json");
   config = std::regex_replace(config, std::regex("127\\.0\\.0\\.1:18443"), "127.0.79.1:18443");
   config = std::regex_replace(config, std::regex("127\\.0\\.0\\.1:19443"), "127.0.79.2:19443");
   config = std::regex_replace(config, std::regex("127\\.0\\.0\\.1:12379"), "127.0.79.2:12379");
   std::ofstream(root / "config.json") << config;
   ::setenv("GW_CONFIG", (root / "config.json").c_str(), 1);
 
-  Started toy, program;
-  toy.pid = spawn({PADDLETRACK_TOY, "127.0.79.2:19443", "127.0.79.2:12379"}, root, false);
-  program.pid = spawn(words, root, true, (root / "said.txt").string());
+  ChildProcess toy, program;
+  toy.pid = spawnProcess({PADDLETRACK_EXAMPLE_SERVER, "127.0.79.2:19443", "127.0.79.2:12379"}, root, false);
+  program.pid = spawnProcess(words, root, true, (root / "said.txt").string());
   ::unsetenv("GW_CONFIG");
 
   // One query, end to end, through the program under the filter.
   int asked = -1;
-  for (int each = 0; each < 50 && asked != 0; ++each) {
+  for (int index = 0; index < 50 && asked != 0; ++index) {
     std::this_thread::sleep_for(100ms);
-    Started ask;
-    ask.pid =
-        spawn({PADDLETRACK_ASK, "127.0.79.1:18443", "look-up", "acme", "select 1 /* ms=5 */"}, root, false);
+    ChildProcess ask;
+    ask.pid = spawnProcess(
+        {PADDLETRACK_EXAMPLE_CLIENT, "127.0.79.1:18443", "look-up", "acme", "select 1 /* ms=5 */"}, root,
+        false);
     int status = 0;
     ::waitpid(ask.pid, &status, 0);
     ask.pid = 0;
@@ -185,16 +186,16 @@
   }
   int ended = 0;
   ASSERT_EQ(::waitpid(program.pid, &ended, WNOHANG), 0)
-      << "the program ended (" << ended << "): " << slurp(root / "said.txt");
-  ASSERT_EQ(asked, 0) << slurp(root / "said.txt");
+      << "the program ended (" << ended << "): " << readFile(root / "said.txt");
+  ASSERT_EQ(asked, 0) << readFile(root / "said.txt");
 
   const fs::path proc = "/proc/" + std::to_string(program.pid);
   EXPECT_EQ(fs::read_symlink(proc / "exe"), fs::canonical(PADDLETRACK_PROGRAM))
       << "run did not exec the program";
-  EXPECT_NE(slurp(proc / "maps").find("libc.so.6"), std::string::npos);
+  EXPECT_NE(readFile(proc / "maps").find("libc.so.6"), std::string::npos);
   // No child, of any thread.
   for (const auto& task : fs::directory_iterator(proc / "task"))
-    EXPECT_EQ(slurp(task.path() / "children"), "") << task.path();
+    EXPECT_EQ(readFile(task.path() / "children"), "") << task.path();
   // Of its sockets, none is a Unix one that listens.
   std::set<std::string> sockets;
   for (const auto& fd : fs::directory_iterator(proc / "fd")) {
@@ -203,7 +204,7 @@
     if (target.starts_with("socket:[")) sockets.insert(target.substr(8, target.size() - 9));
   }
   EXPECT_FALSE(sockets.empty());
-  std::istringstream unix(slurp(proc / "net/unix"));
+  std::istringstream unix(readFile(proc / "net/unix"));
   std::string line;
   std::getline(unix, line);
   while (std::getline(unix, line)) {
@@ -214,25 +215,25 @@
   }
   // Nor is any of them a UDP one.
   for (const char* kind : {"net/udp", "net/udp6"}) {
-    std::istringstream udp(slurp(proc / kind));
+    std::istringstream udp(readFile(proc / kind));
     std::getline(udp, line);
     while (std::getline(udp, line)) {
       std::istringstream fields(line);
       std::string field;
-      for (int each = 0; each < 10; ++each) fields >> field;  // the tenth is the inode
+      for (int item = 0; item < 10; ++item) fields >> field;  // the tenth is the inode
       EXPECT_FALSE(sockets.contains(field)) << "a UDP socket: " << line;
     }
   }
   // Idle, it waits: a thread that spun would take the whole second.
-  const long before = ticks(program.pid);
+  const long before = readCpuTicks(program.pid);
   std::this_thread::sleep_for(1s);
-  EXPECT_LT(ticks(program.pid) - before, ::sysconf(_SC_CLK_TCK) / 5);
+  EXPECT_LT(readCpuTicks(program.pid) - before, ::sysconf(_SC_CLK_TCK) / 5);
 
   ::kill(program.pid, SIGTERM);
   int status = -1;
   ::waitpid(program.pid, &status, 0);
   program.pid = 0;
-  EXPECT_TRUE(WIFEXITED(status) && WEXITSTATUS(status) == 0) << status << slurp(root / "said.txt");
+  EXPECT_TRUE(WIFEXITED(status) && WEXITSTATUS(status) == 0) << status << readFile(root / "said.txt");
   fs::remove_all(root);
 }
 
--- /dev/null
+++ b/tests/routing/engine_connection_test.cpp
@@ -0,0 +1,627 @@
+// Moments between a dispatch and its connection: what becomes of it when its client leaves, its engine drains
+// or starts anew, its time ends or its answer comes just then. Each moment is forced, by doing both between
+// two turns of the loop or by a peer that holds its word back.
+#include <gtest/gtest.h>
+
+#include "fakes/fake_engine.hpp"
+#include "fakes/test_scheduler.hpp"
+#include "protocol/controller_config.hpp"
+#include "routing/request_router.hpp"
+
+namespace paddletrack::routing {
+namespace {
+
+using namespace std::chrono_literals;
+using transport::Address;
+using transport::Connection;
+using FakeEngine = fakes::FakeEngine;
+using paddletrack::EndpointState;
+
+constexpr std::size_t kIdempotent = 0, kIdempotentByKey = 1, kNotIdempotent = 2;  // types, by effect
+constexpr std::size_t kLargerThanSocketBuffers = 32 << 20;
+constexpr auto kIdempotencyWindow = 150ms;  // of repeats, of the keyed type
+const std::string kAllowCancellation = "limits.cancelling=true\n";
+
+std::string makeSettings(const std::string& extraLines) {
+  std::string lines =
+      "balancers=1\nzones=a\nmachineTypes=m\nfamilyInfo.kindCores=64\nprofiles.count=3\nlimits.mostTries=3\n"
+      "limits.retryAfter=true\nlimits.maxRetryAfterUs=900000\nlimits.streamsPerConn=16\n"
+      "limits.dialTimeoutUs=1000000\nlimits.idleCloseUs=9000000\ntickUs=5000\n";
+  for (const auto& [index, idempotency] : {std::pair(0, "retryable"), {1, "dedup"}, {2, "fragile"}}) {
+    const std::string prefix = "profiles." + std::to_string(index) + ".";
+    lines += prefix + "name=t" + std::to_string(index) + "\n" + prefix + "idempotency=" + idempotency + "\n" +
+             prefix + "onTimeUs=800000\n" + prefix + "giveUpUs=4000000\n" + prefix + "windowUs=150000\n";
+  }
+  return lines + extraLines;
+}
+
+struct EngineConnectionFixture : fakes::TestScheduler {
+  explicit EngineConnectionFixture(const std::string& extraSettings = "", std::size_t connectionLimit = 40)
+      : config(protocol::decodeControllerConfig(protocol::flattenLines(makeSettings(extraSettings)))),
+        maxConnections(connectionLimit) {}
+
+  struct RecordingListener : RequestContext::ResponseListener {
+    void onResponseReady(RequestContext& context) override {
+      answers.push_back(context.responseKind);
+      for (const BufferSlice& page : context.pages) rows += page.view();
+    }
+    std::vector<RequestContext::ResponseKind> answers;
+    std::string rows;
+  };
+
+  static std::string engineAddress(int host) { return "127.0.121." + std::to_string(host) + ":18443"; }
+  FakeEngine& startEngine(int host, FakeEngine::CommandHandler script) {
+    engines.push_back(std::make_unique<FakeEngine>(*this, outputBudget, Address(engineAddress(host))));
+    engines.back()->onCommand = std::move(script);
+    return *engines.back();
+  }
+  void updateEndpoint(const std::vector<int>& hosts, EndpointState state = EndpointState::ready,
+                      std::int64_t startedMs = 0, const std::string& id = "s", bool isSnapshot = false) {
+    protocol::EndpointEvent event;
+    event.isSnapshot = isSnapshot;
+    protocol::EndpointEntry entry{id, engineAddress(hosts.front()), "a", "m", 0, state, startedMs};
+    for (const int host : hosts) entry.addresses.push_back(engineAddress(host));
+    event.entries.push_back(entry);
+    router.onEndpointUpdate(event);
+  }
+  // A dispatch of it is out when this returns; no turn of the loop has passed.
+  RequestContext& submitRequest(std::size_t classIndex, Duration timeout = 2s,
+                                BufferSlice statement = BufferSlice(std::string("select 1"))) {
+    auto newContext = std::make_unique<RequestContext>();
+    newContext->id = ++requestCount;
+    newContext->requestClass = &config.deployment.requestClasses[classIndex];
+    newContext->requestClassName = config.requestClassNames[classIndex];
+    newContext->requestId = "00000000000000" + std::to_string(10 + requestCount);
+    newContext->arrivedAt = router.now();
+    newContext->deadline = newContext->arrivedAt + timeout;
+    newContext->declaredCost = 1ms;
+    newContext->statement = std::move(statement);
+    newContext->responseListener = &listener;
+    RequestContext& context = *newContext;
+    router.acceptRequest(std::move(newContext));
+    return context;
+  }
+  std::uint64_t countOutcomes(AttemptOutcome outcome) const {
+    return router.totals().attemptOutcomes[static_cast<std::size_t>(outcome)];
+  }
+  bool waitUntilIdle(std::chrono::milliseconds timeout = 5s) {
+    return runUntil([&] { return router.openRequestCount() == 0; }, timeout);
+  }
+  void drainSockets() {  // all that is on its way between sockets of this process has come
+    for (int index = 0; index < 5; ++index) runFor(1ms);
+  }
+
+  protocol::ControllerConfig config;
+  const std::size_t maxConnections;
+  std::uint32_t requestCount = 0;
+  std::string logText;
+  const Logger logger{[this](const LogRecord& record) {
+    logText += std::string(record.topic) + ": " + record.message + "\n";
+  }};
+  RecordingListener listener;
+  RequestRouter router{
+      *this,
+      outputBudget,
+      config,
+      {100, {config.maxAttemptsPerConnection, maxConnections, config.connectTimeout, config.idleTimeout}},
+      7,
+      logger};
+  std::vector<std::unique_ptr<FakeEngine>> engines;
+};
+
+void answerNormally(FakeEngine&, Connection& connection, const std::string& word, const std::string& id) {
+  if (word == "NOOP") FakeEngine::sendReply(connection, {id, "alive", "-", ""});
+  if (word == "ASK") FakeEngine::sendReply(connection, {id, "200", "batches=1", "r\to\tw\n"});
+}
+
+// A listener that takes connections and reads nothing until it is told to.
+class StalledServer {
+ public:
+  StalledServer(EngineConnectionFixture& fixture, int host)
+      : fixture_(fixture),
+        listener_(std::in_place, fixture, Address(EngineConnectionFixture::engineAddress(host))) {
+    tasks_.spawn(acceptConnection());
+  }
+  std::size_t bytesRead = 0;  // bytes
+  bool finished = false;
+  bool hasAccepted() const { return descriptor_ || connection_; }
+  void startReading() { tasks_.spawn(readUntilEnd()); }
+  void disconnect() { descriptor_.reset(), listener_.reset(); }
+
+ private:
+  transport::Task<> acceptConnection() {
+    auto accepted = co_await listener_->accept();
+    descriptor_ = std::move(accepted);
+  }
+  transport::Task<> readUntilEnd() {
+    connection_.emplace(fixture_, std::move(descriptor_), 1 << 20, 1 << 20, fixture_.outputBudget);
+    for (;;) {
+      const bool hasMore = co_await connection_->receive();
+      if (!hasMore) break;
+      bytesRead += connection_->input().view().size();
+      connection_->input().consume(connection_->input().view().size());
+    }
+    finished = true;
+  }
+  EngineConnectionFixture& fixture_;
+  std::optional<transport::Listener> listener_;
+  std::unique_ptr<transport::Descriptor> descriptor_;
+  std::optional<Connection> connection_;
+  transport::TaskGroup tasks_{fixture_, [](const char*) {}};
+};
+
+// The kernel has taken all that it takes of a statement, and no more.
+bool waitUntilWriteStalls(EngineConnectionFixture& fixture) {
+  std::size_t previousBytes = 0;
+  return fixture.runUntil([&] {
+    const bool isUnchanged =
+        fixture.outputBudget.usedBytes > 0 && fixture.outputBudget.usedBytes == previousBytes;
+    previousBytes = fixture.outputBudget.usedBytes;
+    return isUnchanged && fixture.outputBudget.usedBytes < kLargerThanSocketBuffers;
+  });
+}
+
+// ---- held for a dial ------------------------------------------------------------------------------------
+
+TEST(EngineConnection, DoesNotWritePendingAttemptWhenClientHasGone) {
+  for (const std::string& extraSettings : {std::string(), kAllowCancellation}) {
+    EngineConnectionFixture fixture(extraSettings);
+    FakeEngine& engine = fixture.startEngine(1, answerNormally);
+    fixture.updateEndpoint({1});
+    RequestContext& context = fixture.submitRequest(kIdempotent);
+    fixture.router.onClientGone(context);  // its dial has just begun
+    EXPECT_TRUE(fixture.waitUntilIdle());
+    fixture.drainSockets();
+    EXPECT_EQ(engine.receivedCommands, "") << extraSettings;
+    EXPECT_EQ(fixture.countOutcomes(AttemptOutcome::neverSent), 1U) << fixture.router.formatCounts();
+    EXPECT_TRUE(fixture.listener.answers.empty());
+  }
+}
+
+TEST(EngineConnection, DoesNotWritePendingAttemptWhenEngineHasRestarted) {
+  // A cold engine may have less than a job: nothing at all may be sent to the new process.
+  for (const bool clientLeaves : {false, true}) {
+    EngineConnectionFixture fixture(
+        "rules.coldUs=60000000\nrules.startCapacity=0.01\nrules.fallMultiple=1\nrules.fallUs=1000000\n");
+    FakeEngine& engine = fixture.startEngine(1, answerNormally);
+    fixture.updateEndpoint({1});
+    fixture.submitRequest(kIdempotent);
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    const auto started = std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+    if (clientLeaves) fixture.updateEndpoint({1}, EndpointState::removed);
+    fixture.updateEndpoint({1}, EndpointState::ready, started);
+    EXPECT_TRUE(fixture.waitUntilIdle());
+    fixture.drainSockets();
+    EXPECT_EQ(engine.receivedCommands, "") << clientLeaves;
+    EXPECT_EQ(fixture.countOutcomes(AttemptOutcome::neverSent), 1U) << fixture.router.formatCounts();
+    EXPECT_EQ(fixture.listener.answers, std::vector{RequestContext::ResponseKind::rejected});
+  }
+}
+
+TEST(EngineConnection, DoesNotWritePendingAttemptWhenEngineIsDrainingOrRemoved) {
+  for (const EndpointState standing : {EndpointState::draining, EndpointState::removed}) {
+    EngineConnectionFixture fixture;
+    FakeEngine& engine = fixture.startEngine(1, answerNormally);
+    fixture.updateEndpoint({1});
+    fixture.submitRequest(kNotIdempotent);
+    fixture.updateEndpoint({1}, standing);
+    EXPECT_TRUE(fixture.waitUntilIdle());
+    fixture.drainSockets();
+    EXPECT_EQ(engine.receivedCommands, "");
+    EXPECT_EQ(fixture.listener.answers,
+              std::vector{RequestContext::ResponseKind::rejected});  // it surely never ran
+    const bool isForgotten = fixture.runUntil([&] { return !fixture.router.isReady(); }, 100ms);
+    EXPECT_EQ(isForgotten, standing == EndpointState::removed);
+  }
+}
+
+// The loop stands still while its dial comes up, past its time.
+TEST(EngineConnection, DoesNotWritePendingAttemptWhenRequestDeadlineHasPassed) {
+  EngineConnectionFixture fixture;
+  FakeEngine& engine = fixture.startEngine(1, answerNormally);
+  fixture.updateEndpoint({1});
+  fixture.submitRequest(kIdempotent, 30ms);
+  const transport::TimePoint deadline = fixture.now() + 30ms;
+  transport::ScheduledCall stallCallback(fixture, [&] {
+    while (fixture.now() <= deadline) continue;
+  });
+  stallCallback.runSoon();
+  EXPECT_TRUE(fixture.waitUntilIdle());
+  fixture.drainSockets();
+  EXPECT_EQ(engine.receivedCommands, "");
+  EXPECT_EQ(fixture.listener.answers.size(), 1U);
+}
+
+// Its first address ended it before it said a word, so it must show life before it takes anything; it holds
+// that back until the window is over.
+TEST(EngineConnection, DoesNotWritePendingRetryWhenIdempotencyWindowHasEnded) {
+  EngineConnectionFixture fixture;
+  Connection* pendingConnection = nullptr;
+  std::string requestId;
+  FakeEngine& engine = fixture.startEngine(
+      1, [&](FakeEngine& self, Connection& connection, const std::string& word, const std::string& id) {
+        if (word == "ASK")
+          return self.receivedCommands == "ASK " ? connection.shutDown()
+                                                 : answerNormally(self, connection, word, id);
+        pendingConnection = &connection, requestId = id;
+      });
+  fixture.updateEndpoint({2, 1});  // nobody listens at the other
+  fixture.submitRequest(kIdempotentByKey);
+  const transport::TimePoint deadline = fixture.now() + kIdempotencyWindow;
+  ASSERT_TRUE(fixture.runUntil([&] { return pendingConnection != nullptr; }));
+  ASSERT_LT(fixture.now(), deadline);  // the repeat is held, in good time
+  ASSERT_TRUE(fixture.runUntil([&] { return fixture.now() >= deadline; }));
+  FakeEngine::sendReply(*pendingConnection, {requestId, "alive", "-", ""});
+  EXPECT_TRUE(fixture.waitUntilIdle());
+  fixture.drainSockets();
+  EXPECT_EQ(engine.receivedCommands, "ASK ");
+  ASSERT_EQ(fixture.listener.answers.size(), 1U);
+  EXPECT_NE(fixture.listener.answers[0], RequestContext::ResponseKind::succeeded);
+}
+
+// ---- not whole at the kernel ----------------------------------------------------------------------------
+
+TEST(EngineConnection, NeverCompletesPartialStatementWhenClientGoes) {
+  for (const std::string& extraSettings : {std::string(), kAllowCancellation}) {
+    EngineConnectionFixture fixture(extraSettings);
+    StalledServer engine(fixture, 3);
+    fixture.updateEndpoint({3});
+    RequestContext& context =
+        fixture.submitRequest(kIdempotent, 2s, BufferSlice(std::string(kLargerThanSocketBuffers, 's')));
+    ASSERT_TRUE(waitUntilWriteStalls(fixture));
+    fixture.router.onClientGone(context);
+    fixture.drainSockets();
+    engine.startReading();
+    EXPECT_TRUE(fixture.runUntil([&] { return engine.finished; }, 3s)) << extraSettings;
+    EXPECT_GT(engine.bytesRead, 0U);
+    EXPECT_LT(engine.bytesRead, kLargerThanSocketBuffers) << extraSettings;
+    EXPECT_EQ(fixture.router.openRequestCount(), 0U);
+  }
+}
+
+TEST(EngineConnection, DoesNotMovePartialStatementWhenEngineHasRestarted) {
+  for (const bool restarts : {false, true}) {
+    EngineConnectionFixture fixture(
+        "rules.coldUs=60000000\nrules.startCapacity=0.01\nrules.fallMultiple=1\nrules.fallUs=1000000\n");
+    StalledServer firstEngine(fixture, 3);
+    FakeEngine& secondEngine = fixture.startEngine(1, answerNormally);
+    fixture.updateEndpoint({3, 1});
+    fixture.submitRequest(kNotIdempotent, 2s, BufferSlice(std::string(kLargerThanSocketBuffers, 's')));
+    ASSERT_TRUE(waitUntilWriteStalls(fixture));
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    const auto started = std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+    if (restarts) fixture.updateEndpoint({3, 1}, EndpointState::ready, started);
+    firstEngine.disconnect();
+    EXPECT_TRUE(fixture.waitUntilIdle());
+    fixture.drainSockets();
+    EXPECT_EQ(secondEngine.receivedCommands, restarts ? "" : "ASK ")
+        << fixture.router.formatCounts() << fixture.logText;
+    EXPECT_EQ(fixture.listener.answers, std::vector{restarts ? RequestContext::ResponseKind::rejected
+                                                             : RequestContext::ResponseKind::succeeded});
+  }
+}
+
+// The repeat is stuck midway as its window ends: the rest of it never comes.
+TEST(EngineConnection, NeverCompletesPartialRetryWhenIdempotencyWindowEnds) {
+  EngineConnectionFixture fixture("profiles.1.windowUs=1000000\n");
+  FakeEngine& firstEngine = fixture.startEngine(
+      1, [](FakeEngine& self, Connection& connection, const std::string& word, const std::string&) {
+        if (word == "ASK") connection.shutDown();
+        if (word == "ASK") self.closeAddress(0);
+      });
+  StalledServer secondEngine(fixture, 3);
+  fixture.updateEndpoint({1}, EndpointState::ready, 0, "one");
+  fixture.submitRequest(kIdempotentByKey, 4s, BufferSlice(std::string(kLargerThanSocketBuffers, 's')));
+  const transport::TimePoint deadline = fixture.now() + 1s;
+  fixture.updateEndpoint({3}, EndpointState::ready, 0, "two");
+  ASSERT_TRUE(fixture.runUntil([&] { return secondEngine.hasAccepted(); }));
+  ASSERT_TRUE(waitUntilWriteStalls(fixture));
+  ASSERT_LT(fixture.now(), deadline);
+  ASSERT_TRUE(fixture.runUntil([&] { return fixture.now() >= deadline; }));
+  secondEngine.startReading();
+  EXPECT_TRUE(fixture.runUntil([&] { return secondEngine.finished; }, 2s));
+  EXPECT_LT(secondEngine.bytesRead, kLargerThanSocketBuffers);
+  EXPECT_EQ(firstEngine.receivedCommands, "ASK ");
+  EXPECT_TRUE(fixture.waitUntilIdle());
+  ASSERT_EQ(fixture.listener.answers.size(), 1U);
+  EXPECT_NE(fixture.listener.answers[0], RequestContext::ResponseKind::succeeded);
+}
+
+// Nothing of it was taken on, by a bound of this process's own: it never ran, and a run-once job may go
+// again.
+TEST(EngineConnection, ReportsAttemptsUnreachableWhenOutputBudgetRefusesThem) {
+  EngineConnectionFixture fixture(kAllowCancellation, 1);  // one connection: all that is held waits for it
+  fixture.startEngine(1, answerNormally);
+  fixture.updateEndpoint({1});
+  for (int index = 0; index < 3; ++index) fixture.submitRequest(kNotIdempotent);
+  const std::size_t heldBytes =
+      std::exchange(fixture.outputBudget.usedBytes, 2 * fixture.outputBudget.maxBytes);
+  ASSERT_TRUE(
+      fixture.runUntil([&] { return fixture.countOutcomes(AttemptOutcome::unreachable) >= 3; }, 500ms))
+      << fixture.router.formatCounts();
+  fixture.outputBudget.usedBytes -= 2 * fixture.outputBudget.maxBytes - heldBytes;
+  EXPECT_TRUE(fixture.waitUntilIdle());
+  EXPECT_EQ(fixture.countOutcomes(AttemptOutcome::reset), 0U) << fixture.router.formatCounts();
+  const auto& all = fixture.listener.answers;
+  EXPECT_EQ(std::count(all.begin(), all.end(), RequestContext::ResponseKind::failed), 0);
+}
+
+// ---- ends and answers that cross ------------------------------------------------------------------------
+
+// By how much of it the executor had: none (it closes the idle connection in the turn of the dispatch), a
+// part, or all.
+TEST(EngineConnection, RetriesNonIdempotentRequestOnlyWhenStatementWasNotFullyWritten) {
+  for (const bool closesBeforeSend : {true, false}) {
+    EngineConnectionFixture fixture;
+    int attemptCount = 0;
+    FakeEngine& engine = fixture.startEngine(
+        1, [&](FakeEngine& self, Connection& connection, const std::string& word, const std::string& id) {
+          attemptCount += word == "ASK" ? 1 : 0;
+          answerNormally(self, connection, word, id);
+        });
+    fixture.updateEndpoint({1});
+    fixture.submitRequest(kNotIdempotent);
+    ASSERT_TRUE(fixture.waitUntilIdle());
+    // Two turns after the cut its end is known to the poll, and this call comes before the link's own.
+    transport::ScheduledCall secondCallback(fixture, [&] { fixture.submitRequest(kNotIdempotent); });
+    transport::ScheduledCall firstCallback(fixture, [&] { secondCallback.runSoon(); });
+    transport::ScheduledCall cutCallback(fixture, [&] {
+      engine.disconnect();
+      closesBeforeSend ? firstCallback.runSoon() : static_cast<void>(fixture.submitRequest(kNotIdempotent));
+    });
+    cutCallback.runSoon();
+    ASSERT_TRUE(fixture.runUntil(
+        [&] { return fixture.requestCount == 2 && fixture.router.openRequestCount() == 0; }));
+    EXPECT_EQ(attemptCount,
+              closesBeforeSend ? 2 : 1);  // written as it closes: it may have run, and is not sent twice
+    EXPECT_EQ(fixture.listener.answers.back(), closesBeforeSend ? RequestContext::ResponseKind::succeeded
+                                                                : RequestContext::ResponseKind::failed);
+  }
+  for (const bool isFullyWritten : {false, true}) {
+    EngineConnectionFixture fixture;
+    StalledServer firstEngine(fixture, 3);
+    FakeEngine& secondEngine = fixture.startEngine(1, answerNormally);
+    fixture.updateEndpoint({3}, EndpointState::ready, 0, "one");
+    fixture.submitRequest(kNotIdempotent, 2s,
+                          BufferSlice(std::string(isFullyWritten ? 10 : kLargerThanSocketBuffers, 's')));
+    fixture.updateEndpoint({1}, EndpointState::ready, 0, "two");
+    ASSERT_TRUE(isFullyWritten ? fixture.runUntil([&] {
+      return firstEngine.hasAccepted() && fixture.outputBudget.usedBytes == 0;
+    })
+                               : waitUntilWriteStalls(fixture));
+    fixture.drainSockets();
+    firstEngine.disconnect();
+    EXPECT_TRUE(fixture.waitUntilIdle());
+    EXPECT_EQ(secondEngine.receivedCommands, isFullyWritten ? "" : "ASK ") << fixture.router.formatCounts();
+    EXPECT_EQ(fixture.listener.answers,
+              std::vector{isFullyWritten ? RequestContext::ResponseKind::failed
+                                         : RequestContext::ResponseKind::succeeded});
+  }
+}
+
+// A second answer that says the contrary: it ran, whatever comes then.
+TEST(EngineConnection, IgnoresRefusalWhenAttemptHasAlreadyAnswered) {
+  for (const std::string& word : {std::string("503"), std::string("504")}) {
+    EngineConnectionFixture fixture;
+    FakeEngine& engine = fixture.startEngine(
+        1, [&](FakeEngine&, Connection& connection, const std::string& command, const std::string& id) {
+          if (command == "ASK") FakeEngine::sendReply(connection, {id, "200", "batches=2", "one\t\t\n"});
+          if (command == "ASK") FakeEngine::sendReply(connection, {id, word, "-", ""});
+          if (command == "NEXT") FakeEngine::sendReply(connection, {id, "chunk", "batch=1", "two\t\t\n"});
+        });
+    fixture.updateEndpoint({1});
+    fixture.submitRequest(kNotIdempotent);
+    EXPECT_TRUE(fixture.waitUntilIdle());
+    EXPECT_EQ(engine.receivedCommands, "ASK NEXT 1 ");
+    EXPECT_EQ(fixture.listener.rows, "one\t\t\ntwo\t\t\n");
+  }
+}
+
+// The answer is at this process's kernel, and the loop comes to look only when the time is over, or when its
+// client has gone.
+TEST(EngineConnection, EndsAttemptOnceWhenResponseRacesTimeoutOrClientDeparture) {
+  for (const bool clientLeaves : {false, true}) {
+    EngineConnectionFixture fixture(kAllowCancellation);
+    RequestContext* context = nullptr;
+    transport::TimePoint deadline{};
+    transport::ScheduledCall raceCallback(fixture, [&] {  // the peer has written: its turn came before
+      if (clientLeaves) return fixture.router.onClientGone(*context);
+      while (fixture.now() <= deadline) continue;
+    });
+    FakeEngine& engine = fixture.startEngine(
+        1, [&](FakeEngine& self, Connection& connection, const std::string& word, const std::string& id) {
+          answerNormally(self, connection, word, id);
+          if (word == "ASK" && self.receivedCommands == "ASK ") raceCallback.runSoon();
+        });
+    fixture.updateEndpoint({1});
+    context = &fixture.submitRequest(kIdempotent, 300ms);
+    deadline = fixture.now() + 300ms;
+    EXPECT_TRUE(fixture.waitUntilIdle());
+    fixture.drainSockets();
+    EXPECT_EQ(fixture.listener.answers.size(), clientLeaves ? 0U : 1U);
+    EXPECT_EQ(fixture.countOutcomes(AttemptOutcome::completed) +
+                  fixture.countOutcomes(AttemptOutcome::timedOut) +
+                  fixture.countOutcomes(AttemptOutcome::cancelled),
+              1U)
+        << fixture.router.formatCounts();
+    const std::uint64_t completedBefore = fixture.countOutcomes(AttemptOutcome::completed);
+    fixture.submitRequest(kIdempotent);  // what comes next on that connection is its own
+    EXPECT_TRUE(fixture.waitUntilIdle());
+    EXPECT_EQ(fixture.countOutcomes(AttemptOutcome::completed), completedBefore + 1);
+    EXPECT_EQ(engine.connections.size(), 1U);
+  }
+}
+
+// The first attempt answers after all, as the repeat is written: an id goes over a connection once, and the
+// end of the first has been told.
+TEST(EngineConnection, IgnoresFirstAttemptsResponseWhenRetryHasBeenWritten) {
+  EngineConnectionFixture fixture;
+  Connection* firstConnection = nullptr;
+  FakeEngine& engine = fixture.startEngine(
+      1, [&](FakeEngine&, Connection& connection, const std::string& word, const std::string& id) {
+        if (word != "ASK") return;
+        if (!firstConnection) {
+          firstConnection = &connection;
+          return FakeEngine::sendReply(connection, {id, "500", "-", ""});
+        }
+        FakeEngine::sendReply(*firstConnection, {id, "200", "batches=1", "old\t\t\n"});
+        FakeEngine::sendReply(connection, {id, "200", "batches=1", "new\t\t\n"});
+      });
+  fixture.updateEndpoint({1});
+  fixture.submitRequest(kIdempotent);
+  EXPECT_TRUE(fixture.waitUntilIdle());
+  fixture.drainSockets();
+  EXPECT_EQ(fixture.listener.rows, "new\t\t\n");
+  EXPECT_EQ(engine.connections.size(), 2U);
+  EXPECT_EQ(fixture.countOutcomes(AttemptOutcome::completed), 1U);
+}
+
+// All on one connection, which ends: each end sets off further dispatches while the others are still told.
+TEST(EngineConnection, KeepsToRetryBudgetWhenManyAttemptsEndInOneLoopIteration) {
+  EngineConnectionFixture fixture(
+      kAllowCancellation + "rules.extraFloor=3\nrules.repeatRatio=0\nrules.budgetSpanUs=10000000\n", 1);
+  int attemptCount = 0;
+  FakeEngine& engine = fixture.startEngine(
+      1, [&](FakeEngine& self, Connection& connection, const std::string& word, const std::string& id) {
+        if (word != "ASK") return;
+        if (++attemptCount == 10) connection.shutDown();
+        if (attemptCount > 10) answerNormally(self, connection, word, id);
+      });
+  fixture.updateEndpoint({1});
+  for (int index = 0; index < 10; ++index) fixture.submitRequest(kIdempotent);
+  EXPECT_TRUE(fixture.waitUntilIdle());
+  fixture.drainSockets();
+  EXPECT_EQ(fixture.countOutcomes(AttemptOutcome::reset), 10U) << fixture.router.formatCounts();
+  EXPECT_EQ(attemptCount, 13);
+  EXPECT_EQ(fixture.listener.answers.size(), 10U);
+  EXPECT_EQ(engine.receivedCommands.size(), 13U * 4);
+}
+
+// This process stands still midway in an answer, for longer than an executor may: the rest lies in its
+// kernel.
+TEST(EngineConnection, AcceptsResponseWhenItsRestArrivedDuringProcessStall) {
+  EngineConnectionFixture fixture("limits.dialTimeoutUs=400000\n");
+  Connection* firstConnection = nullptr;
+  std::string remainder;
+  fixture.startEngine(
+      1, [&](FakeEngine&, Connection& connection, const std::string& word, const std::string& id) {
+        if (word != "ASK") return;
+        firstConnection = &connection;
+        remainder = "\r\n$3\r\n200\r\n$9\r\nbatches=1\r\n$6\r\nr\to\tw\n\r\n";
+        connection.send({BufferSlice("*4\r\n$16\r\n" + id)});
+      });
+  fixture.updateEndpoint({1});
+  fixture.submitRequest(kNotIdempotent);
+  ASSERT_TRUE(fixture.runUntil([&] { return firstConnection != nullptr; }));
+  fixture.drainSockets();                                // it has the first half
+  transport::ScheduledCall stallCallback(fixture, [&] {  // the peer's write has its turn before
+    for (const transport::TimePoint deadline = fixture.now() + 900ms; fixture.now() < deadline;) continue;
+  });
+  firstConnection->send({BufferSlice(remainder)});
+  stallCallback.runSoon();
+  EXPECT_TRUE(fixture.waitUntilIdle());
+  EXPECT_EQ(fixture.listener.answers, std::vector{RequestContext::ResponseKind::succeeded})
+      << fixture.router.formatCounts();
+}
+
+// Half a line on a resting connection belongs to nobody's answer: what is sent there next would end with it.
+// It harms no job that takes another, and a connection that is shut over it ends nothing else.
+TEST(EngineConnection, CompletesNonIdempotentRequestWhenIdleConnectionHoldsPartialLine) {
+  for (const bool drainsBetween : {false, true}) {
+    EngineConnectionFixture fixture;
+    int attemptCount = 0;
+    FakeEngine& engine = fixture.startEngine(
+        1, [&](FakeEngine& self, Connection& connection, const std::string& word, const std::string& id) {
+          attemptCount += word == "ASK" ? 1 : 0;
+          answerNormally(self, connection, word, id);
+          if (attemptCount == 1) connection.send({BufferSlice("*4\r\n$16\r\n" + id)});
+        });
+    fixture.updateEndpoint({1});
+    fixture.submitRequest(kNotIdempotent);
+    ASSERT_TRUE(fixture.waitUntilIdle());
+    fixture.drainSockets();
+    if (drainsBetween) fixture.updateEndpoint({1}, EndpointState::draining);
+    if (drainsBetween) fixture.updateEndpoint({1});
+    fixture.submitRequest(kNotIdempotent);
+    EXPECT_TRUE(fixture.waitUntilIdle());
+    EXPECT_EQ(fixture.listener.answers, (std::vector{RequestContext::ResponseKind::succeeded,
+                                                     RequestContext::ResponseKind::succeeded}));
+    EXPECT_EQ(attemptCount, 2);
+    EXPECT_EQ(engine.connections.size(), 2U);
+  }
+}
+
+// ---- hand-overs -----------------------------------------------------------------------------------------
+
+// Moved to a dial that hears nothing, where it ends in each way there is.
+TEST(EngineConnection, EndsMovedAttemptOnceWhenInterruptedBeforeReconnecting) {
+  for (const std::string interruption : {"left", "time", "gone", "process"}) {
+    EngineConnectionFixture fixture("limits.dialTimeoutUs=1200000\n" +
+                                    (interruption == "left" ? kAllowCancellation : ""));
+    StalledServer firstEngine(fixture, 3);
+    const fakes::UnresponsiveListener silentListener(Address(EngineConnectionFixture::engineAddress(4)));
+    fixture.updateEndpoint({3, 4});
+    RequestContext& context =
+        fixture.submitRequest(kNotIdempotent, 900ms, BufferSlice(std::string(kLargerThanSocketBuffers, 's')));
+    ASSERT_TRUE(waitUntilWriteStalls(fixture));
+    firstEngine.disconnect();
+    ASSERT_TRUE(fixture.runUntil(
+        [&] { return fixture.router.formatCounts().ends_with("1 dispatches moved"); }, 500ms))
+        << interruption;
+    if (interruption == "left") fixture.router.onClientGone(context);
+    if (interruption == "gone") fixture.updateEndpoint({3, 4}, EndpointState::removed);
+    if (interruption == "process") fixture.router.finishAllRequests();
+    const bool endsLater = interruption == "time" || interruption == "gone";
+    EXPECT_TRUE(fixture.waitUntilIdle(endsLater ? 5000ms : 100ms))
+        << interruption << fixture.router.formatCounts();
+    EXPECT_EQ(fixture.listener.answers.size(), interruption == "left" ? 0U : 1U) << interruption;
+    std::uint64_t outcomeCount = 0;
+    for (const std::uint64_t attemptOutcome : fixture.router.totals().attemptOutcomes)
+      outcomeCount += attemptOutcome;
+    EXPECT_EQ(outcomeCount, 1U) << interruption << fixture.router.formatCounts();
+    fixture.updateEndpoint(
+        {3, 4}, EndpointState::removed);  // its link goes with its dial, and then the engine is forgotten
+    EXPECT_TRUE(fixture.runUntil(
+        [&] { return fixture.router.formatCounts().find("; 0 executors") != std::string::npos; }, 5s))
+        << interruption << fixture.router.formatCounts();
+  }
+}
+
+// ---- answers without an end -----------------------------------------------------------------------------
+
+TEST(EngineConnection, ClosesWhenResponseNeverCompletes) {
+  for (const bool sendsSlowly : {true, false}) {
+    EngineConnectionFixture fixture("limits.dialTimeoutUs=50000\n");
+    Connection* firstConnection = nullptr;
+    transport::ScheduledCall sendTimer(fixture);
+    sendTimer.setAction([&] {
+      firstConnection->send(
+          {BufferSlice(sendsSlowly ? std::string("x") : std::string(5990, 'x') + "\r\n$5990\r\n")});
+      sendTimer.runAt(fixture.now() + 2ms);
+    });
+    fixture.startEngine(1, [&](FakeEngine& self, Connection& connection, const std::string& word,
+                               const std::string& id) {
+      if (word != "ASK") return;
+      if (firstConnection) return answerNormally(self, connection, word, id);
+      firstConnection = &connection;
+      connection.send({BufferSlice("*8\r\n$16\r\n" + id + "\r\n$3\r\n200\r\n$9\r\nbatches=1\r\n$5990\r\n")});
+      sendTimer.runAt(fixture.now());
+    });
+    fixture.updateEndpoint({1});
+    fixture.submitRequest(kIdempotent);
+    EXPECT_TRUE(fixture.runUntil(
+        [&] {
+          return fixture.countOutcomes(AttemptOutcome::connectionAborted) +
+                     fixture.countOutcomes(AttemptOutcome::reset) ==
+                 1;
+        },
+        1s))
+        << fixture.router.formatCounts();
+    sendTimer.cancel();
+    EXPECT_TRUE(fixture.waitUntilIdle());
+    EXPECT_EQ(fixture.listener.rows, "r\to\tw\n");
+  }
+}
+
+}  // namespace
+}  // namespace paddletrack::routing
--- /dev/null
+++ b/tests/routing/request_router_test.cpp
@@ -0,0 +1,547 @@
+// What the front makes of usual and unusual peers.
+#include "support/router_fixture.hpp"
+
+namespace paddletrack::routing {
+namespace {
+
+TEST(RequestRouter, AnswersHeartbeatPositivelyOnlyWhenEngineIsKnownAndGateIsOpen) {
+  RouterFixture fixture;
+  const std::string firstAnswer =
+      fixture.exchangeBytes(encodeMessage(1, "heartbeat", 0, encodeInteger(0, 1)));
+  EXPECT_EQ(firstAnswer[firstAnswer.size() - 3], 0);  // no executor is known yet
+  fixture.updateEndpoints({1});
+  const std::string openAnswer = fixture.exchangeBytes(encodeMessage(1, "heartbeat", 1, encodeInteger(0, 1)));
+  struct : ServiceGate {
+    bool onHeartbeat() override { return false; }
+    std::optional<Duration> checkRejection() override { return 700ms; }
+  } shut;
+  fixture.clientListener.setServiceGate(&shut);
+  const std::string closedAnswer =
+      fixture.exchangeBytes(encodeMessage(1, "heartbeat", 2, encodeInteger(0, 1)));
+  ASSERT_EQ(openAnswer.size(), closedAnswer.size());
+  EXPECT_EQ(openAnswer[openAnswer.size() - 3], 1);
+  EXPECT_EQ(closedAnswer[closedAnswer.size() - 3], 0);
+  const std::string rejection =
+      fixture.exchangeBytes(encodeSubmit(3));  // at once, and the desk has not seen it
+  EXPECT_TRUE(fixture.contains(rejection, "cooldown") && fixture.contains(rejection, "700"));
+  EXPECT_EQ(fixture.router.totals().requests, 0U);
+}
+
+TEST(RequestRouter, SendsPagesInOrderWhenTheyArriveOutOfOrder) {
+  RouterFixture fixture;
+  FakeEngine& engine = fixture.addEngine(
+      1, [](FakeEngine&, Connection& connection, const std::string& word, const std::string& id) {
+        if (word == "ASK") FakeEngine::sendReply(connection, {id, "200", "batches=3", "one\t\t\n"});
+        if (word != "NEXT") return;
+        static int requestedPages = 0;
+        if (++requestedPages < 2) return;
+        FakeEngine::sendReply(connection, {id, "chunk", "batch=2", "three\t\t\n"});
+        FakeEngine::sendReply(connection, {id, "chunk", "batch=2", "again\t\t\n"});
+        FakeEngine::sendReply(connection, {id, "chunk", "batch=1", "two\t\t\n"});
+      });
+  fixture.updateEndpoints({1});
+  EXPECT_TRUE(fixture.contains(fixture.exchangeBytes(encodeSubmit(1)), "one\t\t\ntwo\t\t\nthree\t\t\n"));
+  EXPECT_EQ(engine.receivedCommands, "ASK NEXT 1 NEXT 2 ");
+}
+
+// A page that its executor has lost: the whole dispatch has failed, and a restartable job is sent again.
+TEST(RequestRouter, RetriesRequestWhenPageIsLost) {
+  RouterFixture fixture;
+  int attemptCount = 0;
+  FakeEngine& engine = fixture.addEngine(
+      1, [&](FakeEngine&, Connection& connection, const std::string& word, const std::string& id) {
+        if (word == "ASK" && ++attemptCount == 1)
+          return FakeEngine::sendReply(connection, {id, "200", "batches=2", "old\t\t\n"});
+        if (word == "ASK") return FakeEngine::sendReply(connection, {id, "200", "batches=1", "new\t\t\n"});
+        FakeEngine::sendReply(connection, {id, "500", "-", ""});
+      });
+  fixture.updateEndpoints({1});
+  const std::string answer = fixture.exchangeBytes(encodeSubmit(1), 150ms);
+  EXPECT_TRUE(fixture.contains(answer, "new\t\t\n"));
+  EXPECT_FALSE(fixture.contains(answer, "old\t\t\n"));
+  EXPECT_EQ(engine.connections.size(), 2U);  // the id goes over a connection once
+}
+
+TEST(RequestRouter, RetriesRequestWhenConnectIsRefusedOrConnectionIsReset) {
+  RouterFixture fixture;
+  int attemptCount = 0;
+  fixture.addEngine(
+      2, [&](FakeEngine& engine, Connection& connection, const std::string& word, const std::string& id) {
+        if (word == "ASK" && ++attemptCount == 1) return connection.shutDown();
+        respondDone(engine, connection, word, id);
+      });
+  fixture.updateEndpoints({1, 2});  // nobody listens at the first
+  for (int index = 1; index <= 4; ++index)
+    EXPECT_TRUE(fixture.contains(fixture.exchangeBytes(encodeSubmit(index), 150ms), "r\to\tw\n")) << index;
+  EXPECT_TRUE(fixture.contains(fixture.router.formatCounts(), "unreachable"));
+  EXPECT_TRUE(fixture.contains(fixture.router.formatCounts(), "1 reset"));
+}
+
+TEST(RequestRouter, UsesAnotherEngineWhenEngineIsFull) {
+  RouterFixture fixture;
+  fixture.addEngine(1,
+                    [](FakeEngine&, Connection& connection, const std::string& word, const std::string& id) {
+                      if (word == "ASK") FakeEngine::sendReply(connection, {id, "503", "-", ""});
+                    });
+  fixture.addEngine(2, respondDone);
+  fixture.updateEndpoints({1, 2});
+  for (int index = 1; index <= 4; ++index)
+    EXPECT_TRUE(fixture.contains(fixture.exchangeBytes(encodeSubmit(index)), "r\to\tw\n"));
+}
+
+TEST(RequestRouter, CancelsAttemptAndRejectsRequestWhenDeadlinePasses) {
+  RouterFixture fixture;
+  FakeEngine& engine = fixture.addEngine(1, ignoreCommand);
+  fixture.updateEndpoints({1});
+  EXPECT_FALSE(fixture.contains(fixture.exchangeBytes(encodeSubmit(1, 150), 120ms), "cooldown"));
+  EXPECT_TRUE(fixture.contains(fixture.exchangeBytes("", 60ms), "cooldown"));
+  EXPECT_EQ(engine.receivedCommands, "ASK QUIT ");
+  EXPECT_EQ(fixture.router.openRequestCount(), 0U);
+}
+
+// On a busy core requests are read and answers written some tens of milliseconds late: a few clients in ten
+// thousand once got their last answer after the rule's time.
+TEST(RequestRouter, RejectsRequestBeforeClientTimeoutWhenAnswerSlackIsSet) {
+  RouterFixture fixture(kBaseSettings + "rules.answerSlackUs=20000\n");
+  fixture.addEngine(1, ignoreCommand);
+  fixture.updateEndpoints({1});
+  EXPECT_FALSE(fixture.contains(fixture.exchangeBytes(encodeSubmit(1, 320), 280ms), "cooldown"));
+  EXPECT_TRUE(fixture.contains(fixture.exchangeBytes("", 36ms), "cooldown"));
+}
+
+TEST(RequestRouter, CancelsAttemptWithoutAnswerWhenClientRevokesOrLeaves) {
+  RouterFixture fixture;
+  FakeEngine& engine = fixture.addEngine(1, ignoreCommand);
+  fixture.updateEndpoints({1});
+  fixture.exchangeBytes(encodeSubmit(1));
+  EXPECT_EQ(fixture.exchangeBytes(encodeRevoke(1)), "");
+  EXPECT_EQ(engine.receivedCommands, "ASK QUIT ");
+  EXPECT_EQ(fixture.exchangeBytes(encodeRevoke(1) + encodeRevoke(7)), "");
+  fixture.exchangeBytes(encodeSubmit(2));
+  fixture.client->shutDown();
+  fixture.runFor(5ms);
+  fixture.client.reset();
+  fixture.runFor(20ms);
+  EXPECT_EQ(engine.receivedCommands, "ASK QUIT ASK QUIT ");
+  EXPECT_EQ(fixture.router.openRequestCount(), 0U);
+}
+
+// Without it executors could not tell a keyed job's second dispatch from another job.
+TEST(RequestRouter, ForwardsIdempotencyKeyWithEachAttemptAndRejectsInvalidKeys) {
+  RouterFixture fixture;
+  std::string received;
+  FakeEngine& engine = fixture.addEngine(
+      1, [&](FakeEngine& self, Connection& connection, const std::string& word, const std::string& id) {
+        received += connection.input().view();
+        if (self.receivedCommands == "ASK ") return connection.shutDown();
+        respondDone(self, connection, word, id);
+      });
+  fixture.updateEndpoints({1});
+  const auto submitWithKey = [](int sequence, const std::string& key) {
+    return protocol::thrift::encodeSubmit(
+        sequence, {{"service", "q"}, {"ref", "00000000000000a1"}, {"allow", "2000"}, {"replay", key}},
+        "select 1");
+  };
+  EXPECT_TRUE(
+      fixture.contains(fixture.exchangeBytes(submitWithKey(1, "a76a927daf55dc95"), 200ms), "r\to\tw"));
+  EXPECT_EQ(engine.receivedCommands, "ASK ASK ");
+  const std::size_t firstPosition = received.find(",once=a76a927daf55dc95\r\n");
+  ASSERT_NE(firstPosition, std::string::npos);
+  EXPECT_NE(received.find(",once=a76a927daf55dc95\r\n", firstPosition + 1), std::string::npos);
+  for (const std::string& invalidInput :
+       {std::string("a,class=r"), std::string("a=b"), std::string("a\r\n"), std::string(300, 'a')})
+    EXPECT_TRUE(fixture.contains(fixture.exchangeBytes(submitWithKey(2, invalidInput)),
+                                 "replay: it can't be passed on"))
+        << invalidInput;
+  EXPECT_EQ(engine.receivedCommands, "ASK ASK ");
+}
+
+TEST(ClientListener, AnswersWithExceptionWhenFrameIsReadableButRequestIsInvalid) {
+  RouterFixture fixture;
+  fixture.addEngine(1, respondDone);
+  fixture.updateEndpoints({1});
+  EXPECT_TRUE(fixture.contains(fixture.exchangeBytes(encodeMessage(1, "drop", 1, encodeInteger(0, 1))),
+                               "unknown method"));
+  EXPECT_TRUE(fixture.contains(fixture.exchangeBytes(encodeSubmit(2, 2000, "unknown")),
+                               "service: 'unknown' is unknown"));
+  EXPECT_TRUE(fixture.contains(fixture.exchangeBytes(encodeSubmit(3, -5)), "allow: '-5' can't be used"));
+  EXPECT_TRUE(fixture.contains(fixture.exchangeBytes(encodeSubmit(4, 2000, "q", "short")), "16 hex digits"));
+  EXPECT_TRUE(fixture.contains(fixture.exchangeBytes(encodeMessage(1, "submit", 5, encodeInteger(9, 1))),
+                               "the frame ends early"));
+  EXPECT_TRUE(fixture.contains(fixture.exchangeBytes(encodeSubmit(6)), "r\to\tw\n"));
+}
+
+TEST(ClientListener, ClosesOnlyTheConnectionWhenItsFramesAreInvalid) {
+  for (const std::string& invalidInput :
+       {encodeString("GET / HTTP/1.1"), encodeInteger(0x7fffffff, 4), encodeSubmit(1) + encodeSubmit(1),
+        encodeMessage(2, "submit", 1, ""), encodeMessage(4, "revoke", 1, encodeInteger(0, 1))}) {
+    RouterFixture fixture;
+    fixture.addEngine(1, ignoreCommand);
+    fixture.updateEndpoints({1});
+    EXPECT_TRUE(fixture.contains(fixture.exchangeBytes(invalidInput), "<closed>"));
+    fixture.client.reset();
+    EXPECT_FALSE(fixture.exchangeBytes(encodeMessage(1, "heartbeat", 1, encodeInteger(0, 1))).empty());
+    EXPECT_EQ(fixture.router.openRequestCount(), 0U);
+  }
+}
+
+// Silent connections once stayed for good, and a byte now and then kept half a message alive.
+TEST(ClientListener, ClosesConnectionWhenMessageStaysIncompleteOrIdleTimeoutPasses) {
+  RouterFixture fixture;
+  fixture.addEngine(1, respondDone);
+  fixture.updateEndpoints({1});
+  EXPECT_EQ(fixture.exchangeBytes("", 60ms), "");
+  EXPECT_EQ(fixture.exchangeBytes("", 80ms), "<closed>");
+  fixture.client.reset();
+  EXPECT_TRUE(fixture.contains(fixture.exchangeBytes(encodeSubmit(1)), "r\to\tw\n"));
+  std::string received;
+  for (const char character : encodeString("0123"))
+    received += fixture.exchangeBytes(std::string(1, character), 30ms);
+  EXPECT_EQ(received, "<closed>");
+  fixture.client.reset();
+  EXPECT_TRUE(fixture.contains(fixture.exchangeBytes(encodeSubmit(2)), "r\to\tw\n"));
+  EXPECT_EQ(fixture.exchangeBytes("", 500ms), "");  // kept while clients keep theirs
+  EXPECT_EQ(fixture.exchangeBytes("", 300ms), "<closed>");
+  EXPECT_TRUE(fixture.contains(fixture.clientListener.formatCounts(), "unfinished 2, idle 1"));
+}
+
+TEST(ClientListener, EvictsSilentConnectionsFirstWhenFull) {
+  RouterFixture fixture;
+  fixture.addEngine(1, respondDone);
+  fixture.updateEndpoints({1});
+  EXPECT_TRUE(fixture.contains(fixture.exchangeBytes(encodeSubmit(1)), "r\to\tw\n"));
+  std::vector<std::unique_ptr<Connection>> silentConnections;
+  for (int index = 0; index < 12; ++index) silentConnections.push_back(fixture.connectClient());
+  EXPECT_TRUE(
+      fixture.contains(fixture.exchangeBytes(encodeSubmit(2)), "r\to\tw\n"));  // it came first, but it asked
+  EXPECT_TRUE(fixture.contains(fixture.clientListener.formatCounts(), "for others 4"));
+}
+
+// Connections that asked once and were kept for good filled the house; each new one was ended as the one that
+// had shown least, before it could ask.
+TEST(ClientListener, ServesNewConnectionWhenFullOfIdleOnes) {
+  RouterFixture fixture;
+  fixture.addEngine(1, respondDone);
+  fixture.updateEndpoints({1});
+  for (int index = 1; index <= 14; ++index) {
+    EXPECT_TRUE(fixture.contains(fixture.exchangeBytes(encodeSubmit(index), 30ms), "r\to\tw\n")) << index;
+    fixture.earlierClients.push_back(std::move(fixture.client));
+  }
+}
+
+// Executors call a second statement under an id an error, whichever connection it came over.
+TEST(ClientListener, RejectsRequestWhenReferenceIsInUse) {
+  RouterFixture fixture;
+  FakeEngine& engine = fixture.addEngine(1, ignoreCommand);
+  fixture.updateEndpoints({1});
+  fixture.exchangeBytes(encodeSubmit(1), 20ms);
+  fixture.earlierClients.push_back(std::move(fixture.client));
+  EXPECT_TRUE(fixture.contains(fixture.exchangeBytes(encodeSubmit(11), 20ms), "in use"));
+  EXPECT_EQ(engine.receivedCommands, "ASK ");
+  std::string submits;
+  for (int index = 1; index <= 9; ++index) submits += encodeSubmit(index * 10 + 1);
+  EXPECT_TRUE(
+      fixture.contains(fixture.exchangeBytes(submits, 20ms), "<closed>"));  // the same again and again
+}
+
+TEST(EngineConnectionPool, ClosesConnectionAndRetriesWhenResponseIsUnreadable) {
+  RouterFixture fixture;
+  int attemptCount = 0;
+  fixture.addEngine(
+      1, [&](FakeEngine& engine, Connection& connection, const std::string& word, const std::string& id) {
+        if (word == "ASK" && ++attemptCount == 1)
+          return connection.send({BufferSlice(std::string("HTTP/1.1 200 OK\r\n\r\n"))});
+        respondDone(engine, connection, word, id);
+      });
+  fixture.updateEndpoints({1});
+  EXPECT_TRUE(fixture.contains(fixture.exchangeBytes(encodeSubmit(1), 150ms), "r\to\tw\n"));
+  EXPECT_TRUE(fixture.contains(fixture.logText, "connection given up"));
+}
+
+// Notes of progress, on which there is no page, once cost every connection that carried one.
+TEST(EngineConnectionPool, IgnoresMessagesWithoutPage) {
+  RouterFixture fixture;
+  fixture.addEngine(
+      1, [&](FakeEngine& self, Connection& connection, const std::string& word, const std::string& id) {
+        FakeEngine::sendReply(connection, {id, "status", "odd", ""});
+        respondDone(self, connection, word, id);
+      });
+  fixture.updateEndpoints({1});
+  EXPECT_TRUE(fixture.contains(fixture.exchangeBytes(encodeSubmit(1)), "r\to\tw\n"));
+  EXPECT_TRUE(fixture.contains(fixture.router.formatCounts(), "1 done; "));
+}
+
+// One spoilt answer leaves its connection of no more use, in silence or with noise. That is no evidence
+// against the executor, and what shares a process but not the connection goes on.
+TEST(EngineConnectionPool, RetriesAttemptWhenResponseIsMalformed) {
+  using Words = std::vector<std::string>;
+  for (const Words& bad :
+       {Words{"200", "batches=many", ""}, Words{"2\x01\x7f", "-", ""}, Words{"200", "batches=0", ""},
+        Words{"200", "-", "a\tb\n"}, Words{"200", "-", "a\tb\tc"}, Words{"200", "batches=65", "\t\t\n"},
+        Words{"200", "-", std::string(6001, 'x')}, Words{"chunk", "-", ""}, Words{}}) {
+    RouterFixture fixture;
+    int attemptCount = 0;
+    fixture.addEngine(
+        1, [&](FakeEngine& self, Connection& connection, const std::string& word, const std::string& id) {
+          if (word != "ASK") return;
+          if (++attemptCount == 1) return;  // still runs while the next is spoilt
+          if (attemptCount > 2) return respondDone(self, connection, word, id);
+          if (bad.empty()) return connection.send({BufferSlice("*4\r\n$16\r\n" + id)});  // and no more
+          FakeEngine::sendReply(connection, {id, bad[0], bad[1], bad[2]});
+        });
+    fixture.updateEndpoints({1});
+    EXPECT_TRUE(
+        fixture.contains(fixture.exchangeBytes(encodeSubmit(1) + encodeSubmit(2), 120ms), "r\to\tw\n"));
+    EXPECT_TRUE(fixture.contains(fixture.router.formatCounts(), "1 open")) << fixture.router.formatCounts();
+    EXPECT_TRUE(fixture.contains(fixture.router.formatCounts(), "1 done 1 spoilt"))
+        << fixture.router.formatCounts();
+    EXPECT_FALSE(fixture.contains(fixture.logText, "doubted"));
+  }
+}
+
+// More than belongs to an answer harms nothing: the first whole one counts.
+TEST(EngineConnectionPool, IgnoresDuplicateAndUnrequestedResponses) {
+  RouterFixture fixture;
+  fixture.addEngine(
+      1, [](FakeEngine&, Connection& connection, const std::string& word, const std::string& id) {
+        if (word == "ASK") {
+          FakeEngine::sendReply(connection, {"00000000deadbeef", "200", "batches=1", "x\tx\tx\n"});
+          FakeEngine::sendReply(connection, {id, "200", "batches=2", "one\t\t\n"});
+          FakeEngine::sendReply(connection, {id, "200", "batches=2", "one\t\t\n"});
+        } else if (word == "NEXT") {
+          FakeEngine::sendReply(connection, {id, "chunk", "batch=1", "two\t\t\n"});
+          FakeEngine::sendReply(connection, {id, "chunk", "batch=1", "two\t\t\n"});
+        }
+      });
+  fixture.updateEndpoints({1});
+  EXPECT_TRUE(fixture.contains(fixture.exchangeBytes(encodeSubmit(1)), "one\t\t\ntwo\t\t\n"));
+  EXPECT_TRUE(fixture.contains(fixture.router.formatCounts(), "1 done; ")) << fixture.router.formatCounts();
+}
+
+// A second answer may come when its job has long been answered and its connection serves another.
+TEST(EngineConnectionPool, KeepsOtherRequestsIntactWhenDuplicateResponseIsLate) {
+  RouterFixture fixture;
+  std::string previousId;
+  FakeEngine& engine = fixture.addEngine(
+      1, [&](FakeEngine&, Connection& connection, const std::string& word, const std::string& id) {
+        if (word != "ASK") return;
+        if (!previousId.empty()) {
+          FakeEngine::sendReply(connection, {previousId, "200", "batches=2", "late\t\t\n"});
+          FakeEngine::sendReply(connection, {previousId, "chunk", "batch=1", "later\t\t\n"});
+          FakeEngine::sendReply(connection, {previousId, "500", "-", ""});
+        }
+        FakeEngine::sendReply(connection, {id, "200", "batches=1", id + "\t\t\n"});
+        previousId = id;
+      });
+  fixture.updateEndpoints({1});
+  for (int index = 1; index <= 3; ++index) {
+    const std::string answer = fixture.exchangeBytes(encodeSubmit(index), 40ms);
+    EXPECT_TRUE(fixture.contains(answer, "00000000000000a" + std::to_string(index) + "\t\t\n"));
+    EXPECT_FALSE(fixture.contains(answer, "late"));
+    EXPECT_EQ(fixture.exchangeBytes("", 20ms), "");  // and no second one leaves
+  }
+  EXPECT_EQ(engine.connections.size(), 1U);
+  EXPECT_EQ(engine.receivedCommands, "ASK ASK ASK ");
+  EXPECT_TRUE(fixture.contains(fixture.router.formatCounts(), "3 done; ")) << fixture.router.formatCounts();
+}
+
+// Executors under ever new ids once stayed known for good, to the desk and in every choice of the module.
+TEST(EngineRegistry, ForgetsRemovedEngineWhenNoAttemptIsInFlight) {
+  RouterFixture fixture;
+  fixture.addEngine(1, respondDone);
+  fixture.addEngine(2, ignoreCommand);
+  fixture.updateEndpoints({1, 2});
+  std::string submits;
+  for (int index = 1; index <= 6; ++index) submits += encodeSubmit(index, 600);
+  fixture.exchangeBytes(submits);
+  EXPECT_GT(fixture.router.openRequestCount(), 0U);  // at the silent one
+  fixture.updateEndpoints({1}, false, EndpointState::removed);
+  fixture.updateEndpoints({2}, false, EndpointState::removed);
+  fixture.runFor(100ms);
+  EXPECT_TRUE(fixture.contains(fixture.router.formatCounts(), "1 executors known of 2"));
+  fixture.runFor(600ms);
+  EXPECT_TRUE(fixture.contains(fixture.router.formatCounts(), "0 executors known of 2"));
+  fixture.updateEndpoints({1});  // it comes back, as a new one
+  EXPECT_TRUE(fixture.contains(fixture.exchangeBytes(encodeSubmit(7)), "r\to\tw\n"));
+  fixture.updateEndpoints({2});  // a whole list without it
+  fixture.runFor(100ms);
+  EXPECT_TRUE(fixture.contains(fixture.router.formatCounts(), "1 executors known of 4"));
+}
+
+// A machine that vanished and came back says nothing on its old connections; a slow one says nothing at all.
+TEST(EngineConnectionPool, ClosesSilentConnectionOnlyWhenEngineAnswersOnAnother) {
+  RouterFixture fixture;
+  bool answersOnNewConnections = false;
+  FakeEngine& engine = fixture.addEngine(
+      1, [&](FakeEngine& self, Connection& connection, const std::string& word, const std::string& id) {
+        if (!answersOnNewConnections || &connection == self.connections.front()) return;
+        if (word == "NOOP") FakeEngine::sendReply(connection, {id, "alive", "-", ""});
+        respondDone(self, connection, word, id);
+      });
+  fixture.updateEndpoints({1});
+  fixture.exchangeBytes(encodeSubmit(1), 250ms);
+  EXPECT_GT(engine.noopCount, 0);
+  EXPECT_FALSE(fixture.contains(fixture.router.formatCounts(), "reset"));
+  answersOnNewConnections = true;
+  fixture.exchangeBytes(encodeSubmit(2), 600ms);
+  EXPECT_TRUE(fixture.contains(fixture.router.formatCounts(), "1 spoilt"));
+}
+
+// The kernel takes what a standing process does not read. Thousands of statements once piled up there, and
+// were read after their jobs had been answered otherwise.
+TEST(EngineConnectionPool, WritesNothingMoreWhenEngineAnswersNowhere) {
+  RouterFixture fixture;
+  FakeEngine& engine = fixture.addEngine(1, ignoreCommand);
+  fixture.updateEndpoints({1});
+  fixture.exchangeBytes(encodeSubmit(1), 100ms);
+  fixture.exchangeBytes(encodeSubmit(2) + encodeSubmit(3) + encodeSubmit(4), 100ms);
+  EXPECT_EQ(engine.receivedCommands, "ASK ");
+  EXPECT_TRUE(fixture.contains(fixture.router.formatCounts(), "unreachable"));
+}
+
+TEST(EngineConnectionPool, ClosesConnectionsWhenIdleOrEngineIsRemoved) {
+  RouterFixture fixture;
+  fixture.addEngine(1, respondDone);
+  fixture.updateEndpoints({1});
+  for (int index = 1; index <= 9; ++index) fixture.exchangeBytes(encodeSubmit(index), 10ms);
+  EXPECT_TRUE(fixture.contains(fixture.router.formatCounts(), "1 connections, 1 dialled"));
+  fixture.runFor(400ms);
+  EXPECT_TRUE(fixture.contains(fixture.router.formatCounts(), "0 connections"));
+  fixture.exchangeBytes(encodeSubmit(1), 10ms);
+  fixture.updateEndpoints({1}, false, EndpointState::removed);
+  fixture.runFor(10ms);
+  EXPECT_TRUE(fixture.contains(fixture.router.formatCounts(), "0 connections"));
+}
+
+TEST(EngineConnectionPool, KeepsLoopRunningWhenDescriptorsAreExhausted) {
+  RouterFixture fixture(kBaseSettings + "limits.streamsPerConn=1\n");
+  fixture.addEngine(1, ignoreCommand);
+  fixture.updateEndpoints({1});
+  std::string submits;
+  for (int index = 1; index <= 30; ++index)
+    submits += encodeSubmit(index, 300, "q", "0000000000000" + std::to_string(index / 10) + "b");
+  fixture.exchangeBytes(submits, 30ms);
+  EXPECT_EQ(fixture.exchangeBytes(encodeMessage(1, "heartbeat", 90, encodeInteger(0, 1)), 40ms).empty(),
+            false);
+  fixture.runFor(500ms);
+  EXPECT_EQ(fixture.router.openRequestCount(), 0U);
+}
+
+TEST(RequestRouter, RejectsOpenRequestsWhenShutdownDeadlinePasses) {
+  RouterFixture fixture;
+  fixture.addEngine(1, ignoreCommand);
+  fixture.updateEndpoints({1});
+  fixture.exchangeBytes(encodeSubmit(1, 2000));
+  fixture.router.setFinalDeadline(fixture.router.now() + 50ms);
+  EXPECT_TRUE(fixture.contains(fixture.exchangeBytes(encodeSubmit(2, 2000), 100ms), "cooldown"));
+  EXPECT_EQ(fixture.router.openRequestCount(), 0U);
+}
+
+TEST(EndpointWatcher, ResumesAfterFaultAndReadsSnapshotWhenFaultRecurs) {
+  RouterFixture fixture;
+  const std::string server =
+      R"("id":"s-1","addr":"127.0.77.1:18443","zone":"a","kind":"m","cell":0,"started_ms":0,"state":)";
+  const auto event = [&](int seq, const char* state) {
+    return "{\"seq\":" + std::to_string(seq) + ",\"fleet\":{\"version\":1,\"full\":false,\"servers\":[{" +
+           server + "\"" + state + "\"}]}}\n";
+  };
+  std::vector<std::string> requestLines;
+  transport::Listener listener(fixture, Address("127.0.77.100:18443"));
+  const auto serveList = [&]() -> Task<> {
+    for (const std::string& script : {event(4, "active") + event(4, "left") + "4\n", event(6, "active"),
+                                      event(5, "active") + "nonsense\n", std::string("5\n")}) {
+      auto accepted = co_await listener.accept();
+      Connection connection(fixture, std::move(accepted), 4096, 65536, fixture.outputBudget);
+      const bool hasRequest = co_await connection.receive();
+      if (hasRequest) requestLines.emplace_back(connection.input().view());
+      connection.send({BufferSlice(script)});
+      co_await fixture.sleepUntil(fixture.now() + 20ms);
+    }
+  };
+  fixture.group.spawn(serveList());
+  EndpointWatcher watcher(fixture, fixture.outputBudget, Address("127.0.77.100:18443"), 3, 7, fixture.router,
+                          fixture.logger);
+  fixture.addEngine(1, respondDone);
+  fixture.runFor(100ms);
+  EXPECT_TRUE(fixture.contains(fixture.exchangeBytes(encodeSubmit(1)),
+                               "r\to\tw\n"));  // the repeat of 4 did not take the executor away
+  fixture.runFor(800ms);
+  EXPECT_EQ(requestLines, (std::vector<std::string>{"since 3\n", "since 4\n", "since 4\n", "since 0\n"}));
+  EXPECT_TRUE(fixture.contains(fixture.logText, "nothing of 5 before 6"));
+  EXPECT_TRUE(fixture.contains(fixture.logText, "nonsense"));
+}
+
+// A log that goes on with bytes but not with lines once counted as one that tells.
+TEST(EndpointWatcher, ReconnectsWhenListSendsBytesButNoLine) {
+  RouterFixture fixture;
+  int connectCount = 0;
+  transport::Listener listener(fixture, Address("127.0.77.100:18443"));
+  const auto serveList = [&]() -> Task<> {
+    for (;;) {
+      auto accepted = co_await listener.accept();
+      Connection connection(fixture, std::move(accepted), 4096, 65536, fixture.outputBudget);
+      ++connectCount;
+      for (int index = 0; index < 10; ++index) {
+        connection.send({BufferSlice(std::string("{"))});
+        co_await fixture.sleepUntil(fixture.now() + 200ms);
+      }
+    }
+  };
+  fixture.group.spawn(serveList());
+  EndpointWatcher watcher(fixture, fixture.outputBudget, Address("127.0.77.100:18443"), 3, 7, fixture.router,
+                          fixture.logger);
+  fixture.runFor(3s);
+  EXPECT_EQ(connectCount, 2);
+}
+
+// An operator's file that named a change log out of reach once cost the list that was told until then.
+TEST(EndpointWatcher, KeepsCurrentListWhenNewListIsUnreachable) {
+  RouterFixture fixture;
+  fixture.addEngine(1, respondDone);
+  const auto event = [](int seq, const char* state) {
+    return "{\"seq\":" + std::to_string(seq) +
+           R"(,"fleet":{"version":1,"full":false,"servers":[{"id":"s-1","addr":"127.0.77.1:18443","zone":"a",)"
+           R"("kind":"m","cell":0,"started_ms":0,"state":")" +
+           state + "\"}]}}\n";
+  };
+  bool firstClosed = false;
+  std::string secondAsked;
+  transport::Listener firstListener(fixture, Address("127.0.77.100:18443"));
+  std::optional<transport::Listener> secondListener;
+  const auto serveFirstList = [&]() -> Task<> {
+    auto accepted = co_await firstListener.accept();
+    Connection connection(fixture, std::move(accepted), 4096, 65536, fixture.outputBudget);
+    connection.send({BufferSlice(std::string("3\n"))});
+    co_await fixture.sleepUntil(fixture.now() + 150ms);
+    connection.send({BufferSlice(event(4, "active"))});
+    while (co_await connection.receive()) connection.input().consume(connection.input().view().size());
+    firstClosed = true;
+  };
+  const auto serveSecondList = [&]() -> Task<> {
+    auto accepted = co_await secondListener->accept();
+    Connection connection(fixture, std::move(accepted), 4096, 65536, fixture.outputBudget);
+    const bool hasRequest = co_await connection.receive();
+    if (hasRequest) secondAsked = connection.input().view();
+    connection.send({BufferSlice(event(5, "left"))});
+    co_await fixture.sleepUntil(fixture.now() + 5s);
+  };
+  fixture.group.spawn(serveFirstList());
+  EndpointWatcher watcher(fixture, fixture.outputBudget, Address("127.0.77.100:18443"), 3, 7, fixture.router,
+                          fixture.logger);
+  fixture.runFor(50ms);
+  EXPECT_TRUE(watcher.switchTo(Address("127.0.77.101:18443")));  // nobody listens there
+  fixture.runFor(200ms);
+  EXPECT_TRUE(
+      fixture.contains(fixture.exchangeBytes(encodeSubmit(1)), "r\to\tw\n"));  // 4 was told after the move
+  EXPECT_FALSE(firstClosed);
+  secondListener.emplace(fixture, Address("127.0.77.101:18443"));
+  fixture.group.spawn(serveSecondList());
+  fixture.runFor(1s);
+  EXPECT_EQ(secondAsked, "since 4\n");
+  EXPECT_TRUE(firstClosed);
+  EXPECT_FALSE(
+      fixture.contains(fixture.exchangeBytes(encodeSubmit(2, 100), 200ms), "r\to\tw\n"));  // 5 counts
+}
+
+}  // namespace
+}  // namespace paddletrack::routing
--- /dev/null
+++ b/tests/transport/connection_test.cpp
@@ -0,0 +1,245 @@
+// The loop, its timers and coroutines, and connections over socketpairs.
+#include "transport/connection.hpp"
+
+#include <gtest/gtest.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cerrno>
+
+namespace paddletrack::transport {
+namespace {
+
+using namespace std::chrono_literals;
+
+struct TestLoop : Scheduler {
+  OutputBudget outputBudget{1 << 20, 0};
+  std::string failure;
+  TaskGroup tasks{*this, [this](const char* message) { failure = message; }};
+  void runFor(std::chrono::milliseconds duration) {
+    ScheduledCall stopTimer(*this, [this] { stop(); });
+    stopTimer.runAt(now() + duration);
+    run();
+  }
+};
+
+// A connection and the bare descriptor of its peer.
+struct SocketPairFixture {
+  explicit SocketPairFixture(TestLoop& loop, std::size_t maxInputBytes = 4096)
+      : tasks(loop, [](const char*) {}) {
+    int descriptors[2];
+    if (::socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, descriptors) != 0) std::abort();
+    peerDescriptor = descriptors[1];
+    connection = std::make_unique<Connection>(loop, std::make_unique<Descriptor>(loop, descriptors[0]), 64,
+                                              maxInputBytes, loop.outputBudget);
+  }
+  ~SocketPairFixture() { closePeer(); }
+  void closePeer() {
+    if (peerDescriptor >= 0) ::close(std::exchange(peerDescriptor, -1));
+  }
+  void writeFromPeer(const std::string& text) {
+    ASSERT_EQ(::write(peerDescriptor, text.data(), text.size()), static_cast<ssize_t>(text.size()));
+  }
+  std::string readFromPeer() {
+    std::string text(1 << 20, '\0');
+    const ssize_t bytesRead = ::read(peerDescriptor, text.data(), text.size());
+    text.resize(bytesRead > 0 ? static_cast<std::size_t>(bytesRead) : 0);
+    return text;
+  }
+  int peerDescriptor = -1;
+  std::unique_ptr<Connection> connection;
+  TaskGroup tasks;  // of what reads from it: ends before it
+};
+
+Task<> readAll(Connection& connection, std::string& output) {
+  for (;;) {
+    const bool hasMore = co_await connection.receive();
+    if (!hasMore) co_return;
+    output += connection.input().view();
+    connection.input().consume(connection.input().view().size());
+  }
+}
+
+TEST(Scheduler, FiresTimersInOrderAndSkipsCancelledOnes) {
+  TestLoop loop;
+  std::string events;
+  ScheduledCall lateTimer(loop, [&] { events += "late "; }), earlyTimer(loop, [&] { events += "early "; }),
+      never(loop, [&] { events += "never "; });
+  lateTimer.runAt(loop.now() + 4ms);
+  earlyTimer.runAt(loop.now() + 1ms);
+  never.runAt(loop.now() + 2ms);
+  never.cancel();
+  {
+    ScheduledCall destroyedTimer(loop, [&] { events += "gone "; });
+    destroyedTimer.runSoon();
+  }
+  loop.runFor(10ms);
+  EXPECT_EQ(events, "early late ");
+}
+
+TEST(Scheduler, AllowsCallbackToDestroyItself) {
+  TestLoop loop;
+  auto call = std::make_unique<ScheduledCall>(loop);
+  call->setAction([&] { call.reset(); });
+  call->runSoon();
+  loop.runFor(1ms);
+  EXPECT_FALSE(call);
+}
+
+TEST(Scheduler, FiresTimerWhenCallbacksAreAlwaysReady) {
+  TestLoop loop;
+  ScheduledCall busyCallback(loop);
+  busyCallback.setAction([&] { busyCallback.runSoon(); });
+  busyCallback.runSoon();
+  bool fired = false;
+  ScheduledCall timer(loop, [&] { fired = true; });
+  timer.runAt(loop.now() + 2ms);
+  loop.runFor(20ms);
+  EXPECT_TRUE(fired);
+}
+
+TEST(Scheduler, DoesNotResumeCoroutineWhenDestroyedWhileWaiting) {
+  TestLoop loop;
+  Signal signal(loop);
+  bool resumed = false;
+  const auto wait = [&](bool usesTimer) -> Task<> {
+    if (usesTimer)
+      co_await loop.sleepUntil(loop.now() + 1ms);
+    else
+      co_await signal.wait(loop.now() + 1ms);
+    resumed = true;
+  };
+  {
+    Task<> first = wait(true), second = wait(false);
+    first.start();
+    second.start();
+    signal.set();
+  }
+  loop.runFor(5ms);
+  EXPECT_FALSE(resumed);
+}
+
+TEST(TaskGroup, RemovesFinishedTasksAndReportsFailures) {
+  TestLoop loop;
+  const auto failingTask = []() -> Task<> {
+    throw std::runtime_error("broken");
+    co_return;
+  };
+  for (int index = 0; index < 1000; ++index) loop.tasks.spawn(failingTask());
+  loop.runFor(300ms);
+  EXPECT_EQ(loop.tasks.size(), 0U);
+  EXPECT_EQ(loop.failure, "broken");
+}
+
+TEST(Connection, ReadsAllBytesWhenPeerCloses) {
+  TestLoop loop;
+  SocketPairFixture fixture(loop);
+  std::string received;
+  fixture.tasks.spawn(readAll(*fixture.connection, received));
+  fixture.writeFromPeer("first ");
+  loop.runFor(2ms);
+  fixture.writeFromPeer(std::string(1000, 'x'));
+  fixture.closePeer();  // the end comes with the last bytes: there will be no further sign
+  loop.runFor(5ms);
+  EXPECT_EQ(received, "first " + std::string(1000, 'x'));
+  EXPECT_EQ(fixture.connection->readEnd(), Connection::ReadEnd::closed);
+}
+
+TEST(Connection, KeepsSliceValidWhenBufferIsConsumed) {
+  TestLoop loop;
+  SocketPairFixture fixture(loop);
+  BufferSlice kept;
+  const auto keepSlice = [&]() -> Task<> {
+    const bool more = co_await fixture.connection->receive();
+    if (!more) co_return;
+    kept = fixture.connection->input().retain(fixture.connection->input().view());
+    fixture.connection->input().consume(kept.size());
+    std::string rest;
+    co_await readAll(*fixture.connection, rest);
+  };
+  fixture.tasks.spawn(keepSlice());
+  fixture.writeFromPeer("statement");
+  loop.runFor(2ms);
+  EXPECT_EQ(kept.view(), "statement");
+}
+
+TEST(Connection, StopsReadingWhenMessageExceedsInputLimit) {
+  TestLoop loop;
+  SocketPairFixture fixture(loop, 256);
+  bool reachedLimit = false;
+  const auto readUntilLimit = [&]() -> Task<> {
+    for (bool more = true; more;) {
+      more = co_await fixture.connection->receive();
+      fixture.connection->input().expectSize(1 << 30);
+    }
+    reachedLimit = fixture.connection->input().isFull();
+  };
+  fixture.tasks.spawn(readUntilLimit());
+  fixture.writeFromPeer(std::string(1000, 'x'));
+  loop.runFor(5ms);
+  EXPECT_TRUE(reachedLimit);
+}
+
+TEST(Connection, WritesSlicesInOrder) {
+  TestLoop loop;
+  SocketPairFixture fixture(loop);
+  std::string expected;
+  for (int index = 0; index < 200; ++index) {
+    fixture.connection->send({BufferSlice(std::to_string(index) + " "), BufferSlice::fromStatic("and ")});
+    expected += std::to_string(index) + " and ";
+  }
+  loop.runFor(5ms);
+  EXPECT_EQ(fixture.readFromPeer(), expected);
+  EXPECT_EQ(fixture.connection->unsentBytes(), 0U);
+}
+
+// Guards against one slow reader that holds the memory of all.
+TEST(Connection, ResetsSlowReaderWhenOutputBudgetIsExceeded) {
+  TestLoop loop;
+  loop.outputBudget.maxBytes = 256 << 10;
+  SocketPairFixture slowReader(loop), fastReader(loop);
+  const BufferSlice piece(std::string(64 << 10, 'x'));
+  for (int index = 0; index < 64; ++index) {
+    slowReader.connection->send({piece});
+    loop.runFor(0ms);
+  }
+  EXPECT_EQ(slowReader.connection->readEnd(), Connection::ReadEnd::reset);
+  EXPECT_LE(loop.outputBudget.usedBytes, loop.outputBudget.maxBytes + piece.size());
+  fastReader.connection->send({BufferSlice(std::string("answer"))});
+  loop.runFor(2ms);
+  EXPECT_EQ(fastReader.readFromPeer(), "answer");
+}
+
+// A peer that reads nothing once held the coroutine that waited for it, and its descriptor, for good.
+TEST(Connection, EndsDrainWaitWhenDeadlinePasses) {
+  TestLoop loop;
+  loop.outputBudget.maxBytes = 64 << 20;
+  SocketPairFixture slowReader(loop);
+  for (int index = 0; index < 16; ++index)
+    slowReader.connection->send({BufferSlice(std::string(1 << 20, 'x'))});
+  std::optional<bool> wasRead;
+  const auto waitForReader = [&]() -> Task<> {
+    wasRead = co_await slowReader.connection->waitUntilDrained(1 << 20, loop.now() + 30ms);
+  };
+  loop.tasks.spawn(waitForReader());
+  loop.runFor(60ms);
+  EXPECT_EQ(wasRead, false);
+}
+
+TEST(Connect, ReportsRefusalAndRejectsInvalidAddresses) {
+  TestLoop loop;
+  int connectError = 0;
+  const auto connecting = [&]() -> Task<> {
+    const ConnectResult connectResult = co_await connect(loop, Address("127.0.77.1:9"), loop.now() + 1s);
+    connectError = connectResult.error;
+  };
+  loop.tasks.spawn(connecting());
+  loop.runFor(20ms);
+  EXPECT_EQ(connectError, ECONNREFUSED);
+  for (const char* invalidAddress :
+       {"", "1.2.3.4", "1.2.3.4:", "1.2.3.4:0", "1.2.3.4:70000", "host:80", "1.2.3.4:8x"})
+    EXPECT_THROW(Address{invalidAddress}, std::invalid_argument) << invalidAddress;
+}
+
+}  // namespace
+}  // namespace paddletrack::transport
