--- /dev/null
+++ b/src/model/deployment.cpp
@@ -0,0 +1,9 @@
+#include "model/deployment.hpp"
+
+#include "model/time_conversion.hpp"
+
+namespace paddletrack {
+
+double RequestClass::nominalCost() const { return toSeconds(latencyObjective) * threads; }
+
+}  // namespace paddletrack
--- a/src/model/deployment.hpp
+++ b/src/model/deployment.hpp
@@ -9,28 +9,34 @@
 
 namespace paddletrack {
 
+/// Whether a request of a class may be executed more than once: always, within a window by its key, or never.
 enum class Idempotency { idempotent, idempotentByKey, notIdempotent };
+/// Where a request that is idempotent by its key may be retried.
 enum class RetryScope { anyEngine, sameZone, sameCell };
 
+/// An admission class.
 struct RequestClass {
   std::size_t index = 0;
   Idempotency idempotency = Idempotency::idempotent;
   RetryScope retryScope = RetryScope::anyEngine;
   Duration idempotencyWindow{0};
   bool ordered = false;
-  std::optional<std::vector<unsigned>> allowedZones{};  // bound to these, where given
-  std::optional<std::vector<unsigned>> allowedMachineTypes{};
+  std::optional<std::vector<unsigned>> allowedZones{};         ///< Absent: all.
+  std::optional<std::vector<unsigned>> allowedMachineTypes{};  ///< Absent: all.
   Duration latencyObjective{0};
-  double latencyObjectiveCostFactor = 0;
+  double latencyObjectiveCostFactor = 0;  ///< Part of a request's cost that is added to its objective.
   Duration requestTimeout{0};
-  double lateWeight = 0;
+  double lateWeight = 0;  ///< What an answer after the objective is worth.
   int threads = 1;
   bool isDataLoad = false;
-  bool waitsForDataLoads = false;  // for loads of what it reads
+  bool waitsForDataLoads = false;  ///< It waits for loads of the data set that it reads.
+
+  /// Thread-seconds that a request takes by the latency objective.
+  double nominalCost() const;
 };
 
 struct Tenant {
-  double quotaPerSecond = 0;
+  double quotaPerSecond = 0;  ///< Requests; 0: no quota.
 };
 
 struct MachineType {
@@ -38,7 +44,7 @@
   double memoryMb = 0;
 };
 
-// What a controller is told once, at its start.
+/// The settings of a deployment, as a controller reads them at its start.
 struct Deployment {
   unsigned controllerCount = 1;
   unsigned zone = 0;
@@ -46,12 +52,12 @@
   std::vector<Tenant> tenants;
   std::vector<MachineType> machineTypes;
 
-  bool loadsBlockReaders = false;    // some type waits for loads
-  bool weightGrowsWithWork = false;  // a job's worth grows with its work
+  bool loadsBlockReaders = false;    ///< Some class waits for data loads.
+  bool weightGrowsWithWork = false;  ///< A request's weight grows with its work.
   bool honorsMemoryGrants = false;
-  bool allowsMemoryOvercommit = false;  // grants past an engine's memory do no harm, only need past it does
-  bool lacksCostReports = false;        // no answer tells what a job cost or needed
-  double maxMemoryGrantMb = 0;          // that one job gets on any engine
+  bool allowsMemoryOvercommit = false;  ///< Only memory in use slows an engine, not grants.
+  bool lacksCostReports = false;        ///< No response reports the actual cost.
+  double maxMemoryGrantMb = 0;          ///< For one request.
   bool honorsPriorities = false;
   Duration progressInterval{0};
 
@@ -75,7 +81,7 @@
   Duration orderingHold{0};
   double retryBudgetMin = 0;
   double retryBudgetRatio = 0;
-  Duration retryBudgetWindow{0};  // 0: no budget of further dispatches
+  Duration retryBudgetWindow{0};  ///< 0: retries have no budget.
   double crossZoneCost = 0;
 };
 
--- a/src/model/engine.hpp
+++ b/src/model/engine.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <vector>
@@ -10,67 +11,107 @@
 
 enum class EndpointState { ready, draining, removed };
 
-// What the list says of an engine.
+/// What the endpoint list says of an engine.
 struct EndpointRecord {
   unsigned zone = 0;
-  unsigned machineType = 0;
+  unsigned machineType = 0;  ///< Index into Deployment::machineTypes.
   unsigned cell = 0;
   EndpointState state = EndpointState::ready;
-  std::optional<Duration> startedAt{};  // absent: a long time back
+  std::optional<Duration> startedAt{};  ///< Absent if its process has been running for long.
 };
 
+/// An engine's report of its own load; absent figures are not reported.
 struct LoadReport {
   std::optional<double> requestsInFlight{};
-  std::optional<double> memoryGrantedRatio{};  // share of the memory
-  std::optional<double> cpuUtilization{};      // share of the cores
-  std::optional<double> diskUtilization{};     // share of the disks
+  std::optional<double> memoryGrantedRatio{};  ///< Part of the memory.
+  std::optional<double> cpuUtilization{};      ///< Part of the cores.
+  std::optional<double> diskUtilization{};     ///< Part of the disks.
 };
 
-// What one reservation type has in flight on one engine, by this controller's own count.
+/// Load that is in flight on one engine.
 struct InFlightLoad {
   double threads = 0;
   double costTokens = 0;
   double memoryMb = 0;
 };
 
-// How far a mark has come down.
+/// A factor on a concurrency target that adapts to the latencies.
 struct AdaptiveLimit {
-  double factor = 1;  // the mark is multiplied by this
+  double factor = 1;
   std::optional<Duration> reducedAt{};
 };
 
 struct Attempt;
+struct Deployment;
 
+/// A query engine, with what one controller knows of it. It belongs to the caller of AdmissionController.
 struct Engine {
-  std::uint32_t number = 0;  // the same at every controller
+  /// What another controller has in flight on it.
+  struct PeerLoad {
+    double threads = 0, memoryMb = 0;
+    Duration receivedAt{0};
+  };
+
+  std::uint32_t number = 0;  ///< The same at every controller.
   EndpointRecord endpoint;
-  bool available = false;
-  double effectiveCores = 1;  // as good as so many: fewer while cold or slow
-  double selectionRank = 0;   // its place in this controller's own order
+  bool available = false;     ///< It is listed as ready.
+  double effectiveCores = 1;  ///< Fewer than it has while it is warming up or slow.
+  double selectionRank = 0;   ///< Its position in this controller's own order.
 
-  std::vector<InFlightLoad> inFlightByClass;
+  std::vector<InFlightLoad> inFlightByClass;  ///< This controller's own.
   std::vector<Attempt*> inFlightAttempts;
-  double threadsInFlight = 0;  // own, all types
+  double threadsInFlight = 0;  ///< This controller's own, of all classes.
   double memoryInFlightMb = 0;
 
-  double othersThreads = 0, othersMemoryMb = 0;  // as last told by a report or by peers
+  double othersThreads = 0, othersMemoryMb = 0;  ///< Of the other controllers, as last reported.
   std::optional<Duration> othersUpdatedAt;
-  struct PeerLoad {
-    double threads = 0, memoryMb = 0;
-    Duration receivedAt{0};
-  };
-  std::vector<PeerLoad> peerLoads;
+  std::vector<PeerLoad> peerLoads;  ///< By controller.
   std::optional<Duration> healthCheckSentAt;
 
-  SlidingWindowSum<double> successes, failures,
-      rejections;  // outcomes; turned away: it never ran, and what did may run well
-  SlidingWindowSum<double> threadTimeSpent, workCompleted;  // threads x latency against work: how slow it is
-  SlidingWindowSum<double> warmupWorkSent;                  // work sent in the window of the cold rule
+  SlidingWindowSum<double> successes, failures;             ///< Numbers of attempts, by outcome.
+  SlidingWindowSum<double> rejections;                      ///< Attempts that were not executed.
+  SlidingWindowSum<double> threadTimeSpent, workCompleted;  ///< Thread-seconds: their ratio is its slowdown.
+  SlidingWindowSum<double> warmupWorkSent;                  ///< Thread-seconds, in the warm-up rule's window.
   AdaptiveLimit adaptiveLimit;
   std::optional<Duration> lastAliveAt, lastResetAt;
-  std::optional<Duration> nextTrialAt;  // when a doubted engine may be tried next
+  std::optional<Duration> nextTrialAt;  ///< While it is ejected: when it may be tried.
   bool ejectionLogged = false;
-  std::vector<std::uint32_t> cachedDataSets;  // data sets read last, latest first
+  std::vector<std::uint32_t> cachedDataSets;  ///< The data sets that it read last, latest first.
+
+  /// Adds the attempt's threads, cost and memory to the load in flight.
+  void addAttempt(Attempt& attempt);
+
+  /// Takes the attempt's threads, cost and memory off the load in flight.
+  void removeAttempt(Attempt& attempt);
+
+  /// The load and the number of the attempts that were sent by `time` at the latest.
+  struct SentLoad {
+    double attemptCount = 0, threads = 0, memoryMb = 0;
+  };
+  SentLoad loadSentBy(Duration time) const;
+
+  void setOthersLoad(double threads, double memoryMb, Duration updatedAt);
+
+  /// Sets the others' load to the sum of the peers' loads that were received within `maxAge`.
+  void sumPeerLoads(Duration now, Duration maxAge);
+
+  bool hasCachedDataSet(std::uint32_t dataSet) const;
+
+  /// Notes that it has read the data set, and keeps the latest `maxCount`.
+  void rememberDataSet(std::uint32_t dataSet, std::size_t maxCount);
+
+  /// Prepares the figures for the classes of the deployment and, where peers report, its controllers, and
+  /// starts the windows; those of the outcomes have buckets of `bucketDuration`.
+  void initialize(const Deployment& deployment, bool usesPeerReports, Duration now, Duration bucketDuration);
+
+  /// Adds the work of a completed attempt and the time that its threads took, both in thread-seconds.
+  void addCompletedWork(Duration now, double threadSeconds, double workSeconds);
+
+  /// Forgets what is known of its former process, which had faults, data sets and load of its own.
+  void forgetProcess();
+
+ private:
+  void changeLoad(const Attempt& attempt, double sign);
 };
 
 }  // namespace paddletrack
