ClientSession is a state machine in a file of its own, apart from its listener

Change: the session has named states (reading, backed up, closing, ended, lingering) and named steps. Members that refer to other parts stay declared before the tasks that use them; the order of calls and the deadlines are the same.

--- /dev/null
+++ b/src/routing/client_session.cpp
@@ -0,0 +1,401 @@
+#include "routing/client_session.hpp"
+
+#include <algorithm>
+#include <deque>
+#include <new>
+#include <utility>
+
+#include "failpoint/failpoint.hpp"
+#include "protocol/statement.hpp"
+#include "routing/submit_request.hpp"
+
+namespace paddletrack::routing {
+namespace {
+
+namespace thrift = protocol::thrift;
+
+constexpr std::size_t kInitialInputBytes = 4 * 1024;
+constexpr std::size_t kMaxLoggedNameBytes = 40;  // Bytes of a name that a client has sent.
+constexpr std::size_t kMaxOpenRequests = 32;     // On one connection.
+// Complete messages that wait to be handled: revocations come on top of the requests.
+constexpr std::size_t kMaxQueuedMessages = kMaxOpenRequests * 8;
+// Messages of one client that are handled before other clients have a turn.
+constexpr std::size_t kMessagesPerTurn = kMaxOpenRequests / 4;
+// No attempt begins later than 100 ms after its client has gone. A client that has filled the input and does
+// not read its responses could revoke requests without being heard: it is disconnected after half of that
+// time.
+constexpr std::chrono::milliseconds kInputFullTimeout{50};
+// A request that crosses the close within 50 ms is sent again by its client. What comes is read for twice
+// that time, and for no more bytes than the open requests of a client usually have.
+constexpr std::chrono::milliseconds kLingerTimeout{100};
+constexpr std::size_t kMaxLingerBytes = 64 * 1024;
+// The part of the message timeout for which a connection counts as recently active.
+constexpr int kRecentActivityDivisor = 8;
+// A connection on which more requests in a row are invalid is not one of a client.
+constexpr int kMaxConsecutiveInvalidRequests = 8;
+
+bool isCall(const thrift::Message& message) { return message.type == thrift::MessageType::call; }
+
+bool isRevocation(const thrift::Message& message) {
+  return message.method == "revoke" && (isCall(message) || message.type == thrift::MessageType::oneway);
+}
+
+std::string encodeRejection(std::int32_t sequenceId, Duration retryAfter) {
+  const auto retryAfterMs = std::chrono::ceil<std::chrono::milliseconds>(retryAfter).count();
+  return thrift::encodeRejection(sequenceId, retryAfterMs > 0 ? std::optional(retryAfterMs) : std::nullopt);
+}
+
+}  // namespace
+
+ClientSession::ClientSession(ClientSessionEnvironment& environment,
+                             std::unique_ptr<transport::Descriptor> acceptedSocket)
+    : environment_(environment),
+      connection_(environment.scheduler, std::move(acceptedSocket), kInitialInputBytes,
+                  thrift::kFrameHeaderBytes + environment.limits.maxFrameBytes, environment.outputBudget),
+      receivedMessages_(connection_.input(), kMaxQueuedMessages) {
+  position_ = environment_.sessions.add(*this);
+  ++environment_.counts.accepted;
+}
+
+ClientSession::~ClientSession() {
+  abandonAllRequests();
+  if (state_ == State::lingering)
+    environment_.sessions.removeLingering(position_);
+  else
+    environment_.sessions.removeActive(position_);
+}
+
+// ---- States ---------------------------------------------------------------------------------------------
+
+transport::Task<> ClientSession::run() {
+  lastActivityAt_ = now();
+  while (state_ != State::ended) {
+    if (updateBackedUp()) {
+      state_ = State::backedUp;
+      const bool wasActive = co_await connection_.waitForActivity(backedUpDeadline());
+      onBackedUpWaitFinished(wasActive);
+      if (state_ == State::ended) break;
+    }
+    const bool hasInput = co_await connection_.receive(receivedMessages_.empty() ? receiveDeadline() : now());
+    queueReceivedMessages();
+    // Nothing is handled for a client that has hung up.
+    if (connection_.isHungUp()) break;
+    if (hasMoreToRead()) continue;
+    if (!hasInput && receivedMessages_.empty() && !connection_.input().isFull())
+      onNothingReceived();
+    else
+      handleQueuedMessages();
+  }
+  state_ = State::ended;
+}
+
+transport::Task<> ClientSession::linger() {
+  state_ = State::ended;
+  abandonAllRequests();
+  if (connection_.isHungUp()) co_return;
+  state_ = State::lingering;
+  environment_.sessions.moveToLingering(position_);
+  co_await connection_.linger(now() + kLingerTimeout, kMaxLingerBytes);
+}
+
+void ClientSession::requestClose() {
+  closeRequested_ = true;
+  beginLastRead();
+}
+
+void ClientSession::closeIfIdle() {
+  if (!closeRequested_ && openRequests_.empty() && receivedMessages_.empty() && !isIncoming()) requestClose();
+}
+
+void ClientSession::beginLastRead() {
+  state_ = State::closing;
+  connection_.forceRead();
+}
+
+void ClientSession::end(std::uint64_t& reasonCount) {
+  ++reasonCount;
+  state_ = State::ended;
+}
+
+bool ClientSession::isEvictable() const {
+  return openRequests_.empty() && connection_.unsentBytes() == 0 && !closeRequested_;
+}
+
+ClientSession::RetentionRank ClientSession::retentionRank() const {
+  return {!isKnownClient_ && isRecentlyActive(), isKnownClient_, lastActivityAt_};
+}
+
+// ---- Backed up ------------------------------------------------------------------------------------------
+
+// To its client a request is open until it has the whole response, so the requests whose responses are not
+// written count with the open ones. Below that limit a message waits only while the input has room for more.
+// Returns whether the first queued message must wait, and keeps the times since when it does.
+bool ClientSession::updateBackedUp() {
+  if (receivedMessages_.empty() || receivedMessages_.front().handled || connection_.unsentBytes() == 0)
+    return false;
+  unwrittenResponses_.removeWritten(connection_.writtenBytes());
+  const bool hasTooManyUnwritten =
+      !unwrittenResponses_.empty() && openRequests_.size() + unwrittenResponses_.size() >= kMaxOpenRequests;
+  const bool hasTooManyUnsentBytes = connection_.unsentBytes() > environment_.limits.maxUnsentBytes;
+  if (!hasTooManyUnwritten && (!hasTooManyUnsentBytes || receivedMessages_.isFull())) return false;
+  const transport::TimePoint currentTime = now();
+  if (!backedUpSince_) backedUpSince_ = currentTime;
+  updateInputFullSince(currentTime);
+  return true;
+}
+
+void ClientSession::updateInputFullSince(transport::TimePoint currentTime) {
+  if (!receivedMessages_.isFull())
+    inputFullSince_.reset();
+  else if (!inputFullSince_)
+    inputFullSince_ = currentTime;
+}
+
+transport::TimePoint ClientSession::backedUpDeadline() const {
+  return inputFullSince_ ? *inputFullSince_ + kInputFullTimeout
+                         : *backedUpSince_ + environment_.limits.idleTimeout;
+}
+
+void ClientSession::onBackedUpWaitFinished(bool wasActive) {
+  if (!wasActive && now() >= backedUpDeadline()) return end(environment_.counts.incomplete);
+  // The listener may have asked for the close during the wait.
+  if (state_ == State::backedUp) state_ = State::reading;
+}
+
+// ---- Reading and closing --------------------------------------------------------------------------------
+
+// The session ends if no complete message has come by then. Bytes that drip in do not prolong it.
+transport::TimePoint ClientSession::receiveDeadline() const {
+  const ClientLimits& limits = environment_.limits;
+  if (hasPartialMessage_) return lastActivityAt_ + limits.messageTimeout;
+  if (!openRequests_.empty()) return now() + limits.messageTimeout;
+  return lastActivityAt_ + (isKnownClient_ ? limits.idleTimeout : limits.messageTimeout);
+}
+
+// All that has come is read before a message is handled, so that revocations are known first.
+bool ClientSession::hasMoreToRead() const {
+  return !connection_.isInputDrained() && !receivedMessages_.isFull();
+}
+
+void ClientSession::onNothingReceived() {
+  const bool wasLastRead = state_ == State::closing;
+  state_ = State::reading;
+  ClientCounts& counts = environment_.counts;
+  if (closeRequested_ && wasLastRead) {
+    // The end of the listener itself evicts nobody in favour of another client.
+    if (!environment_.isClosing) ++counts.evicted;
+    state_ = State::ended;
+    return;
+  }
+  if (!closeRequested_ && now() < receiveDeadline()) return;
+  if (wasLastRead) return end(isAwaitingMessage() ? counts.incomplete : counts.idle);
+  beginLastRead();
+}
+
+// Handles one turn's messages: a client that has sent many does not keep the others waiting.
+void ClientSession::handleQueuedMessages() {
+  // A session that received something while it was closing stays; the listener must choose another.
+  if (std::exchange(closeRequested_, false)) environment_.sessions.notifySlotMayBeFree();
+  state_ = State::reading;
+  for (std::size_t handledCount = 0; handledCount < kMessagesPerTurn; ++handledCount) {
+    if (receivedMessages_.empty() || updateBackedUp()) return;
+    const ReceivedMessageQueue::Entry entry = receivedMessages_.popFront();
+    currentReceivedAt_ = entry.receivedAt;
+    if (!entry.handled) handlePayload(receivedMessages_.payload(entry));
+    receivedMessages_.consume(entry);
+    backedUpSince_.reset();
+    inputFullSince_.reset();
+  }
+}
+
+// ---- Messages on arrival --------------------------------------------------------------------------------
+
+void ClientSession::queueReceivedMessages() {
+  const transport::TimePoint receivedAt = now();
+  while (const std::optional<thrift::Message> message = receivedMessages_.queueNext(receivedAt)) {
+    if (isRevocation(*message)) revokeOnArrival(*message);
+    hasPartialMessage_ = false;
+    lastActivityAt_ = receivedAt;
+  }
+  const bool hasPartial = receivedMessages_.hasUnqueuedInput();
+  if (hasPartial && !hasPartialMessage_) lastActivityAt_ = receivedAt;
+  hasPartialMessage_ = hasPartial;
+}
+
+void ClientSession::revokeOnArrival(const thrift::Message& message) {
+  try {
+    const std::int32_t sequenceId = thrift::decodeRevoke(message.arguments);
+    receivedMessages_.markLastHandled();
+    abandonRequest(sequenceId);
+    unwrittenResponses_.drop(sequenceId);
+    receivedMessages_.markRequestHandled(sequenceId);
+  } catch (const protocol::ParseError&) {
+    // It stays in the queue; its error is reported when its turn has come.
+  }
+}
+
+bool ClientSession::isRecentlyActive() const {
+  return now() - lastActivityAt_ < environment_.limits.messageTimeout / kRecentActivityDivisor;
+}
+
+// ---- Messages when their turn has come ------------------------------------------------------------------
+
+void ClientSession::handlePayload(std::string_view payload) {
+  const thrift::Message message = thrift::decodeMessage(payload);
+  currentRequestId_ = {};
+  currentRequestClass_ = {};
+  try {
+    handleMessage(message);
+  } catch (const protocol::ParseError& error) {
+    if (!canReportInvalidMessage(message)) throw;
+    reportInvalidMessage(message, error);
+  }
+}
+
+void ClientSession::handleMessage(const thrift::Message& message) {
+  if (isRevocation(message)) return abandonRequest(thrift::decodeRevoke(message.arguments));
+  if (!isCall(message)) throw protocol::ParseError("a message that no client sends");
+  if (message.method == "submit") return handleSubmit(message);
+  if (message.method == "heartbeat") return handleHeartbeat(message);
+  sendResponse(message.sequence,
+               thrift::encodeException(message.method, message.sequence, thrift::ExceptionCode::unknownMethod,
+                                       "unknown method"));
+}
+
+void ClientSession::handleHeartbeat(const thrift::Message& message) {
+  isKnownClient_ = true;
+  const bool isInService = !environment_.serviceGate || environment_.serviceGate->onHeartbeat();
+  const bool isHealthy = isInService && environment_.router.isReady();
+  sendResponse(message.sequence, thrift::encodeHeartbeatReply(message.sequence, isHealthy));
+}
+
+void ClientSession::handleSubmit(const thrift::Message& message) {
+  try {
+    submitRequest(message);
+  } catch (const std::bad_alloc&) {
+    // Nothing has run, so the client may try again.
+    openRequests_.erase(message.sequence);
+    environment_.logger("request", Error(ErrorKind::outOfMemory, "a job", "no memory for it, throttled"));
+    sendResponse(message.sequence, thrift::encodeRejection(message.sequence, std::nullopt));
+  }
+}
+
+void ClientSession::submitRequest(const thrift::Message& message) {
+  if (openRequests_.contains(message.sequence))
+    throw protocol::ParseError("a sequence number that is in use");
+  if (openRequests_.size() >= kMaxOpenRequests)
+    throw protocol::ParseError("too many open requests on a connection");
+  std::unique_ptr<RequestContext> context = createRequest(message);
+  if (rejectIfUnavailable(message.sequence)) return;
+  isKnownClient_ = true;
+  consecutiveInvalidRequests_ = 0;
+  context->responseListener = this;
+  PADDLETRACK_TABLE("open");
+  openRequests_.emplace(message.sequence, context.get());
+  environment_.router.acceptRequest(std::move(context));
+}
+
+std::unique_ptr<RequestContext> ClientSession::createRequest(const thrift::Message& message) {
+  const thrift::SubmitRequest submission = thrift::decodeSubmit(message.arguments);
+  currentRequestId_ = submission.reference;
+  currentRequestClass_ = submission.requestClass;
+  PADDLETRACK_TABLE("exchange");
+  auto context = std::make_unique<RequestContext>();
+  context->id = ++environment_.lastRequestNumber;
+  // The client's time runs from the arrival, also while the message waited here.
+  const auto waitedFor = std::chrono::duration_cast<Duration>(now() - currentReceivedAt_);
+  fillRequestContext(*context, submission, environment_.router, environment_.router.now() - waitedFor);
+  context->statement = connection_.input().retain(submission.statement);
+  context->sequenceId = message.sequence;
+  return context;
+}
+
+// Rejects a valid request that this process does not accept now. Nothing has run, so the client may try
+// again.
+bool ClientSession::rejectIfUnavailable(std::int32_t sequenceId) {
+  if (environment_.serviceGate) {
+    if (const std::optional<Duration> retryAfter = environment_.serviceGate->checkRejection()) {
+      isKnownClient_ = true;
+      sendRejection(sequenceId, *retryAfter);
+      return true;
+    }
+  }
+  if (!environment_.router.isFull()) return false;
+  sendResponse(sequenceId, thrift::encodeRejection(sequenceId, std::nullopt));
+  return true;
+}
+
+bool ClientSession::canReportInvalidMessage(const thrift::Message& message) {
+  // The client could not tell the report from the response to its open request.
+  if (!isCall(message) || openRequests_.contains(message.sequence)) return false;
+  ++consecutiveInvalidRequests_;
+  return consecutiveInvalidRequests_ <= kMaxConsecutiveInvalidRequests;
+}
+
+void ClientSession::reportInvalidMessage(const thrift::Message& message, const protocol::ParseError& error) {
+  ++environment_.counts.rejectedRequests;
+  environment_.logger(
+      "request", Error(ErrorKind::invalidRequest, error.context(), error.message()),
+      {{"job", std::string(currentRequestId_.substr(0, kMaxLoggedNameBytes))},
+       {"reservation_type", std::string(currentRequestClass_.substr(0, kMaxLoggedNameBytes))}},
+      LogLevel::warning, "request not taken: ");
+  sendResponse(message.sequence, thrift::encodeException(message.method, message.sequence,
+                                                         thrift::ExceptionCode::protocolError, error.what()));
+}
+
+// ---- Open requests and their responses ------------------------------------------------------------------
+
+void ClientSession::abandonRequest(std::int32_t sequenceId) {
+  const auto found = openRequests_.find(sequenceId);
+  if (found == openRequests_.end()) return;
+  RequestContext& abandoned = *found->second;
+  openRequests_.erase(found);
+  environment_.router.onClientGone(abandoned);
+}
+
+void ClientSession::abandonAllRequests() {
+  while (!openRequests_.empty()) abandonRequest(openRequests_.begin()->first);
+}
+
+void ClientSession::onResponseReady(RequestContext& context) {
+  openRequests_.erase(context.sequenceId);
+  lastActivityAt_ = now();
+  try {
+    writeResponse(context);
+  } catch (const std::bad_alloc&) {
+    // The end of the connection tells the client that no response comes.
+    connection_.shutDown();
+  }
+}
+
+void ClientSession::writeResponse(const RequestContext& context) {
+  switch (context.responseKind) {
+    case RequestContext::ResponseKind::succeeded:
+      return sendResultPages(context);
+    case RequestContext::ResponseKind::rejected:
+      return sendRejection(context.sequenceId, context.retryAfter);
+    default:
+      return sendResponse(context.sequenceId, thrift::encodeFailure(context.sequenceId));
+  }
+}
+
+void ClientSession::sendResultPages(const RequestContext& context) {
+  std::size_t size = 0;
+  for (const BufferSlice& page : context.pages) size += page.size();
+  std::deque<BufferSlice> slices{BufferSlice(thrift::encodeAnswerHead(context.sequenceId, size))};
+  slices.insert(slices.end(), context.pages.begin(), context.pages.end());
+  slices.push_back(BufferSlice::fromStatic(thrift::encodeAnswerTail()));
+  connection_.send(slices);
+  unwrittenResponses_.add(context.sequenceId, connection_.queuedBytes());
+}
+
+void ClientSession::sendResponse(std::int32_t sequenceId, std::string frame) {
+  connection_.send({BufferSlice(std::move(frame))});
+  unwrittenResponses_.add(sequenceId, connection_.queuedBytes());
+}
+
+void ClientSession::sendRejection(std::int32_t sequenceId, Duration retryAfter) {
+  sendResponse(sequenceId, encodeRejection(sequenceId, retryAfter));
+}
+
+}  // namespace paddletrack::routing
