RequestRouter's engines and open requests are in EngineRegistry and RequestTable

Need: the router held the list of engines, the table of requests and the protocol between them in one class. Change: EngineRegistry owns the engines, RequestTable the requests; the router wires them to the admission controller. The update of the endpoint list is split into steps, and the check for cancelled attempts, which stood three times, is one function. Comments of the router say in technical English why; the calls and their order are the same.

--- /dev/null
+++ b/src/routing/engine_registry.hpp
@@ -0,0 +1,60 @@
+/// @file
+/// The engines that the endpoint list has named.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <unordered_set>
+
+#include "base/logger.hpp"
+#include "routing/engine_connection_pool.hpp"
+
+namespace paddletrack::routing {
+
+/// Owns the engines and gives each its number. An engine that the list names no longer stays until no request
+/// refers to it and it has no connection.
+class EngineRegistry {
+ public:
+  explicit EngineRegistry(const Logger& logger) : logger_(logger) {}
+
+  /// The engine of this id, or a null pointer.
+  EngineEndpoint* find(const std::string& engineId) const;
+  /// The engine of this id, which is added if it is not known. Throws std::bad_alloc.
+  EngineEndpoint& findOrAdd(const std::string& engineId);
+
+  void markListed(EngineEndpoint& endpoint) { removedEndpoints_.erase(&endpoint); }
+  void markRemoved(EngineEndpoint& endpoint) { removedEndpoints_.insert(&endpoint); }
+
+  bool empty() const { return endpoints_.empty(); }
+  std::size_t size() const { return endpoints_.size(); }
+  /// The number of engines that were ever added.
+  std::uint32_t totalAdded() const { return lastNumber_; }
+
+  /// Calls `visit` with each engine, those marked as removed included.
+  template <typename Visitor>
+  void forEach(Visitor visit) const {
+    for (const auto& [engineId, endpoint] : endpoints_) visit(*endpoint);
+  }
+
+  /// Destroys the engines that are marked as removed and not referred to, each after a call of `onForget`.
+  template <typename ForgetHandler>
+  void eraseUnreferenced(ForgetHandler onForget) {
+    std::erase_if(removedEndpoints_, [&](EngineEndpoint* endpoint) {
+      if (endpoint->referencedAttempts > 0 || !endpoint->connections.empty()) return false;
+      onForget(*endpoint);
+      endpoints_.erase(std::string(endpoint->id));
+      return true;
+    });
+  }
+
+ private:
+  const Logger& logger_;
+  std::unordered_map<std::string, std::unique_ptr<EngineEndpoint>> endpoints_;  // By engine id.
+  std::unordered_set<EngineEndpoint*> removedEndpoints_;
+  std::uint32_t lastNumber_ = 0;
+};
+
+}  // namespace paddletrack::routing
--- a/src/routing/request_router.hpp
+++ b/src/routing/request_router.hpp
@@ -1,13 +1,15 @@
+/// @file
+/// The router between clients, the admission controller and the engines.
 #pragma once
 
 #include <array>
 #include <chrono>
+#include <cstddef>
+#include <cstdint>
 #include <functional>
-#include <list>
 #include <memory>
+#include <optional>
 #include <string>
-#include <unordered_map>
-#include <unordered_set>
 #include <vector>
 
 #include "admission/admission_controller.hpp"
@@ -15,86 +17,105 @@
 #include "protocol/controller_config.hpp"
 #include "protocol/endpoint_event.hpp"
 #include "routing/engine_connection_pool.hpp"
+#include "routing/engine_registry.hpp"
 #include "routing/request_context.hpp"
+#include "routing/request_table.hpp"
 
 namespace paddletrack::routing {
 
-// Where events of the protocols become calls on the Controller, and its answers become messages. Owns the
-// exchanges and the executors. The Controller is called from here only, and never from within its own call.
+/// Turns events of the protocols into calls of the admission controller, and the controller's decisions into
+/// messages. It owns the requests and the engines. The admission controller is called from here only, and
+/// never from within its own call. All durations are on the router's clock, which starts at its construction.
 class RequestRouter final : private AdmissionHost, private EngineConnectionPool::AttemptListener {
  public:
   struct Limits {
-    std::size_t maxOpenRequests = 1;  // requests at once
+    std::size_t maxOpenRequests = 1;
     EngineConnectionPool::Limits connectionLimits;
   };
+  /// The references passed belong to the caller and outlive the router.
   RequestRouter(transport::Scheduler& scheduler, transport::OutputBudget& outputBudget,
                 const protocol::ControllerConfig& config, const Limits& limits, std::uint64_t seed,
                 const Logger& logger);
 
   const protocol::ControllerConfig& config() const { return config_; }
   Duration now() const;
-  std::size_t openRequestCount() const { return requests_.size(); }
-  bool isReady() const { return !endpoints_.empty(); }  // it knows where jobs could go
-  bool isFull() const { return requests_.size() >= limits_.maxOpenRequests; }
-  bool hasOpenRequest(const std::string& requestId) const {
-    return openRequestIds_.count(requestId) > 0;
-  }  // a job of it is alive
-
-  // Throws std::bad_alloc where there is no room for it: then it was never here.
+
+  // ---- Requests ----
+  std::size_t openRequestCount() const { return requestTable_.size(); }
+  bool isFull() const { return requestTable_.size() >= limits_.maxOpenRequests; }
+  bool hasOpenRequest(const std::string& requestId) const { return requestTable_.containsId(requestId); }
+  /// Hands the request to the admission controller. The response may come within this call. Throws
+  /// std::bad_alloc if there is no memory for the request, of which nothing is then kept.
   void acceptRequest(std::unique_ptr<RequestContext> newContext);
-  void onClientGone(RequestContext& context);  // its client has
-  void onEndpointUpdate(const protocol::EndpointEvent& update);
-  void onDiscoveryFailed();
-  std::string formatCounts() const;               // for the log
-  void setFinalDeadline(Duration finalDeadline);  // this process ends then: nothing is awaited for longer
-  void finishAllRequests();                       // each open job gets its final answer now
-
-  void enableRecording(
-      counterfactual::DecisionRecorder& recorder);  // keeps records of all decisions from here on
-  // Told where a decision could not be brought to its end: nothing it holds can be trusted any more. It must
-  // not return. Not set: std::terminate.
-  void setFatalErrorHandler(std::function<void(const Error&)> handler) {
-    fatalErrorHandler_ = std::move(handler);
+  /// The client has revoked the request or disconnected. The context may be destroyed within this call.
+  void onClientGone(RequestContext& context);
+  /// The process ends at this time: all deadlines and timeouts end then at the latest.
+  void setFinalDeadline(Duration finalDeadline);
+  /// Gives each open request its final response now.
+  void finishAllRequests();
+  std::size_t attemptsInFlight() const { return requestTable_.countAttemptsInFlight(); }
+  /// Calls `visit` with each request that has no final response.
+  template <typename Visitor>
+  void forEachOpenRequest(Visitor visit) const {
+    requestTable_.forEach([&](const RequestContext& context) {
+      if (!context.finished) visit(context);
+    });
   }
-
-  // Told of each job that got one, as soon as that is on its way.
+  /// Called for each request as soon as its response is on its way.
   using ResponseCallback = std::function<void(const RequestContext&)>;
   void setResponseCallback(ResponseCallback callback) { responseCallback_ = std::move(callback); }
-  struct Totals {
-    std::uint64_t requests = 0, clientsGone = 0;
-    std::array<std::uint64_t, 4> responses{};        // as Exchange::Answer
-    std::array<std::uint64_t, 9> attemptOutcomes{};  // of dispatches, as Outcome
-  };
-  const Totals& totals() const { return totals_; }
-  template <typename Visitor>
-  void forEachOpenRequest(Visitor visit) const {  // of the jobs without a final answer
-    for (const auto& request : requests_)
-      if (!request->finished) visit(*request);
-  }
-  std::size_t attemptsInFlight() const;
+
+  // ---- Engines ----
+  /// Whether any engine is known.
+  bool isReady() const { return !engineRegistry_.empty(); }
+  /// Entries that are not valid are logged and skipped.
+  void onEndpointUpdate(const protocol::EndpointEvent& update);
+  void onDiscoveryFailed();
   template <typename Visitor>
   void forEachEndpoint(Visitor visit) const {
-    for (const auto& [id, item] : endpoints_) visit(*item);
+    engineRegistry_.forEach(visit);
   }
-  // By hand, for a while: whether there is such an engine and such an address of it.
+  /// Applies an operator's override to one address of an engine for the given duration.
   enum class AddressLookup { found, unknownEngine, unknownAddress };
   AddressLookup setAddressOverride(const std::string& engineId, const std::string& address,
                                    addresses::AddressTable::ManualOverride manualOverride, Duration duration);
-  Duration addressClock() const { return connectionPool_.addressClock(); }  // of what is known of addresses
-  // Who says where a group's jobs should rather go, and is told where each goes. It outlives its use here.
+  /// The clock of the address tables.
+  Duration addressClock() const { return connectionPool_.addressClock(); }
+  void setFamilyPreference(std::vector<addresses::AddressFamily> preference) {
+    connectionPool_.setFamilyPreference(std::move(preference));
+  }
+
+  /// Says on which engines the requests of a data set should rather run, and is notified of each attempt. It
+  /// outlives its use here.
   class PlacementBiasSource {
    public:
     virtual ~PlacementBiasSource() = default;
-    virtual double placementBias(std::uint32_t dataSet,
-                                 const EngineEndpoint& endpoint) const = 0;  // times its score
+    /// The factor by which the engine's score is multiplied; below 1 the engine is preferred.
+    virtual double placementBias(std::uint32_t dataSet, const EngineEndpoint& endpoint) const = 0;
     virtual void onAttemptStarted(std::uint32_t dataSet, const EngineEndpoint& endpoint) = 0;
   };
   void setPlacementBiasSource(PlacementBiasSource* source) { placementBiasSource_ = source; }
-  void setFamilyPreference(std::vector<addresses::AddressFamily> preference) {
-    connectionPool_.setFamilyPreference(std::move(preference));
+
+  // ---- Observation ----
+  /// Records all decisions from now on. The recorder outlives the router.
+  void enableRecording(counterfactual::DecisionRecorder& recorder);
+  /// Called when a decision was interrupted by an exception, after which no state of the router can be
+  /// trusted. The handler must not return. Without one the process calls std::terminate.
+  void setFatalErrorHandler(std::function<void(const Error&)> handler) {
+    fatalErrorHandler_ = std::move(handler);
   }
+  struct Totals {
+    std::uint64_t requests = 0;
+    std::uint64_t clientsGone = 0;
+    std::array<std::uint64_t, 4> responses{};        ///< Indexed by RequestContext::ResponseKind.
+    std::array<std::uint64_t, 9> attemptOutcomes{};  ///< Indexed by AttemptOutcome.
+  };
+  const Totals& totals() const { return totals_; }
+  /// One line for the log.
+  std::string formatCounts() const;
 
  private:
+  // AdmissionHost
   void sendAttempt(Attempt& attempt) override;
   void assignResources(Request& request, double grantMb, int priority) override;
   void reject(Request& request, Duration retryAfter) override;
@@ -106,24 +127,31 @@
   void sendPeerReport(const std::vector<PeerEngineLoad>& reports) override;
   void requestEndpoints() override;
   void log(std::string_view text) override;
-  double placementBias(const Request& request, const Engine& engine) override {
-    return placementBiasSource_ ? placementBiasSource_->placementBias(
-                                      request.dataSet, static_cast<const EngineEndpoint&>(engine))
-                                : 1;
-  }
+  double placementBias(const Request& request, const Engine& engine) override;
   void traceDecision(const Request& request, const std::vector<Candidate>& candidates) override;
 
+  // EngineConnectionPool::AttemptListener
   void onAttemptFinished(AttemptContext& attemptContext, AttemptOutcome outcome) override;
 
   template <typename Step>
   void runDecision(Step step);
-  void reportOutcome(AttemptContext& attemptContext, AttemptOutcome outcome);
+  void onTimer();
+  void respond(RequestContext& context, RequestContext::ResponseKind kind);
+  void removeFinishedRequests();
+
   void onAttemptTimeout(AttemptContext& attemptContext);
+  void reportOutcome(AttemptContext& attemptContext, AttemptOutcome outcome);
+  bool canCancel(const AttemptContext& attemptContext) const;
+  bool isCancelled(const AttemptContext& attemptContext) const;
+  void scheduleCancelledReport(AttemptContext& attemptContext);
   void reportCancelledAttempts();
-  void respond(RequestContext& context, RequestContext::ResponseKind kind);
-  void markForCleanup(RequestContext& context);
   transport::TimePoint sendDeadline(const Attempt& attempt) const;
-  void removeFinishedRequests();
+  void limitAttemptTime(AttemptContext& attemptContext, transport::TimePoint finalTime);
+
+  std::optional<EndpointRecord> readRecord(const protocol::EndpointEntry& entry) const;
+  EngineEndpoint& updateEngine(const protocol::EndpointEntry& entry, const EndpointRecord& record);
+  void removeUnlistedEngines(const EndpointRecords& records);
+
   transport::TimePoint toTimePoint(Duration sinceStart) const { return startedAt_ + sinceStart; }
 
   transport::Scheduler& scheduler_;
@@ -133,21 +161,17 @@
   const transport::TimePoint startedAt_;
   const std::chrono::system_clock::time_point startedAtWallClock_;
   std::optional<Duration> finalDeadline_;
-  bool discoveryRequested_ = false;  // for the list
+  bool discoveryRequested_ = false;  // The admission controller waits for the endpoint list.
   Totals totals_;
   ResponseCallback responseCallback_;
   PlacementBiasSource* placementBiasSource_ = nullptr;
   counterfactual::DecisionRecorder* recorder_ = nullptr;
   std::function<void(const Error&)> fatalErrorHandler_;
-  std::list<std::unique_ptr<RequestContext>> requests_;
-  std::unordered_set<std::string> openRequestIds_;  // their references
-  std::unordered_map<std::string, std::unique_ptr<EngineEndpoint>> endpoints_;
-  std::unordered_set<EngineEndpoint*>
-      removedEndpoints_;                  // off the list, to be forgotten once nothing knows them any more
-  std::uint32_t lastEndpointNumber_ = 0;  // of executors ever known
-  std::vector<RequestContext*> cleanupCandidates_;
-  std::vector<AttemptContext*> cancelledAttempts_;
-  transport::ScheduledCall reportCancelledCall_, wakeCall_;
+  RequestTable requestTable_;
+  EngineRegistry engineRegistry_;
+  std::vector<AttemptContext*> cancelledAttempts_;  // Not reported to the admission controller yet.
+  transport::ScheduledCall reportCancelledCall_;
+  transport::ScheduledCall timerCall_;
   EngineConnectionPool connectionPool_;
   AdmissionController admissionController_;
 };
--- /dev/null
+++ b/src/routing/request_table.hpp
@@ -0,0 +1,46 @@
+/// @file
+/// The requests that the router has accepted and not forgotten.
+#pragma once
+
+#include <cstddef>
+#include <list>
+#include <memory>
+#include <string>
+#include <unordered_set>
+#include <vector>
+
+#include "routing/request_context.hpp"
+
+namespace paddletrack::routing {
+
+/// Owns the requests from their acceptance until they are finished and none of their attempts is in flight.
+/// Requests that may have come to that are marked while a decision runs and removed after it, as the decision
+/// still refers to them.
+class RequestTable {
+ public:
+  /// Throws std::bad_alloc, and is then unchanged.
+  void add(std::unique_ptr<RequestContext> newContext);
+  /// Destroys the request.
+  void remove(RequestContext& context);
+
+  std::size_t size() const { return requests_.size(); }
+  bool containsId(const std::string& requestId) const { return requestIds_.contains(requestId); }
+  std::size_t countAttemptsInFlight() const;
+
+  /// Calls `visit` with each request, finished ones included, in the order of acceptance.
+  template <typename Visitor>
+  void forEach(Visitor visit) const {
+    for (const auto& request : requests_) visit(*request);
+  }
+
+  void markForCleanup(RequestContext& context);
+  /// Returns the marked requests in the order in which they were marked, and removes the marks.
+  std::vector<RequestContext*> takeMarked();
+
+ private:
+  std::list<std::unique_ptr<RequestContext>> requests_;
+  std::unordered_set<std::string> requestIds_;
+  std::vector<RequestContext*> markedRequests_;
+};
+
+}  // namespace paddletrack::routing
