--- a/src/fakes/fake_endpoint_list.cpp
+++ b/src/fakes/fake_endpoint_list.cpp
@@ -7,6 +7,16 @@
 
 using transport::BufferSlice;
 
+namespace {
+
+constexpr std::size_t kInputBytes = 256;
+constexpr std::size_t kMaxInputBytes = 4096;
+constexpr std::chrono::seconds kReceiveTimeout{2};
+constexpr std::chrono::seconds kHeartbeatInterval{1};
+constexpr std::string_view kQueryPrefix = "since ";
+
+}  // namespace
+
 FakeEndpointList::FakeEndpointList(transport::Scheduler& scheduler, transport::OutputBudget& outputBudget,
                                    const transport::Address& address)
     : scheduler_(scheduler), unsent_(outputBudget), address_(address) {
@@ -56,7 +66,10 @@
 
 std::string FakeEndpointList::eventsAsJson() const {
   std::string output = R"({"seq":)" + std::to_string(events_.size()) + R"(,"results":[)";
-  for (const std::string& event : events_) output += (output.back() == '[' ? "" : ",") + event;
+  for (const std::string& event : events_) {
+    if (output.back() != '[') output += ",";
+    output += event;
+  }
   return output + "]}";
 }
 
@@ -64,62 +77,93 @@
   for (;;) {
     auto descriptor = co_await listener_->accept();
     acceptTimes.push_back(scheduler_.now());
-    if (++connectionCount_ % 10 >= behavior.refusalsPerTen)
-      sessionTasks_->spawn(serve(std::move(descriptor)));
+    ++connectionCount_;
+    if (connectionCount_ % 10 >= behavior.refusalsPerTen) sessionTasks_->spawn(serve(std::move(descriptor)));
   }
 }
 
 transport::Task<> FakeEndpointList::serve(std::unique_ptr<transport::Descriptor> descriptor) {
-  transport::Connection connection(scheduler_, std::move(descriptor), 256, 4096, unsent_);
-  std::size_t sequence = 0;
-  for (std::string_view view; view.find('\n') == std::string_view::npos; view = connection.input().view()) {
-    const bool received = co_await connection.receive(scheduler_.now() + std::chrono::seconds(2));
-    if (!received) co_return;
-  }
-  std::string_view line = connection.input().view();  // "since N"
-  line.remove_prefix(std::min<std::size_t>(6, line.size()));
-  std::from_chars(line.data(), line.data() + line.size(), sequence);
-  while (silent_ && connection.readEnd() == transport::Connection::ReadEnd::none) {
-    connection.input().consume(connection.input().view().size());
-    co_await connection.receive(scheduler_.now() + std::chrono::seconds(2));
-    if (!silent_) co_return;
-  }
+  transport::Connection connection(scheduler_, std::move(descriptor), kInputBytes, kMaxInputBytes, unsent_);
+  const std::optional<std::size_t> since = co_await receiveQuery(connection);
+  if (!since) co_return;
+  const bool wasSilenced = co_await waitWhileSilent(connection);
+  if (wasSilenced) co_return;
   queryTimes.push_back(scheduler_.now());
-  if (sequence == 0) snapshotQueryTimes.push_back(scheduler_.now());
-  if (behavior.unansweredSessions > 0 || !behavior.replacementAnswer.empty()) {
-    const std::string replacement =
-        behavior.unansweredSessions > 0 ? std::string() : behavior.replacementAnswer;
-    if (behavior.unansweredSessions > 0) --behavior.unansweredSessions;
+  if (*since == 0) snapshotQueryTimes.push_back(scheduler_.now());
+  if (behavior.unansweredSessions > 0) {
+    --behavior.unansweredSessions;
+    co_await serveReplacement(connection, "");
+    co_return;
+  }
+  if (!behavior.replacementAnswer.empty()) {
+    const std::string replacement = behavior.replacementAnswer;
     co_await serveReplacement(connection, replacement);
     co_return;
   }
-  // One at a time, also for those who have gone meanwhile: the work is done before that is seen.
+  // Answers are made one at a time, also for clients that have gone meanwhile: a real service does the work
+  // before it notices.
   if (behavior.answerDuration.count() > 0) {
     nextAnswerAt_ = std::max(nextAnswerAt_, scheduler_.now()) + behavior.answerDuration;
     co_await scheduler_.sleepUntil(nextAnswerAt_);
   }
+  const bool isComplete = co_await sendAnswer(connection, *since);
+  if (isComplete) co_await serveSubscriber(connection);
+}
+
+// Returns the sequence number of the first line ("since N"), or nothing if no line arrives.
+transport::Task<std::optional<std::size_t>> FakeEndpointList::receiveQuery(
+    transport::Connection& connection) {
+  for (std::string_view view; view.find('\n') == std::string_view::npos; view = connection.input().view()) {
+    const bool received = co_await connection.receive(scheduler_.now() + kReceiveTimeout);
+    if (!received) co_return std::nullopt;
+  }
+  std::string_view line = connection.input().view();
+  line.remove_prefix(std::min(kQueryPrefix.size(), line.size()));
+  std::size_t sequence = 0;
+  std::from_chars(line.data(), line.data() + line.size(), sequence);
+  co_return sequence;
+}
+
+// Returns true if the list stopped being silent while this session waited: the session is to be closed then.
+transport::Task<bool> FakeEndpointList::waitWhileSilent(transport::Connection& connection) {
+  while (silent_ && connection.readEnd() == transport::Connection::ReadEnd::none) {
+    connection.input().consume(connection.input().view().size());
+    co_await connection.receive(scheduler_.now() + kReceiveTimeout);
+    if (!silent_) co_return true;
+  }
+  co_return false;
+}
+
+// Sends the visible events after `since`. Returns false if the answer was truncated.
+transport::Task<bool> FakeEndpointList::sendAnswer(transport::Connection& connection, std::size_t since) {
   std::string answer;
-  for (std::size_t index = sequence; index < visibleEventCount(); ++index) answer += events_[index] + "\n";
-  if (behavior.truncateAfterBytes > 0 && answer.size() > behavior.truncateAfterBytes) {
-    connection.send({BufferSlice(answer.substr(0, behavior.truncateAfterBytes))});
-    co_await connection.waitUntilDrained(0, scheduler_.now() + std::chrono::seconds(1));
-    co_return;
+  for (std::size_t index = since; index < visibleEventCount(); ++index) answer += events_[index] + "\n";
+  if (behavior.truncateAfterBytes == 0 || answer.size() <= behavior.truncateAfterBytes) {
+    connection.send({BufferSlice(answer)});
+    co_return true;
   }
-  connection.send({BufferSlice(answer)});
+  connection.send({BufferSlice(answer.substr(0, behavior.truncateAfterBytes))});
+  co_await connection.waitUntilDrained(0, scheduler_.now() + std::chrono::seconds(1));
+  co_return false;
+}
+
+// Registers the connection for published events and sends heartbeats until the client has gone.
+transport::Task<> FakeEndpointList::serveSubscriber(transport::Connection& connection) {
   struct SubscriberGuard {
     std::list<transport::Connection*>& subscribers;
     std::list<transport::Connection*>::iterator position;
     ~SubscriberGuard() { subscribers.erase(position); }
-  } entry{subscribers_, subscribers_.insert(subscribers_.end(), &connection)};
+  };
+  const SubscriberGuard guard{subscribers_, subscribers_.insert(subscribers_.end(), &connection)};
   while (connection.readEnd() == transport::Connection::ReadEnd::none) {
     if (!behavior.silentAfterAnswer && !silent_)
       connection.send({BufferSlice(std::to_string(visibleEventCount()) + "\n")});
     connection.input().consume(connection.input().view().size());
-    co_await connection.receive(scheduler_.now() + std::chrono::seconds(1));
+    co_await connection.receive(scheduler_.now() + kHeartbeatInterval);
   }
 }
 
-// Until the other side has gone.
+// Sends `replacement`, at once or byte by byte, and then waits until the client has gone.
 transport::Task<> FakeEndpointList::serveReplacement(transport::Connection& connection,
                                                      const std::string& replacement) {
   const std::size_t step =
--- a/src/fakes/fake_engine.cpp
+++ b/src/fakes/fake_engine.cpp
@@ -14,8 +14,9 @@
 using protocol::resp::Array;
 using transport::TimePoint;
 
-constexpr std::size_t kMaxStatementBytes = 32 << 20;  // of a statement
+constexpr std::size_t kMaxStatementBytes = 32 << 20;
 
+// Returns 0 if the text is no number.
 unsigned parseNumber(std::string_view text) {
   unsigned value = 0;
   std::from_chars(text.data(), text.data() + text.size(), value);
@@ -38,8 +39,8 @@
     const std::string_view assignment = remaining.substr(0, space);
     remaining.remove_prefix(std::min(space + 1, remaining.size()));
     const std::size_t equals = std::min(assignment.find('='), assignment.size());
-    const std::string_view name = assignment.substr(0, equals),
-                           value = assignment.substr(std::min(equals + 1, assignment.size()));
+    const std::string_view name = assignment.substr(0, equals);
+    const std::string_view value = assignment.substr(std::min(equals + 1, assignment.size()));
     if (name == "ms") script.duration = milliseconds(parseNumber(value));
     if (name == "pages") script.pageCount = parseNumber(value);
     if (name == "answer") script.status = value;
@@ -48,6 +49,7 @@
   return script;
 }
 
+// One connection from a controller.
 class FakeEngine::Session {
  public:
   Session(FakeEngine& engine, Listening& listening, std::unique_ptr<transport::Descriptor> accepted)
@@ -82,16 +84,7 @@
       const ReadTime readTime{engine_.scheduler_.now(),
                               engine_.eventLog_ ? engine_.eventLog_->lastPollAt() : TimePoint{}};
       if (startsFresh) firstByteTime_ = readTime;
-      for (;;) {
-        const Array array = protocol::resp::parseArray(input.view(), kMaxStatementBytes);
-        if (array.size == 0) {
-          if (array.requiredSize > 0) input.expectSize(array.requiredSize);
-          break;
-        }
-        onCommand(array);
-        input.consume(array.size);
-        firstByteTime_ = readTime;
-      }
+      processCommands(input, readTime);
     }
   }
   void disconnect() { connection_.shutDown(); }
@@ -108,26 +101,46 @@
 
  private:
   struct ReadTime {
-    TimePoint readAt{}, notBefore{};
+    TimePoint readAt{};
+    TimePoint notBefore{};
   };
+
+  // Handles all complete commands of the input.
+  void processCommands(transport::InputBuffer& input, const ReadTime& readTime) {
+    for (;;) {
+      const Array array = protocol::resp::parseArray(input.view(), kMaxStatementBytes);
+      if (array.size == 0) {
+        if (array.requiredSize > 0) input.expectSize(array.requiredSize);
+        return;
+      }
+      onCommand(array);
+      input.consume(array.size);
+      // A command that follows in the same input has been received by this read at the earliest.
+      firstByteTime_ = readTime;
+    }
+  }
+
   void recordEvent(Event::Kind kind, const std::string& id, std::string detail = {}, std::string body = {}) {
     if (!engine_.eventLog_) return;
     Event event{.kind = kind, .reference = id, .engine = engine_.engineNumber_};
     if (kind == Event::Kind::attemptReceived) {
       event.attempt = attempts_[id] = engine_.eventLog_->nextAttemptNumber();
-      event.observedAt = firstByteTime_.readAt, event.notBefore = firstByteTime_.notBefore;
+      event.observedAt = firstByteTime_.readAt;
+      event.notBefore = firstByteTime_.notBefore;
     } else if (const auto attempt = attempts_.find(id); attempt != attempts_.end()) {
       event.attempt = attempt->second;
       attempts_.erase(attempt);
     }
-    event.detail = std::move(detail), event.body = std::move(body);
+    event.detail = std::move(detail);
+    event.body = std::move(body);
     engine_.eventLog_->append(std::move(event));
   }
+
   void onCommand(const Array& array) {
-    const std::string verb(array.words[0]), id(array.words[1]);
+    const std::string verb(array.words[0]);
+    const std::string id(array.words[1]);
     if (engine_.onCommand) {
-      verb == "NOOP" ? void(++engine_.noopCount) : void(engine_.receivedCommands += verb + " ");
-      if (verb == "NEXT") engine_.receivedCommands += std::string(array.words[2]) + " ";
+      recordCommand(verb, array);
       return engine_.onCommand(engine_, connection_, verb, id);
     }
     if (verb == "NOOP") return sendReply(connection_, {id, "alive", "-", ""});
@@ -144,6 +157,15 @@
     }
   }
 
+  void recordCommand(const std::string& verb, const Array& array) {
+    if (verb == "NOOP") {
+      ++engine_.noopCount;
+      return;
+    }
+    engine_.receivedCommands += verb + " ";
+    if (verb == "NEXT") engine_.receivedCommands += std::string(array.words[2]) + " ";
+  }
+
   void onAsk(const std::string& id, std::string_view statement) {
     ++listening_.askCount;
     recordEvent(Event::Kind::attemptReceived, id);
@@ -166,7 +188,7 @@
   transport::Task<> runAsk(std::string id, Script script) {
     if (script.duration > milliseconds(0))
       co_await engine_.scheduler_.sleepUntil(engine_.scheduler_.now() + script.duration);
-    if (scripts_.count(id) == 0) co_return;  // quit: it stopped
+    if (scripts_.count(id) == 0) co_return;  // It was cancelled meanwhile.
     if (script.status == "200") {
       ++engine_.runCount_;
       if (++engine_.runsById_[id] == 2) ++engine_.duplicateRunCount_;
@@ -181,7 +203,7 @@
     recordEvent(Event::Kind::attemptFinished, id, script.status, std::move(rows));
     if (script.status == "200") {
       sendReply(connection_, {id, "200", "batches=" + std::to_string(script.pageCount), formatRow(id, 0)});
-      if (script.pageCount > 1) co_return;  // it keeps them until they are fetched
+      if (script.pageCount > 1) co_return;  // It stays open until the other pages are fetched.
     } else {
       sendReply(connection_, {id, script.status, "-", ""});
     }
@@ -204,12 +226,12 @@
 
   FakeEngine& engine_;
   Listening& listening_;
-  const int fd_;  // the connection's
+  const int fd_;  // Owned by `connection_`.
   transport::Connection connection_;
-  ReadTime firstByteTime_;                         // when the first byte was read of what comes next
-  std::map<std::string, std::uint64_t> attempts_;  // that are out, by id, where they are recorded
-  std::map<std::string, Script> scripts_;          // of what is open here
-  std::map<std::string, unsigned> sentPages_;      // pages, by id
+  ReadTime firstByteTime_;                         // When the first byte of the next command was read.
+  std::map<std::string, std::uint64_t> attempts_;  // Recorded attempts in flight, by id.
+  std::map<std::string, Script> scripts_;          // Scripts of the open statements, by id.
+  std::map<std::string, unsigned> sentPages_;      // Count of pages sent after the first, by id.
   transport::TaskGroup askTasks_;
 };
 
--- a/src/fakes/fake_engine.hpp
+++ b/src/fakes/fake_engine.hpp
@@ -1,5 +1,4 @@
-// A scripted executor: it answers as a job's own statement or its test says, and keeps books of all it was
-// sent.
+// Fake of a query engine that speaks the engine protocol and follows scripts.
 #pragma once
 
 #include <chrono>
@@ -21,79 +20,90 @@
 
 enum class FakeEngineFault {
   none,
-  unresponsive,     // accepts, reads nothing
-  resetOnAccept,    // ends each connection as soon as it has accepted it
-  resetOnAsk,       // ends the connection when an ask has come whole, before it runs
-  partialAnswer,    // runs, writes the half of its answer, and nothing more
-  duplicateAnswer,  // says each answer again some milliseconds later, with another page count
+  unresponsive,     ///< Accepts connections and reads nothing.
+  resetOnAccept,    ///< Ends each connection as soon as it is accepted.
+  resetOnAsk,       ///< Ends the connection when an ASK command has been received, before it is executed.
+  partialAnswer,    ///< Executes the statement and sends only the beginning of the answer.
+  duplicateAnswer,  ///< Repeats each answer some milliseconds later with another page count.
 };
 
-// What becomes of one statement: "select 1 /* ms=200 pages=3 answer=503 */". Words: `ms` until the answer,
-// `pages` in all, `answer` (200, 500, 503, 504), `half` (the first page comes, no other).
+/// How the engine treats one statement.
 struct Script {
-  milliseconds duration{0};
-  unsigned pageCount = 1;
-  std::string status = "200";
-  bool firstPageOnly = false;
-  FakeEngineFault fault = FakeEngineFault::none;  // of this ask alone, else that of its place: the last three
+  milliseconds duration{0};    ///< Until the answer.
+  unsigned pageCount = 1;      ///< Pages of the result.
+  std::string status = "200";  ///< 200, 500, 503 or 504.
+  bool firstPageOnly = false;  ///< The pages after the first are never sent.
+  /// A fault of this statement alone (one of the last three); `none` means the fault of its address.
+  FakeEngineFault fault = FakeEngineFault::none;
 };
+
+/// Reads the script from the comment of a statement: "select 1 /* ms=200 pages=3 answer=503 half */".
 Script parseScript(std::string_view statement);
 
+/// An engine that answers as the comment of a statement or its test says, and records what it was sent.
 class FakeEngine {
  public:
+  /// Listens on `address` at once. The scheduler and the output budget must outlive the engine.
   FakeEngine(transport::Scheduler& scheduler, transport::OutputBudget& outputBudget,
              const transport::Address& address);
 
-  // Further addresses of the same engine; places are numbered from 0, the first is the constructor's.
+  /// Listens on a further address too. Returns its index; the constructor's address has the index 0.
   std::size_t addAddress(const transport::Address& address);
   using Fault = FakeEngineFault;
+  /// Sets the fault of one address. A fault that affects accepting also ends the connections to that address.
   void setFault(std::size_t listening, Fault fault);
-  void closeAddress(std::size_t listening);  // listens there no longer, and ends what is connected there
+  /// Stops listening on one address and ends the connections to it.
+  void closeAddress(std::size_t listening);
 
-  // Said by a test over what statements say.
+  /// Lets a test change the script of a statement after it was read, if set.
   std::function<void(Script&, const std::string& id)> overrideScript;
-  std::vector<transport::TimePoint> acceptTimes, askTimes;  // each connection, each ask, as they came
-  // A test's own way with every command, in place of all else; what came is then kept.
+  std::vector<transport::TimePoint> acceptTimes;  ///< One for each connection.
+  std::vector<transport::TimePoint> askTimes;     ///< One for each ASK command.
+  /// Handles every command in place of the engine, if set. The commands are then recorded in
+  /// `receivedCommands`, `noopCount` and `connections`.
   using CommandHandler = std::function<void(FakeEngine&, transport::Connection&, const std::string& word,
                                             const std::string& id)>;
   CommandHandler onCommand;
   std::string receivedCommands;
   int noopCount = 0;
-  std::vector<const transport::Connection*> connections;  // to be told apart by; not all of them still are
+  /// Identifies connections by address only: those that have ended are not removed.
+  std::vector<const transport::Connection*> connections;
   static void sendReply(transport::Connection& connection, std::initializer_list<std::string_view> words);
 
-  // Groups of tables that it keeps warm, the latest read; another is read anew, which takes longer.
+  /// The engine caches the groups of tables that were read last. A group that is not cached is read again.
   struct CacheOptions {
-    std::size_t capacity = 0;         // 0: all are warm
-    std::uint64_t bytesPerGroup = 0;  // of each
-    milliseconds missPenalty{0};      // that a cold read takes longer
+    std::size_t capacity = 0;         ///< Groups that fit; 0: every group is always cached.
+    std::uint64_t bytesPerGroup = 0;  ///< Read on each miss.
+    milliseconds missPenalty{0};      ///< Added to the duration on a miss.
   };
   void configureCache(const CacheOptions& cacheOptions) {
-    cacheOptions_ = cacheOptions, cachedGroups_.clear();
+    cacheOptions_ = cacheOptions;
+    cachedGroups_.clear();
   }
   std::uint64_t bytesRead() const { return bytesRead_; }
 
-  std::size_t openAskCount() const {
-    return openAsks_.size();
-  }  // asks that are neither answered, quit, nor cut off
+  /// Statements that are neither answered, cancelled nor disconnected.
+  std::size_t openAskCount() const { return openAsks_.size(); }
   std::uint64_t askCount() const { return askCount_; }
   std::uint64_t runCount() const { return runCount_; }
   unsigned runCount(const std::string& id) const {
     const auto entry = runsById_.find(id);
     return entry == runsById_.end() ? 0 : entry->second;
   }
-  std::uint64_t duplicateRunCount() const {
-    return duplicateRunCount_;
-  }  // ids whose work came to its end more than once
+  /// Ids whose statement was executed to its end more than once.
+  std::uint64_t duplicateRunCount() const { return duplicateRunCount_; }
   std::uint64_t askCountAt(std::size_t listening) const { return listenings_[listening]->askCount; }
-  void disconnect();  // every connection, as a process that dies; it listens on
+  /// Ends every connection, as when the process dies. The engine keeps listening.
+  void disconnect();
   enum class ConnectionFilter { all, idle, withAttempt };
-  // As cut, of those on which nothing is open, or of the one that has the attempt; `resets` closes them with
-  // a reset also where nothing is unread.
+  /// Ends all connections, those on which no statement is open, or the one that carries `attempt`.
+  /// `withReset` sends a TCP reset even if no input is unread.
   void disconnect(ConnectionFilter filter, bool withReset, std::uint64_t attempt = 0);
+  /// Appends the engine's events to `events`, which must outlive it, under this number.
   void recordTo(EventLog& events, std::size_t engineNumber) {
-    eventLog_ = &events, engineNumber_ = engineNumber;
-  }  // under this number
+    eventLog_ = &events;
+    engineNumber_ = engineNumber;
+  }
 
  private:
   class Session;
@@ -104,9 +114,10 @@
     std::optional<transport::Listener> listener;
     Fault fault = Fault::none;
     std::uint64_t askCount = 0;
-    std::optional<transport::TaskGroup> acceptTasks;  // goes before its listener
+    std::optional<transport::TaskGroup> acceptTasks;  // Destroyed before the listener.
   };
-  bool touchCachedGroup(std::uint32_t group);  // whether it was warm
+  // Marks the group as read last. Returns whether it was cached.
+  bool touchCachedGroup(std::uint32_t group);
   transport::Task<> acceptConnections(Listening& listening);
   transport::Task<> serve(Listening& listening, std::unique_ptr<transport::Descriptor> accepted);
 
@@ -117,11 +128,13 @@
   std::vector<std::unique_ptr<Listening>> listenings_;
   std::set<Session*> sessions_;
   std::set<std::pair<const Session*, std::string>> openAsks_;
-  std::map<std::string, unsigned> runsById_;  // that it ran, by id
+  std::map<std::string, unsigned> runsById_;
   CacheOptions cacheOptions_;
-  std::list<std::uint32_t> cachedGroups_;  // the latest first
+  std::list<std::uint32_t> cachedGroups_;  // The one read last comes first.
   std::uint64_t bytesRead_ = 0;
-  std::uint64_t askCount_ = 0, runCount_ = 0, duplicateRunCount_ = 0;
+  std::uint64_t askCount_ = 0;
+  std::uint64_t runCount_ = 0;
+  std::uint64_t duplicateRunCount_ = 0;
   transport::TaskGroup sessionTasks_;
 };
 
--- a/src/fakes/fake_fleet.hpp
+++ b/src/fakes/fake_fleet.hpp
@@ -1,81 +1,58 @@
-// A small site on loopback: executors, a change log, and controllers as processes of their own.
+// A small fleet on loopback: fake engines, a fake endpoint list, and controllers as processes of their own.
 #pragma once
 
-#include <sys/types.h>
-
 #include <functional>
 #include <memory>
-#include <optional>
 #include <string>
 #include <vector>
 
 #include "fakes/fake_endpoint_list.hpp"
 #include "fakes/fake_engine.hpp"
 #include "fakes/load_generator.hpp"
+#include "fakes/server_process.hpp"
+#include "fakes/temporary_directory.hpp"
 
 namespace paddletrack::fakes {
 
-// A folder for one run's files, gone with it.
-class TemporaryDirectory {
- public:
-  TemporaryDirectory();
-  ~TemporaryDirectory();
-  const std::string& path() const { return path_; }
-
- private:
-  std::string path_;
-};
-
-// `paddletrack serve` as the operators start it; killed at the end if it still runs, and sent SIGTERM by the
-// kernel when the process that started it dies (PR_SET_PDEATHSIG), so that no controller outlives its rig.
-class ServerProcess {
- public:
-  ServerProcess(const std::string& program, const std::vector<std::string>& arguments,
-                const std::string& logPath);
-  ServerProcess(const ServerProcess&) = delete;
-  ServerProcess& operator=(const ServerProcess&) = delete;
-  ~ServerProcess();
-  pid_t pid() const { return pid_; }
-  void sendSignal(int signalNumber) const;
-  std::optional<int> exitCode();  // its exit code, or 128 and the signal; none while it runs
-
- private:
-  pid_t pid_ = -1;
-  std::optional<int> exitCode_;
-};
-
-// Types `look-up` (restartable), `report` (restartable), `order` (keyed) and `load` (run-once).
+/// What a fleet consists of. Its request classes are `look-up` and `report` (idempotent), `order` (idempotent
+/// by key) and `load` (not idempotent).
 struct FakeFleetOptions {
   std::string program;
-  std::vector<std::string> launcher{};  // another program that starts it, with its arguments
-  int subnet =
-      0;  // of 127.0.NET.0/24 (above 255 on of 127.1 and so on), so that runs beside each other do not meet
-  unsigned engines = 4, controllers = 1;
-  unsigned memoryMb = 192, maxSockets = 1024, cores = 16;
+  std::vector<std::string> launcher{};  ///< A program that starts the controller, with its arguments.
+  /// The fleet uses 127.0.SUBNET.0/24 (from 256 on 127.1.0.0/24 and so on), so that concurrent runs do not
+  /// collide.
+  int subnet = 0;
+  unsigned engines = 4;
+  unsigned controllers = 1;
+  unsigned memoryMb = 192;
+  unsigned maxSockets = 1024;
+  unsigned cores = 16;
   bool hasAdminSockets = true;
-  std::string operatorConfig{};                                        // more blocks of it
-  std::function<std::string(unsigned controller)> operatorConfigOf{};  // and of one controller's
+  std::string operatorConfig{};  ///< Further blocks of each operator file.
+  /// Further blocks of one controller's operator file.
+  std::function<std::string(unsigned controller)> operatorConfigOf{};
   std::string drainNotice = "300ms";
-  bool includesKnownEvents = true;    // the configuration holds the list's events so far
-  bool startsControllers = true;      // all controllers at once, with the site
-  std::int64_t warmupMs = 0;          // how long an executor is cold, and
-  double initialCapacityRatio = 1.0;  // what it can do at its start
-  double warmupOverloadRatio = 0;     // of that, over three seconds: what falls it
-  // What the list says of one executor beside its usual address, or in its place.
+  bool includesKnownEvents = true;    ///< The configuration holds the events that the list has so far.
+  bool startsControllers = true;      ///< The constructor starts all controllers.
+  std::int64_t warmupMs = 0;          ///< How long an engine warms up.
+  double initialCapacityRatio = 1.0;  ///< Capacity of an engine when it starts.
+  double warmupOverloadRatio = 0;  ///< Load over three seconds, in this capacity, that makes an engine fail.
+  /// Changes what the list publishes about one engine, if set.
   std::function<void(FakeEndpointList::Endpoint& endpoint, unsigned engine, const std::string& directory)>
       customizeEndpoint{};
 };
 
+/// Owns the fakes and the controller processes, and the directory with their configuration and log files.
 class FakeFleet {
  public:
+  /// The scheduler and the output budget must outlive the fleet.
   FakeFleet(transport::Scheduler& scheduler, transport::OutputBudget& outputBudget,
             const FakeFleetOptions& options);
 
-  void startController(std::size_t controller) {
-    startController(controller, options_.launcher);
-  }  // or again
+  /// Starts a controller, or restarts it. Its files are written anew.
+  void startController(std::size_t controller) { startController(controller, options_.launcher); }
   void startController(std::size_t controller, const std::vector<std::string>& launcher);
-  // Its file names another list service; SIGHUP makes it read that.
+  /// Names another endpoint list in the controller's configuration and sends SIGHUP.
   void changeEndpointList(std::size_t controller, const std::string& address) const;
   ServerProcess& controller(std::size_t index) { return *processes_[index]; }
   std::string addressText(unsigned host, unsigned port = 18443) const;
@@ -94,8 +71,8 @@
   std::vector<transport::Address> frontAddresses() const;
   FakeEngine& engine(std::size_t index) { return *engines_[index]; }
   FakeEndpointList& endpointList() { return endpointList_; }
-  std::uint64_t duplicateRunCount() const;
-  std::size_t openAskCount() const;
+  std::uint64_t duplicateRunCount() const;  ///< Over all engines.
+  std::size_t openAskCount() const;         ///< Over all engines.
   const std::string& directory() const { return directory_.path(); }
   static LoadGenerator::RequestProfile lookUpProfile(double weight = 1) {
     return {"look-up", "acme", weight, milliseconds(3), milliseconds(20)};
@@ -104,6 +81,7 @@
  private:
   std::string frontAddress(std::size_t controller) const;
   std::string buildConfig(std::size_t controller) const;
+  std::string buildOperatorConfig(std::size_t controller) const;
 
   const FakeFleetOptions options_;
   TemporaryDirectory directory_;
@@ -113,23 +91,4 @@
   std::vector<std::unique_ptr<ServerProcess>> processes_;
 };
 
-// A line to a controller's door, from within the loop.
-class AdminConnection {
- public:
-  AdminConnection(transport::Scheduler& scheduler, transport::OutputBudget& outputBudget,
-                  const std::string& path);
-  void send(const std::string& line);
-  std::vector<std::string> receivedLines;          // whole lines
-  std::function<void(const std::string&)> onLine;  // called for each as it comes, if set
-  bool isClosed = false;
-
- private:
-  transport::Task<> run(std::string path);
-  transport::Scheduler& scheduler_;
-  transport::OutputBudget& unsent_;
-  std::optional<transport::Connection> connection_;
-  std::string pendingOutput_;
-  transport::TaskGroup tasks_;
-};
-
 }  // namespace paddletrack::fakes
--- a/src/fakes/gossip_cluster.hpp
+++ b/src/fakes/gossip_cluster.hpp
@@ -1,29 +1,33 @@
-// Controllers that share, each a process of its own, with relays between each two of them.
+// A fleet whose controllers gossip, with a fault proxy between each two of them.
 #pragma once
 
 #include <csignal>
 #include <nlohmann/json.hpp>
+#include <numeric>
 #include <string>
 #include <vector>
 
+#include "fakes/admin_connection.hpp"
 #include "fakes/fake_fleet.hpp"
-#include "fakes/fault_proxy.hpp"
 #include "fakes/load_generator.hpp"
 #include "fakes/test_scheduler.hpp"
+#include "fakes/udp_proxy_mesh.hpp"
 
 namespace paddletrack::fakes {
 
 struct GossipClusterOptions {
   std::string program;
-  int subnet = 0;  // and so much as in SiteTerms
+  int subnet = 0;  ///< As in FakeFleetOptions.
   unsigned members = 3;
   std::uint64_t seed = 1;
   std::string gossipInterval = "100ms";
   std::string retention = "10m";
+  /// Name of the cluster to which a member belongs; if it is not set, all belong to one.
   std::function<std::string(unsigned member)> clusterOf{};
-  std::string extraOperatorConfig{};  // of the operator's file
+  std::string extraOperatorConfig{};  ///< Further blocks of each operator file.
 };
 
+/// Starts the controllers (members, numbered from 0) and reads their status.
 class GossipCluster {
  public:
   using Json = nlohmann::json;
@@ -39,34 +43,39 @@
         0, {{"look-up", "acme", 1, milliseconds(1), milliseconds(2), milliseconds(3000), "ms=1"}});
   }
 
-  // What a member's door tells, or null: nobody answers within so long.
+  /// The status report of a member, or null if it does not answer within the timeout.
   Json status(unsigned member, milliseconds timeout = milliseconds(2000)) {
     AdminConnection connection(scheduler_, scheduler_.outputBudget, fleet.adminSocketPath(member));
     connection.send("{\"v\":1,\"id\":1,\"do\":\"status\"}\n");
     scheduler_.runUntil([&] { return !connection.receivedLines.empty() || connection.isClosed; }, timeout);
-    return connection.receivedLines.empty() ? Json()
-                                            : Json::parse(connection.receivedLines.front())["status"];
+    if (connection.receivedLines.empty()) return {};
+    return Json::parse(connection.receivedLines.front())["status"];
   }
+  /// The part of the status report that is about gossip, or null.
   Json gossipStatus(unsigned member) {
     const Json memberStatus = status(member);
-    return memberStatus.is_null() || !memberStatus.contains("share") ? Json() : memberStatus["share"];
+    if (memberStatus.is_null() || !memberStatus.contains("share")) return {};
+    return memberStatus["share"];
   }
+  /// Members that `member` knows of, itself included; 0 if it does not answer.
   std::uint64_t memberCount(unsigned member) {
     const Json gossip = gossipStatus(member);
     return gossip.is_null() ? 0 : gossip["owners"].get<std::uint64_t>();
   }
+  /// Requests of the whole fleet that `member` knows of; 0 if it does not answer.
   std::uint64_t fleetRequestCount(unsigned member) {
     const Json gossip = gossipStatus(member);
     return gossip.is_null() ? 0 : gossip["fleet"]["jobs"].get<std::uint64_t>();
   }
 
-  // Jobs that are taken and answered.
+  /// Sends requests to a member and waits until all are answered.
   void runRequests(unsigned member, unsigned count) {
-    for (unsigned value = 0; value < count; ++value) loadGenerator.send(0, member);
+    for (unsigned request = 0; request < count; ++request) loadGenerator.send(0, member);
     scheduler_.runUntil([&] { return loadGenerator.counters().open == 0; }, milliseconds(5000));
   }
 
-  // Until each of them says so; how long it took.
+  /// Waits until `predicate` has held for each of the members. Returns how long that took, or nothing after
+  /// the timeout.
   std::optional<transport::Clock::duration> waitForMembers(const std::vector<unsigned>& members,
                                                            const std::function<bool(unsigned)>& predicate,
                                                            milliseconds timeout) {
@@ -80,25 +89,27 @@
   }
   std::vector<unsigned> allMembers() const {
     std::vector<unsigned> members(members_);
-    for (unsigned value = 0; value < members_; ++value) members[value] = value;
+    std::iota(members.begin(), members.end(), 0U);
     return members;
   }
-  bool start(milliseconds timeout = milliseconds(20000)) {  // all serve, and know of each other
-    return scheduler_.runUntil(
-               [&] {
-                 for (const unsigned allMember : allMembers())
-                   if (!loadGenerator.isInService(allMember)) return false;
-                 return true;
-               },
-               timeout) &&
-           waitForMembers(
-               allMembers(), [&](unsigned value) { return memberCount(value) == members_; }, timeout)
-               .has_value();
+  /// Waits until all members are in service and know of each other. Returns whether they do.
+  bool start(milliseconds timeout = milliseconds(20000)) {
+    const bool areServing = scheduler_.runUntil([&] { return areAllInService(); }, timeout);
+    if (!areServing) return false;
+    const auto knowsAllMembers = [&](unsigned member) { return memberCount(member) == members_; };
+    return waitForMembers(allMembers(), knowsAllMembers, timeout).has_value();
   }
   void sendSignal(unsigned member, int signalNumber) { fleet.controller(member).sendSignal(signalNumber); }
 
  private:
   TestScheduler& scheduler_;
+
+  bool areAllInService() const {
+    for (unsigned member = 0; member < members_; ++member)
+      if (!loadGenerator.isInService(member)) return false;
+    return true;
+  }
+
   FakeFleetOptions fleetOptions(const GossipClusterOptions& options) {
     FakeFleetOptions result;
     result.program = options.program;
--- a/src/fakes/invariant_checker.cpp
+++ b/src/fakes/invariant_checker.cpp
@@ -18,10 +18,10 @@
 
 struct AttemptRecord {
   TimePoint receivedAt{};
-  std::string result{};  // its answer's word, `withdrawn` or `cut`
+  std::string result{};  // The status of its answer, or the name of the event that ended it.
   std::string rows{};
 };
-struct RequestRecord {  // one job
+struct RequestRecord {
   const Event* sent = nullptr;
   const Event* clientGone = nullptr;
   const Event* lost = nullptr;
@@ -35,12 +35,18 @@
   std::optional<TimePoint> drainingSince{};
   std::string state = "active";
 };
+struct KillInterval {
+  TimePoint killedAt{};
+  TimePoint exitedAt = TimePoint::max();
+};
 struct ProcessRecord {
-  std::optional<TimePoint> stopRequestedAt{}, killedAt{};
-  std::vector<std::pair<TimePoint, TimePoint>> killIntervals{};  // and the ends
+  std::optional<TimePoint> stopRequestedAt{};
+  std::optional<TimePoint> killedAt{};
+  std::vector<KillInterval> killIntervals{};
   std::map<std::string, std::int64_t> startMeasures{};
 };
 
+// Replays the events and keeps what is known of each request, attempt, engine and process.
 class InvariantChecker {
  public:
   InvariantChecker(const std::vector<Event>& events, const InvariantOptions& options)
@@ -60,7 +66,7 @@
     const auto found = cumulativeCpuWaits_.find(process);
     return found == cumulativeCpuWaits_.end() || found->second.empty() ? 0 : found->second.rbegin()->second;
   }
-  // How long processes had work and no core, between two moments.
+  // How long the processes together waited for a processor core between two times.
   TimePoint::duration cpuWait(std::initializer_list<std::size_t> processes, TimePoint begin,
                               TimePoint until) const {
     std::int64_t sum = 0;
@@ -68,11 +74,12 @@
       const auto found = cumulativeCpuWaits_.find(process);
       if (found == cumulativeCpuWaits_.end() || found->second.empty()) continue;
       const auto& samples = found->second;
-      const auto cumulativeAt = [&](TimePoint time) {  // all up to then
+      const auto cumulativeAt = [&](TimePoint time) {
         const auto next = samples.upper_bound(time);
         return next == samples.begin() ? 0 : std::prev(next)->second;
       };
-      const auto last = samples.lower_bound(until);  // a wait is told at its end
+      // A wait is recorded when it ends, so the first sample after `until` is included.
+      const auto last = samples.lower_bound(until);
       sum += (last == samples.end() ? samples.rbegin()->second : last->second) - cumulativeAt(begin);
     }
     return std::chrono::microseconds(sum);
@@ -105,7 +112,7 @@
       case Kind::attemptCancelled:
       case Kind::attemptDisconnected: {
         AttemptRecord& attempt = attempts_[event.attempt];
-        if (!attempt.result.empty()) return;  // what an executor says twice is its own fault
+        if (!attempt.result.empty()) return;  // A duplicate answer is a fault of the fake engine.
         attempt.result = event.kind == Kind::attemptFinished ? event.detail : nameOf(event.kind);
         attempt.rows = event.body;
         return;
@@ -127,9 +134,10 @@
       case Kind::signalSent: {
         ProcessRecord& process = processes_[event.controller];
         if (event.value == SIGTERM && !process.stopRequestedAt) process.stopRequestedAt = event.observedAt;
-        if (event.value == SIGKILL)
-          process.killedAt = event.observedAt,
-          process.killIntervals.emplace_back(event.observedAt, TimePoint::max());
+        if (event.value == SIGKILL) {
+          process.killedAt = event.observedAt;
+          process.killIntervals.push_back({.killedAt = event.observedAt});
+        }
         return;
       }
       case Kind::processExited:
@@ -151,34 +159,45 @@
     if (found == requests_.end() || !found->second.sent)
       return addViolation(Invariant::answeredOnce, "an answer to nothing");
     RequestRecord& request = found->second;
-    if (++request.answerCount > 1)
+    ++request.answerCount;
+    if (request.answerCount > 1)
       return addViolation(Invariant::answeredOnce, event.reference + " is answered twice");
     if (request.lost)
       return addViolation(Invariant::answeredOnce,
                           event.reference + " is answered after its connection's end");
     request.outcome = event.detail;
-    if (event.observedAt > request.sent->observedAt + request.sent->timeout + options_.timingSlack)
-      ++report_.lateAnswers;
-    if (!request.clientGone && event.notBefore > request.sent->observedAt + request.sent->timeout +
-                                                     options_.timingSlack + options_.maxLateness +
-                                                     cpuWait({request.sent->controller, Event::kTestProcess},
-                                                             request.sent->observedAt, event.observedAt))
+    checkAnswerTime(event, request);
+    if (event.detail == "done") checkRows(event, request);
+    if (event.detail == "throttled" && request.sent->detail == options_.nonIdempotentClass)
+      checkNotExecuted(event, request);
+  }
+
+  void checkAnswerTime(const Event& event, const RequestRecord& request) {
+    const TimePoint dueAt = request.sent->observedAt + request.sent->timeout + options_.timingSlack;
+    if (event.observedAt > dueAt) ++report_.lateAnswers;
+    if (request.clientGone) return;
+    const TimePoint::duration waited =
+        cpuWait({request.sent->controller, Event::kTestProcess}, request.sent->observedAt, event.observedAt);
+    if (event.notBefore > dueAt + options_.maxLateness + waited)
       addViolation(Invariant::answeredOnce, event.reference + " is answered too late");
-    if (event.detail == "done") {
-      countCheck(Invariant::rowsOfOwnAttempt);
-      bool matches = false;
-      for (const std::uint64_t attempt : request.attempts)
-        matches = matches || (attempts_[attempt].result == "200" && attempts_[attempt].rows == event.body);
-      if (!matches)
-        addViolation(Invariant::rowsOfOwnAttempt,
-                     event.reference + " is answered with rows that nobody made");
-    }
-    if (event.detail == "throttled" && request.sent->detail == options_.nonIdempotentClass) {
-      countCheck(Invariant::rejectedNotExecuted);
-      for (const std::uint64_t attempt : request.attempts)
-        if (!provenNotExecuted(attempt))
-          return addViolation(Invariant::rejectedNotExecuted, event.reference + " ran, and is told as unrun");
-    }
+  }
+
+  // The rows must be those of one of the request's own attempts.
+  void checkRows(const Event& event, const RequestRecord& request) {
+    countCheck(Invariant::rowsOfOwnAttempt);
+    const auto producedRows = [&](std::uint64_t attempt) {
+      return attempts_[attempt].result == "200" && attempts_[attempt].rows == event.body;
+    };
+    if (std::none_of(request.attempts.begin(), request.attempts.end(), producedRows))
+      addViolation(Invariant::rowsOfOwnAttempt, event.reference + " is answered with rows that nobody made");
+  }
+
+  // "Throttled" promises the client that the request was not executed.
+  void checkNotExecuted(const Event& event, const RequestRecord& request) {
+    countCheck(Invariant::rejectedNotExecuted);
+    for (const std::uint64_t attempt : request.attempts)
+      if (!provenNotExecuted(attempt))
+        return addViolation(Invariant::rejectedNotExecuted, event.reference + " ran, and is told as unrun");
   }
 
   bool provenNotExecuted(std::uint64_t attempt) const {
@@ -189,36 +208,46 @@
   void onAttemptReceived(const Event& event) {
     ++report_.attempts;
     RequestRecord& request = requests_[event.reference];
-    if (request.sent && request.sent->detail == options_.nonIdempotentClass && !request.attempts.empty()) {
-      countCheck(Invariant::noUnsafeRetry);
-      for (const std::uint64_t attempt : request.attempts)
-        if (!provenNotExecuted(attempt)) {
-          addViolation(Invariant::noUnsafeRetry,
-                       event.reference + " came again, and the attempt before " +
-                           (attempts_[attempt].result.empty() ? "is out" : "ended with ") +
-                           attempts_[attempt].result);
-          break;
-        }
-    }
+    if (request.sent && request.sent->detail == options_.nonIdempotentClass && !request.attempts.empty())
+      checkRetry(event, request);
     request.attempts.push_back(event.attempt);
     attempts_[event.attempt].receivedAt = event.observedAt;
-    if (request.clientGone && event.observedAt > request.clientGone->observedAt) {
-      countCheck(Invariant::noAttemptAfterClientGone);
-      ++report_.attemptsAfterClientGone;
-      const auto elapsed = duration_cast<milliseconds>(
-          event.notBefore - request.clientGone->observedAt -
-          cpuWait({request.sent->controller}, request.clientGone->observedAt, event.observedAt));
-      report_.maxDelayAfterClientGone = std::max(report_.maxDelayAfterClientGone, elapsed);
-      if (elapsed > options_.clientGoneGrace + options_.timingSlack)
-        addViolation(Invariant::noAttemptAfterClientGone,
-                     event.reference + " begins " + std::to_string(elapsed.count()) +
-                         " ms after its client was " + request.clientGone->detail);
+    if (request.clientGone && event.observedAt > request.clientGone->observedAt)
+      checkAttemptAfterClientGone(event, request);
+    checkAttemptAtDrainingEngine(event, request);
+  }
+
+  // A request that is not idempotent may be retried only if no earlier attempt was executed.
+  void checkRetry(const Event& event, const RequestRecord& request) {
+    countCheck(Invariant::noUnsafeRetry);
+    for (const std::uint64_t attempt : request.attempts) {
+      if (provenNotExecuted(attempt)) continue;
+      return addViolation(Invariant::noUnsafeRetry,
+                          event.reference + " came again, and the attempt before " +
+                              (attempts_[attempt].result.empty() ? "is out" : "ended with ") +
+                              attempts_[attempt].result);
     }
+  }
+
+  void checkAttemptAfterClientGone(const Event& event, const RequestRecord& request) {
+    countCheck(Invariant::noAttemptAfterClientGone);
+    ++report_.attemptsAfterClientGone;
+    const TimePoint goneAt = request.clientGone->observedAt;
+    const auto elapsed = duration_cast<milliseconds>(
+        event.notBefore - goneAt - cpuWait({request.sent->controller}, goneAt, event.observedAt));
+    report_.maxDelayAfterClientGone = std::max(report_.maxDelayAfterClientGone, elapsed);
+    if (elapsed > options_.clientGoneGrace + options_.timingSlack)
+      addViolation(Invariant::noAttemptAfterClientGone,
+                   event.reference + " begins " + std::to_string(elapsed.count()) +
+                       " ms after its client was " + request.clientGone->detail);
+  }
+
+  void checkAttemptAtDrainingEngine(const Event& event, const RequestRecord& request) {
     const EngineRecord& engine = engines_[event.engine];
     if (!engine.drainingSince) return;
     countCheck(Invariant::drainingEngineGetsNoAttempts);
     if (endpointListLost_) return;
-    // What was told in a silence counts from when the list is heard again.
+    // A change that was published while the list was lost counts from the time when it can be read again.
     const TimePoint effectiveAt =
         std::max(*engine.drainingSince,
                  listRestoredAt_ ? *listRestoredAt_ + options_.relistTimeout : *engine.drainingSince);
@@ -236,7 +265,7 @@
     ProcessRecord& process = processes_[event.controller];
     const std::string name = "controller " + std::to_string(event.controller);
     if (process.killedAt) {
-      process.killIntervals.back().second = event.observedAt;
+      process.killIntervals.back().exitedAt = event.observedAt;
       return;
     }
     if (!process.stopRequestedAt || event.value != 0)
@@ -249,49 +278,72 @@
                    name + " ends " + std::to_string(elapsed.count()) + " ms after SIGTERM");
   }
 
-  // The first of each measure is that of its start.
+  // The first measurement of each resource, after the start, is what later ones are compared with.
   void onIdleMeasured(const Event& event) {
-    auto& atStart = processes_[event.controller].startMeasures;
-    const auto [startValue, isFirst] = atStart.emplace(event.detail, event.value);
+    auto& startMeasures = processes_[event.controller].startMeasures;
+    const auto [startValue, isFirst] = startMeasures.emplace(event.detail, event.value);
     if (isFirst) return;
     countCheck(Invariant::releasedWhenIdle);
-    const std::int64_t allowance = event.detail == "memory"        ? options_.maxExtraMemoryKb
-                                   : event.detail == "descriptors" ? options_.maxExtraDescriptors
-                                                                   : 0;
-    if (event.value > startValue->second + allowance)
+    if (event.value > startValue->second + maxExtra(event.detail))
       addViolation(Invariant::releasedWhenIdle, "controller " + std::to_string(event.controller) + ": " +
                                                     event.detail + " " + std::to_string(event.value) +
                                                     ", at its start " + std::to_string(startValue->second));
   }
 
-  // No answer: its client has gone, its controller was killed, or it crossed a close and was sent again.
+  std::int64_t maxExtra(const std::string& resource) const {
+    if (resource == "memory") return options_.maxExtraMemoryKb;
+    if (resource == "descriptors") return options_.maxExtraDescriptors;
+    return 0;
+  }
+
+  // A request may have no answer if its client has gone, if its controller was killed, or if it was in flight
+  // while its connection was being closed and was sent again.
   void checkUnanswered(const std::string& reference, const RequestRecord& request) {
     if (!request.sent || request.answerCount > 0 || request.clientGone) return;
     eventIndex_ = request.lost ? request.lostEventIndex : events_.size();
-    if (request.lost && request.lost->detail == "unsent") return void(++report_.unsent);
-    const TimePoint lostAt = request.lost ? request.lost->observedAt : TimePoint::max();
-    // From the kill until the process is gone, which may take a while, and its client has seen it.
-    for (const auto& [killedAt, goneAt] : processes_[request.sent->controller].killIntervals) {
-      const bool sentBeforeGone = request.sent->observedAt <=
-                                  goneAt + options_.timingSlack +
-                                      (goneAt < lostAt ? cpuWait({Event::kTestProcess}, goneAt, lostAt) : 0s);
-      if (sentBeforeGone && killedAt <= lostAt) return void(++report_.killed);
+    if (request.lost && request.lost->detail == "unsent") {
+      ++report_.unsent;
+    } else if (wasLostWithController(request)) {
+      ++report_.killed;
+    } else if (crossedClose(request)) {
+      ++report_.crossedClose;
+    } else {
+      countCheck(Invariant::answeredOnce);
+      addViolation(Invariant::answeredOnce, describeUnanswered(reference, request));
     }
-    const bool crossedClose =
-        request.lost && request.lost->detail == "closed" &&
-        request.lost->notBefore <= request.sent->observedAt + options_.crossedCloseWindow;
-    if (crossedClose && request.sent->retryOf.empty() && !request.retriedBy.empty())
-      return void(++report_.crossedClose);
-    countCheck(Invariant::answeredOnce);
-    addViolation(
-        Invariant::answeredOnce,
-        reference + " (" + request.sent->detail + " at controller " +
-            std::to_string(request.sent->controller) + ") has no answer: " +
-            (request.lost ? request.lost->detail + " after " +
-                                std::to_string(
-                                    duration_cast<milliseconds>(lostAt - request.sent->observedAt).count()) +
-                                " ms"
-                          : "it is open"));
+  }
+
+  static TimePoint lostTime(const RequestRecord& request) {
+    return request.lost ? request.lost->observedAt : TimePoint::max();
+  }
+
+  // Whether the request was sent before its controller was gone. The interval lasts from the kill until the
+  // process has exited, which may take a while, and its clients have noticed.
+  bool wasLostWithController(const RequestRecord& request) {
+    const TimePoint lostAt = lostTime(request);
+    for (const KillInterval& interval : processes_[request.sent->controller].killIntervals) {
+      const TimePoint::duration waited =
+          interval.exitedAt < lostAt ? cpuWait({Event::kTestProcess}, interval.exitedAt, lostAt) : 0s;
+      const bool sentBeforeExit =
+          request.sent->observedAt <= interval.exitedAt + options_.timingSlack + waited;
+      if (sentBeforeExit && interval.killedAt <= lostAt) return true;
+    }
+    return false;
+  }
+
+  // Whether the request was sent just when its connection was closed, and was sent again.
+  bool crossedClose(const RequestRecord& request) const {
+    return request.lost && request.lost->detail == "closed" &&
+           request.lost->notBefore <= request.sent->observedAt + options_.crossedCloseWindow &&
+           request.sent->retryOf.empty() && !request.retriedBy.empty();
+  }
+
+  static std::string describeUnanswered(const std::string& reference, const RequestRecord& request) {
+    std::string text = reference + " (" + request.sent->detail + " at controller " +
+                       std::to_string(request.sent->controller) + ") has no answer: ";
+    if (!request.lost) return text + "it is open";
+    const auto elapsed = duration_cast<milliseconds>(request.lost->observedAt - request.sent->observedAt);
+    return text + request.lost->detail + " after " + std::to_string(elapsed.count()) + " ms";
   }
 
   const std::vector<Event>& events_;
@@ -302,39 +354,19 @@
   std::map<std::uint64_t, AttemptRecord> attempts_;
   std::map<std::size_t, EngineRecord> engines_;
   std::map<std::size_t, ProcessRecord> processes_;
-  std::map<std::size_t, std::map<TimePoint, std::int64_t>> cumulativeCpuWaits_;  // summed up
+  std::map<std::size_t, std::map<TimePoint, std::int64_t>> cumulativeCpuWaits_;  // By process.
   bool endpointListLost_ = false;
   std::optional<TimePoint> listRestoredAt_;
 };
 
 }  // namespace
 
-const char* nameOf(Kind kind) {
-  static constexpr std::array kNames{"sent",      "answered", "lost",   "gone",    "came",  "finished",
-                                     "withdrawn", "cut",      "listed", "unheard", "heard", "signalled",
-                                     "exited",    "served",   "idle",   "busy"};
-  return kNames[static_cast<std::size_t>(kind)];
-}
-
 const char* nameOf(Invariant rule) {
   static constexpr std::array kNames{"one answer", "own rows", "runs once", "throttled unrun",
                                      "gone",       "drains",   "exits",     "idle"};
   return kNames[static_cast<std::size_t>(rule)];
 }
 
-std::string formatEvent(const Event& event, TimePoint origin) {
-  const auto microseconds = duration_cast<std::chrono::microseconds>(event.observedAt - origin).count();
-  std::string line = std::to_string(microseconds / 1000) + "." +
-                     std::to_string(std::abs(microseconds % 1000 / 100)) + " ms " + nameOf(event.kind);
-  if (!event.reference.empty()) line += " " + event.reference;
-  if (event.attempt > 0) line += " attempt " + std::to_string(event.attempt);
-  line += " c" + std::to_string(event.controller) + " e" + std::to_string(event.engine);
-  if (!event.detail.empty()) line += " " + event.detail;
-  if (!event.retryOf.empty()) line += " again for " + event.retryOf;
-  if (event.value != 0) line += " " + std::to_string(event.value);
-  return line;
-}
-
 std::string InvariantReport::summary() const {
   std::string text = std::to_string(requests) + " jobs, " + std::to_string(attempts) + " attempts, " +
                      std::to_string(clientsGone) + " departed (" + std::to_string(attemptsAfterClientGone) +
--- a/src/fakes/invariant_checker.hpp
+++ b/src/fakes/invariant_checker.hpp
@@ -1,4 +1,4 @@
-// Judges a run by what the stand-ins saw: a pure function, so that each rule can be shown to break.
+// Checks a run against the invariants of a controller, by what the fakes observed.
 #pragma once
 
 #include <array>
@@ -10,47 +10,56 @@
 namespace paddletrack::fakes {
 
 enum class Invariant {
-  answeredOnce,         // a job that was taken gets one whole final answer in time, and no second
-  rowsOfOwnAttempt,     // an answer 'done' holds the rows that an executor made for this job, all in order
-  noUnsafeRetry,        // a run-once job is attempted again only where the attempt before never ran
-  rejectedNotExecuted,  // a run-once job that is answered 'throttled' has not run
-  noAttemptAfterClientGone,      // no attempt begins once its client has gone
-  drainingEngineGetsNoAttempts,  // an executor gets nothing new after the grace of its drain
-  cleanExit,                     // SIGTERM: it ends with code 0, in time; without a signal it does not end
-  releasedWhenIdle,  // with nothing to do it holds no job, no more descriptors and memory than at its start
+  answeredOnce,         ///< An accepted request gets one complete final answer in time and no second one.
+  rowsOfOwnAttempt,     ///< "Done" carries the rows that an engine made for this request, all in order.
+  noUnsafeRetry,        ///< A non-idempotent request is retried only if no earlier attempt was executed.
+  rejectedNotExecuted,  ///< A non-idempotent request that is answered "throttled" was not executed.
+  noAttemptAfterClientGone,      ///< No attempt begins once the client has gone.
+  drainingEngineGetsNoAttempts,  ///< A draining engine gets no new attempts after the grace period.
+  cleanExit,  ///< On SIGTERM the controller exits with code 0 in time; without a signal it does not exit.
+  releasedWhenIdle,  ///< Idle, it holds no request, nor more descriptors and memory than after its start.
 };
 const char* nameOf(Invariant rule);
 
 struct InvariantOptions {
-  std::string nonIdempotentClass = "load";         // the type that may not be repeated
-  std::chrono::milliseconds timingSlack{50};       // of the protocol, on each time limit
-  std::chrono::milliseconds clientGoneGrace{100};  // from a client's end on
+  std::string nonIdempotentClass = "load";         ///< The request class that must not be repeated.
+  std::chrono::milliseconds timingSlack{50};       ///< Added to each limit, for what the protocol allows.
+  std::chrono::milliseconds clientGoneGrace{100};  ///< From the departure of a client.
   std::chrono::milliseconds maxLateness{
-      350};  // after its time: an answer is late, past it and the slack lost
-  std::chrono::milliseconds drainGrace{1000};        // from when the list told
-  std::chrono::milliseconds relistTimeout{2000};     // after a silence of the list: by then it is heard again
-  std::chrono::milliseconds crossedCloseWindow{50};  // a job whose connection ends so soon is sent once more
-  std::chrono::milliseconds stopTimeout{3700};       // SIGTERM to the end
-  std::int64_t maxExtraDescriptors = 0, maxExtraMemoryKb = 64 << 10;  // more than at its start
+      350};  ///< Past a request's timeout an answer is late, past this lost.
+  std::chrono::milliseconds drainGrace{1000};        ///< From the publication of the state.
+  std::chrono::milliseconds relistTimeout{2000};     ///< Until the list is read again after it was lost.
+  std::chrono::milliseconds crossedCloseWindow{50};  ///< A request lost this soon is sent once more.
+  std::chrono::milliseconds stopTimeout{3700};       ///< From SIGTERM to the exit.
+  std::int64_t maxExtraDescriptors = 0;              ///< Above the count after the start.
+  std::int64_t maxExtraMemoryKb = 64 << 10;          ///< Above the amount after the start.
 };
 
 struct Violation {
   Invariant invariant;
   std::string description;
-  std::size_t eventIndex;  // by which it was seen
+  std::size_t eventIndex;  ///< The event by which it was detected.
 };
 
 struct InvariantReport {
   std::vector<Violation> violations;
-  // Cases looked at, by rule; and what is allowed but worth telling.
-  std::array<std::uint64_t, 8> checkCounts{};
-  std::uint64_t requests = 0, attempts = 0, lateAnswers = 0, crossedClose = 0, killed = 0, unsent = 0,
-                clientsGone = 0, attemptsAfterClientGone = 0;
-  std::chrono::milliseconds maxDelayAfterClientGone{
-      0};  // from a client's end to an attempt that began after it
+  std::array<std::uint64_t, 8> checkCounts{};  ///< Cases checked, by invariant.
+  std::uint64_t requests = 0;
+  std::uint64_t attempts = 0;
+  std::uint64_t lateAnswers = 0;   ///< Late, but within the allowed lateness.
+  std::uint64_t crossedClose = 0;  ///< Requests without an answer that crossed a close and were sent again.
+  std::uint64_t killed = 0;        ///< Requests without an answer whose controller was killed.
+  std::uint64_t unsent = 0;        ///< Requests that never left the client.
+  std::uint64_t clientsGone = 0;
+  std::uint64_t attemptsAfterClientGone = 0;
+  std::chrono::milliseconds maxDelayAfterClientGone{0};  ///< From a departure to an attempt after it.
+
   bool isClean() const { return violations.empty(); }
+  /// The counts in one line, and one line for each violation.
   std::string summary() const;
 };
+
+/// Pure function of the events, so that tests can show for each invariant that a violation is detected.
 InvariantReport checkInvariants(const std::vector<Event>& events, const InvariantOptions& options);
 
 }  // namespace paddletrack::fakes
--- a/src/fakes/load_generator.cpp
+++ b/src/fakes/load_generator.cpp
@@ -15,9 +15,14 @@
 using transport::Connection;
 using transport::TimePoint;
 
-constexpr std::size_t kMaxOpenPerConnection = 30;  // on one connection
-constexpr milliseconds kIdleTimeout{3500};         // clients close what they do not use
-constexpr milliseconds kResendWindow{50};          // a job that crosses a close is sent once more
+constexpr std::size_t kMaxOpenPerConnection = 30;
+constexpr milliseconds kIdleTimeout{3500};  // Clients close a connection that they do not use.
+constexpr milliseconds kResendWindow{50};  // A request that was sent this short before a close is sent again.
+constexpr milliseconds kConnectTimeout{2000};
+constexpr milliseconds kReceiveInterval{100};
+constexpr milliseconds kHeartbeatConnectTimeout{500};
+constexpr milliseconds kHeartbeatTimeout{1000};
+constexpr milliseconds kIdlePollInterval{10};  // While the rate is 0.
 constexpr std::size_t kNoRequest = static_cast<std::size_t>(-1);
 
 const char* nameOf(Reply::Outcome outcome) {
@@ -27,7 +32,7 @@
 
 }  // namespace
 
-// One connection to one controller.
+// One connection to one controller, with the requests that are open on it.
 class LoadGenerator::ClientConnection {
  public:
   ClientConnection(LoadGenerator& generator, std::size_t controller)
@@ -36,34 +41,30 @@
   }
   ~ClientConnection() {
     std::erase(generator_.controllers_[controller_].connections, this);
-    // A client that records closes over a job that is late alone: to the others on its connection it has
-    // gone.
-    const bool dedicated = generator_.eventLog_ && closeReason_ == CloseReason::timedOut;
+    // A recorded client closes the connection because of the late requests alone: for the other requests on
+    // it the client has gone.
+    const bool isRecordedTimeout = generator_.eventLog_ && closeReason_ == CloseReason::timedOut;
     for (const auto& [sequence, request] : std::exchange(openRequests_, {})) {
-      if (dedicated && !isLate(request)) {
+      if (isRecordedTimeout && !isLate(request)) {
         generator_.onClientGone(request, "closed");
+      } else if (!connection_ || connection_->writtenBytes() < endOffsets_[sequence]) {
+        generator_.onRequestLost(request, "unsent");
       } else {
-        generator_.onRequestLost(request, !connection_ || connection_->writtenBytes() < endOffsets_[sequence]
-                                              ? "unsent"
-                                          : dedicated ? "timeout"
-                                                      : "closed");
+        generator_.onRequestLost(request, isRecordedTimeout ? "timeout" : "closed");
       }
     }
   }
+  ClientConnection(const ClientConnection&) = delete;
+  ClientConnection& operator=(const ClientConnection&) = delete;
 
   bool hasCapacity() const { return openRequests_.size() < kMaxOpenPerConnection && !isClosing_; }
   std::size_t openRequestCount() const { return openRequests_.size(); }
   void sendRequest(std::size_t request) {
     openRequests_.emplace(++sequence_, request);
     lastUsedAt_ = generator_.scheduler_.now();
-    const RequestProfile& profile = generator_.profiles_[generator_.requests_[request].profile];
-    const auto range = profile.maxDuration - profile.minDuration;
-    const auto duration =
-        profile.minDuration +
-        milliseconds(range.count() > 0
-                         ? static_cast<long>(generator_.random_() % static_cast<unsigned long>(range.count()))
-                         : 0);
-    // The estimate that goes with it is what it takes.
+    const RequestProfile& profile = profileOf(request);
+    const milliseconds duration = drawDuration(profile);
+    // The estimate that a request carries is the time that it takes.
     thrift::Fields fields{{"service", profile.requestClass},
                           {"ref", generator_.requests_[request].reference},
                           {"allow", std::to_string(profile.timeout.count())},
@@ -74,8 +75,13 @@
                                                      "select * from s_" + std::to_string(profile.tableGroup) +
                                                          ".t /* ms=" + std::to_string(duration.count()) +
                                                          " " + profile.extraScript + " */");
-    connection_ ? connection_->send({BufferSlice(message)}) : pendingOutput_.push_back(BufferSlice(message));
-    endOffsets_[sequence_] = bytesQueued_ += message.size();
+    if (connection_) {
+      connection_->send({BufferSlice(message)});
+    } else {
+      pendingOutput_.emplace_back(message);
+    }
+    bytesQueued_ += message.size();
+    endOffsets_[sequence_] = bytesQueued_;
   }
 
   bool hasOpenRequest(std::size_t request) const {
@@ -85,14 +91,7 @@
   bool depart(std::size_t request, Departure departure) {
     if (closeReason_ != CloseReason::none) return false;
     if (departure == Departure::revoke) {
-      const auto entry = std::find_if(openRequests_.begin(), openRequests_.end(),
-                                      [&](const auto& openRequest) { return openRequest.second == request; });
-      const std::string message = thrift::encodeRevoke(entry->first);
-      connection_->send({BufferSlice(message)});
-      bytesQueued_ += message.size();
-      closedRequests_.emplace(*entry);
-      openRequests_.erase(entry);
-      generator_.onClientGone(request, "revoked");
+      revoke(request);
       return true;
     }
     if (connection_->unsentBytes() > 0) return false;
@@ -108,67 +107,101 @@
     return true;
   }
   void closeIfIdle() {
-    if (openRequests_.empty() && connection_) isClosing_ = true, connection_->shutDown();
+    if (!openRequests_.empty() || !connection_) return;
+    isClosing_ = true;
+    connection_->shutDown();
   }
 
   transport::Task<> run() {
     transport::Scheduler& scheduler = generator_.scheduler_;
     transport::ConnectResult connectResult = co_await transport::connect(
-        scheduler, generator_.controllers_[controller_].address, scheduler.now() + milliseconds(2000));
+        scheduler, generator_.controllers_[controller_].address, scheduler.now() + kConnectTimeout);
     if (!connectResult.descriptor) co_return;
     fd_ = connectResult.descriptor->fd();
     connection_.emplace(scheduler, std::move(connectResult.descriptor), 16 * 1024, 1 << 20,
                         generator_.unsent_);
     connection_->send(pendingOutput_);
-    while (co_await waitForInput()) {
-      transport::InputBuffer& input = connection_->input();
-      while (const auto length = thrift::readFrameLength(input.view())) {
-        const std::size_t frameSize = thrift::kFrameHeaderBytes + *length;
-        if (input.view().size() < frameSize) {
-          input.expectSize(frameSize);
-          break;
-        }
-        const Reply reply = thrift::decodeReply(input.view().substr(thrift::kFrameHeaderBytes, *length));
-        input.consume(frameSize);
-        const auto entry = openRequests_.find(reply.sequence);
-        if (entry == openRequests_.end()) {
-          const auto closedRequest = closedRequests_.find(reply.sequence);
-          if (closedRequest == closedRequests_.end() ||
-              !generator_.requests_[closedRequest->second].clientGone)
-            closedRequest != closedRequests_.end() ? ++generator_.counters_.duplicateAnswers
-                                                   : ++generator_.counters_.unsolicitedAnswers;
-          closedRequest != closedRequests_.end()
-              ? generator_.recordAnswer(closedRequest->second, reply)
-              : generator_.recordEvent(Event::Kind::requestAnswered, kNoRequest, nameOf(reply.outcome));
-          continue;
-        }
-        const std::size_t request = entry->second;
-        openRequests_.erase(entry);
-        closedRequests_.emplace(reply.sequence, request);
-        generator_.onReply(request, reply);
-      }
-    }
+    while (co_await waitForInput()) processReplies();
     if (closeReason_ != CloseReason::closed && closeReason_ != CloseReason::reset) co_return;
     const linger lingerOptions{1, 0};
     if (closeReason_ == CloseReason::reset)
       ::setsockopt(fd_, SOL_SOCKET, SO_LINGER, &lingerOptions, sizeof lingerOptions);
-    connection_.reset();  // only then it has gone
+    connection_.reset();  // Closes the socket: from now on the client is gone.
     for (const auto& [sequence, request] : std::exchange(openRequests_, {}))
       generator_.onClientGone(request, closeReason_ == CloseReason::reset ? "reset" : "closed");
   }
 
  private:
-  // Until there is more to read; false: the connection is of no more use.
+  enum class CloseReason { none, timedOut, halfClosed, closed, reset };
+
+  const RequestProfile& profileOf(std::size_t request) const {
+    return generator_.profiles_[generator_.requests_[request].profile];
+  }
+
+  milliseconds drawDuration(const RequestProfile& profile) {
+    const milliseconds range = profile.maxDuration - profile.minDuration;
+    if (range.count() <= 0) return profile.minDuration;
+    const auto draw = generator_.random_() % static_cast<unsigned long>(range.count());
+    return profile.minDuration + milliseconds(static_cast<long>(draw));
+  }
+
+  void revoke(std::size_t request) {
+    const auto entry = std::find_if(openRequests_.begin(), openRequests_.end(),
+                                    [&](const auto& openRequest) { return openRequest.second == request; });
+    const std::string message = thrift::encodeRevoke(entry->first);
+    connection_->send({BufferSlice(message)});
+    bytesQueued_ += message.size();
+    closedRequests_.emplace(*entry);
+    openRequests_.erase(entry);
+    generator_.onClientGone(request, "revoked");
+  }
+
+  // Handles all complete replies of the input.
+  void processReplies() {
+    transport::InputBuffer& input = connection_->input();
+    while (const auto length = thrift::readFrameLength(input.view())) {
+      const std::size_t frameSize = thrift::kFrameHeaderBytes + *length;
+      if (input.view().size() < frameSize) {
+        input.expectSize(frameSize);
+        return;
+      }
+      const Reply reply = thrift::decodeReply(input.view().substr(thrift::kFrameHeaderBytes, *length));
+      input.consume(frameSize);
+      const auto entry = openRequests_.find(reply.sequence);
+      if (entry == openRequests_.end()) {
+        onUnexpectedReply(reply);
+        continue;
+      }
+      const std::size_t request = entry->second;
+      openRequests_.erase(entry);
+      closedRequests_.emplace(reply.sequence, request);
+      generator_.onReply(request, reply);
+    }
+  }
+
+  // A reply to a request that is not open. It is legitimate only if the client abandoned the request.
+  void onUnexpectedReply(const Reply& reply) {
+    const auto closedRequest = closedRequests_.find(reply.sequence);
+    if (closedRequest == closedRequests_.end()) {
+      ++generator_.counters_.unsolicitedAnswers;
+      generator_.recordEvent(Event::Kind::requestAnswered, kNoRequest, nameOf(reply.outcome));
+      return;
+    }
+    if (!generator_.requests_[closedRequest->second].clientGone) ++generator_.counters_.duplicateAnswers;
+    generator_.recordAnswer(closedRequest->second, reply);
+  }
+
+  // Waits for input. Returns false if the connection is to be closed.
   transport::Task<bool> waitForInput() {
     for (;;) {
       const TimePoint now = generator_.scheduler_.now();
       if (openRequests_.empty() && now >= lastUsedAt_ + kIdleTimeout) co_return false;
-      if (!openRequests_.empty() &&
-          now >= earliestDeadline() + generator_.lateTolerance_) {  // its jobs are lost
+      // Past the tolerance the late requests count as lost.
+      if (!openRequests_.empty() && now >= earliestDeadline() + generator_.lateTolerance_) {
         if (closeReason_ == CloseReason::none) closeReason_ = CloseReason::timedOut;
         co_return false;
       }
-      const bool received = co_await connection_->receive(now + milliseconds(100));
+      const bool received = co_await connection_->receive(now + kReceiveInterval);
       if (received) co_return true;
       if (connection_->readEnd() != Connection::ReadEnd::none) {
         isClosing_ = true;
@@ -176,37 +209,29 @@
       }
     }
   }
+
+  TimePoint deadlineOf(std::size_t request) const {
+    return generator_.requests_[request].sentAt + profileOf(request).timeout;
+  }
   bool isLate(std::size_t request) const {
-    return generator_.scheduler_.now() >=
-           generator_.requests_[request].sentAt +
-               generator_.profiles_[generator_.requests_[request].profile].timeout +
-               generator_.lateTolerance_;
+    return generator_.scheduler_.now() >= deadlineOf(request) + generator_.lateTolerance_;
   }
-  // When the first of the open jobs has no time left.
   TimePoint earliestDeadline() const {
-    TimePoint first = TimePoint::max();
-    for (const auto& [sequence, request] : openRequests_)
-      first = std::min(first, generator_.requests_[request].sentAt +
-                                  generator_.profiles_[generator_.requests_[request].profile].timeout);
-    return first;
+    TimePoint earliest = TimePoint::max();
+    for (const auto& [sequence, request] : openRequests_) earliest = std::min(earliest, deadlineOf(request));
+    return earliest;
   }
 
   LoadGenerator& generator_;
   const std::size_t controller_;
   std::optional<Connection> connection_;
-  std::deque<BufferSlice> pendingOutput_;  // until it is up
+  std::deque<BufferSlice> pendingOutput_;  // Until the connection is established.
   std::map<std::int32_t, std::size_t> openRequests_;
-  std::map<std::int32_t, std::size_t> closedRequests_;  // answered or given up
-  std::map<std::int32_t, std::uint64_t> endOffsets_;    // of each in all that was given to the connection
+  std::map<std::int32_t, std::size_t> closedRequests_;  // Answered or revoked.
+  std::map<std::int32_t, std::uint64_t> endOffsets_;    // Where each request ends in the output.
   std::uint64_t bytesQueued_ = 0;
-  enum class CloseReason {
-    none,
-    timedOut,
-    halfClosed,
-    closed,
-    reset
-  } closeReason_ = CloseReason::none;  // by itself
-  int fd_ = -1;                        // the connection's
+  CloseReason closeReason_ = CloseReason::none;  // Why the client closes the connection, if it does.
+  int fd_ = -1;                                  // Owned by `connection_`.
   std::int32_t sequence_ = 0;
   TimePoint lastUsedAt_{};
   bool isClosing_ = false;
@@ -231,55 +256,57 @@
   requestsPerSecond_ = requestsPerSecond;
 }
 
-// Jobs at random times, as many a second as are asked for, over the controllers that the front layer has in.
+// Sends requests at exponentially distributed intervals with the requested mean rate.
 transport::Task<> LoadGenerator::generateRequests() {
   TimePoint next = scheduler_.now();
   for (;;) {
     if (requestsPerSecond_ <= 0) {
-      co_await scheduler_.sleepUntil(scheduler_.now() + milliseconds(10));
+      co_await scheduler_.sleepUntil(scheduler_.now() + kIdlePollInterval);
       next = scheduler_.now();
       continue;
     }
     while (next <= scheduler_.now()) {
       next += std::chrono::duration_cast<TimePoint::duration>(
           std::chrono::duration<double>(std::exponential_distribution<double>(requestsPerSecond_)(random_)));
-      double totalWeight = 0;
-      for (const RequestProfile& profile : profiles_) totalWeight += profile.weight;
-      double draw = std::uniform_real_distribution<double>(0, totalWeight)(random_);
-      std::size_t profile = 0;
-      while (profile + 1 < profiles_.size() && (draw -= profiles_[profile].weight) > 0) ++profile;
-      for (std::size_t tries = 0; tries < controllers_.size(); ++tries) {
-        const std::size_t controller = ++nextController_ % controllers_.size();
-        if (!controllers_[controller].isInService && hasDedicatedClients_) break;
-        if (!controllers_[controller].isInService) continue;
-        send(profile, controller);
-        break;
-      }
+      sendToNextController(drawProfile());
     }
     co_await scheduler_.sleepUntil(next);
   }
 }
 
-// The front layer's heartbeats, over a connection of their own.
+std::size_t LoadGenerator::drawProfile() {
+  double totalWeight = 0;
+  for (const RequestProfile& profile : profiles_) totalWeight += profile.weight;
+  double remainingWeight = std::uniform_real_distribution<double>(0, totalWeight)(random_);
+  for (std::size_t profile = 0; profile + 1 < profiles_.size(); ++profile) {
+    remainingWeight -= profiles_[profile].weight;
+    if (remainingWeight <= 0) return profile;
+  }
+  return profiles_.empty() ? 0 : profiles_.size() - 1;
+}
+
+// Chooses controllers in turn and skips those that are not in service.
+void LoadGenerator::sendToNextController(std::size_t profile) {
+  for (std::size_t tries = 0; tries < controllers_.size(); ++tries) {
+    ++nextController_;
+    const std::size_t controller = nextController_ % controllers_.size();
+    if (controllers_[controller].isInService) {
+      send(profile, controller);
+      return;
+    }
+    if (hasDedicatedClients_) return;
+  }
+}
+
+// Heartbeats use a connection of their own. A controller is in service while it answers them as healthy.
 transport::Task<> LoadGenerator::runHeartbeats(std::size_t controller) {
   Controller& state = controllers_[controller];
   for (;;) {
     transport::ConnectResult connectResult =
-        co_await transport::connect(scheduler_, state.address, scheduler_.now() + milliseconds(500));
+        co_await transport::connect(scheduler_, state.address, scheduler_.now() + kHeartbeatConnectTimeout);
     if (connectResult.descriptor) {
       Connection connection(scheduler_, std::move(connectResult.descriptor), 1024, 4096, unsent_);
-      for (std::int32_t sequence = 1; !isPaused_; ++sequence) {
-        connection.send({BufferSlice(thrift::encodeHeartbeatCall(sequence))});
-        const bool received = co_await connection.receive(scheduler_.now() + milliseconds(1000));
-        if (!received) break;
-        const auto length = thrift::readFrameLength(connection.input().view());
-        if (!length || connection.input().view().size() < thrift::kFrameHeaderBytes + *length) break;
-        state.isInService =
-            thrift::decodeReply(connection.input().view().substr(thrift::kFrameHeaderBytes, *length))
-                .outcome == Reply::Outcome::healthy;
-        connection.input().consume(thrift::kFrameHeaderBytes + *length);
-        co_await scheduler_.sleepUntil(scheduler_.now() + heartbeatInterval_);
-      }
+      co_await exchangeHeartbeats(connection, state);
     }
     state.isInService = false;
     do {
@@ -288,6 +315,22 @@
   }
 }
 
+// Returns when the connection ended, when an answer is missing or incomplete, or when the clients are paused.
+transport::Task<> LoadGenerator::exchangeHeartbeats(Connection& connection, Controller& controller) {
+  for (std::int32_t sequence = 1; !isPaused_; ++sequence) {
+    connection.send({BufferSlice(thrift::encodeHeartbeatCall(sequence))});
+    const bool received = co_await connection.receive(scheduler_.now() + kHeartbeatTimeout);
+    if (!received) co_return;
+    transport::InputBuffer& input = connection.input();
+    const auto length = thrift::readFrameLength(input.view());
+    if (!length || input.view().size() < thrift::kFrameHeaderBytes + *length) co_return;
+    const Reply reply = thrift::decodeReply(input.view().substr(thrift::kFrameHeaderBytes, *length));
+    controller.isInService = reply.outcome == Reply::Outcome::healthy;
+    input.consume(thrift::kFrameHeaderBytes + *length);
+    co_await scheduler_.sleepUntil(scheduler_.now() + heartbeatInterval_);
+  }
+}
+
 std::size_t LoadGenerator::send(std::size_t profile, std::size_t controller) {
   char reference[17];
   std::snprintf(reference, sizeof reference, "%016llx", static_cast<unsigned long long>(++lastReference_));
@@ -358,14 +401,18 @@
   recordEvent(Event::Kind::requestAnswered, index, nameOf(reply.outcome), reply.body);
 }
 
-// Its client has gone: no answer is owed.
+void LoadGenerator::closeRequest(Request& request) {
+  request.endedAt = scheduler_.now();
+  --counters_.open;
+  --controllers_[request.controller].openRequests;
+}
+
+// No answer is expected any more.
 void LoadGenerator::onClientGone(std::size_t index, const char* reason) {
   Request& request = requests_[index];
   if (isDestroying_ || request.clientGone) return;
   request.clientGone = true;
-  request.endedAt = scheduler_.now();
-  --counters_.open;
-  --controllers_[request.controller].openRequests;
+  closeRequest(request);
   recordEvent(Event::Kind::clientGone, index, reason);
 }
 
@@ -373,16 +420,15 @@
   Request& request = requests_[index];
   if (request.clientGone) return recordAnswer(index, reply);
   ++request.answerCount;
-  request.endedAt = scheduler_.now();
   request.outcome = reply.outcome;
   request.retryAfterMs = reply.retryAfterMs;
   ++counters_.answersByOutcome[std::min<std::size_t>(static_cast<std::size_t>(reply.outcome), 3)];
-  --counters_.open;
-  --controllers_[request.controller].openRequests;
+  closeRequest(request);
   recordAnswer(index, reply);
 }
 
-// Its connection ended. One that crossed an idle close is sent once more, on another.
+// The connection ended without an answer. A request that crossed the close of an idle connection is sent once
+// more on another one.
 void LoadGenerator::onRequestLost(std::size_t index, const char* reason) {
   Request& request = requests_[index];
   if (isDestroying_ || request.clientGone) return;
@@ -391,10 +437,8 @@
     return assignConnection(index);
   }
   request.lost = true;
-  request.endedAt = scheduler_.now();
   ++counters_.lost;
-  --counters_.open;
-  --controllers_[request.controller].openRequests;
+  closeRequest(request);
   recordEvent(Event::Kind::requestLost, index, reason);
 }
 
--- a/src/fakes/misbehaving_clients.hpp
+++ b/src/fakes/misbehaving_clients.hpp
@@ -1,5 +1,4 @@
-// Clients that mean no good, so many at once, each again and again: noise, lengths that are wrong, half
-// messages, silence.
+// Clients that violate the protocol.
 #pragma once
 
 #include <random>
@@ -9,14 +8,17 @@
 
 namespace paddletrack::fakes {
 
+/// Keeps `count` clients busy. Each connects again and again and sends noise, wrong lengths, truncated
+/// messages or nothing.
 class MisbehavingClients {
  public:
   MisbehavingClients(transport::Scheduler& scheduler, transport::OutputBudget& outputBudget,
                      const transport::Address& target, unsigned count)
       : scheduler_(scheduler), unsent_(outputBudget), target_(target), tasks_(scheduler, [](const char*) {}) {
-    for (unsigned value = 0; value < count; ++value) tasks_.spawn(runClient());
+    for (unsigned client = 0; client < count; ++client) tasks_.spawn(runClient());
   }
-  std::uint64_t closedCount() const { return closedCount_; }  // on them, or answered
+  /// Connections that the target answered or closed.
+  std::uint64_t closedCount() const { return closedCount_; }
 
  private:
   std::string nextMalformedInput() {
@@ -46,9 +48,8 @@
         transport::Connection connection(scheduler_, std::move(connectResult.descriptor), 1024, 8192,
                                          unsent_);
         connection.send({transport::BufferSlice(nextMalformedInput())});
-        if (co_await connection.receive(scheduler_.now() + std::chrono::milliseconds(200)) ||
-            connection.readEnd() != transport::Connection::ReadEnd::none)
-          ++closedCount_;
+        const bool received = co_await connection.receive(scheduler_.now() + std::chrono::milliseconds(200));
+        if (received || connection.readEnd() != transport::Connection::ReadEnd::none) ++closedCount_;
       }
       co_await scheduler_.sleepUntil(scheduler_.now() + std::chrono::milliseconds(5));
     }
--- a/src/loadtest/address_failover.cpp
+++ b/src/loadtest/address_failover.cpp
@@ -8,6 +8,7 @@
 #include <fstream>
 #include <sstream>
 
+#include "fakes/unresponsive_listener.hpp"
 #include "loadtest/experiments.hpp"
 #include "protocol/controller_config.hpp"
 #include "routing/client_listener.hpp"
--- a/src/loadtest/experiments.hpp
+++ b/src/loadtest/experiments.hpp
@@ -11,6 +11,7 @@
 #include <string>
 #include <vector>
 
+#include "fakes/admin_connection.hpp"
 #include "fakes/fake_fleet.hpp"
 #include "fakes/test_scheduler.hpp"
 
--- a/tests/addresses/address_failover_test.cpp
+++ b/tests/addresses/address_failover_test.cpp
@@ -11,6 +11,7 @@
 #include "fakes/fake_fleet.hpp"
 #include "fakes/load_generator.hpp"
 #include "fakes/test_scheduler.hpp"
+#include "fakes/unresponsive_listener.hpp"
 #include "protocol/controller_config.hpp"
 #include "routing/client_listener.hpp"
 #include "routing/request_router.hpp"
--- a/tests/admin/admin_server_test.cpp
+++ b/tests/admin/admin_server_test.cpp
@@ -15,9 +15,11 @@
 #include <set>
 
 #include "admin/admin_protocol.hpp"
+#include "fakes/admin_connection.hpp"
 #include "fakes/fake_fleet.hpp"
 #include "fakes/misbehaving_clients.hpp"
 #include "fakes/test_scheduler.hpp"
+#include "fakes/unresponsive_listener.hpp"
 #include "protocol/controller_config.hpp"
 #include "routing/client_listener.hpp"
 
--- a/tests/discovery/endpoint_watcher_test.cpp
+++ b/tests/discovery/endpoint_watcher_test.cpp
@@ -13,6 +13,7 @@
 
 #include "fakes/fake_fleet.hpp"
 #include "fakes/test_scheduler.hpp"
+#include "fakes/unresponsive_listener.hpp"
 
 namespace paddletrack {
 namespace {
--- a/tests/loadtest/fault_proxy_test.cpp
+++ b/tests/loadtest/fault_proxy_test.cpp
@@ -1,9 +1,10 @@
 // The relay that stands between processes in all tests: what it does to datagrams and to streams.
-#include "fakes/fault_proxy.hpp"
 
 #include <gtest/gtest.h>
 
+#include "fakes/tcp_fault_proxy.hpp"
 #include "fakes/test_scheduler.hpp"
+#include "fakes/udp_fault_proxy.hpp"
 
 namespace paddletrack::fakes {
 namespace {
--- a/tests/loadtest/randomized_faults_test.cpp
+++ b/tests/loadtest/randomized_faults_test.cpp
@@ -16,10 +16,11 @@
 #include <set>
 
 #include "base/error.hpp"
+#include "fakes/admin_connection.hpp"
 #include "fakes/fake_fleet.hpp"
-#include "fakes/fault_proxy.hpp"
 #include "fakes/invariant_checker.hpp"
 #include "fakes/misbehaving_clients.hpp"
+#include "fakes/tcp_fault_proxy.hpp"
 #include "fakes/test_scheduler.hpp"
 
 namespace paddletrack::fakes {
--- a/tests/routing/engine_connection_test.cpp
+++ b/tests/routing/engine_connection_test.cpp
@@ -5,6 +5,7 @@
 
 #include "fakes/fake_engine.hpp"
 #include "fakes/test_scheduler.hpp"
+#include "fakes/unresponsive_listener.hpp"
 #include "protocol/controller_config.hpp"
 #include "routing/request_router.hpp"
 
