--- a/src/admission/admission_context.cpp
+++ b/src/admission/admission_context.cpp
@@ -28,7 +28,8 @@
 }
 
 double AdmissionContext::drawUniform() {
-  return static_cast<double>(random_() - random_.min()) / static_cast<double>(random_.max() - random_.min());
+  constexpr auto kMin = std::minstd_rand::min();
+  return static_cast<double>(random_() - kMin) / static_cast<double>(std::minstd_rand::max() - kMin);
 }
 
 }  // namespace paddletrack
--- a/src/admission/admission_host.hpp
+++ b/src/admission/admission_host.hpp
@@ -45,7 +45,7 @@
 
   /// Stops an attempt that has not been sent yet, and returns true if nothing of it was sent. It then
   /// finishes as `neverSent`. Returns false if some of it may have been sent.
-  virtual bool recall(Attempt&) { return false; }
+  virtual bool recall(Attempt& /*attempt*/) { return false; }
 
   /// Asks for a call of AdmissionController::onTimer at the given time. A later call replaces an earlier one.
   virtual void scheduleTimer(Duration time) = 0;
@@ -62,11 +62,11 @@
   virtual void log(std::string_view message) = 0;
 
   /// A factor on the engine's score for the request: below 1 the engine is preferred (docs/rebalance.md).
-  virtual double placementBias(const Request&, const Engine&) { return 1; }
+  virtual double placementBias(const Request& /*request*/, const Engine& /*engine*/) { return 1; }
 
   /// Called at each selection that found an engine, before the request starts or waits, while the decision
   /// trace is enabled.
-  virtual void traceDecision(const Request&, const std::vector<Candidate>&) {}
+  virtual void traceDecision(const Request& /*request*/, const std::vector<Candidate>& /*candidates*/) {}
 };
 
 }  // namespace paddletrack
--- a/src/admission/engine_health.cpp
+++ b/src/admission/engine_health.cpp
@@ -85,9 +85,9 @@
 double EngineHealth::updateEffectiveCores(Engine& engine) const {
   const double initialRatio = context_.deployment.initialCapacityRatio;
   engine.effectiveCores = context_.machineType(engine).cores;
-  if (context_.isWarmingUp(engine)) {
+  if (const auto& startedAt = engine.endpoint.startedAt; startedAt && context_.isWarmingUp(engine)) {
     const double warmupSeconds = toSeconds(context_.deployment.warmupTime);
-    const double progress = toSeconds(context_.now - *engine.endpoint.startedAt) / warmupSeconds;
+    const double progress = toSeconds(context_.now - *startedAt) / warmupSeconds;
     engine.effectiveCores *= initialRatio + (1 - initialRatio) * std::clamp(progress, 0.0, 1.0);
   }
   const double slowdown = slowdownFactor(engine);
--- a/src/admission/straggler_policy.hpp
+++ b/src/admission/straggler_policy.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <cstdint>
+
 #include "admission/admission_context.hpp"
 #include "admission/admission_rules.hpp"
 #include "admission/cost_estimator.hpp"
@@ -8,7 +10,7 @@
 
 namespace paddletrack {
 
-enum class StragglerAction { none, cancel, hedge };
+enum class StragglerAction : std::uint8_t { none, cancel, hedge };
 
 /// Decides what is done about attempts that take too long: an early timeout, a cancellation or a hedge.
 class StragglerPolicy {
--- a/src/model/deployment.hpp
+++ b/src/model/deployment.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <vector>
@@ -10,9 +11,9 @@
 namespace paddletrack {
 
 /// Whether a request of a class may be executed more than once: always, within a window by its key, or never.
-enum class Idempotency { idempotent, idempotentByKey, notIdempotent };
+enum class Idempotency : std::uint8_t { idempotent, idempotentByKey, notIdempotent };
 /// Where a request that is idempotent by its key may be retried.
-enum class RetryScope { anyEngine, sameZone, sameCell };
+enum class RetryScope : std::uint8_t { anyEngine, sameZone, sameCell };
 
 /// An admission class.
 struct RequestClass {
@@ -21,8 +22,8 @@
   RetryScope retryScope = RetryScope::anyEngine;
   Duration idempotencyWindow{0};
   bool ordered = false;
-  std::optional<std::vector<unsigned>> allowedZones{};         ///< Absent: all.
-  std::optional<std::vector<unsigned>> allowedMachineTypes{};  ///< Absent: all.
+  std::optional<std::vector<unsigned>> allowedZones = std::nullopt;         ///< Absent: all.
+  std::optional<std::vector<unsigned>> allowedMachineTypes = std::nullopt;  ///< Absent: all.
   Duration latencyObjective{0};
   double latencyObjectiveCostFactor = 0;  ///< Part of a request's cost that is added to its objective.
   Duration requestTimeout{0};
--- a/src/model/engine.hpp
+++ b/src/model/engine.hpp
@@ -9,7 +9,7 @@
 
 namespace paddletrack {
 
-enum class EndpointState { ready, draining, removed };
+enum class EndpointState : std::uint8_t { ready, draining, removed };
 
 /// What the endpoint list says of an engine.
 struct EndpointRecord {
@@ -17,15 +17,15 @@
   unsigned machineType = 0;  ///< Index into Deployment::machineTypes.
   unsigned cell = 0;
   EndpointState state = EndpointState::ready;
-  std::optional<Duration> startedAt{};  ///< Absent if its process has been running for long.
+  std::optional<Duration> startedAt = std::nullopt;  ///< Absent if its process has been running for long.
 };
 
 /// An engine's report of its own load; absent figures are not reported.
 struct LoadReport {
-  std::optional<double> requestsInFlight{};
-  std::optional<double> memoryGrantedRatio{};  ///< Part of the memory.
-  std::optional<double> cpuUtilization{};      ///< Part of the cores.
-  std::optional<double> diskUtilization{};     ///< Part of the disks.
+  std::optional<double> requestsInFlight = std::nullopt;
+  std::optional<double> memoryGrantedRatio = std::nullopt;  ///< Part of the memory.
+  std::optional<double> cpuUtilization = std::nullopt;      ///< Part of the cores.
+  std::optional<double> diskUtilization = std::nullopt;     ///< Part of the disks.
 };
 
 /// Load that is in flight on one engine.
@@ -38,7 +38,7 @@
 /// A factor on a concurrency target that adapts to the latencies.
 struct AdaptiveLimit {
   double factor = 1;
-  std::optional<Duration> reducedAt{};
+  std::optional<Duration> reducedAt = std::nullopt;
 };
 
 struct Attempt;
--- a/src/model/request.hpp
+++ b/src/model/request.hpp
@@ -12,7 +12,7 @@
 
 /// How an attempt ended. `connectionAborted`: its connection brought an unusable response, or stalled midway,
 /// and was closed for that; the request may have been executed.
-enum class AttemptOutcome {
+enum class AttemptOutcome : std::uint8_t {
   completed,
   error,
   rejected,
@@ -31,7 +31,7 @@
 bool mayStillExecute(AttemptOutcome outcome);
 
 /// The kinds of progress notes that an engine sends while it holds an attempt.
-enum class ProgressKind { progress, spilling, waiting };
+enum class ProgressKind : std::uint8_t { progress, spilling, waiting };
 
 struct Request;
 
