--- a/src/fakes/fake_engine.cpp
+++ b/src/fakes/fake_engine.cpp
@@ -14,7 +14,7 @@
 using protocol::resp::Array;
 using transport::TimePoint;
 
-constexpr std::size_t kMaxStatementBytes = 32 << 20;
+constexpr std::size_t kMaxStatementBytes = std::size_t{32} << 20;
 
 // Returns 0 if the text is no number.
 unsigned parseNumber(std::string_view text) {
@@ -188,7 +188,7 @@
   transport::Task<> runAsk(std::string id, Script script) {
     if (script.duration > milliseconds(0))
       co_await engine_.scheduler_.sleepUntil(engine_.scheduler_.now() + script.duration);
-    if (scripts_.count(id) == 0) co_return;  // It was cancelled meanwhile.
+    if (!scripts_.contains(id)) co_return;  // It was cancelled meanwhile.
     if (script.status == "200") {
       ++engine_.runCount_;
       if (++engine_.runsById_[id] == 2) ++engine_.duplicateRunCount_;
--- a/src/loadtest/address_failover.cpp
+++ b/src/loadtest/address_failover.cpp
@@ -1,12 +1,8 @@
-// Engines with several addresses under faults: whether any dispatch runs twice, and how long the way to the
-// first good address takes.
-#include <sys/socket.h>
-#include <unistd.h>
-
+// Engines with several addresses, some of them faulty: whether any attempt is executed twice, and how long it
+// takes to reach the first working address.
 #include <cstdio>
 #include <filesystem>
 #include <fstream>
-#include <sstream>
 
 #include "fakes/unresponsive_listener.hpp"
 #include "loadtest/experiments.hpp"
@@ -23,7 +19,8 @@
 using transport::Address;
 using EngineFault = FakeEngine::Fault;
 
-constexpr auto kConnectTimeout = 250ms;  // of the settings; a stagger is a fifth of it
+constexpr auto kConnectTimeout =
+    250ms;  // As in makeSettings(); a connect race is staggered by a fifth of it.
 constexpr auto kLatencyMargin = 5ms;
 
 enum class AddressFault {
@@ -42,7 +39,7 @@
      {AddressFault::resetsOnRequest, "resets on ask"},
      {AddressFault::partialResponse, "half an answer"}}};
 
-// A whole front in this process, one engine of two addresses.
+// A controller within this process, and its clients.
 struct InProcessController : TestScheduler {
   explicit InProcessController(const std::string& configLines)
       : config(protocol::decodeControllerConfig(protocol::flattenLines(configLines))),
@@ -76,8 +73,8 @@
   return lines;
 }
 
-// The bad address comes first in the list and in the preference; its family is one of three, the good one
-// another.
+// The faulty address is the first in the list and the preferred one. Its family is one of three; the working
+// address has another.
 struct FailoverCase {
   AddressFault fault;
   int family;
@@ -85,8 +82,13 @@
 };
 
 struct FailoverTotals {
-  std::uint64_t attempts = 0, requests = 0, completed = 0, nonIdempotentRepeats = 0, keyedRepeats = 0;
-  std::vector<double> firstLatenciesMs, laterLatenciesMs;
+  std::uint64_t attempts = 0;
+  std::uint64_t requests = 0;
+  std::uint64_t completed = 0;
+  std::uint64_t nonIdempotentRepeats = 0;
+  std::uint64_t keyedRepeats = 0;
+  std::vector<double> firstLatenciesMs;
+  std::vector<double> laterLatenciesMs;
 };
 
 bool runFailoverCase(const FailoverCase& failoverCase, std::uint64_t requestCount, FailoverTotals& totals) {
@@ -122,7 +124,7 @@
   controller.router.onEndpointUpdate(endpointEvent);
   const char* classNames[] = {"again", "keyed", "once"};
   controller.loadGenerator.start(0, {{classNames[failoverCase.requestClass], "", 1, 1ms, 1ms, 2000ms}});
-  // The first job alone: the way to the good address.
+  // The first request alone measures the time to reach the working address.
   controller.loadGenerator.send(0, 0);
   controller.runUntil([&] { return controller.loadGenerator.counters().open == 0; }, 3s);
   if (controller.loadGenerator.requests()[0].outcome == Reply::Outcome::completed)
@@ -133,13 +135,13 @@
     for (int index = 0; index < 40 && sentCount < requestCount; ++index, ++sentCount)
       controller.loadGenerator.send(0, 0);
     controller.runUntil([&] { return controller.loadGenerator.counters().open < 10; }, 3s);
-    if (sentCount % 400 == 1) engine.disconnect();  // every connection, now and then
+    if (sentCount % 400 == 1) engine.disconnect();  // Makes the controller connect again.
   }
   controller.runUntil([&] { return controller.loadGenerator.counters().open == 0; }, 4s);
   const auto& routerTotals = controller.router.totals();
   for (const std::uint64_t attemptOutcome : routerTotals.attemptOutcomes) totals.attempts += attemptOutcome;
-  // A restartable job may run again, and a keyed one: its executors know a repeat by its mark. A run-once may
-  // not.
+  // Idempotent requests may be executed again, also those by key, whose engines recognize the repeat by the
+  // key. Others may not.
   if (failoverCase.requestClass == 1) totals.keyedRepeats += engine.duplicateRunCount();
   if (failoverCase.requestClass == 2) totals.nonIdempotentRepeats += engine.duplicateRunCount();
   for (std::size_t index = 0; index < controller.loadGenerator.requests().size(); ++index) {
@@ -171,7 +173,8 @@
     for (int family = 0; family < 3; ++family)
       for (std::size_t requestClass = 0; requestClass < 3; ++requestClass)
         passed = runFailoverCase({broken, family, requestClass}, requestsPerCase, totals) && passed;
-    // What was sent whole to a bad address is judged by the decision module, not by the way.
+    // Once an attempt was sent completely to a faulty address, the retry is up to the admission module and
+    // the latency has no limit here.
     const double maxFirstLatencyMs =
         broken == AddressFault::refusesConnection ? toMilliseconds(kLatencyMargin)
         : broken == AddressFault::silent          ? toMilliseconds(kConnectTimeout / 5 + kLatencyMargin)
@@ -197,15 +200,16 @@
   return passed && nonIdempotentRepeats == 0 ? 0 : 1;
 }
 
-// A fleet of a thousand: as it was, with one good address each; the same with that address broken in a third;
-// with three addresses each, of which a third are broken, the preferred one in a third of the engines.
+// A large fleet, with one working address for each engine; with that address faulty at a third of the
+// engines; and with three addresses for each engine, a third of them faulty, among them the preferred one at
+// a third of the engines.
 int measureFleet(const std::string& controllerProgram, const std::string& baselineProgram,
                  unsigned engineCount) {
   struct Variant {
     const char* name;
     const std::string& program;
-    int addressLayout;  // 0: one good address; 1: one, refused in a third; 2, 3: three, a third refused, a
-                        // third silent
+    int addressLayout;  // 0: one good address; 1: one, a third refused; 2: three, a third refused; 3: three,
+                        // a third silent
   };
   std::vector<Variant> variants;
   if (!baselineProgram.empty()) {
@@ -252,18 +256,9 @@
     if (!loop.runUntil([&] { return loadGenerator.isInService(0); }, 10s))
       throw std::runtime_error("the controller does not serve");
     const std::string processPath = "/proc/" + std::to_string(fleet.controller(0).pid());
-    const auto readCpuSeconds = [&] {  // seconds
-      std::ifstream file(processPath + "/stat");
-      const std::string line((std::istreambuf_iterator<char>(file)), {});
-      std::istringstream fields(line.substr(line.rfind(')') + 2));
-      std::string field;
-      double ticks = 0;
-      for (int index = 3; index <= 15 && fields >> field; ++index)
-        if (index >= 14) ticks += std::stod(field);
-      return ticks / static_cast<double>(::sysconf(_SC_CLK_TCK));
-    };
     loadGenerator.start(400, {fakes::FakeFleet::lookUpProfile(9), {"report", "acme", 1, 200ms, 1000ms, 20s}});
-    const double cpuBefore = readCpuSeconds();
+    const pid_t controllerPid = fleet.controller(0).pid();
+    const double cpuBefore = readCpuSeconds(controllerPid);
     const transport::TimePoint startedAt = loop.now();
     std::size_t maxDescriptors = 0;
     while (loop.now() < startedAt + 12s) {
@@ -273,7 +268,7 @@
           maxDescriptors, static_cast<std::size_t>(std::distance(std::filesystem::begin(descriptorEntries),
                                                                  std::filesystem::end(descriptorEntries))));
     }
-    const double cpuSecondsUsed = readCpuSeconds() - cpuBefore;
+    const double cpuSecondsUsed = readCpuSeconds(controllerPid) - cpuBefore;
     loadGenerator.stop();
     loop.runUntil([&] { return loadGenerator.counters().open == 0; }, 22s);
     std::size_t inTimeCount = 0;
@@ -285,7 +280,7 @@
       if (latencyMs < (request.profile == 0 ? 600 : 2000)) ++inTimeCount;
     }
     std::ifstream file(fleet.logPath(0));
-    double connectCount = 0;  // as its last line of counts has it, of the first ten seconds
+    double connectCount = 0;  // From the last line of counts in the log, which covers the first ten seconds.
     for (std::string line; std::getline(file, line);)
       if (const std::size_t position = line.find(" dialled"); position != std::string::npos)
         connectCount = std::stod(line.substr(line.rfind(' ', position - 1) + 1));
--- a/src/loadtest/admin_overhead.cpp
+++ b/src/loadtest/admin_overhead.cpp
@@ -1,5 +1,5 @@
-// What the door costs: instructions a request under callgrind, and memory, of the program with the door open
-// and idle, without one, and of an earlier build.
+// Measures the cost of the admin socket: instructions per request under callgrind, and memory, of the program
+// with an idle admin socket, without one, and of an earlier build.
 #include <csignal>
 #include <cstdio>
 
@@ -10,7 +10,9 @@
 
 using fakes::LoadGenerator;
 
-constexpr std::size_t kFewRequests = 300, kManyRequests = 2300;  // requests; the start costs the same in both
+// The difference of two runs excludes the cost of the start, which is the same in both.
+constexpr std::size_t kFewRequests = 300;
+constexpr std::size_t kManyRequests = 2300;
 
 struct OverheadVariant {
   std::string name, program;
@@ -51,7 +53,7 @@
   throw std::runtime_error("callgrind told no sum (is valgrind there?)");
 }
 
-std::pair<double, double> measureMemory(const OverheadVariant& variant) {
+ResidentMemory measureMemory(const OverheadVariant& variant) {
   TestScheduler loop;
   fakes::FakeFleetOptions options;
   options.program = variant.program;
@@ -62,8 +64,7 @@
   if (!loop.runUntil([&] { return loadGenerator.isInService(0); }, 5s))
     throw std::runtime_error(variant.name + " does not serve");
   runRequests(loop, loadGenerator, 2000);
-  const ResidentMemory residentMemory = readResidentMemory(fleet.controller(0).pid());
-  return {residentMemory.totalMb, residentMemory.anonymousMb};
+  return readResidentMemory(fleet.controller(0).pid());
 }
 
 }  // namespace
@@ -79,10 +80,10 @@
     const double instructionsPerRequest =
         (countInstructions(variant, kManyRequests) - countInstructions(variant, kFewRequests)) /
         static_cast<double>(kManyRequests - kFewRequests);
-    const auto [all, own] = measureMemory(variant);
+    const ResidentMemory memory = measureMemory(variant);
     if (baselineInstructions <= 0) baselineInstructions = instructionsPerRequest;
     std::printf("%-12s %16.0f %10.4f %12.2f %12.2f\n", variant.name.c_str(), instructionsPerRequest,
-                instructionsPerRequest / baselineInstructions, all, own);
+                instructionsPerRequest / baselineInstructions, memory.totalMb, memory.anonymousMb);
     std::fflush(stdout);
   }
   return 0;
--- a/src/loadtest/cold_start.cpp
+++ b/src/loadtest/cold_start.cpp
@@ -1,7 +1,6 @@
-// Many controllers that start together: what that costs the list service and the executors each second, when
-// they are ready, and what becomes of the jobs that knock meanwhile.
+// Many controllers that start together: the peak load on the endpoint list and the engines, the time until
+// the controllers are ready, and the outcome of the requests that arrive meanwhile.
 #include <sys/resource.h>
-#include <unistd.h>
 
 #include <cmath>
 #include <csignal>
@@ -15,10 +14,12 @@
 using fakes::LoadGenerator;
 using transport::TimePoint;
 
-constexpr double kCoresPerEngine = 16, kWarmupWindowSeconds = 3, kInitialCapacityRatio = 0.3;
+constexpr double kCoresPerEngine = 16;
+constexpr double kWarmupWindowSeconds = 3;
+constexpr double kInitialCapacityRatio = 0.3;
 constexpr int64_t kWarmupMs = 10000;
 
-// The most of these moments within any so long a window.
+// The greatest count of times, which are sorted, within any window of this length.
 std::size_t peakWithinWindow(const std::vector<TimePoint>& times, std::chrono::milliseconds window) {
   std::size_t maxCount = 0, first = 0;
   for (std::size_t last = 0; last < times.size(); ++last) {
@@ -34,17 +35,6 @@
   return times;
 }
 
-double cpuSeconds(pid_t pid) {
-  std::ifstream file("/proc/" + std::to_string(pid) + "/stat");
-  const std::string line((std::istreambuf_iterator<char>(file)), {});
-  std::istringstream fields(line.substr(std::min(line.size(), line.rfind(')') + 2)));
-  std::string field;
-  double ticks = 0;
-  for (int index = 3; index <= 15 && fields >> field; ++index)
-    if (index >= 14) ticks += std::stod(field);
-  return ticks / static_cast<double>(::sysconf(_SC_CLK_TCK));
-}
-
 class ColdStartRun {
  public:
   ColdStartRun(const ColdStartOptions& options, const std::string& controllerProgram,
@@ -148,11 +138,14 @@
       runUntil([] { return false; }, 1ms);
     }
   }
+  void markKilled(std::size_t controller) {
+    startedAt_[controller].reset();
+    killedAt_[controller] = loop_.now();
+  }
   void killControllers(const std::vector<std::size_t>& selectedControllers, int signalNumber) {
     for (const std::size_t selectedController : selectedControllers)
       fleet_->controller(selectedController).sendSignal(signalNumber);
-    for (const std::size_t selectedController : selectedControllers)
-      startedAt_[selectedController].reset(), killedAt_[selectedController] = loop_.now();
+    for (const std::size_t selectedController : selectedControllers) markKilled(selectedController);
     const auto hasLeftService = [&](std::size_t index) {
       return fleet_->controller(index).exitCode() && !loadGenerator_->isInService(index);
     };
@@ -168,7 +161,7 @@
                                sortedSince(fleet_->endpointList().snapshotQueryTimes, startedAt),
                            handshakes, engineRequests;
     std::size_t peakHandshakesPerEngine = 0, peakWarmupRequests = 0, enginesOverWarmupLimit = 0;
-    // What all together may send a cold executor in three seconds: what it can do at its start.
+    // All controllers together may send an engine that warms up what it can do at its start, over the window.
     double threadSeconds = 0;
     for (const LoadGenerator::Request& request : loadGenerator_->requests())
       threadSeconds += request.profile == 0 ? 0.0115 : 0.25;
@@ -205,7 +198,7 @@
       if (!request.lost && request.outcome == fakes::Reply::Outcome::rejected && request.endedAt >= startedAt)
         ++rejected;
       if (!request.lost) continue;
-      // A front that has not seen yet that a controller is dead still sends to it.
+      // Until the next heartbeat the front layer still sends to a controller that was killed.
       const auto killedEntry = killedAt_.find(request.controller);
       const bool sentToKilled = killedEntry != killedAt_.end() &&
                                 request.sentAt <= *startedAt_[request.controller] &&
@@ -214,7 +207,7 @@
     }
     double cpuSecondsTotal = 0, maxAnonymousMb = 0;
     for (std::size_t item = 0; item < startedAt_.size(); ++item) {
-      cpuSecondsTotal += cpuSeconds(fleet_->controller(item).pid());
+      cpuSecondsTotal += readCpuSeconds(fleet_->controller(item).pid());
       maxAnonymousMb =
           std::max(maxAnonymousMb, readResidentMemory(fleet_->controller(item).pid()).anonymousMb);
     }
--- a/src/loadtest/demo.cpp
+++ b/src/loadtest/demo.cpp
@@ -1,3 +1,4 @@
+// A fleet under load with a table of its state on the terminal.
 #include <sys/ioctl.h>
 #include <unistd.h>
 
@@ -13,10 +14,12 @@
 using fakes::LoadGenerator;
 using fakes::Reply;
 
-// What a stretch of jobs came to.
+// The requests of one controller that ended recently.
 struct RecentStatistics {
   std::vector<double> latenciesMs;
-  std::size_t completed = 0, rejected = 0, otherOutcomes = 0;
+  std::size_t completed = 0;
+  std::size_t rejected = 0;
+  std::size_t otherOutcomes = 0;
 };
 
 RecentStatistics summarizeRecent(const LoadGenerator& loadGenerator, std::size_t controller,
@@ -30,8 +33,10 @@
     if (request.outcome == Reply::Outcome::completed) {
       ++result.completed;
       result.latenciesMs.push_back(toMilliseconds(request.endedAt - request.sentAt));
+    } else if (request.outcome == Reply::Outcome::rejected) {
+      ++result.rejected;
     } else {
-      request.outcome == Reply::Outcome::rejected ? ++result.rejected : ++result.otherOutcomes;
+      ++result.otherOutcomes;
     }
   }
   return result;
@@ -111,7 +116,7 @@
     std::printf("%s%s\n", isTerminal ? "\x1b[H\x1b[J" : "", output.c_str());
     std::fflush(stdout);
   }
-  // The end is a planned one: whatever is open is answered.
+  // A planned stop: SIGTERM lets the controllers answer the open requests.
   loadGenerator.stop();
   for (unsigned value = 0; value < controllerCount; ++value)
     if (!fleet.controller(value).exitCode()) fleet.controller(value).sendSignal(SIGTERM);
--- a/src/loadtest/drain.cpp
+++ b/src/loadtest/drain.cpp
@@ -1,5 +1,6 @@
-// Two measurements of one drain: how long past what it had to wait for it is told as drained, and whether the
-// figures on its progress lines are those of the books outside.
+// Two measurements of a drain: the delay from the end of the last open request until the controller reports
+// that it has drained, and whether the counts in its progress reports agree with those of the clients and
+// engines.
 #include <cstdio>
 
 #include "fakes/misbehaving_clients.hpp"
@@ -10,8 +11,8 @@
 
 using fakes::LoadGenerator;
 
-constexpr auto kShortDeadline = 600ms;  // deadline of every second round
-constexpr auto kMaxDelayMs = 50.0;      // ms at the 99th percentile
+constexpr auto kShortDeadline = 600ms;  // Deadline of every second round.
+constexpr auto kMaxDelayMs = 50.0;      // At the 99th percentile.
 
 struct DrainCase {
   double requestsPerSecond;
@@ -53,7 +54,7 @@
     if (response.is_null() || response["ok"] != true || !adminClient.waitForState("drained", 30s))
       throw std::runtime_error("it did not drain: " + response.dump());
     const transport::TimePoint drainedAt = adminClient.stateChangedAt();
-    // The last job that it had taken, and when that had its answer.
+    // When the last accepted request got its answer.
     transport::TimePoint lastEndedAt = requestedAt;
     for (std::size_t item = firstRequest; item < loadGenerator.requests().size(); ++item)
       if (loadGenerator.requests()[item].endedAt <= drainedAt)
@@ -85,9 +86,9 @@
   return passed;
 }
 
-// Lines of progress while 120 reports end one by one, each against the books of the load and the executors. A
-// line is compared where nothing outside changed for some ms around it: an answer on its way is seen at
-// different instants by the three.
+// Compares the progress reports, while 120 requests end one by one, with the counts of the load generator and
+// the engines. A report is compared only if no request ended within some milliseconds of it, because the
+// three see an answer at different times.
 bool checkProgressReports(const std::string& controllerProgram) {
   constexpr auto kQuietMargin = 4ms;
   TestScheduler loop;
@@ -100,7 +101,8 @@
   LoadGenerator loadGenerator(loop, loop.outputBudget, fleet.frontAddresses(), 6);
   if (!loop.runUntil([&] { return loadGenerator.isInService(0); }, 5s))
     throw std::runtime_error("the controller does not serve");
-  loadGenerator.setHeartbeatInterval(20s);  // an answer to one is bytes unsent too, for an instant
+  // The answer to a heartbeat would briefly count as unsent bytes.
+  loadGenerator.setHeartbeatInterval(20s);
   loop.runFor(200ms);
   struct ProgressSample {
     transport::TimePoint sampledAt;
--- a/src/loadtest/experiments.hpp
+++ b/src/loadtest/experiments.hpp
@@ -1,8 +1,6 @@
-// What the rig's experiments share.
+// The experiments of paddletrack_loadtest and what they share.
 #pragma once
 
-#include <sys/types.h>
-
 #include <algorithm>
 #include <fstream>
 #include <nlohmann/json.hpp>
@@ -14,6 +12,7 @@
 #include "fakes/admin_connection.hpp"
 #include "fakes/fake_fleet.hpp"
 #include "fakes/test_scheduler.hpp"
+#include "loadtest/process_statistics.hpp"
 
 namespace paddletrack::loadtest {
 
@@ -22,13 +21,15 @@
 
 using fakes::TestScheduler;
 
-// A door that answers, with the moment at which each state was first told.
+/// A connection to the admin socket of a controller that waits for responses and follows the controller's
+/// state. The loop must outlive it.
 class AdminClient {
  public:
   AdminClient(TestScheduler& loop, const std::string& adminAddress)
       : loop_(loop), connection_(loop, loop.outputBudget, adminAddress) {
     connection_.onLine = [this](const std::string& line) { onLine(line); };
   }
+  /// Sends a request and returns the response, or null if there is none within five seconds.
   Json sendRequest(Json request) {
     request["v"] = 1;
     request["id"] = ++lastRequestId_;
@@ -37,11 +38,14 @@
     loop_.runUntil([&] { return !response_.is_null() || connection_.isClosed; }, 5s);
     return response_;
   }
+  /// Returns whether the state was reported before the timeout.
   bool waitForState(const std::string& state, std::chrono::milliseconds timeout) {
     return loop_.runUntil([&] { return state_ == state; }, timeout);
   }
   const std::string& state() const { return state_; }
+  /// When the current state was first reported.
   transport::TimePoint stateChangedAt() const { return stateChangedAt_; }
+  /// Called with each status report that the controller sends by itself, if set.
   std::function<void(const Json& status)> onProgress;
 
  private:
@@ -50,7 +54,10 @@
     if (message.contains("ok") && message["id"] == lastRequestId_) response_ = message;
     if (!message.contains("status")) return;
     const std::string state = message["status"]["state"];
-    if (state != state_) state_ = state, stateChangedAt_ = loop_.now();
+    if (state != state_) {
+      state_ = state;
+      stateChangedAt_ = loop_.now();
+    }
     if (onProgress && message.contains("event")) onProgress(message["status"]);
   }
 
@@ -62,29 +69,11 @@
   transport::TimePoint stateChangedAt_{};
 };
 
-// A process's resident memory in MB, from /proc/PID/status: all of it (VmRSS) and its own (RssAnon, without
-// the shared libraries' pages). Zeros for a process that has gone.
-struct ResidentMemory {
-  double totalMb = 0, anonymousMb = 0;
-};
-inline ResidentMemory readResidentMemory(pid_t pid) {
-  std::ifstream file("/proc/" + std::to_string(pid) + "/status");
-  ResidentMemory memory;
-  for (std::string line; std::getline(file, line);) {
-    std::istringstream fields(line);
-    std::string key;
-    double value = 0;
-    fields >> key >> value;
-    if (key == "VmRSS:") memory.totalMb = value / 1024;
-    if (key == "RssAnon:") memory.anonymousMb = value / 1024;
-  }
-  return memory;
-}
-
 inline double toMilliseconds(transport::Clock::duration duration) {
   return std::chrono::duration<double, std::milli>(duration).count();
 }
 
+/// The value below which `fraction` of the values lie; 0 if there are none.
 inline double quantile(std::vector<double> values, double fraction) {
   if (values.empty()) return 0;
   std::sort(values.begin(), values.end());
@@ -92,7 +81,8 @@
                          static_cast<std::size_t>(fraction * static_cast<double>(values.size())))];
 }
 
-// The experiments; each prints its table and returns an exit code: 0 what it is meant to show holds.
+// The experiments. Each prints its table and returns the exit code of the program: 0 if what it is meant to
+// show holds.
 int runDemo(const std::string& controllerProgram, unsigned controllerCount, double requestsPerSecond,
             double durationSeconds);
 int measureDrain(const std::string& controllerProgram, unsigned roundCount);
@@ -106,31 +96,37 @@
                            double requestsPerSecond, unsigned phaseSeconds);
 int measureGossip(const std::string& controllerProgram, const std::vector<unsigned>& fleetSizes,
                   unsigned roundCount);
-// Faults at numbered points (src/failpoint/failpoint.hpp): all of them, `most` of them drawn by `seed`, or
-// the one named by `only` as SITE#N=KIND (`of`: all hits of SITE=KIND), with the controller's log; so many at
-// once. Loopback 127.AREA.0.0/16.
+
+/// Which fail points (src/failpoint/failpoint.hpp) are made to fail, each in a run of its own.
 struct FailPointOptions {
-  std::string program, singlePoint, pointFilter;
-  bool exhaustive = false;
-  unsigned maxPoints = 40, seed = 1, workerCount = 4, loopbackArea = 36;
+  std::string program;
+  std::string singlePoint;     ///< Only this one, as SITE#N=KIND, with the log of the controller.
+  std::string pointFilter;     ///< With `exhaustive`: all hits of SITE=KIND.
+  bool exhaustive = false;     ///< All points rather than a random sample.
+  unsigned maxPoints = 40;     ///< Size of the sample.
+  unsigned seed = 1;           ///< Determines the sample.
+  unsigned workerCount = 4;    ///< Concurrent runs.
+  unsigned loopbackArea = 36;  ///< The runs use 127.AREA.0.0/16.
 };
 int runFailPoints(const FailPointOptions& options);
 int measureSoak(const std::string& controllerProgram, double requestsPerSecond, double durationMinutes);
 int measureCounterfactualAccuracy(unsigned scenarioCount, unsigned workerCount, std::uint64_t seed);
 
 struct ColdStartOptions {
-  unsigned controllerCount = 200, engineCount = 40;
-  double requestsPerSecondPerController = 5;  // jobs, for each controller
-  std::string pattern = "all";     // start together; "seven" in ten killed; "tenths" restarted in turn
-  bool configHasEndpoints = true;  // the configuration holds the list
-  bool enginesWarmingUp = false;   // all executors have just started
-  bool routesToServingControllers =
-      false;                        // all jobs go to those in service; else to their clients' own controller
-  unsigned discoveryLatencyMs = 0;  // one answer of the list service
-  unsigned discoveryOutageMs = 0;   // it is down for so long first
-  unsigned durationSeconds = 15, settleSeconds = 3;
-  std::string baselineProgram;  // an earlier build of the program
-  std::string operatorConfig;   // what it is compared with, as text
+  unsigned controllerCount = 200;
+  unsigned engineCount = 40;
+  double requestsPerSecondPerController = 5;
+  /// "all" start together, "seven" in ten are killed and restarted, or "tenths" are restarted in turn.
+  std::string pattern = "all";
+  bool configHasEndpoints = true;           ///< The configuration holds the endpoint list.
+  bool enginesWarmingUp = false;            ///< All engines have just started.
+  bool routesToServingControllers = false;  ///< Otherwise each controller has clients of its own.
+  unsigned discoveryLatencyMs = 0;          ///< Time of one answer of the endpoint list.
+  unsigned discoveryOutageMs = 0;           ///< The endpoint list is down for this time at first.
+  unsigned durationSeconds = 15;
+  unsigned settleSeconds = 3;
+  std::string baselineProgram;  ///< An earlier build of the program to compare with, if any.
+  std::string operatorConfig;   ///< The operator file of the variant "on", if any.
   bool printsJson = false;
 };
 int measureColdStart(const std::string& controllerProgram, const ColdStartOptions& options);
--- a/src/loadtest/fail_points.cpp
+++ b/src/loadtest/fail_points.cpp
@@ -1,12 +1,14 @@
-// One point after another fails (src/failpoint/failpoint.hpp), each in a run of its own: a controller between
-// stand-in executors, change log, client and operator plays the same short story every time.
+// Makes one fail point after another fail (src/failpoint/failpoint.hpp), each in a run of its own. In every
+// run a controller goes through the same script between fake engines, endpoint list, clients and operator.
 #include <dirent.h>
 #include <fcntl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <array>
+#include <csignal>
 #include <cstdio>
-#include <iostream>
+#include <cstdlib>
 #include <map>
 #include <random>
 #include <set>
@@ -20,17 +22,25 @@
 using fakes::LoadGenerator;
 using Disposition = protocol::thrift::Reply::Outcome;
 
-// A job of some milliseconds may wait for a dial time-out (250 ms) and a delay (300 ms), also on a busy
-// machine; its client waits for 3 s.
+// A request of some milliseconds may wait for a connect timeout (250 ms) and an injected delay (300 ms), also
+// on a busy machine. Its client waits for 3 s.
 constexpr auto kMaxRequestLatency = 2500ms;
-constexpr std::size_t kLookUpClass = 0, kOrderClass = 1, kLoadClass = 2, kReportClass = 3;
+constexpr int kMaxCommandTries = 3;
+constexpr int kMaxServingTries = 20;
+
+// Indices of the request profiles that FailPointRun::runScript() sets up.
+constexpr std::size_t kLookUpClass = 0;
+constexpr std::size_t kOrderClass = 1;
+constexpr std::size_t kLoadClass = 2;
+constexpr std::size_t kReportClass = 3;
+constexpr std::size_t kLongReportClass = 4;
 
 struct FailPoint {
   std::string site;
   unsigned hit = 1;
   std::string kind;
   std::string toString() const { return site + "#" + std::to_string(hit) + "=" + kind; }
-  // What fails there may end a client's connection: it gets no answer then, and knows it.
+  // Whether a fault here may end a client's connection. The client then gets no answer, and can tell.
   bool affectsClientConnection() const {
     return site.starts_with("client.") || site.starts_with("front.") || site == "table.tasks" ||
            site == "table.input" || site == "table.timers" || site == "table.unsent";
@@ -38,8 +48,10 @@
 };
 
 struct Verdict {
-  bool fired = false, exitedEarly = false;  // the process ended before it was told to
-  std::string failure, log;                 // empty: as it should be
+  bool fired = false;        // The fail point was reached.
+  bool exitedEarly = false;  // The process exited before it was told to.
+  std::string failure;       // Empty if the run passed.
+  std::string log;           // Of the controller.
 };
 
 std::string readFile(const std::string& path) {
@@ -56,7 +68,7 @@
   return count;
 }
 
-// One run. What goes wrong in it is kept as the first sentence about it.
+// One run. The first failure is kept.
 class FailPointRun {
  public:
   FailPointRun(const FailPointOptions& options, int networkIndex, const FailPoint* point) : point_(point) {
@@ -80,7 +92,8 @@
     return verdict;
   }
   std::string readReport() const { return readFile(reportPath_); }
-  std::size_t ownDescriptors() const { return ownDescriptors_; }  // descriptors that are no connection's
+  // Descriptors of the controller that belong to no connection.
+  std::size_t ownDescriptors() const { return ownDescriptors_; }
   void setExpectedDescriptors(std::size_t expected) { expectedDescriptors_ = expected; }
 
  private:
@@ -94,7 +107,7 @@
   bool runUntil(const std::function<bool()>& condition, std::chrono::milliseconds timeout) {
     return loop_.runUntil([&] { return condition() || hasExited(); }, timeout) && !hasExited();
   }
-  // A job each, all at once, until each has ended.
+  // Sends one request of each class at once and waits until all have ended.
   void sendRequests(std::initializer_list<std::size_t> requestClasses, const char* stage) {
     if (hasExited()) return;
     const std::size_t firstRequest = loadGenerator_->requests().size();
@@ -142,7 +155,17 @@
     std::optional<AdminClient> adminClient(std::in_place, loop_, fleet_->adminSocketPath(0));
     adminClient->sendRequest({{"do", "status"}});
     sendRequests({kLookUpClass, kOrderClass, kLoadClass, kReportClass}, "at first");
-    // The list changes, the files are read again and the list is then another's.
+    changeEndpoints();
+    if (!hasExited()) drainAndCancel(adminClient);
+    checkServing();
+    if (!hasExited()) checkDescriptors(adminClient);
+    // The controller is told to stop while a request is in flight.
+    if (!hasExited()) loadGenerator_->send(kLongReportClass, 0);
+    loop_.runFor(20ms);
+  }
+
+  // The endpoint list changes; then the configuration names another list service and is read again.
+  void changeEndpoints() {
     fakes::FakeEndpointList::Endpoint newEndpoint = fleet_->endpoints()[0];
     newEndpoint.id = "s-3";
     fleet_->endpointList().publish({fleet_->endpoints()[1], newEndpoint});
@@ -157,29 +180,34 @@
     fleet_->controller(0).sendSignal(SIGHUP);
     loop_.runFor(50ms);
     sendRequests({kLookUpClass, kLoadClass}, "after SIGHUP");
-    // Out of service with a job under way, and back.
-    if (!hasExited()) {
-      loadGenerator_->send(4, 0);
-      loop_.runFor(20ms);
+  }
+
+  // A drain with a request in flight, which is then cancelled. A command whose connection is lost is
+  // repeated.
+  void drainAndCancel(std::optional<AdminClient>& adminClient) {
+    loadGenerator_->send(kLongReportClass, 0);
+    loop_.runFor(20ms);
+    adminClient.emplace(loop_, fleet_->adminSocketPath(0));
+    for (int tries = 0; tries < kMaxCommandTries && !hasExited(); ++tries) {
+      const Json response = adminClient->sendRequest({{"do", "drain"}, {"deadline_ms", 2000}});
+      if (!response.is_null() && response["ok"] == true) break;
       adminClient.emplace(loop_, fleet_->adminSocketPath(0));
-      for (int tries = 0; tries < 3 && !hasExited(); ++tries) {
-        const Json response = adminClient->sendRequest({{"do", "drain"}, {"deadline_ms", 2000}});
-        if (!response.is_null() && response["ok"] == true) break;
-        adminClient.emplace(loop_, fleet_->adminSocketPath(0));
-      }
-      waitForDrainState(adminClient, "drained");
-      for (int tries = 0; tries < 3 && !hasExited(); ++tries) {
-        const Json response = adminClient->sendRequest({{"do", "cancel"}});
-        if (!response.is_null() && (response["ok"] == true || response["error"]["code"] == "not_draining"))
-          break;
-        adminClient.emplace(loop_, fleet_->adminSocketPath(0));
-      }
-      if (!runUntil([&] { return loadGenerator_->isInService(0); }, 3s) && !hasExited())
-        recordFailure("it does not come back");
     }
-    // Whatever failed: it serves as before.
+    waitForDrainState(adminClient, "drained");
+    for (int tries = 0; tries < kMaxCommandTries && !hasExited(); ++tries) {
+      const Json response = adminClient->sendRequest({{"do", "cancel"}});
+      if (!response.is_null() && (response["ok"] == true || response["error"]["code"] == "not_draining"))
+        break;
+      adminClient.emplace(loop_, fleet_->adminSocketPath(0));
+    }
+    const bool isBack = runUntil([&] { return loadGenerator_->isInService(0); }, 3s);
+    if (!isBack && !hasExited()) recordFailure("it does not come back");
+  }
+
+  // Whatever has failed, the controller must serve as before.
+  void checkServing() {
     bool succeeded = false;
-    for (int tries = 0; tries < 20 && !succeeded && !hasExited(); ++tries) {
+    for (int tries = 0; tries < kMaxServingTries && !succeeded && !hasExited(); ++tries) {
       const std::size_t requestIndex = loadGenerator_->requests().size();
       sendRequests({kLookUpClass}, "at last");
       succeeded = loadGenerator_->requests()[requestIndex].outcome == Disposition::completed &&
@@ -187,13 +215,9 @@
       if (!succeeded) loop_.runFor(100ms);
     }
     check(succeeded || hasExited(), "it serves no more");
-    if (!hasExited()) checkDescriptors(adminClient);
-    // Told to end with a job under way.
-    if (!hasExited()) loadGenerator_->send(4, 0);
-    loop_.runFor(20ms);
   }
 
-  // By the status, over a fresh line where the last one was lost.
+  // Polls the status, over a new connection if the last one was lost.
   void waitForDrainState(std::optional<AdminClient>& adminClient, const std::string& expectedState) {
     for (const transport::TimePoint endsAt = loop_.now() + 5s; loop_.now() < endsAt && !hasExited();
          loop_.runFor(20ms)) {
@@ -207,10 +231,10 @@
     if (!hasExited()) recordFailure("it is not " + expectedState);
   }
 
-  // Descriptors that neither a client, an executor nor an operator has: the same ones in every run.
+  // Descriptors that belong to no client, engine or operator must be as many as in the run without a fault.
   void checkDescriptors(std::optional<AdminClient>& adminClient) {
     bool matches = false;
-    const bool isFirstRun = expectedDescriptors_ == 0;  // the run that tells how many they are
+    const bool isFirstRun = expectedDescriptors_ == 0;  // The run that counts them for the others.
     for (int tries = 0; tries < (isFirstRun ? 4 : 25) && !matches && !hasExited(); ++tries) {
       loop_.runFor(60ms);
       const Json status = adminClient->sendRequest({{"do", "status"}}),
@@ -257,8 +281,8 @@
     if (exitedEarly_) checkRestart();
   }
 
-  // No answer twice, none missing where a client was not told; nothing run twice that must not be; what was
-  // said not to have run did not.
+  // No request is answered twice, none is lost unless its client can tell, no non-idempotent request is
+  // executed twice, and none that was rejected is executed.
   void checkAccounting() {
     loop_.runUntil([&] { return loadGenerator_->counters().open == 0; }, 4s);
     check(loadGenerator_->counters().duplicateAnswers == 0, "an answer came twice");
@@ -279,7 +303,7 @@
     }
   }
 
-  // The one after it takes over all that it left.
+  // A controller that is started after an early exit must serve.
   void checkRestart() {
     fleet_->startController(0, {});
     if (!runUntil([&] { return loadGenerator_->isInService(0); }, 5s))
@@ -302,10 +326,12 @@
   std::optional<LoadGenerator> loadGenerator_;
   std::string failure_;
   bool exitedEarly_ = false;
-  std::size_t ownDescriptors_ = 0, expectedDescriptors_ = 0;
+  std::size_t ownDescriptors_ = 0;
+  std::size_t expectedDescriptors_ = 0;
 };
 
-// All points of a run without a fault, each in each kind.
+// Reads the fail points that a run without a fault has reached, each with each kind of fault that it
+// supports.
 std::vector<FailPoint> parseFailPoints(const std::string& report, std::size_t& pointCount,
                                        std::size_t& siteCount) {
   std::vector<FailPoint> points;
@@ -326,10 +352,14 @@
 }
 
 struct RunTotals {
-  std::size_t runs = 0, fired = 0, exitedEarly = 0, failed = 0;
+  std::size_t runs = 0;
+  std::size_t fired = 0;
+  std::size_t exitedEarly = 0;
+  std::size_t failed = 0;
 };
 
-// A part of the points, in a process of its own; its lines: "R|E|U|W point sentence".
+// Runs every n-th point in a process of its own. Writes a line "TAG POINT FAILURE" for each, where TAG is R
+// (reached), E (exited early), U (unreached) or W (wrong).
 void runWorker(const FailPointOptions& options, unsigned workerIndex, std::size_t ownDescriptors,
                const std::vector<FailPoint>& points, int outputFd) {
   for (std::size_t index = workerIndex; index < points.size(); index += options.workerCount) {
@@ -344,30 +374,93 @@
   }
 }
 
+// Runs the point that is given as SITE#N=KIND and prints the log of the controller.
+int runSinglePoint(const FailPointOptions& options, int networkIndex) {
+  const std::string& text = options.singlePoint;
+  const std::size_t hitPosition = text.find('#');
+  const std::size_t kindPosition = text.find('=');
+  if (hitPosition == std::string::npos || kindPosition == std::string::npos || kindPosition < hitPosition) {
+    std::printf("--only: SITE#N=KIND is expected\n");
+    return 1;
+  }
+  const FailPoint point{text.substr(0, hitPosition),
+                        static_cast<unsigned>(std::atoi(text.c_str() + hitPosition + 1)),
+                        text.substr(kindPosition + 1)};
+  FailPointRun failPointRun(options, networkIndex, &point);
+  const Verdict verdict = failPointRun.run();
+  std::printf("%s\n%s: %s%s%s\n", verdict.log.c_str(), point.toString().c_str(),
+              verdict.fired ? "" : "not reached; ", verdict.exitedEarly ? "ended; " : "",
+              verdict.failure.empty() ? "as it should be" : verdict.failure.c_str());
+  return verdict.failure.empty() ? 0 : 1;
+}
+
+// A random sample with at most one hit of each site and kind.
+std::vector<FailPoint> samplePoints(const std::vector<FailPoint>& points, unsigned seed,
+                                    std::size_t maxPoints) {
+  // One hit of each site is drawn first, so that a site that is hit often is not drawn more often.
+  std::minstd_rand random(seed);
+  std::map<std::string, std::vector<FailPoint>> pointsBySite;
+  for (const FailPoint& point : points) pointsBySite[point.site + "=" + point.kind].push_back(point);
+  std::vector<FailPoint> sample;
+  for (const auto& [site, hits] : pointsBySite) sample.push_back(hits[random() % hits.size()]);
+  for (std::size_t remaining = sample.size(); remaining > 1; --remaining)
+    std::swap(sample[remaining - 1], sample[random() % remaining]);
+  sample.resize(std::min(sample.size(), maxPoints));
+  return sample;
+}
+
+std::vector<pid_t> startWorkers(const FailPointOptions& options, std::size_t ownDescriptors,
+                                const std::vector<FailPoint>& points, const std::array<int, 2>& pipeFds) {
+  std::vector<pid_t> workers;
+  for (unsigned index = 0; index < options.workerCount; ++index) {
+    const pid_t child = ::fork();
+    if (child == 0) {
+      ::close(pipeFds[0]);
+      runWorker(options, index, ownDescriptors, points, pipeFds[1]);
+      ::_exit(0);
+    }
+    workers.push_back(child);
+  }
+  return workers;
+}
+
+// Counts one line of a worker and prints it if the run failed.
+void addResult(RunTotals& totals, const std::string& line) {
+  ++totals.runs;
+  if (line[0] != 'U') ++totals.fired;
+  if (line[0] == 'E') ++totals.exitedEarly;
+  if (line[0] != 'W') return;
+  ++totals.failed;
+  std::printf("NOT AS IT SHOULD BE: %s\n", line.c_str() + 2);
+  std::fflush(stdout);
+}
+
+// Reads the lines of all workers until they have exited.
+RunTotals collectResults(int inputFd) {
+  RunTotals totals;
+  std::string pending;
+  std::array<char, 4096> buffer{};
+  for (;;) {
+    const ssize_t bytesRead = ::read(inputFd, buffer.data(), buffer.size());
+    if (bytesRead <= 0) return totals;
+    pending.append(buffer.data(), static_cast<std::size_t>(bytesRead));
+    for (std::size_t lineEnd = pending.find('\n'); lineEnd != std::string::npos;
+         lineEnd = pending.find('\n')) {
+      addResult(totals, pending.substr(0, lineEnd));
+      pending.erase(0, lineEnd + 1);
+    }
+  }
+}
+
 }  // namespace
 
 int runFailPoints(const FailPointOptions& options) {
   const transport::TimePoint startedAt = transport::Clock::now();
   const int networkIndex = static_cast<int>(options.loopbackArea * 256);
-  if (!options.singlePoint.empty()) {
-    FailPoint point;
-    const std::size_t hitPosition = options.singlePoint.find('#'),
-                      kindPosition = options.singlePoint.find('=');
-    if (hitPosition == std::string::npos || kindPosition == std::string::npos || kindPosition < hitPosition) {
-      std::printf("--only: SITE#N=KIND is expected\n");
-      return 1;
-    }
-    point = {options.singlePoint.substr(0, hitPosition),
-             static_cast<unsigned>(std::atoi(options.singlePoint.c_str() + hitPosition + 1)),
-             options.singlePoint.substr(kindPosition + 1)};
-    FailPointRun failPointRun(options, networkIndex + 1, &point);
-    const Verdict verdict = failPointRun.run();
-    std::printf("%s\n%s: %s%s%s\n", verdict.log.c_str(), point.toString().c_str(),
-                verdict.fired ? "" : "not reached; ", verdict.exitedEarly ? "ended; " : "",
-                verdict.failure.empty() ? "as it should be" : verdict.failure.c_str());
-    return verdict.failure.empty() ? 0 : 1;
-  }
-  std::size_t ownDescriptors = 0, pointCount = 0, siteCount = 0;
+  if (!options.singlePoint.empty()) return runSinglePoint(options, networkIndex + 1);
+  std::size_t ownDescriptors = 0;
+  std::size_t pointCount = 0;
+  std::size_t siteCount = 0;
   std::vector<FailPoint> points;
   {
     FailPointRun faultFreeRun(options, networkIndex, nullptr);
@@ -388,52 +481,14 @@
   if (!options.pointFilter.empty())
     std::erase_if(
         points, [&](const FailPoint& point) { return point.site + "=" + point.kind != options.pointFilter; });
-  if (!options.exhaustive) {
-    // Sites first, hits after: one that is hit a thousand times is not drawn a thousand times as often.
-    std::minstd_rand random(options.seed);
-    std::map<std::string, std::vector<FailPoint>> pointsBySite;
-    for (const FailPoint& point : points) pointsBySite[point.site + "=" + point.kind].push_back(point);
-    std::vector<FailPoint> drawn;
-    for (auto& [site, some] : pointsBySite) drawn.push_back(some[random() % some.size()]);
-    for (std::size_t remaining = drawn.size(); remaining > 1; --remaining)
-      std::swap(drawn[remaining - 1], drawn[random() % remaining]);
-    drawn.resize(std::min<std::size_t>(drawn.size(), options.maxPoints));
-    points = std::move(drawn);
-  }
-  int pipeFds[2];
-  if (::pipe2(pipeFds, O_CLOEXEC) != 0) return 1;
-  std::vector<pid_t> workerProcesses;
-  for (unsigned value = 0; value < options.workerCount; ++value) {
-    const pid_t child = ::fork();
-    if (child == 0) {
-      ::close(pipeFds[0]);
-      runWorker(options, value, ownDescriptors, points, pipeFds[1]);
-      ::_exit(0);
-    }
-    workerProcesses.push_back(child);
-  }
+  if (!options.exhaustive) points = samplePoints(points, options.seed, options.maxPoints);
+  std::array<int, 2> pipeFds{};
+  if (::pipe2(pipeFds.data(), O_CLOEXEC) != 0) return 1;
+  const std::vector<pid_t> workers = startWorkers(options, ownDescriptors, points, pipeFds);
   ::close(pipeFds[1]);
-  RunTotals totals;
-  std::string pending;
-  char buffer[4096];
-  for (ssize_t bytesRead; (bytesRead = ::read(pipeFds[0], buffer, sizeof buffer)) > 0;) {
-    pending.append(buffer, static_cast<std::size_t>(bytesRead));
-    for (std::size_t lineEnd = pending.find('\n'); lineEnd != std::string::npos;
-         lineEnd = pending.find('\n')) {
-      const std::string line = pending.substr(0, lineEnd);
-      pending.erase(0, lineEnd + 1);
-      ++totals.runs;
-      totals.fired += line[0] != 'U';
-      totals.exitedEarly += line[0] == 'E';
-      if (line[0] == 'W') {
-        ++totals.failed;
-        std::printf("NOT AS IT SHOULD BE: %s\n", line.c_str() + 2);
-        std::fflush(stdout);
-      }
-    }
-  }
+  const RunTotals totals = collectResults(pipeFds[0]);
   ::close(pipeFds[0]);
-  for (const pid_t workerProcess : workerProcesses) ::waitpid(workerProcess, nullptr, 0);
+  for (const pid_t worker : workers) ::waitpid(worker, nullptr, 0);
   std::printf(
       "%zu sites, %zu points, %zu cases; %zu runs: %zu reached their point, of these %zu ended the process "
       "as "
--- a/src/loadtest/main.cpp
+++ b/src/loadtest/main.cpp
@@ -1,5 +1,5 @@
-// Plays with controllers on loopback: something to look at, and the measurements behind the docs' figures.
-// All executors and clients are stand-ins.
+// Entry point of paddletrack_loadtest: a demonstration, and the measurements behind the figures in the docs.
+// All runs are on loopback with fake engines and clients.
 #include <CLI/CLI.hpp>
 #include <cstdio>
 
--- a/src/loadtest/rolling_drain.cpp
+++ b/src/loadtest/rolling_drain.cpp
@@ -1,4 +1,4 @@
-// A rolling drain of three controllers under load, against the same load left alone.
+// Compares a rolling drain of three controllers under load with the same load undisturbed.
 #include <cstdio>
 
 #include "loadtest/experiments.hpp"
@@ -10,7 +10,10 @@
 using fakes::Reply;
 
 struct IntervalStatistics {
-  std::size_t requests = 0, completed = 0, rejected = 0, otherOutcomes = 0;
+  std::size_t requests = 0;
+  std::size_t completed = 0;
+  std::size_t rejected = 0;
+  std::size_t otherOutcomes = 0;
   std::vector<double> latenciesMs;
 };
 
@@ -23,8 +26,10 @@
     if (request.outcome == Reply::Outcome::completed) {
       ++result.completed;
       result.latenciesMs.push_back(toMilliseconds(request.endedAt - request.sentAt));
+    } else if (request.outcome == Reply::Outcome::rejected) {
+      ++result.rejected;
     } else {
-      request.outcome == Reply::Outcome::rejected ? ++result.rejected : ++result.otherOutcomes;
+      ++result.otherOutcomes;
     }
   }
   return result;
@@ -83,12 +88,11 @@
               static_cast<unsigned long long>(statistics.duplicateAnswers),
               static_cast<unsigned long long>(fleet.duplicateRunCount()),
               finishedInTime ? *rollProcess.exitCode() : -1);
-  return finishedInTime && *rollProcess.exitCode() == 0 &&
-                 statistics.lost + statistics.duplicateAnswers + statistics.unsolicitedAnswers +
-                         fleet.duplicateRunCount() ==
-                     0
-             ? 0
-             : 1;
+  const bool hasFaults = statistics.lost + statistics.duplicateAnswers + statistics.unsolicitedAnswers +
+                             fleet.duplicateRunCount() >
+                         0;
+  const bool passed = finishedInTime && *rollProcess.exitCode() == 0 && !hasFaults;
+  return passed ? 0 : 1;
 }
 
 }  // namespace paddletrack::loadtest
--- a/src/loadtest/soak.cpp
+++ b/src/loadtest/soak.cpp
@@ -1,15 +1,14 @@
-// A long run of one controller under steady load, for the soak of the fleet's standing test: its resident
-// memory sampled as it goes, so that a table, queue or pool that grows shows as a slope. Every job has a new
-// reference; executors answer after a few milliseconds, reports after more. A command, not a test: it runs
-// for minutes.
+// A long run of one controller under steady load. Its resident memory is sampled during the run, so that a
+// table, queue or pool that grows shows as a slope. Every request has a new reference. This is a command and
+// not a test, because it runs for minutes.
 #include <cstdio>
 
 #include "loadtest/experiments.hpp"
 
 namespace paddletrack::loadtest {
 
-// Exit 0: the controller served throughout and its own memory at the end is within a tenth and 1 MB of what
-// it was after the first quarter (the start's allocations are behind it by then).
+// Returns 0 if the controller served throughout and its anonymous memory at the end is within a tenth and 1
+// MB of what it was after the first quarter, when the allocations of the start are done.
 int measureSoak(const std::string& controllerProgram, double requestsPerSecond, double durationMinutes) {
   TestScheduler loop;
   fakes::FakeFleetOptions options;
--- a/tests/loadtest/fault_proxy_test.cpp
+++ b/tests/loadtest/fault_proxy_test.cpp
@@ -1,5 +1,4 @@
-// The relay that stands between processes in all tests: what it does to datagrams and to streams.
-
+// Tests of the fault proxies: what they do to datagrams and to streams.
 #include <gtest/gtest.h>
 
 #include "fakes/tcp_fault_proxy.hpp"
@@ -37,7 +36,8 @@
 
 TEST(FaultProxy, ForwardsDatagramsBothWaysAndInjectsEachFault) {
   UdpProxyFixture fixture;
-  fixture.sendNumber(1), fixture.sendNumber(2);
+  fixture.sendNumber(1);
+  fixture.sendNumber(2);
   EXPECT_EQ(fixture.receiveNumbers(), (std::vector<int>{1, 2}));
   fixture.proxy.forwardFaults.blocked = true;
   fixture.sendNumber(3);
@@ -118,7 +118,7 @@
   fixture.serverConnection->send({transport::BufferSlice(std::string("answer"))});
   EXPECT_TRUE(fixture.runUntil(
       [&] { return fixture.serverReceived == "hello" && fixture.clientReceived == "answer"; }, 2s));
-  fixture.proxy.forwardFaults.blocked = true;  // one way alone
+  fixture.proxy.forwardFaults.blocked = true;  // One direction only.
   fixture.clientConnection->send({transport::BufferSlice(std::string(" again"))});
   fixture.serverConnection->send({transport::BufferSlice(std::string("s"))});
   EXPECT_TRUE(fixture.runUntil([&] { return fixture.clientReceived == "answers"; }, 2s));
@@ -158,10 +158,9 @@
                fixture.proxy.openConnections() == 0;
       },
       2s));
-  TcpProxyFixture* sameFixture = &fixture;
-  sameFixture->clientConnection.reset();
-  sameFixture->proxy.refusesConnections = true;
-  sameFixture->tasks.spawn(sameFixture->connectClient());
+  fixture.clientConnection.reset();
+  fixture.proxy.refusesConnections = true;
+  fixture.tasks.spawn(fixture.connectClient());
   EXPECT_TRUE(fixture.runUntil([&] { return fixture.proxy.counts().refused == 1; }, 2s));
 }
 
--- a/tests/loadtest/randomized_faults_test.cpp
+++ b/tests/loadtest/randomized_faults_test.cpp
@@ -1,6 +1,6 @@
-// Crossings at random: seeded schedules against three controllers, judged by an oracle from what the
-// stand-ins saw. A failing seed prints itself with its last steps. PADDLETRACK_CROSSINGS_SEED=N plays N
-// alone, PADDLETRACK_CROSSINGS_SEEDS=COUNT so many from there on (from 1 where none is named).
+// Random schedules of faults against three controllers. The invariant checker judges each run by what the
+// fakes observed. A failing seed is printed with its last steps. PADDLETRACK_CROSSINGS_SEED=N runs the seed N
+// alone, PADDLETRACK_CROSSINGS_SEEDS=COUNT runs COUNT seeds from there on (from 1 if no seed is given).
 #include <gtest/gtest.h>
 #include <unistd.h>
 
@@ -31,9 +31,11 @@
 using Departure = LoadGenerator::Departure;
 using ConnectionSelection = FakeEngine::ConnectionFilter;
 
-constexpr unsigned kRelayedEngine = 4,
-                   kRelayAddressNumber = 100;  // an executor behind a relay, which is some milliseconds late
-constexpr std::size_t kControllers = 3, kEngines = 5, kSteps = 75;
+constexpr unsigned kProxiedEngine = 4;  // This engine is reached through a proxy that delays by milliseconds.
+constexpr unsigned kProxyHost = 100;
+constexpr std::size_t kControllers = 3;
+constexpr std::size_t kEngines = 5;
+constexpr std::size_t kSteps = 75;
 
 class RandomizedSchedule {
  public:
@@ -50,27 +52,28 @@
     options.controllers = kControllers;
     options.customizeEndpoint = [this](FakeEndpointList::Endpoint& server, unsigned engine,
                                        const std::string&) {
-      if (engine == kRelayedEngine)
-        server.address =
-            "127.0." + std::to_string(subnet_) + "." + std::to_string(kRelayAddressNumber) + ":18443";
+      if (engine == kProxiedEngine)
+        server.address = "127.0." + std::to_string(subnet_) + "." + std::to_string(kProxyHost) + ":18443";
     };
-    for (subnet_ = options.subnet = 190; !fleet_;) {  // the first net that nobody else uses
+    for (subnet_ = options.subnet = 190; !fleet_;) {  // The first subnet that is not in use.
       try {
         fleet_.emplace(loop_, loop_.outputBudget, options);
       } catch (const ListenError&) {
-        if (subnet_ = ++options.subnet; subnet_ > 230) throw;
+        ++options.subnet;
+        subnet_ = options.subnet;
+        if (subnet_ > 230) throw;
       }
     }
-    engineRelay_.emplace(loop_, loop_.outputBudget, fleet_->addressOf(kRelayAddressNumber),
-                         fleet_->addressOf(kRelayedEngine + 1), seed);
-    engineRelay_->forwardFaults.maxDelay = engineRelay_->reverseFaults.maxDelay = 30ms;
-    listServiceRelay_.emplace(loop_, loop_.outputBudget, fleet_->addressOf(251), fleet_->addressOf(250),
-                              seed);
+    engineProxy_.emplace(loop_, loop_.outputBudget, fleet_->addressOf(kProxyHost),
+                         fleet_->addressOf(kProxiedEngine + 1), seed);
+    engineProxy_->forwardFaults.maxDelay = engineProxy_->reverseFaults.maxDelay = 30ms;
+    endpointListProxy_.emplace(loop_, loop_.outputBudget, fleet_->addressOf(251), fleet_->addressOf(250),
+                               seed);
     loadGenerator_.emplace(loop_, loop_.outputBudget, fleet_->frontAddresses(), seed);
     loadGenerator_->setHeartbeatInterval(20ms);
     loadGenerator_->recordTo(events_);
-    loadGenerator_->setLateTolerance(
-        4s);  // what comes late is judged by the oracle, which knows who had no core meanwhile
+    // Late answers are judged by the invariant checker, which knows how long a process waited for a core.
+    loadGenerator_->setLateTolerance(4s);
     tasks_.spawn(recordCpuWaits());
     for (std::size_t index = 0; index < kEngines; ++index) {
       fleet_->engine(index).recordTo(events_, index);
@@ -81,7 +84,7 @@
     events_.onEvent = [this](const Event& event) { onEvent(event); };
   }
 
-  // False: it could not even begin or come to its end.
+  // Returns false if the run could not start or did not end.
   bool run() {
     if (!loop_.runUntil([this] { return countInService() == kControllers; }, 20s))
       return fail("not all serve");
@@ -108,7 +111,7 @@
   InvariantReport verdict() const { return checkInvariants(events_.events(), {}); }
   const std::string& failureReason() const { return failureReason_; }
 
-  // The last steps, all that is told of the jobs that were judged, and where the logs lay.
+  // The last steps, and the events around the first violations.
   std::string describeFailure(const InvariantReport& verdict) const {
     std::string text;
     for (const std::string& step : steps_) text += "  step " + step + "\n";
@@ -156,7 +159,7 @@
     return count;
   }
 
-  // What becomes of one attempt: drawn from the seed and the job, whatever else is going on.
+  // Draws the fault of one attempt from the seed and the request alone, so that it does not depend on timing.
   void chooseAttemptFault(Script& script, const std::string& id) {
     std::minstd_rand generator(
         static_cast<std::uint32_t>(std::hash<std::string>()(id) + seed_ + ++attemptCounts_[id]));
@@ -174,10 +177,10 @@
         return;
       case 3:
         script.duration += milliseconds(generator() % 1800);
-        return;  // late, some past its time
+        return;  // Late, sometimes past its timeout.
       case 4:
         script.firstPageOnly = true;
-        return;  // its further pages are lost
+        return;  // Its further pages are lost.
       case 5:
         script.fault = FakeEngineFault::duplicateAnswer;
         return;
@@ -189,16 +192,20 @@
         return;
       case 8:
         script.duration = 60s;
-        return;  // never
+        return;  // Never answered.
       default:
         return;
     }
   }
 
   void onEvent(const Event& event) {
-    if (event.kind == EventKind::requestLost && event.detail == "closed")
-      interruptedRequests_.push_back(event.reference), resendCall_.runSoon();
-    if (!triggerArmed_ || event.kind != triggerKind_ || --triggersLeft_ > 0) return;
+    if (event.kind == EventKind::requestLost && event.detail == "closed") {
+      interruptedRequests_.push_back(event.reference);
+      resendCall_.runSoon();
+    }
+    if (!triggerArmed_ || event.kind != triggerKind_) return;
+    --triggersLeft_;
+    if (triggersLeft_ > 0) return;
     triggerArmed_ = false;
     triggerEvent_ = event;
     triggerSignal_.set();
@@ -216,17 +223,17 @@
       const std::uint32_t loopTurns = drawBelow(4);
       triggerArmed_ = true;
       triggerEvent_.reset();
-      (void)co_await triggerSignal_.wait(loop_.now() + 120ms);  // a moment that does not come is passed over
+      (void)co_await triggerSignal_.wait(loop_.now() + 120ms);  // A trigger that does not occur is skipped.
       triggerArmed_ = false;
       for (std::uint32_t value = 0; value < loopTurns; ++value) co_await loop_.yield();
       performRandomAction();
     }
-    restoreListService();
+    restoreEndpointList();
     for (std::size_t index = 0; index < kEngines; ++index) returnEngine(index);
     scheduleFinished_ = true;
   }
 
-  // What crossed a close is sent once more, as clients may.
+  // Sends requests that crossed a close once more, as clients may do.
   void resendInterrupted() {
     for (const std::string& reference : std::exchange(interruptedRequests_, {})) {
       const std::size_t controller = pickControllerInService();
@@ -242,7 +249,8 @@
       }
     }
   }
-  std::size_t pickControllerInService() {  // a controller in service, if any
+  // Returns kControllers if none is in service.
+  std::size_t pickControllerInService() {
     const std::size_t first = drawBelow(kControllers);
     for (std::size_t index = 0; index < kControllers; ++index)
       if (loadGenerator_->isInService((first + index) % kControllers)) return (first + index) % kControllers;
@@ -258,7 +266,7 @@
     if (steps_.size() > 40) steps_.pop_front();
   }
 
-  // The job of the moment or another open one.
+  // The request of the trigger or another open one.
   std::optional<std::size_t> pickOpenRequest() {
     std::vector<std::size_t> openRequests;
     for (std::size_t index = loadGenerator_->requests().size(); index-- > 0 && openRequests.size() < 40;) {
@@ -297,7 +305,7 @@
     }
     if (action < 44) {
       recordStep("the way to executor 4 is reset");
-      return engineRelay_->resetAll();
+      return engineProxy_->resetAll();
     }
     if (action < 48) {
       recordStep("idle connections are closed" + engineText);
@@ -307,7 +315,7 @@
     if (action < 57) return drainEngine(engine, "leaving", engineText);
     if (action < 60) return drainEngine(engine, "left", engineText);
     if (action < 66) return returnEngine(engine);
-    if (action < 72) return disturbListService();
+    if (action < 72) return disturbEndpointList();
     if (action < 80) return reloadController(controller, drawBelow(3), controllerText);
     if (action < 87) return terminateOneController(controller, SIGTERM, controllerText);
     if (action < 91) return terminateOneController(controller, SIGKILL, controllerText);
@@ -372,19 +380,19 @@
     listenerClosed_[engine] = false;
     relistEngine(engine);
   }
-  void disturbListService() {
-    if (listServiceDown_) return restoreListService();
+  void disturbEndpointList() {
+    if (endpointListDown_) return restoreEndpointList();
     const std::uint32_t disturbance = drawBelow(3);
     recordStep(disturbance == 0   ? "the list falls silent"
                : disturbance == 1 ? "the list is down"
                                   : "the other way to the list is reset");
-    if (disturbance == 2) return listServiceRelay_->resetAll();
-    listServiceDown_ = true;
+    if (disturbance == 2) return endpointListProxy_->resetAll();
+    endpointListDown_ = true;
     disturbance == 0 ? fleet_->endpointList().setSilent(true) : fleet_->endpointList().close();
     events_.append({.kind = EventKind::endpointListLost});
   }
-  void restoreListService() {
-    if (!std::exchange(listServiceDown_, false)) return;
+  void restoreEndpointList() {
+    if (!std::exchange(endpointListDown_, false)) return;
     recordStep("the list is heard again");
     fleet_->endpointList().setSilent(false);
     if (!fleet_->endpointList().isOpen()) fleet_->endpointList().open();
@@ -392,7 +400,7 @@
   }
 
   void reloadController(std::size_t controller, std::uint32_t variant, const std::string& controllerText) {
-    if (controllerDown_[controller]) return;  // its next start writes its file
+    if (controllerDown_[controller]) return;  // Its next start writes its file.
     recordStep((variant == 0   ? "SIGHUP"
                 : variant == 1 ? "SIGHUP, the list at another address"
                                : "SIGHUP, half a file") +
@@ -410,7 +418,7 @@
   }
   void terminateOneController(std::size_t controller, int signalNumber, const std::string& controllerText) {
     if (stoppingControllers_ > 0 || countInService() < kControllers)
-      return;  // one at a time, as in a release
+      return;  // One at a time, as in a rollout.
     recordStep((signalNumber == SIGTERM ? "SIGTERM" : "SIGKILL") + controllerText);
     stopController(controller, signalNumber, true);
   }
@@ -422,7 +430,7 @@
     tasks_.spawn(awaitExit(controller, restart));
     if (restart && signalNumber == SIGTERM) tasks_.spawn(sendDuringShutdown(controller));
   }
-  // The front has not noticed yet: requests go on coming, on new connections too.
+  // Until the next heartbeat clients keep sending to the controller, also on new connections.
   transport::Task<> sendDuringShutdown(std::size_t controller) {
     const transport::TimePoint deadline = loop_.now() + 200ms + milliseconds(drawBelow(200));
     while (loop_.now() < deadline && !fleet_->controller(controller).exitCode()) {
@@ -445,8 +453,8 @@
     --stoppingControllers_;
   }
 
-  // How long each process waited for a core, by the kernel's own books. What it did meanwhile is its own
-  // time.
+  // How long each process waited for a processor core, according to the kernel. The time that it ran is its
+  // own responsibility.
   transport::Task<> recordCpuWaits() {
     std::map<std::pair<std::size_t, pid_t>, std::int64_t> previousWaits;
     for (;;) {
@@ -497,7 +505,7 @@
       events_.append(
           {.kind = EventKind::idleMeasured, .controller = controller, .detail = name, .value = figure});
   }
-  // Nobody wants anything any more: what was held for it is given back.
+  // There are no requests any more: the controllers must release what they held for them.
   void waitForResourceRelease() {
     misbehavingClients_.reset();
     loadGenerator_->pauseClients();
@@ -523,8 +531,8 @@
   EventLog events_;
   std::optional<FakeFleet> fleet_;
   int subnet_ = 0;
-  std::optional<TcpFaultProxy> engineRelay_;
-  std::optional<TcpFaultProxy> listServiceRelay_;  // the same list, found at another address
+  std::optional<TcpFaultProxy> engineProxy_;
+  std::optional<TcpFaultProxy> endpointListProxy_;  // The same list at another address.
   std::optional<LoadGenerator> loadGenerator_;
   std::optional<MisbehavingClients> misbehavingClients_;
   std::map<std::string, unsigned> attemptCounts_;
@@ -536,10 +544,10 @@
   std::array<bool, kEngines> listenerClosed_{};
   std::array<bool, kControllers> controllerDown_{};
   std::size_t stoppingControllers_ = 0;
-  bool triggerArmed_ = false, scheduleFinished_ = false, faultsDisabled_ = false, listServiceDown_ = false;
+  bool triggerArmed_ = false, scheduleFinished_ = false, faultsDisabled_ = false, endpointListDown_ = false;
   EventKind triggerKind_{};
   std::uint32_t triggersLeft_ = 0;
-  std::optional<Event> triggerEvent_;  // of the moment
+  std::optional<Event> triggerEvent_;
   transport::Signal triggerSignal_;
   transport::ScheduledCall resendCall_;
   transport::TimePoint startedAt_{};
@@ -553,20 +561,21 @@
 }
 
 TEST(RandomizedFaults, BreakNoInvariantWhenSchedulesAreSeeded) {
-  const bool one = std::getenv("PADDLETRACK_CROSSINGS_SEED") != nullptr;
-  const std::uint64_t first = readEnvironmentNumber("PADDLETRACK_CROSSINGS_SEED", 1);
-  const std::uint64_t count = readEnvironmentNumber("PADDLETRACK_CROSSINGS_SEEDS", one ? 1 : 3);
-  for (std::uint64_t seed = first; seed < first + count; ++seed) {
-    const auto begun = std::chrono::steady_clock::now();
-    RandomizedSchedule crossings(seed);
-    const bool ended = crossings.run();
-    const InvariantReport verdict = crossings.verdict();
-    const auto took =
-        std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - begun).count();
-    std::cout << "seed " << seed << ", " << took << " ms: " << verdict.summary() << std::endl;
-    EXPECT_TRUE(ended && verdict.isClean()) << "PADDLETRACK_CROSSINGS_SEED=" << seed << " "
-                                            << crossings.failureReason() << verdict.summary() << "\n"
-                                            << crossings.describeFailure(verdict) << crossings.readLogTails();
+  const bool hasSingleSeed = std::getenv("PADDLETRACK_CROSSINGS_SEED") != nullptr;
+  const std::uint64_t firstSeed = readEnvironmentNumber("PADDLETRACK_CROSSINGS_SEED", 1);
+  const std::uint64_t count = readEnvironmentNumber("PADDLETRACK_CROSSINGS_SEEDS", hasSingleSeed ? 1 : 3);
+  for (std::uint64_t seed = firstSeed; seed < firstSeed + count; ++seed) {
+    const auto startedAt = std::chrono::steady_clock::now();
+    RandomizedSchedule schedule(seed);
+    const bool finished = schedule.run();
+    const InvariantReport verdict = schedule.verdict();
+    const auto elapsedMs =
+        std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - startedAt).count();
+    std::cout << "seed " << seed << ", " << elapsedMs << " ms: " << verdict.summary() << std::endl;
+    EXPECT_TRUE(finished && verdict.isClean())
+        << "PADDLETRACK_CROSSINGS_SEED=" << seed << " " << schedule.failureReason() << verdict.summary()
+        << "\n"
+        << schedule.describeFailure(verdict) << schedule.readLogTails();
   }
 }
 
--- a/tests/loadtest/trace_oracle_test.cpp
+++ b/tests/loadtest/trace_oracle_test.cpp
@@ -1,5 +1,5 @@
-// The oracle of the crossings can fail: one planted break for each of its rules, and what is allowed beside
-// it.
+// Tests of the invariant checker: for each invariant one trace that violates it, and traces that are close to
+// that but allowed.
 #include <gtest/gtest.h>
 
 #include <csignal>
@@ -14,7 +14,7 @@
 using namespace std::chrono_literals;
 using Kind = Event::Kind;
 
-// A run by hand; moments in milliseconds.
+// The events of a run, written by the test. Times are in milliseconds.
 struct RunTrace {
   std::vector<Event> events;
   Event& addEvent(int atMs, Kind kind, const std::string& reference = "", const std::string& detail = "") {
@@ -28,9 +28,10 @@
   void addAttemptResult(int atMs, std::uint64_t attemptId, const std::string& status,
                         const std::string& rows = "") {
     Event& event = addEvent(atMs, Kind::attemptFinished, "", status);
-    event.attempt = attemptId, event.body = rows;
+    event.attempt = attemptId;
+    event.body = rows;
   }
-  // One job that is served as it should be.
+  // All events of a request that is served correctly.
   void addServedRequest(const std::string& reference, int atMs, std::uint64_t attemptId,
                         const std::string& requestClass = "load") {
     addEvent(atMs, Kind::requestSent, reference, requestClass);
@@ -39,7 +40,8 @@
     addEvent(atMs + 12, Kind::requestAnswered, reference, "done").body = "rows";
   }
   void addSignal(int atMs, int signalNumber) { addEvent(atMs, Kind::signalSent).value = signalNumber; }
-  std::string violatedRules() const {  // the rules, in order
+  // The names of the violated invariants in the order in which the violations were found.
+  std::string violatedRules() const {
     std::string names;
     for (const Violation& violation : checkInvariants(events, {}).violations)
       names += std::string(names.empty() ? "" : ", ") + nameOf(violation.invariant);
@@ -52,7 +54,7 @@
   trace.addServedRequest("a", 0, 1);
   trace.addEvent(20, Kind::requestSent, "b", "report");
   trace.addEvent(30, Kind::clientGone, "b", "revoked");
-  trace.addAttempt(170, "b", 2);  // within the grace and the slack
+  trace.addAttempt(170, "b", 2);  // Within the grace period and the timing slack.
   trace.addSignal(200, SIGTERM);
   trace.addEvent(400, Kind::processExited);
   EXPECT_EQ(trace.violatedRules(), "");
@@ -69,9 +71,10 @@
     if (violation == "twice") trace.addEvent(20, Kind::requestAnswered, "a", "throttled");
     if (violation == "late") trace.events.back().observedAt = trace.events.back().notBefore += 1400ms;
     if (violation == "nothing") trace.addEvent(20, Kind::requestAnswered, "", "cancelled");
-    if (violation == "after its end")
-      trace.addEvent(11, Kind::requestLost, "a", "closed"),
-          std::swap(trace.events.rbegin()[0], trace.events.rbegin()[1]);
+    if (violation == "after its end") {
+      trace.addEvent(11, Kind::requestLost, "a", "closed");
+      std::swap(trace.events.rbegin()[0], trace.events.rbegin()[1]);
+    }
     EXPECT_EQ(trace.violatedRules(), "one answer") << violationText;
   }
 }
@@ -80,10 +83,10 @@
   RunTrace trace;
   trace.addEvent(0, Kind::requestSent, "a", "report");
   trace.addEvent(40, Kind::requestLost, "a", "closed");
-  EXPECT_EQ(trace.violatedRules(), "one answer");  // it was not sent again
+  EXPECT_EQ(trace.violatedRules(), "one answer");  // It was not sent again.
   trace.addEvent(41, Kind::requestSent, "b", "report").retryOf = "a";
   trace.addEvent(60, Kind::requestLost, "b", "closed");
-  EXPECT_EQ(trace.violatedRules(), "one answer");  // b: a second close loses it
+  EXPECT_EQ(trace.violatedRules(), "one answer");  // A second close loses b.
   RunTrace killedRun;
   killedRun.addEvent(0, Kind::requestSent, "a", "report");
   killedRun.addSignal(500, SIGKILL);
@@ -118,7 +121,7 @@
     trace.addEvent(11, Kind::requestAnswered, "a", "done");
     EXPECT_EQ(trace.violatedRules(), firstResult == "503" || firstResult == "504" ? "" : "runs once")
         << firstResult;
-    trace.events.front().detail = "report";  // which may be repeated
+    trace.events.front().detail = "report";  // An idempotent class.
     EXPECT_EQ(trace.violatedRules(), "") << firstResult;
   }
 }
@@ -136,22 +139,23 @@
   trace.addEvent(10, Kind::clientGone, "a", "half-closed");
   trace.addAttempt(162, "a", 1);
   EXPECT_EQ(trace.violatedRules(), "gone");
-  trace.addEvent(170, Kind::cpuWaitMeasured).value = 30'000;  // at work or without a core for some of it
+  trace.addEvent(170, Kind::cpuWaitMeasured).value = 30'000;  // It waited for a processor core.
   EXPECT_EQ(trace.violatedRules(), "");
 }
 
 TEST(TraceOracle, ReportsViolationWhenAttemptStartsOnDrainingEngine) {
   RunTrace trace;
   trace.addEvent(0, Kind::endpointUpdated, "", "leaving");
-  trace.addServedRequest("a", 1000, 1);  // within the grace
+  trace.addServedRequest("a", 1000, 1);  // Within the grace period.
   EXPECT_EQ(trace.violatedRules(), "");
   trace.addServedRequest("b", 1100, 2);
   EXPECT_EQ(trace.violatedRules(), "drains");
   trace.events.resize(trace.events.size() - 4);
-  trace.addEvent(1090, Kind::endpointUpdated, "", "active");  // another, at the same address
+  trace.addEvent(1090, Kind::endpointUpdated, "", "active");  // Another engine at the same address.
   trace.addServedRequest("b", 1100, 2);
   EXPECT_EQ(trace.violatedRules(), "");
-  RunTrace silentList;  // a silent list: from when it is heard again, and what a controller needs to notice
+  // A change published while the list is lost counts once the controllers can have read the list again.
+  RunTrace silentList;
   silentList.addEvent(0, Kind::endpointListLost);
   silentList.addEvent(10, Kind::endpointUpdated, "", "left");
   silentList.addServedRequest("a", 2000, 1);
@@ -184,12 +188,12 @@
   }
 }
 
-// The stand-in itself, asked twice for one run-once job, is seen through its own records.
+// The events that the fake engine itself records show that it executed a non-idempotent request twice.
 TEST(TraceOracle, ReportsViolationWhenFakeEngineRecordsSecondExecution) {
   TestScheduler loop;
   EventLog events(loop);
-  FakeEngine executor(loop, loop.outputBudget, transport::Address("127.0.188.1:18443"));
-  executor.recordTo(events, 0);
+  FakeEngine engine(loop, loop.outputBudget, transport::Address("127.0.188.1:18443"));
+  engine.recordTo(events, 0);
   events.append({.kind = Kind::requestSent, .reference = "a", .detail = "load", .timeout = 1000ms});
   transport::TaskGroup running(loop, [](const char* message) { FAIL() << message; });
   running.spawn([](TestScheduler& eventLoop) -> transport::Task<> {
@@ -197,15 +201,15 @@
         co_await transport::connect(eventLoop, transport::Address("127.0.188.1:18443"), eventLoop.now() + 2s);
     transport::Connection connection(eventLoop, std::move(connectResult.descriptor), 4096, 4096,
                                      eventLoop.outputBudget);
-    for (int index = 0; index < 2; ++index) {  // the second only when the first has its answer
+    for (int index = 0; index < 2; ++index) {  // The second is sent after the answer to the first.
       FakeEngine::sendReply(connection, {"ASK", "a", "-", "select 1"});
       (void)co_await connection.receive(eventLoop.now() + 2s);
     }
   }(loop));
-  ASSERT_TRUE(loop.runUntil([&] { return executor.duplicateRunCount() == 1; }));
-  const InvariantReport verdict = checkInvariants(events.events(), {});
-  ASSERT_GE(verdict.violations.size(), 1U);
-  EXPECT_EQ(verdict.violations.front().invariant, Invariant::noUnsafeRetry);
+  ASSERT_TRUE(loop.runUntil([&] { return engine.duplicateRunCount() == 1; }));
+  const InvariantReport report = checkInvariants(events.events(), {});
+  ASSERT_GE(report.violations.size(), 1U);
+  EXPECT_EQ(report.violations.front().invariant, Invariant::noUnsafeRetry);
 }
 
 }  // namespace
