Loggers have a verb for each level, and the base headers say what they do

Need: a log call did not show its level, and an error passed as the second argument changed the default level without a word. The base headers were commented in the withdrawn style. Change: Logger has debug, info, warning and error; all call sites name their level, which is the same as before. The call operator stays until the last caller that is being moved is gone. LogField replaces a pair, Error takes its strings by value, comments are doc comments. Topics, texts, fields, error kinds and hints are unchanged. error_test compares the same fields, built from LogField.

--- a/src/admin/admin_server.cpp
+++ b/src/admin/admin_server.cpp
@@ -218,7 +218,7 @@
                     0},
       socketFile_(options.socketPath),
       listener_(scheduler, socketFile_.release()),
-      tasks_(scheduler, [this](const char* what) { log_("door", what, {}, LogLevel::warning); }) {
+      tasks_(scheduler, [this](const char* what) { log_.warning("door", what); }) {
   lifecycle_.setStateListener([this] {
     for (Session* session : sessions_) session->sendProgress();
   });
@@ -232,8 +232,8 @@
     try {
       std::unique_ptr<transport::Descriptor> accepted = co_await listener_.accept();
       if (sessions_.size() >= options_.maxClients) {
-        log_("door", Error(ErrorKind::adminConnectionLimit, options_.socketPath,
-                           "full: " + std::to_string(options_.maxClients) + " clients"));
+        log_.warning("door", Error(ErrorKind::adminConnectionLimit, options_.socketPath,
+                                   "full: " + std::to_string(options_.maxClients) + " clients"));
         const std::string response =
             formatErrorReply("null", "busy", "the door has as many clients as it may (door.clients)");
         ::send(accepted->fd(), response.data(), response.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
@@ -241,7 +241,7 @@
         tasks_.spawn(serveClient(std::move(accepted)));
       }
     } catch (const std::exception& error) {
-      log_("door", Error(ErrorKind::acceptFailed, options_.socketPath, error.what()));
+      log_.warning("door", Error(ErrorKind::acceptFailed, options_.socketPath, error.what()));
     }
     co_await scheduler_.yield();
   }
@@ -260,7 +260,8 @@
 transport::Task<> AdminServer::serveClient(std::unique_ptr<transport::Descriptor> accepted) {
   std::string peerName = "somebody unknown";
   if (!isPeerAllowed(accepted->fd(), peerName)) {
-    log_("door", Error(ErrorKind::permissionDenied, options_.socketPath, peerName + " is not let in"));
+    log_.warning("door",
+                 Error(ErrorKind::permissionDenied, options_.socketPath, peerName + " is not let in"));
     co_return;
   }
   Session session(*this, std::move(accepted), std::move(peerName));
--- a/src/admin/service_lifecycle.cpp
+++ b/src/admin/service_lifecycle.cpp
@@ -45,12 +45,12 @@
   const drain::DrainProgress& progress = *drain_.progress();
   const auto remainingMs =
       std::chrono::duration_cast<std::chrono::milliseconds>(progress.deadline - router_.now()).count();
-  log_("drain",
-       "drain " + std::to_string(progress.number) + " asked by " + requestedBy + ", deadline in " +
-           std::to_string(remainingMs) + " ms",
-       {{"drain", std::to_string(progress.number)},
-        {"by", requestedBy},
-        {"deadline_ms", std::to_string(remainingMs)}});
+  log_.info("drain",
+            "drain " + std::to_string(progress.number) + " asked by " + requestedBy + ", deadline in " +
+                std::to_string(remainingMs) + " ms",
+            {{"drain", std::to_string(progress.number)},
+             {"by", requestedBy},
+             {"deadline_ms", std::to_string(remainingMs)}});
   if (drain_.state() != previousState) onStateChanged(previousState);
   advanceDrain();
   return drainError;
@@ -60,8 +60,8 @@
   const drain::State previousState = drain_.state();
   const drain::DrainError drainError = drain_.cancelDrain(router_.now());
   if (drainError != drain::DrainError::none) return drainError;
-  log_("drain", "drain " + std::to_string(drain_.progress()->number) + " cancelled by " + requestedBy,
-       {{"drain", std::to_string(drain_.progress()->number)}, {"by", requestedBy}});
+  log_.info("drain", "drain " + std::to_string(drain_.progress()->number) + " cancelled by " + requestedBy,
+            {{"drain", std::to_string(drain_.progress()->number)}, {"by", requestedBy}});
   onStateChanged(previousState);
   advanceDrain();
   return drainError;
@@ -76,8 +76,8 @@
   const Duration responseDeadline = *drain_.responseDeadline();
   const auto remainingMs =
       std::chrono::duration_cast<std::chrono::milliseconds>(responseDeadline - router_.now()).count();
-  log_("leaving", std::to_string(router_.openRequestCount()) + " requests open, " +
-                      std::to_string(remainingMs) + " ms at most");
+  log_.info("leaving", std::to_string(router_.openRequestCount()) + " requests open, " +
+                           std::to_string(remainingMs) + " ms at most");
   router_.setFinalDeadline(responseDeadline);
   advanceDrain();
 }
@@ -117,7 +117,7 @@
     if (drain_.state() != previousState) onStateChanged(previousState);
     if (actions.shouldCloseConnections) clientListener_.close();
     if (actions.shouldExit) {
-      log_("leaving", std::to_string(router_.openRequestCount()) + " requests open at the end");
+      log_.info("leaving", std::to_string(router_.openRequestCount()) + " requests open at the end");
       return exit_();
     }
     if (!actions.shouldEndRequests) break;
@@ -134,8 +134,8 @@
     message += progress->deadlineMissed ? ", its deadline missed" : ", in time";
   if (drain_.state() == drain::State::ending && progress->deadlineMissed)
     message += ", " + std::to_string(progress->requestsEndedByDeadline) + " jobs are ended by the deadline";
-  log_("drain", message,
-       {{"drain", std::to_string(progress ? progress->number : 0)}, {"state", nameOf(drain_.state())}});
+  log_.info("drain", message,
+            {{"drain", std::to_string(progress ? progress->number : 0)}, {"state", nameOf(drain_.state())}});
   if (stateListener_) stateListener_();
 }
 
@@ -248,8 +248,8 @@
   const routing::RequestRouter::AddressLookup result =
       router_.setAddressOverride(engine, address, addressOverride, overrideDuration);
   if (result == routing::RequestRouter::AddressLookup::found)
-    log_("address", "executor " + engine + " at " + address + ": set by hand, by " + requestedBy,
-         {{"engine", engine}, {"address", address}, {"by", requestedBy}});
+    log_.info("address", "executor " + engine + " at " + address + ": set by hand, by " + requestedBy,
+              {{"engine", engine}, {"address", address}, {"by", requestedBy}});
   return result;
 }
 
--- a/src/base/error.hpp
+++ b/src/base/error.hpp
@@ -1,33 +1,35 @@
-// What goes wrong and operators may come to see: each error has a kind, says what happened and where, and
-// what an operator can do. docs/operating/errors.md has a row for each kind, and tests/program/error_test.cpp
-// holds it to that.
+/// The errors that operators may see. Each has a kind, says what happened and where, and gives a hint on what
+/// to do. docs/operating/errors.md has a row for each kind; tests/program/error_test.cpp compares the two.
 #pragma once
 
 #include <array>
 #include <cerrno>
 #include <cstddef>
+#include <cstdint>
 #include <cstring>
 #include <new>
 #include <stdexcept>
 #include <string>
+#include <utility>
 
 namespace paddletrack {
 
-// A new kind goes at the end of its group, with its row in `kErrorKinds` and in docs/operating/errors.md.
-enum class ErrorKind : std::size_t {
-  // what a person wrote
+/// A new kind is added at the end of its group, with a row in `kErrorDescriptions` and in
+/// docs/operating/errors.md.
+enum class ErrorKind : std::uint8_t {
+  // Files and messages that people write.
   invalidConfiguration,
   invalidOperatorFile,
   unreadableFile,
   invalidAdminRequest,
-  // what the machine does not give
+  // Resources of the machine.
   systemCallFailed,
   listenFailed,
   adminSocketFailed,
   outOfMemory,
   acceptFailed,
   outOfDescriptors,
-  // what peers do
+  // Clients, engines, the endpoint list and the admin interface.
   connectFailed,
   engineProtocolError,
   engineUnresponsive,
@@ -42,17 +44,19 @@
   permissionDenied,
   adminUnreachable,
   adminRequestRefused,
-  // what nobody thought of
+  // Everything else.
   unexpected,
   count
 };
 
-// `exit`: the process's exit code where the error ends it (docs/operating/drain.md has them all). `hint`:
-// what an operator can do, where the error itself knows nothing better.
+/// What is the same for all errors of a kind.
 struct ErrorDescription {
   ErrorKind kind;
+  /// The kind as logs, JSON output and the documentation write it.
   const char* name;
+  /// The exit code of a process that ends with the error; docs/operating/drain.md lists all exit codes.
   int exitCode;
+  /// What an operator can do, unless the error itself has a more specific hint.
   const char* hint;
 };
 
@@ -99,20 +103,22 @@
     {ErrorKind::unexpected, "unexpected", 1, "report it with the lines of the log around it"},
 }};
 
+/// Never fails: `kErrorDescriptions` has an entry for every kind but `count`.
 constexpr const ErrorDescription& descriptionOf(ErrorKind kind) {
   return kErrorDescriptions[static_cast<std::size_t>(kind)];
 }
 
-// The base of all. `what()` is "where: what happened", or what happened alone.
+/// The base class of all typed errors. `what()` is "context: message", or the message alone if there is no
+/// context.
 class Error : public std::runtime_error {
  public:
-  // `where`: file and key, address, engine; whatever finds the place. `hint`: empty for the kind's own.
-  Error(ErrorKind kind, const std::string& context, const std::string& message, const std::string& hint = "")
+  /// `context` locates the fault: file and key, address, engine. An empty `hint` stands for the kind's hint.
+  Error(ErrorKind kind, std::string context, std::string message, std::string hint = "")
       : std::runtime_error(context.empty() ? message : context + ": " + message),
         kind_(kind),
-        context_(context),
-        message_(message),
-        hint_(hint) {}
+        context_(std::move(context)),
+        message_(std::move(message)),
+        hint_(std::move(hint)) {}
 
   ErrorKind kind() const { return kind_; }
   const char* kindName() const { return descriptionOf(kind_).name; }
@@ -123,10 +129,12 @@
 
  private:
   ErrorKind kind_;
-  std::string context_, message_, hint_;
+  std::string context_;
+  std::string message_;
+  std::string hint_;
 };
 
-// A type of its own for each kind that is thrown and caught by its type.
+/// A distinct type for a kind, so that it can be caught by its type.
 template <ErrorKind K>
 struct ErrorOfKind : Error {
   explicit ErrorOfKind(const std::string& message) : Error(K, "", message) {}
@@ -134,7 +142,7 @@
       : Error(K, context, message, hint) {}
 };
 
-// A call of the system that failed: `number` is its errno.
+/// A system call that failed with `errorNumber`, its errno.
 template <ErrorKind K>
 struct SystemErrorOfKind : Error {
   SystemErrorOfKind(const std::string& context, const std::string& call, int errorNumber)
@@ -152,15 +160,15 @@
 using ListenError = SystemErrorOfKind<ErrorKind::listenFailed>;
 using FileReadError = ErrorOfKind<ErrorKind::unreadableFile>;
 
-// What was caught, with its kind if it has one; `where` is for one that has no place, `otherwise` for one
-// that has no kind.
+/// Converts any exception to an `Error`. `context` is used if the exception has none, `fallbackKind` if it is
+/// no `Error` and no failed allocation.
 inline Error toError(const std::exception& caught, const std::string& context,
                      ErrorKind fallbackKind = ErrorKind::unexpected) {
   if (const auto* error = dynamic_cast<const Error*>(&caught))
     return error->context().empty() ? Error(error->kind(), context, error->message(), error->hint()) : *error;
   if (dynamic_cast<const std::bad_alloc*>(&caught))
-    return Error(ErrorKind::outOfMemory, context, "no memory for a table that grows");
-  return Error(fallbackKind, context, caught.what());
+    return {ErrorKind::outOfMemory, context, "no memory for a table that grows"};
+  return {fallbackKind, context, caught.what()};
 }
 
 }  // namespace paddletrack
--- a/src/base/logger.hpp
+++ b/src/base/logger.hpp
@@ -10,38 +10,84 @@
 
 namespace paddletrack {
 
+/// Severity of a log record, in ascending order: records below a threshold are dropped by comparison.
+// NOLINTNEXTLINE(performance-enum-size): the command line's parser reads a one-byte type as a character.
 enum class LogLevel { debug, info, warning, error };
 
-// One line for the log. Fields are for machines: the line says by itself what a person needs.
+/// A structured value beside the message, for programs that read the log.
+struct LogField {
+  const char* name;
+  std::string value;
+};
+
+/// One line of the log. The message has to be understandable without the fields.
 struct LogRecord {
   LogLevel level = LogLevel::info;
-  const char* topic = "";  // by which lines are counted, of a few fixed ones
+  /// One of a fixed set of names, by which operators filter and the writer limits the rate of lines.
+  const char* topic = "";
   std::string message;
-  std::vector<std::pair<const char*, std::string>> fields{};
+  std::vector<LogField> fields{};
 };
 
-// The one way in which all parts speak to the operators; what becomes of it is its maker's.
+/// Passes log records to a sink. Components hold a logger by reference and do not know what becomes of the
+/// records: the program writes them to standard error, tests collect them.
 class Logger {
  public:
-  using Fields = std::initializer_list<std::pair<const char*, std::string>>;
+  using Fields = std::initializer_list<LogField>;
+  using Sink = std::function<void(const LogRecord&)>;
+
+  explicit Logger(Sink sink) : sink_(std::move(sink)) {}
+
+  void debug(const char* topic, std::string message, Fields fields = {}) const {
+    log(LogLevel::debug, topic, std::move(message), fields);
+  }
+  void info(const char* topic, std::string message, Fields fields = {}) const {
+    log(LogLevel::info, topic, std::move(message), fields);
+  }
+  void warning(const char* topic, std::string message, Fields fields = {}) const {
+    log(LogLevel::warning, topic, std::move(message), fields);
+  }
+  void error(const char* topic, std::string message, Fields fields = {}) const {
+    log(LogLevel::error, topic, std::move(message), fields);
+  }
 
-  explicit Logger(std::function<void(const LogRecord&)> sink) : sink_(std::move(sink)) {}
+  /// Logs the text of `error`, after `prefix`, with the error's kind, context and hint as the first fields.
+  void warning(const char* topic, const Error& error, Fields fields = {},
+               const std::string& prefix = "") const {
+    logError(LogLevel::warning, topic, error, fields, prefix);
+  }
+  /// The same for an error that ends the process or a part of it.
+  void error(const char* topic, const Error& error, Fields fields = {},
+             const std::string& prefix = "") const {
+    logError(LogLevel::error, topic, error, fields, prefix);
+  }
+
+  /// Callers that still log without a verb; new code names the level.
   void operator()(const char* topic, std::string message, Fields fields = {},
                   LogLevel level = LogLevel::info) const {
-    sink_({level, topic, std::move(message), fields});
+    log(level, topic, std::move(message), fields);
   }
-  // An error: its text as the line (after `before`, if any), its kind, place and hint as fields.
-  void operator()(const char* topic, const Error& error, Fields extraFields = {},
+  void operator()(const char* topic, const Error& error, Fields fields = {},
                   LogLevel level = LogLevel::warning, const std::string& prefix = "") const {
+    logError(level, topic, error, fields, prefix);
+  }
+
+  /// Logs at a level that is known only at run time.
+  void log(LogLevel level, const char* topic, std::string message, Fields fields = {}) const {
+    sink_({level, topic, std::move(message), fields});
+  }
+
+ private:
+  void logError(LogLevel level, const char* topic, const Error& error, Fields fields,
+                const std::string& prefix) const {
     LogRecord record{level, topic, prefix + error.what(), {{"error", error.kindName()}}};
-    if (!error.context().empty()) record.fields.emplace_back("where", error.context());
-    record.fields.emplace_back("hint", error.hint());
-    record.fields.insert(record.fields.end(), extraFields);
+    if (!error.context().empty()) record.fields.push_back({"where", error.context()});
+    record.fields.push_back({"hint", error.hint()});
+    record.fields.insert(record.fields.end(), fields);
     sink_(record);
   }
 
- private:
-  std::function<void(const LogRecord&)> sink_;
+  Sink sink_;
 };
 
 }  // namespace paddletrack
--- a/src/base/sliding_window_sum.hpp
+++ b/src/base/sliding_window_sum.hpp
@@ -7,12 +7,15 @@
 
 namespace paddletrack {
 
-using Duration = std::chrono::microseconds;  // a time is a span since the controller's start
+/// A span of time. Instants are written as the span since the start of the controller.
+using Duration = std::chrono::microseconds;
 
-// Sums over the latest stretch of time, kept in fixed buckets that are used again in a ring.
+/// Sum of the values added during a sliding window. The window is a ring of `Buckets` buckets, so that memory
+/// is constant and old values leave a bucket at a time. Times passed to one object must not go back.
 template <typename Value, std::size_t Buckets = 8>
 class SlidingWindowSum {
  public:
+  /// `bucketDuration` is raised to one microsecond if it is shorter.
   explicit SlidingWindowSum(Duration bucketDuration = Duration{1})
       : bucketDuration_(bucketDuration > Duration{0} ? bucketDuration : Duration{1}) {}
 
@@ -21,7 +24,7 @@
     bucketSums_[static_cast<std::size_t>(latestBucket_ % Buckets)] += value;
   }
 
-  // Covers at least Buckets - 1 whole buckets before now, and never less.
+  /// Sum over the window that ends at `now`. It covers at least `Buckets - 1` full bucket durations.
   Value sum(Duration now) {
     advanceTo(now);
     Value total{};
--- a/src/gossip/gossip_transport.cpp
+++ b/src/gossip/gossip_transport.cpp
@@ -32,7 +32,7 @@
       gossipProtocol_(store_, options.gossipOptions),
       socket_(openSocket(scheduler, options.listenAddress)),
       roundTimer_(scheduler, [this] { runRound(); }),
-      tasks_(scheduler, [this](const char* message) { logger_("share", message, {}, LogLevel::error); }) {
+      tasks_(scheduler, [this](const char* message) { logger_.error("share", message); }) {
   tasks_.spawn(receiveLoop());
   roundTimer_.runAt(startedAt_ + gossipProtocol_.nextRoundAt());
 }
@@ -68,11 +68,12 @@
   const std::uint64_t previousIncarnation = store_.incarnation();
   send(gossipProtocol_.onMessage(now(), datagram.sender, decoded.sender, std::get<Message>(decoded.content)));
   if (store_.incarnation() != previousIncarnation)
-    logger_("share",
-            "another process wrote as " + store_.owner() +
-                " with a later generation; this one goes on with " + std::to_string(store_.incarnation()) +
-                ". Once, it was this one before a clock went back; again and again, two have one name",
-            {{"generation", std::to_string(store_.incarnation())}}, LogLevel::warning);
+    logger_.warning(
+        "share",
+        "another process wrote as " + store_.owner() + " with a later generation; this one goes on with " +
+            std::to_string(store_.incarnation()) +
+            ". Once, it was this one before a clock went back; again and again, two have one name",
+        {{"generation", std::to_string(store_.incarnation())}});
   roundTimer_.runAt(startedAt_ + gossipProtocol_.nextRoundAt());
 }
 
@@ -81,7 +82,7 @@
     for (const auto& beforeRoundHook : beforeRoundHooks_) beforeRoundHook(now());
     send(gossipProtocol_.runRound(now()));
   } catch (const std::exception& error) {
-    logger_("share", error.what(), {}, LogLevel::error);
+    logger_.error("share", error.what());
   }
   roundTimer_.runAt(startedAt_ + gossipProtocol_.nextRoundAt());
 }
@@ -101,8 +102,8 @@
 void GossipTransport::recordDrop(DropReason reason, std::uint64_t source, const std::string& detail) {
   gossipProtocol_.countDrop(reason);
   const std::string peerName = transport::formatPackedAddress(source);
-  logger_("share", std::string("dropped, ") + nameOf(reason) + ", " + peerName + ": " + detail,
-          {{"reason", nameOf(reason)}, {"address", peerName}}, LogLevel::debug);
+  logger_.debug("share", std::string("dropped, ") + nameOf(reason) + ", " + peerName + ": " + detail,
+                {{"reason", nameOf(reason)}, {"address", peerName}});
 }
 
 }  // namespace paddletrack::gossip
--- a/src/program/serve.cpp
+++ b/src/program/serve.cpp
@@ -51,8 +51,9 @@
     co_await scheduler.sleepUntil(scheduler.now() + kCountsInterval);
     const auto maxLatenessMs =
         std::chrono::duration_cast<milliseconds>(scheduler.takeMaxTimerLateness()).count();
-    log("counts", clientListener.formatCounts());
-    log("counts", router.formatCounts() + "; a timer " + std::to_string(maxLatenessMs) + " ms late at most");
+    log.info("counts", clientListener.formatCounts());
+    log.info("counts",
+             router.formatCounts() + "; a timer " + std::to_string(maxLatenessMs) + " ms late at most");
   }
 }
 
@@ -65,12 +66,12 @@
     if (const std::string foreignKey = findForeignKey(nodeConfig, newConfig); !foreignKey.empty())
       throw ConfigurationError(configPath + ": " + foreignKey, "it is another controller's or customer's");
     const std::string restartOnlyKeys = listRestartOnlyChanges(nodeConfig, newConfig);
-    if (!restartOnlyKeys.empty()) log("configuration", "only a restart changes " + restartOnlyKeys);
-    log("configuration", endpointWatcher.switchTo(newConfig.endpointListAddress)
-                             ? "read again: the change log has moved"
-                             : "read again");
+    if (!restartOnlyKeys.empty()) log.info("configuration", "only a restart changes " + restartOnlyKeys);
+    log.info("configuration", endpointWatcher.switchTo(newConfig.endpointListAddress)
+                                  ? "read again: the change log has moved"
+                                  : "read again");
   } catch (const std::exception& error) {
-    log("configuration", toError(error, configPath), {}, LogLevel::warning, kReloadRejected);
+    log.warning("configuration", toError(error, configPath), {}, kReloadRejected);
   }
 }
 
@@ -85,26 +86,26 @@
         newConfig.adminServer.maxLineBytes != currentServer.maxLineBytes ||
         newConfig.adminServer.maxUnsentBytes != currentServer.maxUnsentBytes ||
         newConfig.adminServer.idleTimeout != currentServer.idleTimeout) {
-      log("configuration", "only a restart changes the door");
+      log.info("configuration", "only a restart changes the door");
       newConfig.adminServer = currentServer;
     }
     if (newConfig.gossip != operatorOptions.config.gossip) {
-      log("configuration", "only a restart changes what is shared");
+      log.info("configuration", "only a restart changes what is shared");
       newConfig.gossip = operatorOptions.config.gossip;
     }
     const auto& currentReconnect = operatorOptions.config.reconnect;
     if (newConfig.reconnect.reconnectRate != currentReconnect.reconnectRate ||
         newConfig.reconnect.initialReadRate != currentReconnect.initialReadRate ||
         newConfig.reconnect.maxWaitDuration != currentReconnect.maxWaitDuration) {
-      log("configuration", "only a restart changes coldstart");
+      log.info("configuration", "only a restart changes coldstart");
       newConfig.reconnect = currentReconnect;
     }
     if (newConfig.rebalance != operatorOptions.config.rebalance) {
-      log("configuration", "only a restart changes the rebalancing");
+      log.info("configuration", "only a restart changes the rebalancing");
       newConfig.rebalance = operatorOptions.config.rebalance;
     }
     if (newConfig.counterfactual != operatorOptions.config.counterfactual) {
-      log("configuration", "only a restart changes what is kept to look back at");
+      log.info("configuration", "only a restart changes what is kept to look back at");
       newConfig.counterfactual = operatorOptions.config.counterfactual;
     }
     operatorOptions.config = std::move(newConfig);
@@ -112,9 +113,9 @@
     lifecycle.setFamilyPreference(operatorOptions.config.familyPreference);
     logWriter.configure(operatorOptions.logFormat(), operatorOptions.logLevel(),
                         operatorOptions.config.topicLevels);
-    log("configuration", "the operator's file is read again");
+    log.info("configuration", "the operator's file is read again");
   } catch (const std::exception& error) {
-    log("configuration", toError(error, operatorOptions.configPath), {}, LogLevel::warning, kReloadRejected);
+    log.warning("configuration", toError(error, operatorOptions.configPath), {}, kReloadRejected);
   }
 }
 
@@ -281,8 +282,8 @@
   const Deployment& deployment = nodeConfig.controllerConfig.deployment;
   if (deployment.allowsHealthChecks || deployment.allowsPeerReports ||
       deployment.progressInterval > Duration{0})
-    log("unsupported",
-        "the settings allow probes, peers or notes: there is no message for these, they are not used");
+    log.info("unsupported",
+             "the settings allow probes, peers or notes: there is no message for these, they are not used");
 
   // Usual clients hold a third of the descriptors, executors are few: the rest is room for the others.
   const bool hasAdminServer = !operatorOptions.config.adminServer.socketPath.empty();
@@ -344,8 +345,9 @@
     loadPublisher.emplace(gossipTransport->store());
     gossipTransport->addBeforeRoundHook([&](Duration now) { publishLoad(*loadPublisher, now, router); });
     lifecycle.setGossipSource([&] { return makeGossipStatus(*gossipTransport, *gossipOptions); });
-    log("share", "with " + std::to_string(gossipOptions->gossipOptions.peers.size()) + " peers, at " +
-                     operatorOptions.config.gossip.listenAddress + ", cluster " + gossipOptions->cluster);
+    log.info("share", "with " + std::to_string(gossipOptions->gossipOptions.peers.size()) + " peers, at " +
+                          operatorOptions.config.gossip.listenAddress + ", cluster " +
+                          gossipOptions->cluster);
   }
 
   std::optional<rebalance::RebalanceExecutor> rebalanceExecutor;
@@ -369,13 +371,13 @@
       return counterfactualReporter->status(gossipTransport ? &gossipTransport->store() : nullptr,
                                             gossipTransport ? gossipTransport->now() : router.now());
     });
-    log("hindsight", std::to_string(operatorOptions.config.counterfactual.maxRecords) + " records at most");
+    log.info("hindsight",
+             std::to_string(operatorOptions.config.counterfactual.maxRecords) + " records at most");
   }
 
   SignalReceiver signalReceiver(scheduler);
-  transport::TaskGroup tasks(scheduler, [&](const char* cause) {
-    log("leaving", Error(ErrorKind::unexpected, "", cause), {}, LogLevel::error);
-  });
+  transport::TaskGroup tasks(
+      scheduler, [&](const char* cause) { log.error("leaving", Error(ErrorKind::unexpected, "", cause)); });
   tasks.spawn(handleSignals(
       signalReceiver, [&] { lifecycle.onTerminate(); },
       [&] {
@@ -383,10 +385,10 @@
         reloadOperatorConfig(operatorOptions, lifecycle, logWriter, log);
       }));
   tasks.spawn(logCounts(scheduler, router, clientListener, log));
-  if (hasAdminServer) log("door", "open at " + operatorOptions.config.adminServer.socketPath);
-  log("serving", nodeConfig.name + ", " + std::to_string(deployment.requestClasses.size()) +
-                     " reservation types, " + std::to_string(nodeConfig.endpointEvents.size()) +
-                     " known changes");
+  if (hasAdminServer) log.info("door", "open at " + operatorOptions.config.adminServer.socketPath);
+  log.info("serving", nodeConfig.name + ", " + std::to_string(deployment.requestClasses.size()) +
+                          " reservation types, " + std::to_string(nodeConfig.endpointEvents.size()) +
+                          " known changes");
   scheduler.run();
   return 0;
 }
--- a/src/rebalance/rebalance_executor.cpp
+++ b/src/rebalance/rebalance_executor.cpp
@@ -160,18 +160,18 @@
       options.triggerOverloadPercent = kTriggerOverloadPercent, options.headroomDivisor = kHeadroomDivisor,
       options.workBudget = kWorkBudget;
       Plan plan = computePlan(view_, options);
-      logger_("rebalance", "epoch " + std::to_string(epoch) + ": " + std::to_string(plan.moves.size()) +
-                               " moves, " + std::to_string(plan.totalBytes) + " bytes, " +
-                               std::to_string(plan.forcedBytes) + " of them forced, " +
-                               std::to_string(plan.unplacedReplicas + plan.deferredMoves) +
-                               " left out; view " + std::to_string(viewDigest_));
+      logger_.info("rebalance", "epoch " + std::to_string(epoch) + ": " + std::to_string(plan.moves.size()) +
+                                    " moves, " + std::to_string(plan.totalBytes) + " bytes, " +
+                                    std::to_string(plan.forcedBytes) + " of them forced, " +
+                                    std::to_string(plan.unplacedReplicas + plan.deferredMoves) +
+                                    " left out; view " + std::to_string(viewDigest_));
       follower_.start(wallNow, view_, std::move(plan), schedule.epochDeadline(epoch));
     }
   }
   if (!follower_.isActive()) return;
   follower_.update(wallNow, observeCluster());
   if (!follower_.isActive() && follower_.outcome() != PlanOutcome::epochEnded)
-    logger_("rebalance", std::string(nameOf(follower_.outcome())));
+    logger_.info("rebalance", std::string(nameOf(follower_.outcome())));
 }
 
 }  // namespace paddletrack::rebalance
--- a/src/routing/client_listener.cpp
+++ b/src/routing/client_listener.cpp
@@ -298,8 +298,8 @@
           handleSubmit(message);
         } catch (const std::bad_alloc&) {  // no room for it: the client may try again, nothing has run
           openRequests_.erase(message.sequence);
-          clientListener_.logger_("request",
-                                  Error(ErrorKind::outOfMemory, "a job", "no memory for it, throttled"));
+          clientListener_.logger_.warning(
+              "request", Error(ErrorKind::outOfMemory, "a job", "no memory for it, throttled"));
           sendResponse(message.sequence, thrift::encodeRejection(message.sequence, std::nullopt));
         }
       } else if (message.method == "revoke" && (isCall || message.type == thrift::MessageType::oneway)) {
@@ -322,11 +322,11 @@
         throw;  // no answer could be told from another's
       if (++consecutiveInvalidRequests_ > kMaxConsecutiveInvalidRequests) throw;
       ++clientListener_.counts_.rejectedRequests;
-      clientListener_.logger_(
+      clientListener_.logger_.warning(
           "request", Error(ErrorKind::invalidRequest, error.context(), error.message()),
           {{"job", std::string(currentRequestId_.substr(0, kMaxLoggedNameBytes))},
            {"reservation_type", std::string(currentRequestClass_.substr(0, kMaxLoggedNameBytes))}},
-          LogLevel::warning, "request not taken: ");
+          "request not taken: ");
       sendResponse(message.sequence,
                    thrift::encodeException(message.method, message.sequence,
                                            thrift::ExceptionCode::protocolError, error.what()));
@@ -466,7 +466,7 @@
       listener_(std::in_place, scheduler, address),
       slotFreed_(scheduler),
       sessionTasks_(scheduler, [this](const char* message) {
-        logger_("client", Error(ErrorKind::unexpected, "a client's connection", message));
+        logger_.warning("client", Error(ErrorKind::unexpected, "a client's connection", message));
       }) {
   sessionTasks_.spawn(acceptConnections());
 }
@@ -490,7 +490,7 @@
       }
       sessionTasks_.spawn(serveConnection(std::move(acceptedSocket)));
     } catch (const std::exception& error) {  // one connection could not be had: the next may
-      logger_("client", Error(ErrorKind::acceptFailed, "a client's connection", error.what()));
+      logger_.warning("client", Error(ErrorKind::acceptFailed, "a client's connection", error.what()));
     }
     co_await scheduler_.yield();
   }
@@ -544,12 +544,12 @@
       co_await session.run();
     } catch (const protocol::ParseError& error) {
       ++counts_.unreadable;
-      logger_("client", Error(ErrorKind::clientProtocolError, error.context(), error.message()), {},
-              LogLevel::warning, "connection closed: ");
+      logger_.warning("client", Error(ErrorKind::clientProtocolError, error.context(), error.message()), {},
+                      "connection closed: ");
     }
     co_await session.linger();
   } catch (const std::exception& error) {
-    logger_("client", toError(error, "a client's connection"), {}, LogLevel::warning, "connection closed: ");
+    logger_.warning("client", toError(error, "a client's connection"), {}, "connection closed: ");
   }
 }
 
--- a/src/routing/endpoint_watcher.cpp
+++ b/src/routing/endpoint_watcher.cpp
@@ -39,7 +39,7 @@
 
 void EndpointWatcher::logError(ErrorKind kind, const transport::Address& listAddress,
                                const std::string& message) {
-  logger_("changelog", Error(kind, describeEndpointList(listAddress), message));
+  logger_.warning("changelog", Error(kind, describeEndpointList(listAddress), message));
 }
 
 void EndpointWatcher::startWatching() {
@@ -60,7 +60,7 @@
   nextListAddress_ = listAddress;
   switchAt_ = scheduler_.now() +
               (reconnectSchedule_.scheduleSwitch(router_.now(), router_.isReady()) - router_.now());
-  pendingSwitch_.emplace(scheduler_, [this](const char* message) { logger_("changelog", message); });
+  pendingSwitch_.emplace(scheduler_, [this](const char* message) { logger_.info("changelog", message); });
   pendingSwitch_->spawn(switchAt(switchAt_));
   return true;
 }
@@ -105,7 +105,7 @@
           std::string(consecutiveInvalidSessions_ > 0 ? "read afresh: " : "read again: ") + error.what());
       if (generation == generation_ && ++consecutiveInvalidSessions_ > 1) lastEventNumber_ = 0;
     } catch (const std::exception& error) {
-      logger_("changelog", toError(error, describeEndpointList(listAddress)));
+      logger_.warning("changelog", toError(error, describeEndpointList(listAddress)));
     }
     if (generation != generation_) co_return;
     reconnectSchedule_.onSessionEnded(router_.now(), hasReceivedData_ ? SessionEnd::receivedData : sessionEnd,
@@ -186,10 +186,8 @@
   // one that is there even when all is read afresh is of the numbers, not of the events.
   if (isCurrent && parsedLine.sequence < lastEventNumber_ && !parsedLine.event &&
       !std::exchange(isBehind_, true))
-    logger_("changelog",
-            "an old list: it ends at " + std::to_string(parsedLine.sequence) + ", " +
-                std::to_string(lastEventNumber_) + " is known; what is known stays",
-            {}, LogLevel::warning);
+    logger_.warning("changelog", "an old list: it ends at " + std::to_string(parsedLine.sequence) + ", " +
+                                     std::to_string(lastEventNumber_) + " is known; what is known stays");
   if (isNew) {
     if (parsedLine.event) router_.onEndpointUpdate(*parsedLine.event);
     lastEventNumber_ = parsedLine.sequence;  // not before: what could not be taken in is asked for again
--- a/src/routing/engine_connection_pool.cpp
+++ b/src/routing/engine_connection_pool.cpp
@@ -41,7 +41,7 @@
                                                                  AttemptOutcome::unreachable);
                           }),
       connectionTasks_(scheduler, [this](const char* message) {
-        logger_("executor", Error(ErrorKind::unexpected, "", message));
+        logger_.warning("executor", Error(ErrorKind::unexpected, "", message));
       }) {}
 
 void EngineConnectionPool::sendAttempt(AttemptContext& attemptContext) {
@@ -98,10 +98,10 @@
       connections_.size() >= limits_.maxConnections - limits_.maxConnections / kConnectionReserveDivisor)
     return best;
   if (connections_.size() + parallelConnects_ >= limits_.maxConnections) {
-    logger_("descriptors",
-            Error(ErrorKind::outOfDescriptors, "executor " + endpoint.id,
-                  "no connection is left for another dispatch"),
-            {{"engine", endpoint.id}});
+    logger_.warning("descriptors",
+                    Error(ErrorKind::outOfDescriptors, "executor " + endpoint.id,
+                          "no connection is left for another dispatch"),
+                    {{"engine", endpoint.id}});
     return nullptr;
   }
   PADDLETRACK_TABLE("links");
@@ -232,7 +232,7 @@
       static_cast<double>(random_() - random_.min()) / static_cast<double>(random_.max() - random_.min());
   const bool hasAlternatives = endpoint.addressTable.entries().size() > 1;
   if (hasAlternatives && outcome != addresses::ConnectOutcome::succeeded)
-    logger_(
+    logger_.warning(
         "address",
         Error(outcome == addresses::ConnectOutcome::refused || outcome == addresses::ConnectOutcome::timedOut
                   ? ErrorKind::connectFailed
@@ -241,8 +241,8 @@
         {{"engine", endpoint.id}, {"address", addressName}});
   if (hasAlternatives && outcome == addresses::ConnectOutcome::succeeded &&
       endpoint.addressTable.isFailing(addressName))
-    logger_("address", "executor " + endpoint.id + " at " + addressName + ": good again",
-            {{"engine", endpoint.id}, {"address", addressName}});
+    logger_.info("address", "executor " + endpoint.id + " at " + addressName + ": good again",
+                 {{"engine", endpoint.id}, {"address", addressName}});
   endpoint.addressTable.recordOutcome(addressClock(), addressName, outcome, connectTime, connectOptions_,
                                       randomDraw);
 }
@@ -260,18 +260,18 @@
                                                                              : addresses::AddressFamily::ipv4;
       if (addressesByName.emplace(name, address).second) listedAddresses.push_back({name, family});
     } catch (const std::invalid_argument& error) {
-      logger_("changelog",
-              Error(ErrorKind::invalidEndpointEntry, "executor " + endpoint.id,
-                    std::string("address passed over: ") + error.what()),
-              {{"engine", endpoint.id}});
+      logger_.warning("changelog",
+                      Error(ErrorKind::invalidEndpointEntry, "executor " + endpoint.id,
+                            std::string("address passed over: ") + error.what()),
+                      {{"engine", endpoint.id}});
     }
   }
   if (const std::size_t omittedCount = endpoint.addressTable.update(listedAddresses, isNewProcess);
       omittedCount > 0)
-    logger_("changelog",
-            Error(ErrorKind::invalidEndpointEntry, "executor " + endpoint.id,
-                  std::to_string(omittedCount) + " addresses too many, passed over"),
-            {{"engine", endpoint.id}});
+    logger_.warning("changelog",
+                    Error(ErrorKind::invalidEndpointEntry, "executor " + endpoint.id,
+                          std::to_string(omittedCount) + " addresses too many, passed over"),
+                    {{"engine", endpoint.id}});
   endpoint.addressesByName = std::move(addressesByName);
   for (EngineConnection* connection : std::vector<EngineConnection*>(endpoint.connections)) {
     if (connection->addressName.empty() || endpoint.addressesByName.count(connection->addressName) > 0)
@@ -357,10 +357,10 @@
       }
     } else if (!result.descriptor) {
       if (result.error == ETIMEDOUT) attempt.failure = addresses::ConnectOutcome::timedOut;
-      logger_("dial",
-              SystemErrorOfKind<ErrorKind::connectFailed>("executor " + endpoint.id, "no connection",
-                                                          result.error),
-              {{"engine", endpoint.id}, {"address", attempt.addressName}});
+      logger_.warning("dial",
+                      SystemErrorOfKind<ErrorKind::connectFailed>("executor " + endpoint.id, "no connection",
+                                                                  result.error),
+                      {{"engine", endpoint.id}, {"address", attempt.addressName}});
     }
   }
   attempt.finished = true;
@@ -436,10 +436,10 @@
     co_await serveConnection(connection);
   } catch (const std::exception& error) {
     const Error typedError = toError(error, "");
-    logger_("executor",
-            Error(typedError.kind(), "executor " + connection.endpoint.id,
-                  error.what() + std::string("; connection given up"), typedError.hint()),
-            {{"engine", connection.endpoint.id}, {"address", connection.addressName}});
+    logger_.warning("executor",
+                    Error(typedError.kind(), "executor " + connection.endpoint.id,
+                          error.what() + std::string("; connection given up"), typedError.hint()),
+                    {{"engine", connection.endpoint.id}, {"address", connection.addressName}});
     markFaulted(connection);
   }
   onConnectionLost(connection);
@@ -502,10 +502,10 @@
       recordConnectOutcome(connection.endpoint, connection.addressName,
                            addresses::ConnectOutcome::unresponsive);
     if (!connection.unresponsive)
-      logger_("silent",
-              Error(ErrorKind::engineUnresponsive, "executor " + connection.endpoint.id,
-                    "a connection answers nothing"),
-              {{"engine", connection.endpoint.id}, {"address", connection.addressName}});
+      logger_.warning("silent",
+                      Error(ErrorKind::engineUnresponsive, "executor " + connection.endpoint.id,
+                            "a connection answers nothing"),
+                      {{"engine", connection.endpoint.id}, {"address", connection.addressName}});
     connection.unresponsive = true;
   } else {
     connection.pingSentAt = scheduler_.now();
@@ -550,7 +550,7 @@
 void EngineConnectionPool::onResponse(EngineConnection& connection, const protocol::resp::Answer& answer) {
   if (answer.kind == AnswerKind::alive) return;
   if (answer.kind == AnswerKind::unknown)
-    return logger_("unsupported", "executors send messages that have no page; dropped");
+    return logger_.info("unsupported", "executors send messages that have no page; dropped");
   const auto found = connection.openAttempts.find(std::string(answer.id));
   if (found == connection.openAttempts.end()) return;  // given up meanwhile
   AttemptContext& attemptContext = *found->second;
--- a/src/routing/request_router.cpp
+++ b/src/routing/request_router.cpp
@@ -128,10 +128,10 @@
           static_cast<unsigned>(protocol::indexOfName(config_.machineTypeNames, entry.machineType, "kind"));
       if (entry.addresses.empty()) transport::Address{entry.address};  // throws where it is none
     } catch (const std::exception& error) {
-      logger_("changelog",
-              Error(ErrorKind::invalidEndpointEntry, "executor " + entry.id,
-                    std::string("passed over: ") + error.what()),
-              {{"engine", entry.id}});
+      logger_.warning("changelog",
+                      Error(ErrorKind::invalidEndpointEntry, "executor " + entry.id,
+                            std::string("passed over: ") + error.what()),
+                      {{"engine", entry.id}});
       continue;
     }
     record.cell = entry.cell;
@@ -147,8 +147,8 @@
       PADDLETRACK_TABLE("executors");
       position = endpoints_.emplace(entry.id, std::move(newEndpoint)).first;
       position->second->number = ++lastEndpointNumber_;
-      logger_("list", "engine " + std::to_string(position->second->number) + " is executor " + entry.id,
-              {{"engine", entry.id}, {"number", std::to_string(position->second->number)}});
+      logger_.info("list", "engine " + std::to_string(position->second->number) + " is executor " + entry.id,
+                   {{"engine", entry.id}, {"number", std::to_string(position->second->number)}});
     }
     EngineEndpoint* const endpoint = position->second.get();
     // Another process answers there now, or none: what is open may still end, nothing new goes that way.
@@ -328,11 +328,11 @@
 void RequestRouter::scheduleTimer(Duration timerAt) { wakeCall_.runAt(toTimePoint(timerAt)); }
 
 void RequestRouter::sendHealthCheck(Engine&) {
-  logger_("unsupported", "these pages have no message for probes");
+  logger_.info("unsupported", "these pages have no message for probes");
 }
 
 void RequestRouter::sendPeerReport(const std::vector<PeerEngineLoad>&) {
-  logger_("unsupported", "these pages have no message for peers");
+  logger_.info("unsupported", "these pages have no message for peers");
 }
 
 // The change log is always followed; what may fail is told in its time.
@@ -347,7 +347,7 @@
   admissionController_.enableDecisionTrace(true);
 }
 
-void RequestRouter::log(std::string_view text) { logger_("module", std::string(text)); }
+void RequestRouter::log(std::string_view text) { logger_.info("module", std::string(text)); }
 
 // ---- lives ----------------------------------------------------------------------------------------------
 
--- a/tests/program/error_test.cpp
+++ b/tests/program/error_test.cpp
@@ -1,4 +1,4 @@
-// Every kind of error has its row in the operators' table, and says what happened, where and what to do.
+// The table in docs/operating/errors.md has one row for each error kind, with the kind's exit code and hint.
 #include "base/error.hpp"
 
 #include <gtest/gtest.h>
@@ -13,7 +13,7 @@
 namespace paddletrack {
 namespace {
 
-// The table's rows: cells without their blanks.
+// Returns the rows of the table, each as its cells without the surrounding blanks.
 std::vector<std::vector<std::string>> readErrorTable() {
   std::ifstream file(PADDLETRACK_SOURCE "/docs/operating/errors.md");
   std::vector<std::vector<std::string>> rows;
@@ -45,28 +45,30 @@
 }
 
 TEST(Logger, WritesKindLocationAndHintFieldsWhenErrorIsLogged) {
-  LogRecord heard;
-  const Logger say([&](const LogRecord& said) { heard = said; });
-  say("dial", Error(ErrorKind::connectFailed, "executor s-1", "no connection"), {{"engine", "s-1"}});
-  EXPECT_EQ(heard.message, "executor s-1: no connection");
-  EXPECT_EQ(heard.level, LogLevel::warning);
-  const std::vector<std::pair<std::string, std::string>> fields(heard.fields.begin(), heard.fields.end());
-  const std::vector<std::pair<std::string, std::string>> wanted{
+  LogRecord record;
+  const Logger logger([&](const LogRecord& loggedRecord) { record = loggedRecord; });
+  logger.warning("dial", Error(ErrorKind::connectFailed, "executor s-1", "no connection"),
+                 {{"engine", "s-1"}});
+  EXPECT_EQ(record.message, "executor s-1: no connection");
+  EXPECT_EQ(record.level, LogLevel::warning);
+  std::vector<std::pair<std::string, std::string>> fields;
+  for (const auto& [name, value] : record.fields) fields.emplace_back(name, value);
+  const std::vector<std::pair<std::string, std::string>> expectedFields{
       {"error", "connect_failed"},
       {"where", "executor s-1"},
       {"hint", descriptionOf(ErrorKind::connectFailed).hint},
       {"engine", "s-1"}};
-  EXPECT_EQ(fields, wanted);
+  EXPECT_EQ(fields, expectedFields);
 }
 
 TEST(Error, NamesSystemCallAndCauseAndIsUnexpectedWhenKindIsUnknown) {
-  const SystemCallError full("127.0.0.1:1", "socket", EMFILE);
-  EXPECT_STREQ(full.what(), "127.0.0.1:1: socket: Too many open files");
-  EXPECT_NE(full.hint(), SystemCallError("", "socket", ECONNREFUSED).hint());
-  EXPECT_EQ(toError(full, "elsewhere").context(), "127.0.0.1:1");
-  const Error other = toError(std::runtime_error("odd"), "there");
-  EXPECT_STREQ(other.kindName(), "unexpected");
-  EXPECT_STREQ(other.what(), "there: odd");
+  const SystemCallError tooManyFiles("127.0.0.1:1", "socket", EMFILE);
+  EXPECT_STREQ(tooManyFiles.what(), "127.0.0.1:1: socket: Too many open files");
+  EXPECT_NE(tooManyFiles.hint(), SystemCallError("", "socket", ECONNREFUSED).hint());
+  EXPECT_EQ(toError(tooManyFiles, "elsewhere").context(), "127.0.0.1:1");
+  const Error unexpectedError = toError(std::runtime_error("odd"), "there");
+  EXPECT_STREQ(unexpectedError.kindName(), "unexpected");
+  EXPECT_STREQ(unexpectedError.what(), "there: odd");
 }
 
 }  // namespace
