--- a/src/protocol/controller_config.hpp
+++ b/src/protocol/controller_config.hpp
@@ -1,35 +1,37 @@
 #pragma once
 
-#include <cstdint>
-#include <map>
+#include <cstddef>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "model/deployment.hpp"
-#include "protocol/json.hpp"
+#include "protocol/flat_settings.hpp"
 
 namespace paddletrack::protocol {
 
-// What a controller is told at its start: the deployment, and what only the code at its doors needs.
+/// The settings of a controller: the deployment, and what only its connections need.
 struct ControllerConfig {
   Deployment deployment;
-  std::vector<std::string> requestClassNames, tenantNames, zoneNames, machineTypeNames;
-  std::vector<std::string> loadReportNames;  // the order of values in load reports
-  std::size_t maxOpenRequests = 0;           // jobs of this controller
-  std::size_t maxAttemptsPerConnection = 1;  // dispatches that one connection carries
-  Duration connectTimeout{0}, idleTimeout{0}, responseSlack{0};
+  std::vector<std::string> requestClassNames;
+  std::vector<std::string> tenantNames;
+  std::vector<std::string> zoneNames;
+  std::vector<std::string> machineTypeNames;
+  /// The meaning of the values of a load report, in their order.
+  std::vector<std::string> loadReportNames;
+  /// Limit of requests that this controller has open at a time.
+  std::size_t maxOpenRequests = 0;
+  /// Limit of attempts in flight on a connection to an engine.
+  std::size_t maxAttemptsPerConnection = 1;
+  Duration connectTimeout{0};
+  Duration idleTimeout{0};
+  Duration responseSlack{0};
 };
 
-// Values by path: "profiles.0.name"; lists of simple values joined by commas. Both forms of the settings, the
-// lines of the simulator's wire and nested JSON, come down to it.
-using FlatSettings = std::map<std::string, std::string>;
-FlatSettings flattenLines(std::string_view text);
-FlatSettings flattenJson(const Json& json);
-
+/// Throws ParseError with the key of the first setting that is wrong.
 ControllerConfig decodeControllerConfig(const FlatSettings& settings);
 
-// The place of a name in one of these lists; throws with what it should have been.
+/// Returns the index of `name` in `names`; throws ParseError with `subject` as its context if it is absent.
 std::size_t indexOfName(const std::vector<std::string>& names, std::string_view name, const char* subject);
 
 }  // namespace paddletrack::protocol
--- a/src/protocol/endpoint_event.cpp
+++ b/src/protocol/endpoint_event.cpp
@@ -4,38 +4,51 @@
 
 namespace paddletrack::protocol {
 
+namespace {
+
+constexpr std::size_t kMaxQuotedBytes = 40;
+
+EndpointState parseState(const std::string& state) {
+  if (state == "active") return EndpointState::ready;
+  if (state == "leaving") return EndpointState::draining;
+  if (state == "left") return EndpointState::removed;
+  throw ParseError("state", "'" + state + "' is unknown");
+}
+
+std::vector<std::string> parseAddresses(const Json& addresses) {
+  const auto* elements = std::get_if<Json::Elements>(&addresses.value);
+  if (!elements) throw ParseError("addrs", "a list is wanted");
+  std::vector<std::string> parsedAddresses;
+  for (const Json& element : *elements) {
+    // What is not a string becomes an empty address, which is reported where addresses are parsed.
+    const auto* text = std::get_if<std::string>(&element.value);
+    parsedAddresses.push_back(text ? *text : std::string());
+  }
+  return parsedAddresses;
+}
+
+EndpointEntry parseEntry(const Json& server) {
+  EndpointEntry entry;
+  entry.id = server.getString("id");
+  entry.address = server.getString("addr");
+  if (const Json* addresses = server.find("addrs")) entry.addresses = parseAddresses(*addresses);
+  entry.zone = server.getString("zone");
+  entry.machineType = server.getString("kind");
+  entry.cell = static_cast<unsigned>(server.getUnsigned("cell"));
+  entry.state = parseState(server.getString("state"));
+  entry.startedAtMs = static_cast<std::int64_t>(server.getUnsigned("started_ms"));
+  return entry;
+}
+
+}  // namespace
+
 EndpointEvent parseEndpointEvent(const Json& event) {
   EndpointEvent parsedEvent;
   parsedEvent.sequence = event.getUnsigned("seq");
   const Json* fleet = event.find("fleet");
-  if (!fleet) return parsedEvent;  // another kind of event
+  if (!fleet) return parsedEvent;
   parsedEvent.isSnapshot = fleet->getBool("full");
-  for (const Json& server : fleet->getArray("servers")) {
-    EndpointEntry entry;
-    entry.id = server.getString("id");
-    entry.address = server.getString("addr");
-    if (const Json* addresses = server.find("addrs")) {
-      const auto* elements = std::get_if<Json::Elements>(&addresses->value);
-      if (!elements) throw ParseError("addrs", "a list is wanted");
-      for (const Json& element : *elements) {
-        const auto* text = std::get_if<std::string>(&element.value);
-        entry.addresses.push_back(text ? *text : std::string());  // no text: named where addresses are read
-      }
-    }
-    entry.zone = server.getString("zone");
-    entry.machineType = server.getString("kind");
-    entry.cell = static_cast<unsigned>(server.getUnsigned("cell"));
-    const std::string& state = server.getString("state");
-    if (state == "leaving") {
-      entry.state = EndpointState::draining;
-    } else if (state == "left") {
-      entry.state = EndpointState::removed;
-    } else if (state != "active") {
-      throw ParseError("state", "'" + state + "' is unknown");
-    }
-    entry.startedAtMs = static_cast<std::int64_t>(server.getUnsigned("started_ms"));
-    parsedEvent.entries.push_back(std::move(entry));
-  }
+  for (const Json& server : fleet->getArray("servers")) parsedEvent.entries.push_back(parseEntry(server));
   return parsedEvent;
 }
 
@@ -48,7 +61,8 @@
   }
   const auto [end, error] = std::from_chars(line.data(), line.data() + line.size(), parsedLine.sequence);
   if (error != std::errc{} || end != line.data() + line.size())
-    throw ParseError("'" + std::string(line.substr(0, 40)) + "' is neither an event nor a number");
+    throw ParseError("'" + std::string(line.substr(0, kMaxQuotedBytes)) +
+                     "' is neither an event nor a number");
   return parsedLine;
 }
 
--- a/src/protocol/endpoint_event.hpp
+++ b/src/protocol/endpoint_event.hpp
@@ -11,30 +11,39 @@
 
 namespace paddletrack::protocol {
 
-// One executor as an event of the change log tells of it, names still as written.
+/// An engine in an event of the endpoint list. Zone and machine type are names that have not been looked up.
 struct EndpointEntry {
-  std::string id, address, zone, machineType;
+  std::string id;
+  std::string address;
+  std::string zone;
+  std::string machineType;
   unsigned cell = 0;
   EndpointState state = EndpointState::ready;
-  std::int64_t startedAtMs = 0;          // Unix; 0: a long time back
-  std::vector<std::string> addresses{};  // addresses, the first preferred, if the list names several
+  /// Milliseconds since the Unix epoch; 0 if the process has run for a long time.
+  std::int64_t startedAtMs = 0;
+  /// All addresses, the preferred one first; empty if the list names only `address`.
+  std::vector<std::string> addresses{};
 };
 
+/// A change of the endpoint list. A snapshot replaces the list, other events change the engines they name.
 struct EndpointEvent {
   std::uint64_t sequence = 0;
   bool isSnapshot = false;
   std::vector<EndpointEntry> entries;
 };
 
+/// Events of an unknown kind have a sequence number and no entries.
 EndpointEvent parseEndpointEvent(const Json& event);
 
-// A line is an event or, each second, the last number alone.
+/// A line of the endpoint list: an event or, as a heartbeat, the sequence number of the last event.
 struct EndpointListLine {
   std::uint64_t sequence = 0;
   std::optional<EndpointEvent> event;
 };
+
 EndpointListLine parseEndpointListLine(std::string_view line);
 
+/// The request for all events after `sequence`.
 std::string encodeSince(std::uint64_t sequence);
 
 }  // namespace paddletrack::protocol
--- a/src/protocol/json.cpp
+++ b/src/protocol/json.cpp
@@ -9,8 +9,10 @@
 namespace paddletrack::protocol {
 namespace {
 
-constexpr int kMaxDepth = 32;
+constexpr double kMaxExactInteger = 9e15;  // A double holds every integer below it.
+constexpr int kMaxDepth = 32;              // Bounds the recursion that peers' bytes can cause.
 
+// A recursive descent parser of RFC 8259. Errors name the offset of the byte at which parsing stopped.
 class JsonParser {
  public:
   explicit JsonParser(std::string_view text) : text_(text) {}
@@ -95,24 +97,29 @@
     return elements;
   }
 
+  void skipDigits() {
+    const std::size_t start = position_;
+    while (peek() >= '0' && peek() <= '9') ++position_;
+    if (position_ == start) fail("a value is wanted");
+  }
+
+  // Returns the text of a number, which JSON's grammar restricts more than std::from_chars.
   std::string scanNumber() {
     const std::size_t start = position_;
-    const auto digits = [&] {
-      const std::size_t from = position_;
-      while (peek() >= '0' && peek() <= '9') ++position_;
-      if (position_ == from) fail("a value is wanted");
-    };
     if (peek() == '-') ++position_;
     if (peek() == '0') {
       ++position_;
     } else {
-      digits();
+      skipDigits();
+    }
+    if (peek() == '.') {
+      ++position_;
+      skipDigits();
     }
-    if (peek() == '.') ++position_, digits();
     if (peek() == 'e' || peek() == 'E') {
       ++position_;
       if (peek() == '+' || peek() == '-') ++position_;
-      digits();
+      skipDigits();
     }
     return std::string(text_.substr(start, position_ - start));
   }
@@ -127,36 +134,46 @@
     return code;
   }
 
+  static bool isHighSurrogate(unsigned code) { return code >= 0xd800 && code < 0xdc00; }
+  static bool isLowSurrogate(unsigned code) { return code >= 0xdc00 && code < 0xe000; }
+
+  // Parses the digits of a Unicode escape, and a second escape if the first is half of a surrogate pair.
+  unsigned parseEscapedCodePoint() {
+    const unsigned code = parseHexQuad();
+    if (isLowSurrogate(code)) fail("half a surrogate pair");
+    if (!isHighSurrogate(code)) return code;
+    if (!consumeLiteral("\\u")) fail("half a surrogate pair");
+    const unsigned lowSurrogate = parseHexQuad();
+    if (!isLowSurrogate(lowSurrogate)) fail("half a surrogate pair");
+    return 0x10000 + ((code - 0xd800) << 10) + (lowSurrogate - 0xdc00);
+  }
+
+  // Parses what follows a backslash.
+  void appendEscaped(std::string& text) {
+    if (!hasMore()) fail("an unfinished string");
+    const char escaped = text_[position_++];
+    if (escaped == 'u') {
+      appendUtf8(text, parseEscapedCodePoint());
+      return;
+    }
+    constexpr std::string_view kEscapes = "\"\\/bfnrt";
+    constexpr std::string_view kUnescaped = "\"\\/\b\f\n\r\t";
+    const std::size_t escapeIndex = kEscapes.find(escaped);
+    if (escapeIndex == std::string_view::npos) fail("an unknown escape");
+    text += kUnescaped[escapeIndex];
+  }
+
   std::string parseString() {
     std::string text;
-    for (++position_; peek() != '"';) {
+    ++position_;
+    while (peek() != '"') {
       if (!hasMore()) fail("an unfinished string");
       const char character = text_[position_++];
       if (static_cast<unsigned char>(character) < 0x20) fail("a control character in a string");
-      if (character != '\\') {
+      if (character == '\\')
+        appendEscaped(text);
+      else
         text += character;
-        continue;
-      }
-      if (!hasMore()) fail("an unfinished string");
-      const char escaped = text_[position_++];
-      constexpr std::string_view kEscapes = "\"\\/bfnrt", kUnescaped = "\"\\/\b\f\n\r\t";
-      if (escaped == 'u') {
-        unsigned code = parseHexQuad();
-        if (code >= 0xd800 && code < 0xdc00) {
-          if (!consumeLiteral("\\u")) fail("half a surrogate pair");
-          const unsigned lowSurrogate = parseHexQuad();
-          if (lowSurrogate < 0xdc00 || lowSurrogate > 0xdfff) fail("half a surrogate pair");
-          code = 0x10000 + ((code - 0xd800) << 10) + (lowSurrogate - 0xdc00);
-        } else if (code >= 0xdc00 && code < 0xe000) {
-          fail("half a surrogate pair");
-        }
-        appendUtf8(text, code);
-      } else if (const std::size_t escapeIndex = kEscapes.find(escaped);
-                 escapeIndex != std::string_view::npos) {
-        text += kUnescaped[escapeIndex];
-      } else {
-        fail("an unknown escape");
-      }
     }
     ++position_;
     return text;
@@ -166,9 +183,9 @@
   std::size_t position_ = 0;
 };
 
-template <typename Wanted>
-const Wanted& getAs(const Json& object, std::string_view name, const char* kind) {
-  const auto* value = std::get_if<Wanted>(&object.at(name).value);
+template <typename Expected>
+const Expected& getAs(const Json& object, std::string_view name, const char* kind) {
+  const auto* value = std::get_if<Expected>(&object.at(name).value);
   if (!value) throw ParseError(std::string(name), std::string(kind) + " is wanted");
   return *value;
 }
@@ -192,15 +209,19 @@
 const std::string& Json::getString(std::string_view name) const {
   return getAs<std::string>(*this, name, "a string");
 }
+
 double Json::getNumber(std::string_view name) const { return getAs<double>(*this, name, "a number"); }
+
 bool Json::getBool(std::string_view name) const { return getAs<bool>(*this, name, "true or false"); }
+
 const Json::Elements& Json::getArray(std::string_view name) const {
   return getAs<Elements>(*this, name, "a list");
 }
+
 std::uint64_t Json::getUnsigned(std::string_view name) const {
   const double number = getNumber(name);
-  if (!(number >= 0 && number < 9e15 && number == std::floor(number)))
-    throw ParseError(std::string(name), "a whole number is wanted");
+  const bool isExactUnsigned = number >= 0 && number < kMaxExactInteger && number == std::floor(number);
+  if (!isExactUnsigned) throw ParseError(std::string(name), "a whole number is wanted");
   return static_cast<std::uint64_t>(number);
 }
 
--- a/src/protocol/json.hpp
+++ b/src/protocol/json.hpp
@@ -11,22 +11,24 @@
 
 namespace paddletrack::protocol {
 
-// What a peer or a file wrote does not follow its page. Its place, if any, is the key or field.
+/// Bytes from a peer or a file that do not follow their format. The context, if any, is the key or field.
 struct ParseError : ErrorOfKind<ErrorKind::engineProtocolError> {
   using ErrorOfKind::ErrorOfKind;
 };
 
-// One JSON value (RFC 8259), members in the order written.
+/// A JSON value (RFC 8259). Members keep the order of the text.
 class Json {
  public:
   using Members = std::vector<std::pair<std::string, Json>>;
   using Elements = std::vector<Json>;
   std::variant<std::nullptr_t, bool, double, std::string, Elements, Members> value = nullptr;
-  std::string numberText;  // of a number: as it stands there
+  /// The text of a number, for callers that need its digits rather than the nearest double.
+  std::string numberText;
 
-  const Json* find(std::string_view name) const;  // absent, or no object: null
+  /// Returns the member, or null if there is none or this value is not an object.
+  const Json* find(std::string_view name) const;
 
-  // These name the member at fault.
+  /// These throw ParseError with the name of the member if it is absent or of another type.
   const Json& at(std::string_view name) const;
   const std::string& getString(std::string_view name) const;
   double getNumber(std::string_view name) const;
@@ -35,7 +37,7 @@
   const Elements& getArray(std::string_view name) const;
 };
 
-// Strict: one value and nothing after it, no doubled names, nesting bounded.
+/// Parses exactly one value. Throws ParseError also for repeated member names and for deep nesting.
 Json parseJson(std::string_view text);
 
 }  // namespace paddletrack::protocol
--- a/src/protocol/resp.cpp
+++ b/src/protocol/resp.cpp
@@ -1,15 +1,17 @@
 #include "protocol/resp.hpp"
 
+#include <algorithm>
 #include <charconv>
 #include <cmath>
-#include <utility>
 
 namespace paddletrack::protocol::resp {
 namespace {
 
 constexpr std::size_t kMaxCountDigits = 12;
+constexpr int kTabsPerRow = 2;
 
-// The number behind a mark, up to its line end; none while that has not come.
+// Parses `marker`, a number of at most `maximum` and a line end, and moves `position` behind them. Returns
+// none while the line end has not arrived.
 std::optional<std::size_t> parseCount(std::string_view input, std::size_t& position, char marker,
                                       std::size_t maximum) {
   if (position >= input.size()) return std::nullopt;
@@ -70,41 +72,52 @@
   return array;
 }
 
-Answer parseAnswer(const Array& array) {
-  if (array.count < 2) throw ParseError("RESP: an answer has an id and a word");
-  Answer answer;
-  answer.id = array.words[0];
-  const std::string_view status = array.words[1];
-  if (status == "200") {
-    answer.kind = AnswerKind::ok;
-  } else if (status == "503") {
-    answer.kind = AnswerKind::overloaded;
-  } else if (status == "500") {
-    answer.kind = AnswerKind::error;
-  } else if (status == "504") {
-    answer.kind = AnswerKind::timedOut;
-  } else if (status == "chunk") {
-    answer.kind = AnswerKind::chunk;
-  } else if (status != "alive") {
-    if (status.empty() || status.find_first_not_of("abcdefghijklmnopqrstuvwxyz_-") != std::string_view::npos)
-      throw ParseError("RESP: an answer that is noise");
-    answer.kind = AnswerKind::unknown;  // of a page that we have not: what it may carry is not looked at
-    return answer;
-  }
-  std::string_view fields = array.count > 2 ? array.words[2] : "-";
-  if (array.count > 3) answer.body = array.words[3];
-  bool hasNumber = false;
+namespace {
+
+AnswerKind parseStatus(std::string_view status) {
+  if (status == "200") return AnswerKind::ok;
+  if (status == "503") return AnswerKind::overloaded;
+  if (status == "500") return AnswerKind::error;
+  if (status == "504") return AnswerKind::timedOut;
+  if (status == "chunk") return AnswerKind::chunk;
+  if (status == "alive") return AnswerKind::alive;
+  // Another word may be a message of a later version of the engine; anything else is not the protocol.
+  if (status.empty() || status.find_first_not_of("abcdefghijklmnopqrstuvwxyz_-") != std::string_view::npos)
+    throw ParseError("RESP: an answer that is noise");
+  return AnswerKind::unknown;
+}
+
+// Reads fields of the form name=value, joined by commas; unknown names are ignored.
+void parseAnswerFields(std::string_view fields, Answer& answer) {
+  bool hasPageNumber = false;
   while (!fields.empty() && fields != "-") {
     const std::size_t fieldEnd = std::min(fields.find(','), fields.size());
     const std::string_view field = fields.substr(0, fieldEnd);
     const std::size_t equals = field.find('=');
     if (equals == std::string_view::npos) throw ParseError("RESP: a field without '='");
-    const std::string_view name = field.substr(0, equals), value = field.substr(equals + 1);
+    const std::string_view name = field.substr(0, equals);
+    const std::string_view value = field.substr(equals + 1);
     if (name == "batches") answer.pageCount = parseNumber(name, value);
-    if (name == "batch") answer.pageNumber = parseNumber(name, value), hasNumber = true;
+    if (name == "batch") {
+      answer.pageNumber = parseNumber(name, value);
+      hasPageNumber = true;
+    }
     fields.remove_prefix(std::min(fieldEnd + 1, fields.size()));
   }
-  if (answer.kind == AnswerKind::chunk && !hasNumber) throw ParseError("RESP: a chunk without its number");
+  if (answer.kind == AnswerKind::chunk && !hasPageNumber)
+    throw ParseError("RESP: a chunk without its number");
+}
+
+}  // namespace
+
+Answer parseAnswer(const Array& array) {
+  if (array.count < 2) throw ParseError("RESP: an answer has an id and a word");
+  Answer answer;
+  answer.id = array.words[0];
+  answer.kind = parseStatus(array.words[1]);
+  if (answer.kind == AnswerKind::unknown) return answer;  // Its other words have no known meaning.
+  if (array.count > 3) answer.body = array.words[3];
+  parseAnswerFields(array.count > 2 ? array.words[2] : "-", answer);
   return answer;
 }
 
@@ -112,7 +125,8 @@
   int tabs = 0;
   for (const char character : page) {
     if (character == '\n') {
-      if (std::exchange(tabs, 0) != 2) return false;
+      if (tabs != kTabsPerRow) return false;
+      tabs = 0;
     } else if (character == '\t') {
       ++tabs;
     } else if (static_cast<unsigned char>(character) < 0x20 || character == 0x7f) {
@@ -133,7 +147,8 @@
   appendBulkString(output, "ASK");
   appendBulkString(output, id);
   appendBulkString(output, fields);
-  return output += "$" + std::to_string(statementBytes) + "\r\n";
+  output += "$" + std::to_string(statementBytes) + "\r\n";
+  return output;
 }
 
 std::string encodeArray(std::initializer_list<std::string_view> words) {
--- a/src/protocol/resp.hpp
+++ b/src/protocol/resp.hpp
@@ -9,44 +9,65 @@
 
 #include "protocol/json.hpp"
 
-// RESP arrays of bulk strings, as executors speak them. Parsers read in place.
+/// The protocol of the engines: RESP arrays of bulk strings. Parsers do not copy: the views that they return
+/// point into the input.
 namespace paddletrack::protocol::resp {
 
 constexpr std::size_t kMaxWords = 8;
-constexpr std::size_t kMaxPageBytes = 6000, kMaxResultBytes = 48000;
+constexpr std::size_t kMaxPageBytes = 6000;
+constexpr std::size_t kMaxResultBytes = 48000;
 constexpr std::size_t kMaxWordBytes = kMaxPageBytes;
 
+/// An array that may still be incomplete.
 struct Array {
   std::array<std::string_view, kMaxWords> words{};
   std::size_t count = 0;
-  std::size_t size = 0;          // bytes of the whole array; 0: it is not whole yet
-  std::size_t requiredSize = 0;  // while it is not: the least it takes in all
+  /// Bytes of the array; 0 while it is incomplete.
+  std::size_t size = 0;
+  /// While the array is incomplete, a lower bound of the bytes it needs, if one is known.
+  std::size_t requiredSize = 0;
 };
+
+/// Parses the array at the start of `input`. Throws ParseError for what cannot become one.
 Array parseArray(std::string_view input, std::size_t maxWordBytes = kMaxWordBytes);
 
-enum class AnswerKind { ok, overloaded, error, timedOut, alive, chunk, unknown };
+/// `unknown` is a status that this version does not support.
+enum class AnswerKind : std::uint8_t { ok, overloaded, error, timedOut, alive, chunk, unknown };
 
+/// A response of an engine.
 struct Answer {
-  std::string_view id;  // or the tag of a NOOP
+  /// The id of the attempt, or the tag of a NOOP.
+  std::string_view id;
   AnswerKind kind = AnswerKind::alive;
-  std::uint32_t pageCount = 1;   // of an ok: all of them
-  std::uint32_t pageNumber = 0;  // of a chunk: its number
+  /// Of `ok`: the number of pages of the result.
+  std::uint32_t pageCount = 1;
+  /// Of `chunk`: the number of the page in `body`.
+  std::uint32_t pageNumber = 0;
   std::string_view body;
 };
+
 Answer parseAnswer(const Array& array);
-bool areRowsComplete(std::string_view page);  // of three columns each, as text
 
-// An ASK is its head, the statement and the tail; the rest are whole.
+/// Whether a page consists of complete rows: text of three columns each.
+bool areRowsComplete(std::string_view page);
+
+/// The options of an ASK command.
 struct AskOptions {
   std::int64_t timeoutMs = 0;
-  double memoryGrantMb = 0;  // 0: the executor's own choice
+  /// 0 leaves the grant to the engine.
+  double memoryGrantMb = 0;
   std::optional<int> priority;
-  std::string_view idempotencyKey = {};  // by which executors know a repeat; empty: none
+  /// Engines recognize a retry by it; empty if the request has none.
+  std::string_view idempotencyKey = {};
 };
+
+/// An ASK is sent as its head, the statement of `statementBytes` bytes and `kAskTail`, so that the statement
+/// need not be copied. The other functions encode complete commands.
 std::string encodeAskHead(std::string_view id, std::string_view requestClass, const AskOptions& options,
                           std::size_t statementBytes);
 constexpr std::string_view kAskTail = "\r\n";
-std::string encodeArray(std::initializer_list<std::string_view> words);  // as any side writes it
+/// Encodes any array, as either side sends it.
+std::string encodeArray(std::initializer_list<std::string_view> words);
 std::string encodeQuit(std::string_view id);
 std::string encodePriority(std::string_view id, int priority);
 std::string encodeNext(std::string_view id, std::uint32_t pageNumber);
--- a/src/protocol/statement.cpp
+++ b/src/protocol/statement.cpp
@@ -3,15 +3,18 @@
 #include <algorithm>
 #include <cctype>
 #include <charconv>
+#include <initializer_list>
 #include <optional>
 #include <string>
 
 namespace paddletrack::protocol {
 namespace {
 
+enum class TokenKind : std::uint8_t { name, dot, comma, openParenthesis, closeParenthesis, other, end };
+
 struct Token {
-  enum class Kind { name, dot, comma, openParenthesis, closeParenthesis, other, end } kind = Kind::end;
-  std::string text;  // of a name: as it is meant, in lower case unless it was quoted
+  TokenKind kind = TokenKind::end;
+  std::string text;  // Of a name: without quotes, and in lower case unless it was quoted.
   bool quoted = false;
 };
 
@@ -22,71 +25,91 @@
   return isIdentifierStart(c) || std::isdigit(static_cast<unsigned char>(c)) || c == '$';
 }
 
-// SQL words and marks; comments and strings are passed over whole, an unfinished one to the end.
+// Splits SQL into names and punctuation. Comments are skipped and literals are tokens of no interest; one
+// that is not closed extends to the end of the text.
 class SqlScanner {
  public:
   explicit SqlScanner(std::string_view text) : text_(text) {}
 
   Token nextToken() {
-    for (;;) {
-      if (position_ >= text_.size()) return {};
-      const char c = text_[position_];
-      if (std::isspace(static_cast<unsigned char>(c))) {
-        ++position_;
-      } else if (startsWith("--")) {
-        position_ = std::min(text_.find('\n', position_), text_.size());
-      } else if (startsWith("/*")) {
-        skipComment();
-      } else {
-        break;
-      }
-    }
+    skipBlanksAndComments();
+    if (position_ >= text_.size()) return {};
     const char c = text_[position_];
     if (c == '\'') {
-      readQuoted('\'');
-      return {Token::Kind::other, "", false};
+      readQuoted(c);
+      return {TokenKind::other, "", false};
     }
-    if (c == '"' || c == '`') return {Token::Kind::name, readQuoted(c), true};
-    if (isIdentifierStart(c)) {
-      std::string word;
-      while (position_ < text_.size() && isIdentifierPart(text_[position_]))
-        word += static_cast<char>(std::tolower(static_cast<unsigned char>(text_[position_++])));
-      return {Token::Kind::name, std::move(word), false};
-    }
-    if (std::isdigit(static_cast<unsigned char>(c))) {  // 1.5e3: its dot joins no names
-      while (position_ < text_.size() && (isIdentifierPart(text_[position_]) || text_[position_] == '.'))
-        ++position_;
-      return {Token::Kind::other, "", false};
+    if (c == '"' || c == '`') return {TokenKind::name, readQuoted(c), true};
+    if (isIdentifierStart(c)) return {TokenKind::name, readWord(), false};
+    if (std::isdigit(static_cast<unsigned char>(c))) {
+      skipNumber();
+      return {TokenKind::other, "", false};
     }
     ++position_;
+    return {punctuationKind(c), "", false};
+  }
+
+ private:
+  bool startsWith(std::string_view prefix) const { return text_.substr(position_, prefix.size()) == prefix; }
+
+  static TokenKind punctuationKind(char c) {
     switch (c) {
       case '.':
-        return {Token::Kind::dot, "", false};
+        return TokenKind::dot;
       case ',':
-        return {Token::Kind::comma, "", false};
+        return TokenKind::comma;
       case '(':
-        return {Token::Kind::openParenthesis, "", false};
+        return TokenKind::openParenthesis;
       case ')':
-        return {Token::Kind::closeParenthesis, "", false};
+        return TokenKind::closeParenthesis;
       default:
-        return {Token::Kind::other, "", false};
+        return TokenKind::other;
     }
   }
 
- private:
-  bool startsWith(std::string_view prefix) const { return text_.substr(position_, prefix.size()) == prefix; }
-  void skipComment() {  // block comments nest, as in the standard
+  void skipBlanksAndComments() {
+    while (position_ < text_.size()) {
+      if (std::isspace(static_cast<unsigned char>(text_[position_])))
+        ++position_;
+      else if (startsWith("--"))
+        position_ = std::min(text_.find('\n', position_), text_.size());
+      else if (startsWith("/*"))
+        skipBlockComment();
+      else
+        return;
+    }
+  }
+
+  // Block comments nest, as in the SQL standard.
+  void skipBlockComment() {
     int depth = 0;
     do {
       if (startsWith("/*")) {
-        ++depth, position_ += 2;
+        ++depth;
+        position_ += 2;
       } else if (startsWith("*/")) {
-        --depth, position_ += 2;
+        --depth;
+        position_ += 2;
       } else {
         ++position_;
       }
     } while (depth > 0 && position_ < text_.size());
   }
+
+  std::string readWord() {
+    std::string word;
+    for (; position_ < text_.size() && isIdentifierPart(text_[position_]); ++position_)
+      word += static_cast<char>(std::tolower(static_cast<unsigned char>(text_[position_])));
+    return word;
+  }
+
+  // The dot of a number such as 1.5e3 does not join names.
+  void skipNumber() {
+    while (position_ < text_.size() && (isIdentifierPart(text_[position_]) || text_[position_] == '.'))
+      ++position_;
+  }
+
+  // Reads a quoted name or literal, in which a doubled quote stands for one.
   std::string readQuoted(char quote) {
     std::string content;
     for (++position_; position_ < text_.size(); ++position_) {
@@ -114,46 +137,69 @@
   return group;
 }
 
-bool introducesTable(const Token& word) {
-  if (word.quoted) return false;
-  for (const char* character : {"from", "join", "into", "update", "table", "using", "overwrite"})
-    if (word.text == character) return true;
-  return false;
+bool isKeyword(const Token& token, std::initializer_list<const char*> keywords) {
+  if (token.kind != TokenKind::name || token.quoted) return false;
+  return std::find(keywords.begin(), keywords.end(), token.text) != keywords.end();
+}
+
+bool introducesTable(const Token& token) {
+  return isKeyword(token, {"from", "join", "into", "update", "table", "using", "overwrite"});
+}
+
+bool endsTableList(const Token& token) {
+  if (token.kind == TokenKind::openParenthesis || token.kind == TokenKind::closeParenthesis) return true;
+  return isKeyword(token, {"where", "set", "on", "select", "values", "group", "order"});
 }
 
+// Follows the tokens of a statement and knows where the name of a table is expected.
+class TableNameTracker {
+ public:
+  bool expectsTable() const { return expectsTable_; }
+
+  // A keyword or punctuation, or a name outside a list of tables.
+  void onToken(const Token& token) {
+    if (introducesTable(token)) {
+      expectsTable_ = true;
+      isInTableList_ = true;
+    } else if (token.kind == TokenKind::comma && isInTableList_) {
+      expectsTable_ = true;
+    } else if (endsTableList(token)) {
+      expectsTable_ = false;
+      isInTableList_ = false;
+    }
+  }
+
+  // The name of a table has been read. "only" and "lateral" stand before one.
+  void onUnqualifiedName(const Token& name) { expectsTable_ = isKeyword(name, {"only", "lateral"}); }
+  void onQualifiedName() { expectsTable_ = false; }
+
+ private:
+  bool expectsTable_ = false;
+  bool isInTableList_ = false;
+};
+
 }  // namespace
 
-// Only names where a table stands count: a column may be written with an alias or its schema before it.
+// Only names in the position of a table count, because a column may be qualified by an alias or a schema.
 std::uint32_t parseTableGroup(std::string_view statement) {
   SqlScanner scanner(statement);
+  TableNameTracker tracker;
   Token token = scanner.nextToken();
-  bool expectsTable = false;  // a table's name is to come
-  bool inTableList = false;   // within a list of tables: another may follow a comma
-  while (token.kind != Token::Kind::end) {
-    if (token.kind == Token::Kind::name && introducesTable(token)) {
-      expectsTable = inTableList = true;
-      token = scanner.nextToken();
-      continue;
-    }
-    if (token.kind == Token::Kind::comma && inTableList) expectsTable = true;
-    if (token.kind == Token::Kind::openParenthesis || token.kind == Token::Kind::closeParenthesis)
-      expectsTable = inTableList = false;
-    if (token.kind == Token::Kind::name && !token.quoted &&
-        (token.text == "where" || token.text == "set" || token.text == "on" || token.text == "select" ||
-         token.text == "values" || token.text == "group" || token.text == "order"))
-      expectsTable = inTableList = false;
-    if (token.kind != Token::Kind::name || !expectsTable) {
+  while (token.kind != TokenKind::end) {
+    tracker.onToken(token);
+    const bool isTableName =
+        token.kind == TokenKind::name && tracker.expectsTable() && !introducesTable(token);
+    if (!isTableName) {
       token = scanner.nextToken();
       continue;
     }
     const Token schema = token;
     token = scanner.nextToken();
-    if (token.kind != Token::Kind::dot) {
-      // "into table x", "from only x": the name is still to come; else this was it.
-      expectsTable = !schema.quoted && (schema.text == "only" || schema.text == "lateral");
+    if (token.kind != TokenKind::dot) {
+      tracker.onUnqualifiedName(schema);
       continue;
     }
-    expectsTable = false;
+    tracker.onQualifiedName();
     if (schema.text == "staging") continue;
     if (const auto group = parseGroupSuffix(schema)) return *group;
   }
--- a/src/protocol/thrift.cpp
+++ b/src/protocol/thrift.cpp
@@ -1,5 +1,6 @@
 #include "protocol/thrift.hpp"
 
+#include <array>
 #include <charconv>
 #include <utility>
 
@@ -9,7 +10,9 @@
 namespace {
 
 constexpr std::uint32_t kStrictVersion = 0x80010000;
-constexpr int kMaxDepth = 16;
+constexpr int kMaxDepth = 16;  // Bounds the recursion that peers' bytes can cause.
+
+// Type codes of the binary protocol. A plain enum, because codes that are not listed arrive too.
 enum FieldType : std::uint8_t {
   kStop = 0,
   kBool = 2,
@@ -25,6 +28,7 @@
   kList = 15,
 };
 
+// Reads the fields of one frame in order; throws ParseError where the frame ends early.
 class Reader {
  public:
   explicit Reader(std::string_view bytes) : bytes_(bytes) {}
@@ -35,6 +39,7 @@
   std::string_view readString() { return readBytes(readU32()); }
   std::string_view remaining() const { return bytes_; }
 
+  // Skips the value of a field that the service does not know.
   void skipValue(std::uint8_t type, int depth = 0) {
     if (depth > kMaxDepth) throw ParseError("nested too deep");
     switch (type) {
@@ -56,28 +61,32 @@
         readString();
         return;
       case kStruct:
-        while (const std::uint8_t field = readU8()) {
+        while (const std::uint8_t fieldType = readU8()) {
           readU16();
-          skipValue(field, depth + 1);
+          skipValue(fieldType, depth + 1);
         }
         return;
       case kMap: {
-        const std::uint8_t key = readU8(), value = readU8();
-        for (std::uint32_t count = readCount(); count > 0; --count)
-          skipValue(key, depth + 1), skipValue(value, depth + 1);
+        const std::uint8_t keyType = readU8();
+        const std::uint8_t valueType = readU8();
+        for (std::uint32_t count = readCount(); count > 0; --count) {
+          skipValue(keyType, depth + 1);
+          skipValue(valueType, depth + 1);
+        }
         return;
       }
       case kSet:
       case kList: {
-        const std::uint8_t element = readU8();
-        for (std::uint32_t count = readCount(); count > 0; --count) skipValue(element, depth + 1);
+        const std::uint8_t elementType = readU8();
+        for (std::uint32_t count = readCount(); count > 0; --count) skipValue(elementType, depth + 1);
         return;
       }
       default:
         throw ParseError("type " + std::to_string(type) + " is unknown");
     }
   }
-  // Every element takes a byte at least: a false count must not keep us busy.
+  // Reads the number of elements of a container. Each element takes at least a byte, so a larger count is
+  // false and is refused before any work is done for it.
   std::uint32_t readCount() {
     const std::uint32_t count = readU32();
     if (count > bytes_.size()) throw ParseError("more elements than bytes");
@@ -97,70 +106,73 @@
 };
 
 using paddletrack::appendBigEndian;
+
 void appendString(std::string& output, std::string_view text) {
   appendBigEndian(output, text.size(), 4);
   output += text;
 }
+
 void appendFieldHeader(std::string& output, FieldType type, std::uint16_t fieldId) {
   appendBigEndian(output, type, 1);
   appendBigEndian(output, fieldId, 2);
 }
 
-std::string encodeEmptyMap() {
-  std::string output;
+// The header of a map from string to string; its entries follow.
+void appendStringMapHeader(std::string& output, std::size_t entryCount) {
   appendBigEndian(output, kString, 1);
   appendBigEndian(output, kString, 1);
-  appendBigEndian(output, 0, 4);
-  return output;
+  appendBigEndian(output, entryCount, 4);
 }
 
-// Each pair of a map of texts.
-template <typename Each>
-void forEachField(Reader& reader, Each callback) {
-  const std::uint8_t key = reader.readU8(), value = reader.readU8();
+// Calls `callback(name, value)` for each entry of a map from string to string.
+template <typename Callback>
+void forEachField(Reader& reader, Callback callback) {
+  const std::uint8_t keyType = reader.readU8();
+  const std::uint8_t valueType = reader.readU8();
   const std::uint32_t count = reader.readCount();
-  if (count > 0 && (key != kString || value != kString)) throw ParseError("fields: text is wanted");
+  if (count > 0 && (keyType != kString || valueType != kString)) throw ParseError("fields: text is wanted");
   for (std::uint32_t remaining = count; remaining > 0; --remaining) {
     const std::string_view name = reader.readString();
     callback(name, reader.readString());
   }
 }
 
+std::string encodeTailOfAnswer(bool healthy) {
+  std::string output;
+  appendFieldHeader(output, kMap, 2);
+  appendStringMapHeader(output, 0);
+  appendFieldHeader(output, kBool, 3);
+  appendBigEndian(output, healthy ? 1 : 0, 1);
+  appendBigEndian(output, kStop, 1);  // End of the Answer.
+  appendBigEndian(output, kStop, 1);  // End of the result.
+  return output;
+}
+
+// The tails do not change, and one is sent with every answer.
 const std::string& answerTailFor(bool healthy) {
-  static const auto encode = [](bool value) {
-    std::string output;
-    appendFieldHeader(output, kMap, 2);
-    output += encodeEmptyMap();
-    appendFieldHeader(output, kBool, 3);
-    appendBigEndian(output, value ? 1 : 0, 1);
-    appendBigEndian(output, kStop, 1);  // of the Answer
-    appendBigEndian(output, kStop, 1);  // of the result
-    return output;
-  };
-  static const std::string healthyTail = encode(true), unhealthyTail = encode(false);
-  return healthy ? healthyTail : unhealthyTail;
+  static const std::string kHealthyTail = encodeTailOfAnswer(true);
+  static const std::string kUnhealthyTail = encodeTailOfAnswer(false);
+  return healthy ? kHealthyTail : kUnhealthyTail;
 }
 
-std::string encodeAnswerPrefix(std::size_t body) {
+std::string encodeAnswerPrefix(std::size_t bodySize) {
   std::string output;
   appendFieldHeader(output, kStruct, 0);
   appendFieldHeader(output, kString, 1);
-  appendBigEndian(output, body, 4);
+  appendBigEndian(output, bodySize, 4);
   return output;
 }
 
-// A declared exception of submit, with one field at most.
-std::string encodeDeclaredException(std::int32_t sequence, std::uint16_t id, std::string_view name,
+// An exception that `submit` declares, with one field or, if `name` is empty, none.
+std::string encodeDeclaredException(std::int32_t sequence, std::uint16_t exceptionId, std::string_view name,
                                     std::string_view value) {
   std::string output;
-  appendFieldHeader(output, kStruct, id);
+  appendFieldHeader(output, kStruct, exceptionId);
   appendFieldHeader(output, kMap, 1);
   if (name.empty()) {
-    output += encodeEmptyMap();
+    appendStringMapHeader(output, 0);
   } else {
-    appendBigEndian(output, kString, 1);
-    appendBigEndian(output, kString, 1);
-    appendBigEndian(output, 1, 4);
+    appendStringMapHeader(output, 1);
     appendString(output, name);
     appendString(output, value);
   }
@@ -169,6 +181,71 @@
   return encodeMessage("submit", MessageType::reply, sequence, output);
 }
 
+// Stores a field of a submit call in the member it belongs to. Unknown fields are ignored.
+void storeSubmitField(SubmitRequest& submit, std::string_view name, std::string_view value) {
+  struct KnownField {
+    std::string_view name;
+    std::string_view SubmitRequest::*member;
+  };
+  static constexpr std::array<KnownField, 7> kKnownFields{{{"service", &SubmitRequest::requestClass},
+                                                           {"ref", &SubmitRequest::reference},
+                                                           {"allow", &SubmitRequest::timeoutMs},
+                                                           {"project", &SubmitRequest::tenant},
+                                                           {"effort", &SubmitRequest::estimatedWork},
+                                                           {"ram", &SubmitRequest::memory},
+                                                           {"replay", &SubmitRequest::idempotencyKey}}};
+  for (const KnownField& field : kKnownFields) {
+    if (field.name != name) continue;
+    std::string_view& member = submit.*field.member;
+    if (value.empty() || !member.empty()) throw ParseError("fields: each has one value");
+    member = value;
+  }
+}
+
+// Reads the delay of a rejection, in milliseconds; fields of other names have none.
+std::optional<std::int64_t> parseRetryAfter(std::string_view name, std::string_view value) {
+  if (name != "cooldown") return std::nullopt;
+  std::int64_t retryAfterMs = 0;
+  const auto [end, error] = std::from_chars(value.data(), value.data() + value.size(), retryAfterMs);
+  if (error != std::errc{} || end != value.data() + value.size())
+    throw ParseError("cooldown: '" + std::string(value.substr(0, 20)) + "' can't be used");
+  return retryAfterMs;
+}
+
+// Field ids of the result of a call: the answer, or one of the declared exceptions.
+constexpr std::uint16_t kAnswerResult = 0;
+constexpr std::uint16_t kRejectedResult = 1;
+constexpr std::uint16_t kFailedResult = 2;
+
+// Reads the fields of the result into `reply`. Returns whether the answer says that the controller is
+// healthy.
+bool decodeResult(Reader& reader, std::uint16_t resultId, Reply& reply) {
+  const bool isAnswer = resultId == kAnswerResult;
+  bool healthy = false;
+  while (const std::uint8_t type = reader.readU8()) {
+    const std::uint16_t id = reader.readU16();
+    if (isAnswer && id == 1 && type == kString) {
+      reply.body = std::string(reader.readString());
+    } else if (isAnswer && id == 3 && type == kBool) {
+      healthy = reader.readU8() != 0;
+    } else if (!isAnswer && id == 1 && type == kMap) {
+      forEachField(reader, [&](std::string_view name, std::string_view value) {
+        if (const auto retryAfterMs = parseRetryAfter(name, value)) reply.retryAfterMs = retryAfterMs;
+      });
+    } else {
+      reader.skipValue(type);
+    }
+  }
+  return healthy;
+}
+
+Reply::Outcome outcomeOf(std::uint16_t resultId, bool healthy, bool isHeartbeat) {
+  if (resultId == kRejectedResult) return Reply::Outcome::rejected;
+  if (resultId == kFailedResult) return Reply::Outcome::failed;
+  if (!healthy) return Reply::Outcome::unhealthy;
+  return isHeartbeat ? Reply::Outcome::healthy : Reply::Outcome::completed;
+}
+
 }  // namespace
 
 std::optional<std::size_t> readFrameLength(std::string_view input) {
@@ -180,10 +257,11 @@
   Reader reader(frame);
   const std::uint32_t header = reader.readU32();
   if ((header & 0xffffff00U) != kStrictVersion) throw ParseError("not the strict binary protocol");
-  const std::uint32_t kind = header & 0xff;
-  if (kind < 1 || kind > 4) throw ParseError("message type " + std::to_string(kind) + " is unknown");
+  const std::uint32_t typeCode = header & 0xff;
+  if (typeCode < 1 || typeCode > 4)
+    throw ParseError("message type " + std::to_string(typeCode) + " is unknown");
   Message message;
-  message.type = static_cast<MessageType>(kind);
+  message.type = static_cast<MessageType>(typeCode);
   message.method = reader.readString();
   message.sequence = static_cast<std::int32_t>(reader.readU32());
   message.arguments = reader.remaining();
@@ -198,17 +276,7 @@
     const std::uint16_t id = reader.readU16();
     if (id == 1 && type == kMap) {
       forEachField(reader, [&](std::string_view name, std::string_view value) {
-        for (const auto& [wireName, target] : {std::pair("service", &submit.requestClass),
-                                               {"ref", &submit.reference},
-                                               {"allow", &submit.timeoutMs},
-                                               {"project", &submit.tenant},
-                                               {"effort", &submit.estimatedWork},
-                                               {"ram", &submit.memory},
-                                               {"replay", &submit.idempotencyKey}}) {
-          if (name != wireName) continue;
-          if (value.empty() || !target->empty()) throw ParseError("fields: each has one value");
-          *target = value;
-        }
+        storeSubmitField(submit, name, value);
       });
     } else if (id == 2 && type == kString && !hasBody) {
       submit.statement = reader.readString();
@@ -238,13 +306,13 @@
   return *sequence;
 }
 
-std::string encodeMessage(std::string_view method, MessageType kind, std::int32_t sequence,
+std::string encodeMessage(std::string_view method, MessageType type, std::int32_t sequence,
                           std::string_view body, std::size_t trailingBytes) {
   std::string output;
   const std::size_t length = 4 + 4 + method.size() + 4 + body.size();
   output.reserve(kFrameHeaderBytes + length);
   appendBigEndian(output, length + trailingBytes, 4);
-  appendBigEndian(output, kStrictVersion | static_cast<std::uint32_t>(kind), 4);
+  appendBigEndian(output, kStrictVersion | static_cast<std::uint32_t>(type), 4);
   appendString(output, method);
   appendBigEndian(output, static_cast<std::uint32_t>(sequence), 4);
   return output += body;
@@ -253,11 +321,11 @@
 std::string encodeSubmit(std::int32_t sequence, const Fields& fields, std::string_view statement) {
   std::string output;
   appendFieldHeader(output, kMap, 1);
-  appendBigEndian(output, kString, 1);
-  appendBigEndian(output, kString, 1);
-  appendBigEndian(output, fields.size(), 4);
-  for (const auto& [name, value] : fields)
-    appendString(output, std::string_view(name)), appendString(output, std::string_view(value));
+  appendStringMapHeader(output, fields.size());
+  for (const auto& [name, value] : fields) {
+    appendString(output, name);
+    appendString(output, value);
+  }
   appendFieldHeader(output, kString, 2);
   appendString(output, statement);
   appendBigEndian(output, kStop, 1);
@@ -282,54 +350,32 @@
   reply.sequence = message.sequence;
   Reader reader(message.arguments);
   const std::uint8_t outerType = reader.readU8();
-  const std::uint16_t result = outerType == kStop ? 0 : reader.readU16();
+  const std::uint16_t resultId = outerType == kStop ? kAnswerResult : reader.readU16();
   if (message.type == MessageType::exception) {
     if (outerType == kString) reply.body = std::string(reader.readString());
     return reply;
   }
-  if (outerType != kStruct || result > 2) throw ParseError("an answer without a result");
-  bool healthy = false;
-  while (const std::uint8_t type = reader.readU8()) {
-    const std::uint16_t id = reader.readU16();
-    if (result == 0 && id == 1 && type == kString) {
-      reply.body = std::string(reader.readString());
-    } else if (result == 0 && id == 3 && type == kBool) {
-      healthy = reader.readU8() != 0;
-    } else if (result > 0 && id == 1 && type == kMap) {
-      forEachField(reader, [&](std::string_view name, std::string_view value) {
-        std::int64_t retryAfter = 0;
-        const auto [end, error] = std::from_chars(value.data(), value.data() + value.size(), retryAfter);
-        if (name != "cooldown") return;
-        if (error != std::errc{} || end != value.data() + value.size())
-          throw ParseError("cooldown: '" + std::string(value.substr(0, 20)) + "' can't be used");
-        reply.retryAfterMs = retryAfter;
-      });
-    } else {
-      reader.skipValue(type);
-    }
-  }
-  const bool isHeartbeat = message.method == "heartbeat";
-  reply.outcome = result == 1   ? Reply::Outcome::rejected
-                  : result == 2 ? Reply::Outcome::failed
-                  : !healthy    ? Reply::Outcome::unhealthy
-                  : isHeartbeat ? Reply::Outcome::healthy
-                                : Reply::Outcome::completed;
+  if (outerType != kStruct || resultId > kFailedResult) throw ParseError("an answer without a result");
+  const bool healthy = decodeResult(reader, resultId, reply);
+  reply.outcome = outcomeOf(resultId, healthy, message.method == "heartbeat");
   return reply;
 }
 
-std::string encodeAnswerHead(std::int32_t sequence, std::size_t body) {
-  return encodeMessage("submit", MessageType::reply, sequence, encodeAnswerPrefix(body),
-                       body + answerTailFor(true).size());
+std::string encodeAnswerHead(std::int32_t sequence, std::size_t bodySize) {
+  return encodeMessage("submit", MessageType::reply, sequence, encodeAnswerPrefix(bodySize),
+                       bodySize + answerTailFor(true).size());
 }
 
 std::string_view encodeAnswerTail() { return answerTailFor(true); }
 
 std::string encodeRejection(std::int32_t sequence, std::optional<std::int64_t> retryAfterMs) {
-  return encodeDeclaredException(sequence, 1, retryAfterMs ? "cooldown" : "",
-                                 retryAfterMs ? std::to_string(*retryAfterMs) : "");
+  if (!retryAfterMs) return encodeDeclaredException(sequence, kRejectedResult, "", "");
+  return encodeDeclaredException(sequence, kRejectedResult, "cooldown", std::to_string(*retryAfterMs));
 }
 
-std::string encodeFailure(std::int32_t sequence) { return encodeDeclaredException(sequence, 2, "", ""); }
+std::string encodeFailure(std::int32_t sequence) {
+  return encodeDeclaredException(sequence, kFailedResult, "", "");
+}
 
 std::string encodeHeartbeatReply(std::int32_t sequence, bool healthy) {
   return encodeMessage("heartbeat", MessageType::reply, sequence,
--- a/src/protocol/thrift.hpp
+++ b/src/protocol/thrift.hpp
@@ -9,34 +9,48 @@
 
 #include "protocol/json.hpp"
 
-// Thrift, framed transport and strict binary protocol, as far as the service Front needs it. Parsers read
-// in place: the views lie in the frame given.
+/// Thrift with the framed transport and the strict binary protocol, as far as the service `Front` needs it.
+/// Decoders throw ParseError and do not copy: the views that they return point into the bytes they were
+/// given, which the caller has to keep.
 namespace paddletrack::protocol::thrift {
 
 constexpr std::size_t kFrameHeaderBytes = 4;
 
-// The length of the frame that begins here, without its head; none while the head is not whole.
+/// The length of the frame at the start of `input`, without its header; none while the header is incomplete.
 std::optional<std::size_t> readFrameLength(std::string_view input);
 
 enum class MessageType : std::uint8_t { call = 1, reply = 2, exception = 3, oneway = 4 };
 
+/// The envelope of a frame; `arguments` are the bytes that follow it.
 struct Message {
   MessageType type = MessageType::call;
   std::string_view method;
   std::int32_t sequence = 0;
   std::string_view arguments;
 };
+
+/// Decodes a frame without its length header.
 Message decodeMessage(std::string_view frame);
 
-// A request as its client wrote it; a field that is absent is empty.
+/// The arguments of a submit call as the client wrote them; an absent field is empty.
 struct SubmitRequest {
-  std::string_view requestClass, reference, timeoutMs, tenant, estimatedWork, memory, idempotencyKey,
-      statement;
+  std::string_view requestClass;
+  std::string_view reference;
+  std::string_view timeoutMs;
+  std::string_view tenant;
+  std::string_view estimatedWork;
+  std::string_view memory;
+  std::string_view idempotencyKey;
+  std::string_view statement;
 };
+
 SubmitRequest decodeSubmit(std::string_view arguments);
+
+/// Returns the sequence number of the submit call that is withdrawn.
 std::int32_t decodeRevoke(std::string_view arguments);
 
-// Codes of the application exception.
+/// Codes of Thrift's application exception.
+// NOLINTNEXTLINE(performance-enum-size): the codes are written as 32 bits.
 enum class ExceptionCode : std::int32_t {
   unknownMethod = 1,
   invalidMessage = 2,
@@ -45,38 +59,38 @@
   protocolError = 7
 };
 
-// A whole frame; `outside` counts bytes of its body that follow in other pieces.
-std::string encodeMessage(std::string_view method, MessageType kind, std::int32_t sequence,
+/// Encodes a frame with its length header. `trailingBytes` counts bytes that the caller sends after `body` as
+/// part of the same frame.
+std::string encodeMessage(std::string_view method, MessageType type, std::int32_t sequence,
                           std::string_view body, std::size_t trailingBytes = 0);
 
-// ---- as a client writes and reads -----------------------------------------------------------------------
+// ---- client side ----------------------------------------------------------------------------------------
 
 using Fields = std::vector<std::pair<std::string, std::string>>;
 std::string encodeSubmit(std::int32_t sequence, const Fields& fields, std::string_view statement);
 std::string encodeRevoke(std::int32_t sequence);
 std::string encodeHeartbeatCall(std::int32_t sequence);
 
-// What a controller answered.
+/// The reply of a controller to a submit or heartbeat call.
 struct Reply {
-  enum class Outcome {
-    completed,
-    rejected,
-    failed,
-    exception,
-    healthy,
-    unhealthy
-  };  // the last two: a heartbeat
+  /// `healthy` is the outcome of a heartbeat alone. `unhealthy` is that of any answer without the flag.
+  enum class Outcome : std::uint8_t { completed, rejected, failed, exception, healthy, unhealthy };
   Outcome outcome = Outcome::exception;
   std::int32_t sequence = 0;
-  std::string body;  // the rows, or an exception's text
+  /// The rows of the result, or the text of an exception.
+  std::string body;
+  /// From a rejection: the client may submit again after this time.
   std::optional<std::int64_t> retryAfterMs;
 };
+
+/// Decodes a frame without its length header.
 Reply decodeReply(std::string_view frame);
 
-// ---- as a controller writes -----------------------------------------------------------------------------
+// ---- controller side ------------------------------------------------------------------------------------
 
-// Whole frames but for the first: an Answer's body of so many bytes belongs between its head and its tail.
-std::string encodeAnswerHead(std::int32_t sequence, std::size_t body);
+/// An answer is sent as its head, `bodySize` bytes of rows and its tail, so that the rows need not be copied.
+/// The other functions encode complete frames.
+std::string encodeAnswerHead(std::int32_t sequence, std::size_t bodySize);
 std::string_view encodeAnswerTail();
 std::string encodeRejection(std::int32_t sequence, std::optional<std::int64_t> retryAfterMs);
 std::string encodeFailure(std::int32_t sequence);
--- a/src/simulator/batch_server.cpp
+++ b/src/simulator/batch_server.cpp
@@ -1,5 +1,6 @@
 #include "simulator/batch_server.hpp"
 
+#include <algorithm>
 #include <exception>
 #include <string>
 
@@ -7,12 +8,15 @@
 namespace {
 
 constexpr std::size_t kHeaderSize = 20;
-constexpr std::size_t kLengthOverhead = 12;  // the length counts the clock and the number of records too
+constexpr std::size_t kLengthOverhead = 12;  // The length includes the clock and the number of records.
 constexpr std::size_t kEndpointEntrySize = 22;
+constexpr std::size_t kMaxReadStep = 1 << 20;  // A false length must not allocate all of it at once.
+constexpr std::uint8_t kMaxUpdateKind = 3;
+constexpr std::uint8_t kDiscoveryFailedKind = 3;
+constexpr std::uint8_t kMaxStateCode = 2;
 
-// False at the end of input before the first byte.
+// Reads `size` bytes into `bytes`. Returns false at the end of input before the first byte.
 bool readExactly(std::istream& input, std::string& bytes, std::size_t size, const char* description) {
-  constexpr std::size_t kMaxReadStep = 1 << 20;  // a false length must not claim all memory at once
   bytes.clear();
   while (bytes.size() < size) {
     const std::size_t previousSize = bytes.size();
@@ -33,7 +37,8 @@
   std::string bytes;
   while (readExactly(input, bytes, kHeaderSize, "batch header")) {
     WireReader header(bytes, "batch header");
-    const std::uint32_t batch = header.readU32(), bodyLength = header.readU32();
+    const std::uint32_t batch = header.readU32();
+    const std::uint32_t bodyLength = header.readU32();
     const std::uint64_t clock = header.readU64();
     const std::uint32_t count = header.readU32();
     const std::string batchContext = "batch " + std::to_string(batch);
@@ -43,22 +48,7 @@
     if (recordsSize > 0 && !readExactly(input, bytes, recordsSize, batchContext.c_str()))
       throw WireFormatError(batchContext + ": input ends after its header");
     WireReader records(recordsSize > 0 ? std::string_view(bytes) : std::string_view(), batchContext);
-    for (std::uint32_t value = 0; value < count; ++value) {
-      const std::string recordContext = batchContext + ", record " + std::to_string(value);
-      try {
-        const std::uint8_t code = records.readU8();
-        WireReader fields(records.readBytes(records.readU32()), "code " + std::to_string(code));
-        handleEvent(clock, code, fields);
-      } catch (const WireFormatError& error) {
-        throw WireFormatError(recordContext + ": " + error.what());
-      } catch (const protocol::ParseError& error) {
-        throw WireFormatError(recordContext + ": " + error.what());
-      } catch (const std::exception& error) {
-        writer_.beginRecord(10, 0).writeText(recordContext + ": " +
-                                             error.what());  // the module broke: the wire's fault message
-        break;
-      }
-    }
+    handleRecords(clock, count, records, batchContext);
     if (records.remainingSize() > 0 && count > 0) records.expectEnd();
     const std::string reply = writer_.takeReply(batch);
     output.write(reply.data(), static_cast<std::streamsize>(reply.size()));
@@ -66,58 +56,103 @@
   }
 }
 
+void BatchServer::handleRecords(std::uint64_t clock, std::uint32_t count, WireReader& records,
+                                const std::string& batchContext) {
+  for (std::uint32_t index = 0; index < count; ++index) {
+    const std::string recordContext = batchContext + ", record " + std::to_string(index);
+    try {
+      const std::uint8_t code = records.readU8();
+      WireReader fields(records.readBytes(records.readU32()), "code " + std::to_string(code));
+      handleEvent(clock, code, fields);
+    } catch (const WireFormatError& error) {
+      throw WireFormatError(recordContext + ": " + error.what());
+    } catch (const protocol::ParseError& error) {
+      throw WireFormatError(recordContext + ": " + error.what());
+    } catch (const std::exception& error) {
+      // A fault of the controller and not of the input: the wire has a command to report it.
+      writer_.beginRecord(CommandCode::reportFault, 0).writeText(recordContext + ": " + error.what());
+      return;
+    }
+  }
+}
+
 void BatchServer::handleEvent(std::uint64_t clock, std::uint8_t code, WireReader& fields) {
-  if (code == 8) return registerEndpointList(fields);
-  if (code > 11) throw WireFormatError("event code " + std::to_string(code) + " is unknown");
+  if (code > kMaxEventCode) throw WireFormatError("event code " + std::to_string(code) + " is unknown");
+  const auto eventCode = static_cast<EventCode>(code);
+  if (eventCode == EventCode::registerEndpointList) {
+    registerEndpointList(fields);
+    return;
+  }
   const std::uint32_t instance = fields.readU32();
+  switch (eventCode) {
+    case EventCode::start:
+      return startController(clock, instance, fields);
+    case EventCode::stop:
+      return stopController(instance, fields);
+    case EventCode::endpointUpdate:
+      return updateEndpoints(clock, instance, fields);
+    default:
+      return handleControllerEvent(clock, eventCode, instance, fields);
+  }
+}
+
+void BatchServer::handleControllerEvent(std::uint64_t clock, EventCode code, std::uint32_t instance,
+                                        WireReader& fields) {
+  SimulatorAdapter& adapter = findAdapter(instance);
   switch (code) {
-    case 0:
-      return findAdapter(instance).onPeerMessage(clock, fields);
-    case 1:
-      return findAdapter(instance).onHealthCheckResult(clock, fields);
-    case 2:
-      return findAdapter(instance).onProgress(clock, fields);
-    case 3: {
-      const std::uint64_t seed = fields.readU64();
-      const std::string_view settings = fields.readBytes(fields.readU32());
-      fields.expectEnd();
-      adapters_.erase(instance);
-      adapters_.emplace(instance,
-                        std::make_unique<SimulatorAdapter>(instance, clock, seed, settings, writer_));
-      return;
-    }
-    case 4:
-      return findAdapter(instance).onTimer(clock, fields);
-    case 5:
-      return findAdapter(instance).onResponseStarted(clock, fields);
-    case 6:
-      return findAdapter(instance).onAttemptFinished(clock, fields);
-    case 7: {
-      const std::uint8_t updateKind = fields.readU8();
-      fields.readU32();
-      const std::uint32_t listIndex = fields.readU32();
-      fields.expectEnd();
-      if (updateKind > 3) throw WireFormatError("update: kind " + std::to_string(updateKind) + " is unknown");
-      if (updateKind == 3) return findAdapter(instance).onEndpointUpdate(clock, updateKind, nullptr);
-      if (listIndex >= endpointLists_.size() || !endpointLists_[listIndex]) {
-        throw WireFormatError("update: list " + std::to_string(listIndex) + " was not registered");
-      }
-      return findAdapter(instance).onEndpointUpdate(clock, updateKind, &*endpointLists_[listIndex]);
-    }
-    case 9:
-      return findAdapter(instance).onClientGone(clock, fields);
-    case 10:
-      findAdapter(instance);
-      fields.expectEnd();
-      adapters_.erase(instance);
-      return;
+    case EventCode::peerMessage:
+      return adapter.onPeerMessage(clock, fields);
+    case EventCode::healthCheckResult:
+      return adapter.onHealthCheckResult(clock, fields);
+    case EventCode::progress:
+      return adapter.onProgress(clock, fields);
+    case EventCode::timer:
+      return adapter.onTimer(clock, fields);
+    case EventCode::responseStarted:
+      return adapter.onResponseStarted(clock, fields);
+    case EventCode::attemptFinished:
+      return adapter.onAttemptFinished(clock, fields);
+    case EventCode::clientGone:
+      return adapter.onClientGone(clock, fields);
     default:
-      return findAdapter(instance).onRequest(clock, fields);
+      return adapter.onRequest(clock, fields);
+  }
+}
+
+void BatchServer::startController(std::uint64_t clock, std::uint32_t instance, WireReader& fields) {
+  const std::uint64_t seed = fields.readU64();
+  const std::string_view settings = fields.readBytes(fields.readU32());
+  fields.expectEnd();
+  // A controller that is started again keeps nothing of its former state.
+  adapters_.erase(instance);
+  adapters_.emplace(instance, std::make_unique<SimulatorAdapter>(instance, clock, seed, settings, writer_));
+}
+
+void BatchServer::stopController(std::uint32_t instance, WireReader& fields) {
+  findAdapter(instance);
+  fields.expectEnd();
+  adapters_.erase(instance);
+}
+
+void BatchServer::updateEndpoints(std::uint64_t clock, std::uint32_t instance, WireReader& fields) {
+  const std::uint8_t updateKind = fields.readU8();
+  fields.readU32();
+  const std::uint32_t listIndex = fields.readU32();
+  fields.expectEnd();
+  if (updateKind > kMaxUpdateKind)
+    throw WireFormatError("update: kind " + std::to_string(updateKind) + " is unknown");
+  if (updateKind == kDiscoveryFailedKind) {
+    findAdapter(instance).onEndpointUpdate(clock, updateKind, nullptr);
+    return;
   }
+  if (listIndex >= endpointLists_.size() || !endpointLists_[listIndex])
+    throw WireFormatError("update: list " + std::to_string(listIndex) + " was not registered");
+  findAdapter(instance).onEndpointUpdate(clock, updateKind, &*endpointLists_[listIndex]);
 }
 
 void BatchServer::registerEndpointList(WireReader& fields) {
-  const std::uint32_t listIndex = fields.readU32(), count = fields.readU32();
+  const std::uint32_t listIndex = fields.readU32();
+  const std::uint32_t count = fields.readU32();
   if (listIndex >= endpointLists_.size())
     throw WireFormatError("register: number " + std::to_string(listIndex) + " is over 15");
   if (fields.remainingSize() != count * kEndpointEntrySize) {
@@ -131,7 +166,8 @@
     entry.engineId = fields.readU32();
     entry.endpoint.machineType = fields.readU16();
     const std::uint8_t stateCode = fields.readU8();
-    if (stateCode > 2) throw WireFormatError("register: status " + std::to_string(stateCode) + " is unknown");
+    if (stateCode > kMaxStateCode)
+      throw WireFormatError("register: status " + std::to_string(stateCode) + " is unknown");
     entry.endpoint.state = static_cast<EndpointState>(stateCode);
     entry.endpoint.cell = fields.readU16();
     fields.readF32();
--- a/src/simulator/main.cpp
+++ b/src/simulator/main.cpp
@@ -1,4 +1,5 @@
-// Hosts controllers on the simulator's wire: batches on standard input, replies on standard output.
+// Runs controllers for a simulation: reads batches of events from standard input and writes replies to
+// standard output. Exit code 1 for input that does not follow the wire format.
 #include <exception>
 #include <iostream>
 
--- a/src/simulator/simulator_adapter.cpp
+++ b/src/simulator/simulator_adapter.cpp
@@ -9,7 +9,16 @@
 
 constexpr std::size_t kMaxPeerMessageSize = 256;
 constexpr std::size_t kPeerLoadSize = 8;
-constexpr float kPeerMemoryStepMb = 4;  // peers tell memory in steps of so many MB
+constexpr float kPeerMemoryStepMb = 4;  // The unit in which peers report memory.
+constexpr std::uint16_t kBroadcast = 0xffff;
+constexpr std::uint16_t kHasDeclaredCostFlag = 1;
+constexpr std::uint8_t kMinProgressCode = 1;
+constexpr std::uint8_t kMaxProgressCode = 3;
+
+// The cost of a finished attempt is packed into 32 bits: thousandths of a unit of work, and below them 12
+// bits of memory in units of 4 MB.
+constexpr std::uint32_t kPackedMemoryRange = 4096;
+constexpr double kPackedMemoryStepMb = 4.0;
 
 AttemptOutcome decodeOutcome(std::uint8_t code) {
   switch (code) {
@@ -44,7 +53,7 @@
       writer_(writer),
       controller_(*this, config_.deployment, seed, Duration{0}) {}
 
-// ---- what comes in --------------------------------------------------------------------------------------
+// ---- events ---------------------------------------------------------------------------------------------
 
 void SimulatorAdapter::onRequest(std::uint64_t clock, WireReader& fields) {
   auto ownedRequest = std::make_unique<Request>();
@@ -55,7 +64,7 @@
   request.declaredMemoryMb = fields.readF32();
   const std::uint16_t flags = fields.readU16();
   const std::uint32_t declaredCost = fields.readU32();
-  if (flags & 1) request.declaredCost = Duration{declaredCost};
+  if ((flags & kHasDeclaredCostFlag) != 0) request.declaredCost = Duration{declaredCost};
   const std::uint8_t classIndex = fields.readU8();
   if (classIndex >= config_.deployment.requestClasses.size()) {
     throw WireFormatError("inbound: reservation type " + std::to_string(classIndex) +
@@ -90,7 +99,8 @@
   }
   std::optional<ActualCost> cost;
   if (outcome == AttemptOutcome::completed && packedCost != 0)
-    cost = ActualCost{(packedCost / 4096) / 1000.0, (packedCost % 4096) * 4.0};
+    cost = ActualCost{(packedCost / kPackedMemoryRange) / 1000.0,
+                      (packedCost % kPackedMemoryRange) * kPackedMemoryStepMb};
   controller_.onAttemptFinished(fromWireClock(clock), *attempt, outcome, requestFinished, cost,
                                 loadReport ? &*loadReport : nullptr);
   finishedIds_.push_back(requestId);
@@ -120,8 +130,10 @@
   std::vector<PeerEngineLoad> engineLoads;
   while (payload.remainingSize() > 0) {
     const std::uint32_t engineId = payload.readU32();
-    const float threads = payload.readU16(), memoryMb = payload.readU16() * kPeerMemoryStepMb;
-    const auto entry = engines_.find(engineId);  // a peer may know of engines that are not listed here yet
+    const float threads = payload.readU16();
+    const float memoryMb = payload.readU16() * kPeerMemoryStepMb;
+    // A peer may know engines that have not been listed here yet.
+    const auto entry = engines_.find(engineId);
     if (entry != engines_.end()) engineLoads.push_back({entry->second.get(), threads, memoryMb});
   }
   controller_.onPeerReport(fromWireClock(clock), senderId, engineLoads);
@@ -145,9 +157,11 @@
   const std::uint8_t kind = fields.readU8();
   const float value = fields.readF32();
   fields.expectEnd();
-  if (kind < 1 || kind > 3) throw WireFormatError("change: kind " + std::to_string(kind) + " is unknown");
+  if (kind < kMinProgressCode || kind > kMaxProgressCode)
+    throw WireFormatError("change: kind " + std::to_string(kind) + " is unknown");
   if (!attempt || !attempt->inFlight) return;
-  controller_.onProgress(fromWireClock(clock), *attempt, static_cast<ProgressKind>(kind - 1), value);
+  controller_.onProgress(fromWireClock(clock), *attempt, static_cast<ProgressKind>(kind - kMinProgressCode),
+                         value);
   eraseFinished();
 }
 
@@ -164,7 +178,10 @@
 
 void SimulatorAdapter::onEndpointUpdate(std::uint64_t clock, std::uint8_t updateKind,
                                         const std::vector<EndpointEntry>* entries) {
-  if (!entries) return controller_.onDiscoveryFailed(fromWireClock(clock));
+  if (!entries) {
+    controller_.onDiscoveryFailed(fromWireClock(clock));
+    return;
+  }
   EndpointRecords records;
   for (const EndpointEntry& entry : *entries) {
     if (entry.endpoint.machineType >= config_.deployment.machineTypes.size()) {
@@ -184,39 +201,45 @@
   eraseFinished();
 }
 
-// ---- what goes out --------------------------------------------------------------------------------------
+// ---- commands -------------------------------------------------------------------------------------------
 
 void SimulatorAdapter::sendAttempt(Attempt& attempt) {
-  beginRecord(12)
+  beginRecord(CommandCode::sendAttempt)
       .writeU32(attempt.request->id)
       .writeU64(toWireClock(attempt.timesOutAt))
       .writeU32(attempt.engine->number);
 }
 
 void SimulatorAdapter::assignResources(Request& request, double memoryGrantMb, int priority) {
-  beginRecord(4)
+  beginRecord(CommandCode::assignResources)
       .writeU32(request.id)
       .writeF32(static_cast<float>(memoryGrantMb))
       .writeU8(static_cast<std::uint8_t>(priority));
 }
 
 void SimulatorAdapter::reject(Request& request, Duration retryAfter) {
-  beginRecord(3).writeU32(request.id).writeU32(static_cast<std::uint32_t>(retryAfter.count()));
+  beginRecord(CommandCode::reject)
+      .writeU32(request.id)
+      .writeU32(static_cast<std::uint32_t>(retryAfter.count()));
   finishedIds_.push_back(request.id);
 }
 
 void SimulatorAdapter::fail(Request& request) {
-  beginRecord(2).writeU32(request.id);
+  beginRecord(CommandCode::fail).writeU32(request.id);
   finishedIds_.push_back(request.id);
 }
 
 void SimulatorAdapter::cancel(Attempt& attempt) {
-  beginRecord(1).writeU32(attempt.request->id).writeU8(attempt.index);
+  beginRecord(CommandCode::cancel).writeU32(attempt.request->id).writeU8(attempt.index);
 }
 
-void SimulatorAdapter::scheduleTimer(Duration at) { beginRecord(0).writeU64(toWireClock(at)).writeU32(0); }
+void SimulatorAdapter::scheduleTimer(Duration at) {
+  beginRecord(CommandCode::scheduleTimer).writeU64(toWireClock(at)).writeU32(0);
+}
 
-void SimulatorAdapter::sendHealthCheck(Engine& engine) { beginRecord(11).writeU32(engine.number); }
+void SimulatorAdapter::sendHealthCheck(Engine& engine) {
+  beginRecord(CommandCode::sendHealthCheck).writeU32(engine.number);
+}
 
 void SimulatorAdapter::sendPeerReport(const std::vector<PeerEngineLoad>& engineLoads) {
   const auto quantize = [](float value) {
@@ -229,14 +252,14 @@
     appendBigEndian(payload, quantize(engineLoad.threads), 2);
     appendBigEndian(payload, quantize(engineLoad.memoryMb / kPeerMemoryStepMb), 2);
   }
-  beginRecord(6).writeU16(0xffff).writeText(payload);
+  beginRecord(CommandCode::sendPeerReport).writeU16(kBroadcast).writeText(payload);
 }
 
-void SimulatorAdapter::requestEndpoints() { beginRecord(9).writeU8(1); }
+void SimulatorAdapter::requestEndpoints() { beginRecord(CommandCode::requestEndpoints).writeU8(1); }
 
-void SimulatorAdapter::log(std::string_view text) { beginRecord(7).writeText(text); }
+void SimulatorAdapter::log(std::string_view text) { beginRecord(CommandCode::log).writeText(text); }
 
-// ---- ids, times -----------------------------------------------------------------------------------------
+// ---- ids and times --------------------------------------------------------------------------------------
 
 Duration SimulatorAdapter::fromWireClock(std::uint64_t clock) const {
   return Duration{static_cast<std::int64_t>(clock - startClock_)};
@@ -246,7 +269,7 @@
   return startClock_ + static_cast<std::uint64_t>(sinceStart.count());
 }
 
-ReplyWriter& SimulatorAdapter::beginRecord(std::uint8_t code) { return writer_.beginRecord(code, instance_); }
+ReplyWriter& SimulatorAdapter::beginRecord(CommandCode code) { return writer_.beginRecord(code, instance_); }
 
 Request* SimulatorAdapter::findRequest(std::uint32_t id) {
   const auto entry = requests_.find(id);
@@ -268,10 +291,10 @@
   const std::uint8_t count = fields.readU8();
   if (count == 0) return std::nullopt;
   LoadReport loadReport;
-  for (std::uint8_t byte = 0; byte < count; ++byte) {
+  for (std::uint8_t index = 0; index < count; ++index) {
     const double value = fields.readF32();
-    if (byte >= config_.loadReportNames.size()) continue;
-    const std::string& name = config_.loadReportNames[byte];
+    if (index >= config_.loadReportNames.size()) continue;
+    const std::string& name = config_.loadReportNames[index];
     if (name == "outstanding") loadReport.requestsInFlight = value;
     if (name == "utilization") loadReport.cpuUtilization = value;
     if (name == "x0") loadReport.memoryGrantedRatio = value;
--- a/src/simulator/simulator_adapter.hpp
+++ b/src/simulator/simulator_adapter.hpp
@@ -12,21 +12,23 @@
 
 namespace paddletrack::simulator {
 
-// An entry of a numbered list, as the wire has it: ids and clock times.
+/// An engine in an endpoint list of the wire; `launchedAt` is a time of the wire's clock, 0 if unknown.
 struct EndpointEntry {
   std::uint32_t engineId = 0;
   std::uint64_t launchedAt = 0;
   EndpointRecord endpoint;
 };
 
-// The door of one running controller: ids outside, objects inside. Look-ups only; nothing ever walks its
-// maps.
+/// Connects a controller to the simulator's wire: decodes events, which name requests and engines by ids, and
+/// encodes the controller's commands. Owns the requests and engines. Its maps are looked up and never
+/// iterated, so that their order cannot influence a decision and runs with one seed are equal.
 class SimulatorAdapter final : private AdmissionHost {
  public:
+  /// `clock` is the wire's clock in microseconds at the start. `writer` has to outlive the adapter.
   SimulatorAdapter(std::uint32_t instance, std::uint64_t clock, std::uint64_t seed, std::string_view settings,
                    ReplyWriter& writer);
 
-  // One event of this controller; what it holds starts behind the instance's number.
+  /// Each handles one event of this controller. `fields` begins behind the number of the instance.
   void onRequest(std::uint64_t clock, WireReader& fields);
   void onAttemptFinished(std::uint64_t clock, WireReader& fields);
   void onResponseStarted(std::uint64_t clock, WireReader& fields);
@@ -35,6 +37,8 @@
   void onClientGone(std::uint64_t clock, WireReader& fields);
   void onProgress(std::uint64_t clock, WireReader& fields);
   void onHealthCheckResult(std::uint64_t clock, WireReader& fields);
+  /// `entries` is null if the simulated endpoint list cannot be read. Kind 0 is an update, others are
+  /// snapshots.
   void onEndpointUpdate(std::uint64_t clock, std::uint8_t updateKind,
                         const std::vector<EndpointEntry>* entries);
 
@@ -52,7 +56,7 @@
 
   Duration fromWireClock(std::uint64_t clock) const;
   std::uint64_t toWireClock(Duration sinceStart) const;
-  ReplyWriter& beginRecord(std::uint8_t code);
+  ReplyWriter& beginRecord(CommandCode code);
   Request* findRequest(std::uint32_t id);
   Attempt* findAttempt(std::uint32_t id, std::uint8_t index);
   Engine& findEngine(std::uint32_t id);
@@ -65,7 +69,7 @@
   ReplyWriter& writer_;
   std::unordered_map<std::uint32_t, std::unique_ptr<Request>> requests_;
   std::unordered_map<std::uint32_t, std::unique_ptr<Engine>> engines_;
-  std::vector<std::uint32_t> finishedIds_;
+  std::vector<std::uint32_t> finishedIds_;  // Requests to erase after the event if nothing is in flight.
   AdmissionController controller_;
 };
 
--- a/src/simulator/wire_codec.hpp
+++ b/src/simulator/wire_codec.hpp
@@ -7,15 +7,16 @@
 #include <string_view>
 
 #include "base/big_endian.hpp"
+#include "simulator/wire_codes.hpp"
 
 namespace paddletrack::simulator {
 
-// What was read does not follow the wire page. The text says what and where.
+/// Input that does not follow the simulator's wire format. The text says what is wrong and where.
 struct WireFormatError : std::runtime_error {
   using std::runtime_error::runtime_error;
 };
 
-// Big-endian fields, read in order from one stretch of bytes.
+/// Reads big-endian fields in order. Does not own the bytes; errors begin with `description`.
 class WireReader {
  public:
   WireReader(std::string_view bytes, std::string_view description)
@@ -36,6 +37,7 @@
     return prefix;
   }
   std::size_t remainingSize() const { return bytes_.size(); }
+  /// Throws if a record is longer than its fields.
   void expectEnd() const {
     if (!bytes_.empty())
       throw WireFormatError(description_ + ": " + std::to_string(bytes_.size()) + " bytes too many");
@@ -48,12 +50,13 @@
   std::string description_;
 };
 
-// The records of one reply. A record's length is filled in when the next one begins or the reply ends.
+/// Collects the commands of a reply. The length of a command is filled in when the next one begins or the
+/// reply is taken.
 class ReplyWriter {
  public:
-  ReplyWriter& beginRecord(std::uint8_t code, std::uint32_t instance) {
+  ReplyWriter& beginRecord(CommandCode code, std::uint32_t instance) {
     finishRecord();
-    writeU8(code);
+    writeU8(static_cast<std::uint8_t>(code));
     lengthOffset_ = body_.size();
     writeU32(0);
     ++recordCount_;
@@ -64,17 +67,19 @@
   ReplyWriter& writeU32(std::uint32_t value) { return append(value, 4); }
   ReplyWriter& writeU64(std::uint64_t value) { return append(value, 8); }
   ReplyWriter& writeF32(float value) { return writeU32(std::bit_cast<std::uint32_t>(value)); }
+  /// Writes the length and the text, which is cut to the length that the wire allows.
   ReplyWriter& writeText(std::string_view value) {
-    value = value.substr(0, 0xffff);
+    value = value.substr(0, kMaxTextBytes);
     writeU16(static_cast<std::uint16_t>(value.size()));
     body_.append(value);
     return *this;
   }
 
+  /// Returns the reply to a batch and starts the next one.
   std::string takeReply(std::uint32_t batchId) {
     finishRecord();
     std::string message;
-    message.reserve(body_.size() + 12);
+    message.reserve(body_.size() + kReplyHeaderBytes);
     appendBigEndian(message, batchId, 4);
     appendBigEndian(message, recordCount_, 4);
     appendBigEndian(message, body_.size(), 4);
@@ -91,15 +96,18 @@
   }
   void finishRecord() {
     if (lengthOffset_ == 0) return;
-    const std::size_t length = body_.size() - lengthOffset_ - 4;
+    const std::size_t length = body_.size() - lengthOffset_ - sizeof(std::uint32_t);
     std::string encodedLength;
-    appendBigEndian(encodedLength, length, 4);
-    body_.replace(lengthOffset_, 4, encodedLength);
+    appendBigEndian(encodedLength, length, sizeof(std::uint32_t));
+    body_.replace(lengthOffset_, sizeof(std::uint32_t), encodedLength);
     lengthOffset_ = 0;
   }
 
+  static constexpr std::size_t kReplyHeaderBytes = 12;
+  static constexpr std::size_t kMaxTextBytes = 0xffff;
+
   std::string body_;
-  std::size_t lengthOffset_ = 0;  // where the open record's length stands; 0: none is open
+  std::size_t lengthOffset_ = 0;  // Of the open record's length in `body_`; 0 if no record is open.
   std::uint32_t recordCount_ = 0;
 };
 
