Fail points, examples and their tests speak the terms of the field

Change: failpoint.cpp is split into named steps, the example client's exit codes are constants, test comments say which fault a test once found.

--- a/examples/example_client.cpp
+++ b/examples/example_client.cpp
@@ -1,7 +1,11 @@
-// Sends one statement to a controller and prints the rows that come back. Exit codes: 0 done, 1 no answer, 2
-// wrong usage, 3 throttled, 4 cancelled for good, 5 not taken.
+// Sends a statement to a controller and prints the rows of the result.
+// Exit codes: 0 completed, 1 no answer, 2 wrong usage, 3 rejected (the client may submit again), 4 failed
+// (the statement may have run), 5 not accepted.
+#include <array>
 #include <cstdio>
+#include <exception>
 #include <random>
+#include <string>
 
 #include "protocol/thrift.hpp"
 #include "transport/connection.hpp"
@@ -12,26 +16,34 @@
 
 namespace {
 
+constexpr int kExitCompleted = 0;
+constexpr int kExitNoAnswer = 1;
+constexpr int kExitWrongUsage = 2;
+constexpr int kExitRejected = 3;
+constexpr int kExitFailed = 4;
+constexpr int kExitNotAccepted = 5;
+
 int printReply(const Reply& reply) {
   switch (reply.outcome) {
     case Reply::Outcome::completed:
       std::fputs(reply.body.c_str(), stdout);
-      return 0;
-    case Reply::Outcome::rejected:
-      std::fprintf(stderr, "throttled: nothing has run%s\n",
-                   reply.retryAfterMs
-                       ? ("; come back in " + std::to_string(*reply.retryAfterMs) + " ms").c_str()
-                       : "");
-      return 3;
+      return kExitCompleted;
+    case Reply::Outcome::rejected: {
+      const std::string retryAfter =
+          reply.retryAfterMs ? "; come back in " + std::to_string(*reply.retryAfterMs) + " ms" : "";
+      std::fprintf(stderr, "throttled: nothing has run%s\n", retryAfter.c_str());
+      return kExitRejected;
+    }
     case Reply::Outcome::failed:
       std::fputs("cancelled for good: it may have run\n", stderr);
-      return 4;
+      return kExitFailed;
     default:
       std::fprintf(stderr, "not taken: %s\n", reply.body.c_str());
-      return 5;
+      return kExitNotAccepted;
   }
 }
 
+// Sets `exitCode` when a reply has come; it stays negative if there is none. Ends the scheduler's loop.
 transport::Task<> runQuery(transport::Scheduler& scheduler, transport::Address address, std::string frame,
                            int& exitCode) {
   transport::OutputBudget outputBudget{1 << 20, 0};
@@ -61,11 +73,11 @@
 int main(int argc, char** argv) {
   if (argc != 5) {
     std::fputs("usage: ask ADDRESS TYPE CUSTOMER STATEMENT\n", stderr);
-    return 2;
+    return kExitWrongUsage;
   }
   std::random_device random;
-  char reference[17];
-  std::snprintf(reference, sizeof reference, "%08x%08x", random(), random());
+  std::array<char, 17> reference{};
+  std::snprintf(reference.data(), reference.size(), "%08x%08x", random(), random());
   int exitCode = -1;
   try {
     transport::Scheduler scheduler;
@@ -76,12 +88,13 @@
     tasks.spawn(runQuery(
         scheduler, transport::Address(argv[1]),
         protocol::thrift::encodeSubmit(
-            1, {{"service", argv[2]}, {"ref", reference}, {"allow", "3000"}, {"project", argv[3]}}, argv[4]),
+            1, {{"service", argv[2]}, {"ref", reference.data()}, {"allow", "3000"}, {"project", argv[3]}},
+            argv[4]),
         exitCode));
     scheduler.run();
   } catch (const std::exception& error) {
     std::fprintf(stderr, "ask: %s\n", error.what());
-    return 2;
+    return kExitWrongUsage;
   }
-  return exitCode < 0 ? 1 : exitCode;
+  return exitCode < 0 ? kExitNoAnswer : exitCode;
 }
--- a/examples/example_server.cpp
+++ b/examples/example_server.cpp
@@ -1,5 +1,5 @@
-// A toy to try the front with: one executor that answers every statement, and a change log that tells of it.
-// Usage: toy_server EXECUTOR_ADDRESS CHANGELOG_ADDRESS
+// A server to try a controller with: an engine that answers every statement, and an endpoint list that names
+// it.
 #include <cstdio>
 #include <exception>
 
--- a/src/failpoint/failpoint.cpp
+++ b/src/failpoint/failpoint.cpp
@@ -17,26 +17,31 @@
 namespace paddletrack::failpoint {
 namespace {
 
-constexpr std::array<std::pair<const char*, int>, 17> kErrnoNames{{{"EMFILE", EMFILE},
-                                                                   {"ENOMEM", ENOMEM},
-                                                                   {"ENOSPC", ENOSPC},
-                                                                   {"EINTR", EINTR},
-                                                                   {"EIO", EIO},
-                                                                   {"EACCES", EACCES},
-                                                                   {"ENOENT", ENOENT},
-                                                                   {"ENOTCONN", ENOTCONN},
-                                                                   {"EPIPE", EPIPE},
-                                                                   {"ENOBUFS", ENOBUFS},
-                                                                   {"EADDRINUSE", EADDRINUSE},
-                                                                   {"EADDRNOTAVAIL", EADDRNOTAVAIL},
-                                                                   {"ECONNREFUSED", ECONNREFUSED},
-                                                                   {"ECONNRESET", ECONNRESET},
-                                                                   {"ECONNABORTED", ECONNABORTED},
-                                                                   {"EHOSTUNREACH", EHOSTUNREACH},
-                                                                   {"ENETUNREACH", ENETUNREACH}}};
+struct ErrnoName {
+  const char* name;
+  int number;
+};
+
+constexpr std::array<ErrnoName, 17> kErrnoNames{{{"EMFILE", EMFILE},
+                                                 {"ENOMEM", ENOMEM},
+                                                 {"ENOSPC", ENOSPC},
+                                                 {"EINTR", EINTR},
+                                                 {"EIO", EIO},
+                                                 {"EACCES", EACCES},
+                                                 {"ENOENT", ENOENT},
+                                                 {"ENOTCONN", ENOTCONN},
+                                                 {"EPIPE", EPIPE},
+                                                 {"ENOBUFS", ENOBUFS},
+                                                 {"EADDRINUSE", EADDRINUSE},
+                                                 {"EADDRNOTAVAIL", EADDRNOTAVAIL},
+                                                 {"ECONNREFUSED", ECONNREFUSED},
+                                                 {"ECONNRESET", ECONNRESET},
+                                                 {"ECONNABORTED", ECONNABORTED},
+                                                 {"EHOSTUNREACH", EHOSTUNREACH},
+                                                 {"ENETUNREACH", ENETUNREACH}}};
 
 struct FailPoint {
-  unsigned hits = 0;
+  unsigned hitCount = 0;
   std::string failureKinds;
 };
 
@@ -45,13 +50,16 @@
   void* data = nullptr;
 };
 
+// The fail points of the process, and the one that the environment has chosen. Single-threaded, as the
+// process.
 class FailPointRegistry {
  public:
   FailPointRegistry() {
     if (const char* path = std::getenv("PADDLETRACK_FAULT_REPORT")) reportPath_ = path;
     const char* specification = std::getenv("PADDLETRACK_FAULT");
     const std::string text = specification ? specification : "";
-    const std::size_t hitSeparator = text.find('#'), kindSeparator = text.find('=');
+    const std::size_t hitSeparator = text.find('#');
+    const std::size_t kindSeparator = text.find('=');
     if (hitSeparator == std::string::npos || kindSeparator == std::string::npos) return;
     chosenPoint_ = text.substr(0, hitSeparator);
     chosenHit_ = static_cast<unsigned>(std::atoi(text.c_str() + hitSeparator + 1));
@@ -60,17 +68,18 @@
   ~FailPointRegistry() {
     std::string report;
     for (const auto& [name, point] : points_)
-      report += "site " + name + " " + std::to_string(point.hits) + " " + point.failureKinds + "\n";
+      report += "site " + name + " " + std::to_string(point.hitCount) + " " + point.failureKinds + "\n";
     appendReport(report);
   }
   FailPointRegistry(const FailPointRegistry&) = delete;
   FailPointRegistry& operator=(const FailPointRegistry&) = delete;
 
-  // The kind that is to happen now, or none.
+  // Counts a hit. Returns the kind of failure to inject now, or an empty text.
   std::string recordHit(const std::string& name, const std::string& failureKinds) {
     FailPoint& point = points_[name];
     if (point.failureKinds.empty()) point.failureKinds = failureKinds;
-    if (++point.hits != chosenHit_ || name != chosenPoint_) return "";
+    ++point.hitCount;
+    if (point.hitCount != chosenHit_ || name != chosenPoint_) return "";
     appendReport("fired\n");
     if (chosenKind_ == "kill") ::kill(::getpid(), SIGKILL);
     return chosenKind_;
@@ -79,19 +88,22 @@
   std::map<int, const char*> roleByDescriptor;
   std::map<int, WatchedDescriptor> watchedDescriptors;
   const char* nextConnectRole = "other";
-  bool truncateNext = false;
+  bool truncateNext = false;  // Set by `short`, for the call that has just been counted.
 
  private:
   void appendReport(const std::string& text) const {
     if (reportPath_.empty() || text.empty()) return;
     const int fd = ::open(reportPath_.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
     if (fd < 0) return;
-    (void)!::write(fd, text.data(), text.size());
+    // The report is best effort: a failed write must not change what the process does.
+    [[maybe_unused]] const ssize_t written = ::write(fd, text.data(), text.size());
     ::close(fd);
   }
 
   std::map<std::string, FailPoint> points_;
-  std::string reportPath_, chosenPoint_, chosenKind_;
+  std::string reportPath_;
+  std::string chosenPoint_;
+  std::string chosenKind_;
   unsigned chosenHit_ = 0;
 };
 
@@ -100,12 +112,16 @@
   return instance;
 }
 
-std::string failPointName(int fd, const char* name) {
+const char* roleOf(int fd) {
+  if (fd == kPendingConnect) return registry().nextConnectRole;
   const auto entry = registry().roleByDescriptor.find(fd);
-  const char* role = fd == kPendingConnect                        ? registry().nextConnectRole
-                     : entry == registry().roleByDescriptor.end() ? ""
-                                                                  : entry->second;
-  return *role ? std::string(role) + "." + name : name;
+  return entry == registry().roleByDescriptor.end() ? "" : entry->second;
+}
+
+// A call on a descriptor without a role has the name of the call alone.
+std::string failPointName(int fd, const char* name) {
+  const std::string role = roleOf(fd);
+  return role.empty() ? name : role + "." + name;
 }
 
 int errnoByName(const std::string& kind) {
@@ -114,10 +130,21 @@
   return EINVAL;
 }
 
-// What is known of all calls: they may come late.
+// Any call can be delayed, after which it succeeds. Returns the kind of failure that is left to inject.
 std::string applyDelay(const std::string& kind) {
-  if (kind == "delay") std::this_thread::sleep_for(kDelay);
-  return kind == "delay" ? "" : kind;
+  if (kind != "delay") return kind;
+  std::this_thread::sleep_for(kDelay);
+  return "";
+}
+
+// Makes epoll report the descriptor once more, as the kernel does when a call that would block can go on.
+void repeatWatchEvent(int fd) {
+  const auto watch = registry().watchedDescriptors.find(fd);
+  if (watch == registry().watchedDescriptors.end()) return;
+  epoll_event event{};
+  event.events = EPOLLIN | EPOLLOUT | EPOLLRDHUP | EPOLLET;
+  event.data.ptr = watch->second.data;
+  ::epoll_ctl(watch->second.epoll, EPOLL_CTL_MOD, fd, &event);
 }
 
 }  // namespace
@@ -132,14 +159,7 @@
     return false;
   }
   if (kind == "again") {
-    // The kernel tells of it once more, as it does when what was missing comes.
-    if (const auto watch = registry().watchedDescriptors.find(fd);
-        watch != registry().watchedDescriptors.end()) {
-      epoll_event event{};
-      event.events = EPOLLIN | EPOLLOUT | EPOLLRDHUP | EPOLLET;
-      event.data.ptr = watch->second.data;
-      ::epoll_ctl(watch->second.epoll, EPOLL_CTL_MOD, fd, &event);
-    }
+    repeatWatchEvent(fd);
     errno = EAGAIN;
     return true;
   }
@@ -152,12 +172,13 @@
 }
 
 std::size_t limitSize(std::size_t requestedSize) {
-  return std::exchange(registry().truncateNext, false) && requestedSize > 1 ? requestedSize / 2
-                                                                            : requestedSize;
+  const bool isTruncated = std::exchange(registry().truncateNext, false);
+  return isTruncated && requestedSize > 1 ? requestedSize / 2 : requestedSize;
 }
 
 int truncateMessage(msghdr& message) {
-  if (std::exchange(registry().truncateNext, false) && message.msg_iovlen > 0) {
+  const bool isTruncated = std::exchange(registry().truncateNext, false);
+  if (isTruncated && message.msg_iovlen > 0) {
     message.msg_iovlen = 1;
     if (message.msg_iov[0].iov_len > 1) message.msg_iov[0].iov_len /= 2;
   }
--- a/tests/failpoint/fail_point_test.cpp
+++ b/tests/failpoint/fail_point_test.cpp
@@ -1,4 +1,5 @@
-// Faults at numbered points, by the rig: a slice of all, and each one that was found to go wrong.
+// Injects failures with paddletrack_loadtest: a sample of all fail points, and each one that once found a
+// fault.
 #include <gtest/gtest.h>
 
 #include <array>
@@ -17,14 +18,17 @@
 RunOutput runFailPoints(const std::string& arguments) {
   RunOutput result;
   FILE* pipe = ::popen((PADDLETRACK_LOADTEST " faults " + arguments + " 2>&1").c_str(), "r");
-  std::array<char, 4096> buffer;
-  for (std::size_t count; (count = std::fread(buffer.data(), 1, buffer.size(), pipe)) > 0;)
+  std::array<char, 4096> buffer{};
+  for (;;) {
+    const std::size_t count = std::fread(buffer.data(), 1, buffer.size(), pipe);
+    if (count == 0) break;
     result.text.append(buffer.data(), count);
+  }
   result.exitCode = ::pclose(pipe);
   return result;
 }
 
-// One point: it was reached, and what came of it is as it should be.
+// Expects that the point was reached and that the checks of the run passed.
 RunOutput runSinglePoint(const std::string& point) {
   RunOutput result = runFailPoints("--only '" + point + "'");
   EXPECT_EQ(result.exitCode, 0) << result.text;
@@ -33,47 +37,48 @@
 }
 
 TEST(FailPoint, ReportsNothingWrongWhenSampleOfAllPointsFails) {
-  const RunOutput told = runFailPoints("--most 24 --seed 7");
-  EXPECT_EQ(told.exitCode, 0) << told.text;
-  EXPECT_TRUE(told.contains(", 0 wrong;")) << told.text;
-  EXPECT_TRUE(told.contains("24 runs")) << told.text;
+  const RunOutput output = runFailPoints("--most 24 --seed 7");
+  EXPECT_EQ(output.exitCode, 0) << output.text;
+  EXPECT_TRUE(output.contains(", 0 wrong;")) << output.text;
+  EXPECT_TRUE(output.contains("24 runs")) << output.text;
 }
 
-// The job stood among its connection's open ones and was gone: its client's end reached into freed memory.
+// The connection kept a pointer to a request that had been freed, and used it when the client disconnected.
 TEST(FailPoint, RejectsRequestWhenMemoryForItIsExhausted) {
   for (const char* point :
        {"table.exchange#3=ENOMEM", "table.open#3=ENOMEM", "table.jobs#3=ENOMEM", "table.references#3=ENOMEM"})
     EXPECT_TRUE(runSinglePoint(point).contains("throttled")) << point;
 }
 
-// The module's step broke off midway and the process went on from there, into null and freed pointers.
+// The process went on after a decision had been interrupted halfway, with null and freed pointers in its
+// state.
 TEST(FailPoint, EndsProcessWithOutOfMemoryErrorWhenDecisionFails) {
   EXPECT_TRUE(runSinglePoint("table.dispatches#4=ENOMEM").contains("(out_of_memory)"));
 }
 
-// Dispatches held for a dial were lost when the first of them could not be written.
+// Attempts that waited for a connection were lost when the first of them could not be written.
 TEST(FailPoint, PassesRunChecksWhenHeldAttemptCannotBeWritten) { runSinglePoint("table.written#3=ENOMEM"); }
 
-// The answer was lost on its way and nobody told: its client waited out its time.
+// The response was lost without an error, and the client waited until its timeout.
 TEST(FailPoint, PassesRunChecksWhenResponseCannotBeQueued) {
   for (const char* point : {"table.unsent#40=ENOMEM", "table.unsent#47=ENOMEM"}) runSinglePoint(point);
 }
 
-// An empty entry stayed in the table of executors, and the event counted as taken in.
+// An empty entry stayed in the engine registry, and the watch event counted as applied.
 TEST(FailPoint, PassesRunChecksWhenWatchEventCannotBeApplied) { runSinglePoint("table.executors#3=ENOMEM"); }
 
-// A signal while the door's folder is locked by another that starts ended the process.
+// A signal ended the process while another process that was starting held the lock of the socket's folder.
 TEST(FailPoint, StartsWhenSignalInterruptsSocketFolderLock) {
   EXPECT_FALSE(runSinglePoint("socket_file.lock#1=EINTR").contains("ended;"));
 }
 
-// The read that was broken off was not tried again: SIGTERM stayed unread, the process went on.
+// An interrupted read was not retried, so SIGTERM stayed unread and the process went on.
 TEST(FailPoint, PassesRunChecksWhenSignalReadIsInterrupted) {
   for (const char* point : {"signals.read#1=EINTR", "signals.read#2=EINTR", "signals.read#4=EINTR"})
     runSinglePoint(point);
 }
 
-// SIGTERM was half done: no time was set at which to look again, and the process went on for good.
+// SIGTERM was handled halfway: no timer was set to check for the end, and the process never ended.
 TEST(FailPoint, EndsProcessWhenStopFails) {
   EXPECT_TRUE(runSinglePoint("table.answer_by#1=ENOMEM").contains("a signal's work: no memory"))
       << "it went on";
--- a/tests/protocol/codec_test.cpp
+++ b/tests/protocol/codec_test.cpp
@@ -1,4 +1,4 @@
-// What peers may write, cut at every byte and bent; no sockets.
+// The codecs of all protocols, with valid, truncated and malformed input; no sockets.
 #include <gtest/gtest.h>
 
 #include "protocol/controller_config.hpp"
@@ -29,10 +29,10 @@
 
 TEST(ThriftCodec, ReadsSubmitWithoutCopyingStatement) {
   const std::string frame = thriftMessage(1, "submit", 7, kSubmitArguments);
-  const thrift::Message read = thrift::decodeMessage(frame);
-  EXPECT_EQ(read.method, "submit");
-  EXPECT_EQ(read.sequence, 7);
-  const thrift::SubmitRequest submit = thrift::decodeSubmit(read.arguments);
+  const thrift::Message message = thrift::decodeMessage(frame);
+  EXPECT_EQ(message.method, "submit");
+  EXPECT_EQ(message.sequence, 7);
+  const thrift::SubmitRequest submit = thrift::decodeSubmit(message.arguments);
   EXPECT_EQ(submit.requestClass, "report");
   EXPECT_EQ(submit.timeoutMs, "1500");
   EXPECT_EQ(submit.statement, "select 1");
@@ -58,11 +58,11 @@
   expectRejected(bigEndianBytes(15, 1) + bigEndianBytes(9, 2) + bigEndianBytes(12, 1) +
                  bigEndianBytes(0x7fffffff, 4));
   expectRejected(bigEndianBytes(8, 1) + bigEndianBytes(2, 2) + bigEndianBytes(1, 4) + bigEndianBytes(0, 1));
-  expectRejected(kSubmitArguments + "x");  // bytes behind the end
+  expectRejected(kSubmitArguments + "x");  // Bytes behind the end of the message.
   expectRejected(kSubmitArguments.substr(0, kSubmitArguments.size() - 1) +
-                 kSubmitArguments);  // all fields twice
+                 kSubmitArguments);  // All fields are repeated.
   expectRejected(bigEndianBytes(11, 1) + bigEndianBytes(2, 2) + lengthPrefixed("") +
-                 bigEndianBytes(0, 1));  // no statement
+                 bigEndianBytes(0, 1));  // The statement is empty.
   std::string emptyValue = kSubmitArguments;
   expectRejected(emptyValue.replace(emptyValue.find(lengthPrefixed("1500")), 8, lengthPrefixed("")));
   std::string nestedFields = bigEndianBytes(12, 1) + bigEndianBytes(9, 2);
@@ -205,7 +205,7 @@
   EXPECT_EQ(pagedConfig.deployment.maxMemoryGrantMb, 16384);
   EXPECT_FALSE(decodeControllerConfig(flattenLines(machineSettings + "familyInfo.memoryShort=wait\n"))
                    .deployment.allowsMemoryOvercommit);
-  // Untold: the engine's own choice.
+  // Without a limit the engine chooses the grant.
   EXPECT_EQ(decodeControllerConfig(flattenLines(machineSettings)).deployment.maxMemoryGrantMb, 0);
   EXPECT_THROW(decodeControllerConfig(flattenLines(machineSettings + "familyInfo.grantCap=-1\n")),
                ParseError);
--- a/tests/protocol/simulator_adapter_test.cpp
+++ b/tests/protocol/simulator_adapter_test.cpp
@@ -1,4 +1,5 @@
-// Frames written by hand to the wire page's layout, and what does not follow it.
+// The simulator's wire: batches that follow its format, encoded here without the codec under test, and
+// batches that do not.
 #include <gtest/gtest.h>
 
 #include <sstream>
@@ -8,13 +9,13 @@
 namespace paddletrack::simulator {
 namespace {
 
-const std::string kSiteSettings =
+const std::string kSettings =
     "balancers=1\nmachineTypes=a\nfamilyInfo.kindCores=8\nprofiles.count=1\nprofiles.0.idempotency="
     "retryable\n"
     "profiles.0.onTimeUs=500000\nprofiles.0.giveUpUs=4000000\nlimits.mostTries=3\nlimits.retryAfter=true\n"
     "limits.maxRetryAfterUs=1000000\ntickUs=5000\nnever.seen=1,2\n";
 
-using Fields = std::initializer_list<std::pair<std::uint64_t, int>>;  // value and size
+using Fields = std::initializer_list<std::pair<std::uint64_t, int>>;  // Value and size in bytes.
 std::string packFields(Fields fields) {
   std::string bytes;
   for (const auto& [value, size] : fields) appendBigEndian(bytes, value, size);
@@ -31,7 +32,7 @@
     ++recordCount;
     return *this;
   }
-  BatchBuilder& addStart(std::uint32_t controller, const std::string& settings = kSiteSettings) {
+  BatchBuilder& addStart(std::uint32_t controller, const std::string& settings = kSettings) {
     return addRecord(3, {{controller, 4}, {5, 8}, {settings.size(), 4}}, settings);
   }
   BatchBuilder& addEngine(std::uint32_t controller, std::uint32_t engine) {
@@ -105,9 +106,9 @@
   EXPECT_TRUE(
       failsWith(BatchBuilder().addStart(3).addRecord(4, {{3, 4}, {0, 8}}).encode(), "4 bytes too many"));
   EXPECT_TRUE(failsWith(BatchBuilder().addRequest(3, 1).encode(), "controller 3 does not run"));
-  EXPECT_TRUE(failsWith(BatchBuilder().addStart(3, kSiteSettings + "nonsense\n").encode(),
+  EXPECT_TRUE(failsWith(BatchBuilder().addStart(3, kSettings + "nonsense\n").encode(),
                         "'nonsense' is not path=value"));
-  EXPECT_TRUE(failsWith(BatchBuilder().addStart(3, kSiteSettings + "balancers=many\n").encode(),
+  EXPECT_TRUE(failsWith(BatchBuilder().addStart(3, kSettings + "balancers=many\n").encode(),
                         "'many' is not a number"));
   EXPECT_TRUE(failsWith(BatchBuilder().addStart(3).addRecord(7, {{3, 4}, {2, 1}, {1, 4}, {9, 4}}).encode(),
                         "list 9"));
@@ -115,7 +116,7 @@
 
 TEST(SimulatorAdapter, ReadsPlacementRestrictionsByNameOrIndex) {
   const protocol::ControllerConfig config = protocol::decodeControllerConfig(protocol::flattenLines(
-      kSiteSettings + "zones=east,west\nprofiles.0.confinedTo=west\nprofiles.0.machineTypesOnly=0\n"));
+      kSettings + "zones=east,west\nprofiles.0.confinedTo=west\nprofiles.0.machineTypesOnly=0\n"));
   EXPECT_EQ(config.deployment.requestClasses[0].allowedZones, std::vector<unsigned>{1});
   EXPECT_EQ(config.deployment.requestClasses[0].allowedMachineTypes, std::vector<unsigned>{0});
 }
