--- a/src/routing/client_listener.cpp
+++ b/src/routing/client_listener.cpp
@@ -27,7 +27,7 @@
                    .sessions = ClientSessionList(scheduler)},
       listener_(std::in_place, scheduler, address),
       sessionTasks_(scheduler, [this](const char* message) {
-        environment_.logger("client", Error(ErrorKind::unexpected, "a client's connection", message));
+        environment_.logger.warning("client", Error(ErrorKind::unexpected, "a client's connection", message));
       }) {
   sessionTasks_.spawn(acceptConnections());
 }
@@ -49,7 +49,8 @@
       sessionTasks_.spawn(serveConnection(std::move(acceptedSocket)));
     } catch (const std::exception& error) {
       // One connection could not be accepted; the next one may be.
-      environment_.logger("client", Error(ErrorKind::acceptFailed, "a client's connection", error.what()));
+      environment_.logger.warning("client",
+                                  Error(ErrorKind::acceptFailed, "a client's connection", error.what()));
     }
     co_await environment_.scheduler.yield();
   }
@@ -62,13 +63,13 @@
       co_await session.run();
     } catch (const protocol::ParseError& error) {
       ++environment_.counts.unreadable;
-      environment_.logger("client", Error(ErrorKind::clientProtocolError, error.context(), error.message()),
-                          {}, LogLevel::warning, "connection closed: ");
+      environment_.logger.warning("client",
+                                  Error(ErrorKind::clientProtocolError, error.context(), error.message()), {},
+                                  "connection closed: ");
     }
     co_await session.linger();
   } catch (const std::exception& error) {
-    environment_.logger("client", toError(error, "a client's connection"), {}, LogLevel::warning,
-                        "connection closed: ");
+    environment_.logger.warning("client", toError(error, "a client's connection"), {}, "connection closed: ");
   }
 }
 
--- a/src/routing/client_session.cpp
+++ b/src/routing/client_session.cpp
@@ -275,7 +275,8 @@
   } catch (const std::bad_alloc&) {
     // Nothing has run, so the client may try again.
     openRequests_.erase(message.sequence);
-    environment_.logger("request", Error(ErrorKind::outOfMemory, "a job", "no memory for it, throttled"));
+    environment_.logger.warning("request",
+                                Error(ErrorKind::outOfMemory, "a job", "no memory for it, throttled"));
     sendResponse(message.sequence, thrift::encodeRejection(message.sequence, std::nullopt));
   }
 }
@@ -334,11 +335,11 @@
 
 void ClientSession::reportInvalidMessage(const thrift::Message& message, const protocol::ParseError& error) {
   ++environment_.counts.rejectedRequests;
-  environment_.logger(
+  environment_.logger.warning(
       "request", Error(ErrorKind::invalidRequest, error.context(), error.message()),
       {{"job", std::string(currentRequestId_.substr(0, kMaxLoggedNameBytes))},
        {"reservation_type", std::string(currentRequestClass_.substr(0, kMaxLoggedNameBytes))}},
-      LogLevel::warning, "request not taken: ");
+      "request not taken: ");
   sendResponse(message.sequence, thrift::encodeException(message.method, message.sequence,
                                                          thrift::ExceptionCode::protocolError, error.what()));
 }
--- a/src/routing/request_router.cpp
+++ b/src/routing/request_router.cpp
@@ -263,10 +263,10 @@
     // The constructor throws if the only address is not valid.
     if (entry.addresses.empty()) static_cast<void>(transport::Address(entry.address));
   } catch (const std::exception& error) {
-    logger_("changelog",
-            Error(ErrorKind::invalidEndpointEntry, "executor " + entry.id,
-                  std::string("passed over: ") + error.what()),
-            {{"engine", entry.id}});
+    logger_.warning("changelog",
+                    Error(ErrorKind::invalidEndpointEntry, "executor " + entry.id,
+                          std::string("passed over: ") + error.what()),
+                    {{"engine", entry.id}});
     return std::nullopt;
   }
   record.cell = entry.cell;
@@ -354,11 +354,11 @@
 void RequestRouter::requestEndpoints() { discoveryRequested_ = true; }
 
 void RequestRouter::sendHealthCheck(Engine&) {
-  logger_("unsupported", "these pages have no message for probes");
+  logger_.info("unsupported", "these pages have no message for probes");
 }
 
 void RequestRouter::sendPeerReport(const std::vector<PeerEngineLoad>&) {
-  logger_("unsupported", "these pages have no message for peers");
+  logger_.info("unsupported", "these pages have no message for peers");
 }
 
 // ---- Observation ----------------------------------------------------------------------------------------
@@ -372,7 +372,7 @@
   admissionController_.enableDecisionTrace(true);
 }
 
-void RequestRouter::log(std::string_view text) { logger_("module", std::string(text)); }
+void RequestRouter::log(std::string_view text) { logger_.info("module", std::string(text)); }
 
 std::string RequestRouter::formatCounts() const {
   static constexpr std::array<const char*, 9> kOutcomeNames{"done",      "error",       "turned away",
