Placement solver split into solver, searches, scheduler and load lower bound

It is now PlacementSolver over PlacementState, with ShedSelection, WindowSearch and NeighborhoodSearch as its searches; MoveScheduler with MoveOrdering and MoveStateSearch; LoadLowerBound; and the plan's types in plan.hpp. cluster_view.cpp is cut into steps.

--- a/src/loadtest/optimal_placement.cpp
+++ b/src/loadtest/optimal_placement.cpp
@@ -6,6 +6,8 @@
 #include <set>
 #include <stdexcept>
 
+#include "rebalance/load_lower_bound.hpp"
+
 namespace paddletrack::loadtest {
 
 using namespace rebalance;
--- a/src/loadtest/optimal_placement.hpp
+++ b/src/loadtest/optimal_placement.hpp
@@ -3,7 +3,7 @@
 
 #include <optional>
 
-#include "rebalance/cluster_view.hpp"
+#include "rebalance/plan.hpp"
 
 namespace paddletrack::loadtest {
 
--- a/src/loadtest/rebalance.cpp
+++ b/src/loadtest/rebalance.cpp
@@ -8,6 +8,7 @@
 #include "loadtest/experiments.hpp"
 #include "loadtest/multi_controller_simulation.hpp"
 #include "loadtest/random_fleet.hpp"
+#include "rebalance/load_lower_bound.hpp"
 #ifdef PADDLETRACK_EXACT
 #include "loadtest/optimal_placement.hpp"
 #endif
--- a/src/rebalance/cluster_view.cpp
+++ b/src/rebalance/cluster_view.cpp
@@ -2,89 +2,124 @@
 
 #include <algorithm>
 #include <numeric>
+#include <utility>
 
 namespace paddletrack::rebalance {
 namespace {
 
-__extension__ using Int128 = __int128;
-
 bool allowsValue(const std::optional<std::vector<unsigned>>& allowedValues, unsigned value) {
-  return !allowedValues ||
-         std::find(allowedValues->begin(), allowedValues->end(), value) != allowedValues->end();
+  return !allowedValues || std::ranges::find(*allowedValues, value) != allowedValues->end();
 }
 
+// FNV-1a over 64 bits.
 class DigestHasher {
  public:
   void add(std::uint64_t value) {
-    for (int byte = 0; byte < 8; ++byte, value >>= 8) value_ = (value_ ^ (value & 255)) * 0x100000001b3ULL;
+    for (int shift = 0; shift < 64; shift += 8) addByte((value >> shift) & 255);
   }
   void add(const std::string& text) {
     add(text.size());
-    for (const char character : text)
-      value_ = (value_ ^ static_cast<unsigned char>(character)) * 0x100000001b3ULL;
+    for (const char character : text) addByte(static_cast<unsigned char>(character));
   }
   void add(const std::optional<std::vector<unsigned>>& constraint) {
     add(constraint ? constraint->size() + 1 : 0);
-    if (constraint)
-      for (const unsigned value : *constraint) add(value);
+    if (!constraint) return;
+    for (const unsigned value : *constraint) add(value);
   }
   std::uint64_t value() const { return value_; }
 
  private:
-  std::uint64_t value_ = 0xcbf29ce484222325ULL;
+  static constexpr std::uint64_t kOffsetBasis = 0xcbf29ce484222325ULL;
+  static constexpr std::uint64_t kPrime = 0x100000001b3ULL;
+
+  void addByte(std::uint64_t byte) { value_ = (value_ ^ byte) * kPrime; }
+
+  std::uint64_t value_ = kOffsetBasis;
 };
 
-}  // namespace
+void addEngine(DigestHasher& hasher, const EngineSnapshot& engine) {
+  hasher.add(engine.name);
+  hasher.add(static_cast<std::uint64_t>(engine.capacity));
+  hasher.add(static_cast<std::uint64_t>(engine.headroom));
+  hasher.add(static_cast<std::uint64_t>(engine.weight));
+  hasher.add(static_cast<std::uint64_t>(engine.state) * 2 + (engine.warmingUp ? 1 : 0));
+  hasher.add(engine.zone);
+  hasher.add(engine.machineType);
+}
 
-ClusterView canonicalize(ClusterView cluster) {
-  std::vector<std::uint32_t> order(cluster.engines.size()), newIndices(cluster.engines.size(), UINT32_MAX);
+void addGroup(DigestHasher& hasher, const GroupSnapshot& group) {
+  hasher.add(group.groupId);
+  hasher.add(static_cast<std::uint64_t>(group.size));
+  hasher.add(static_cast<std::uint64_t>(group.readRate));
+  hasher.add(group.wantedReplicas);
+  hasher.add(group.allowedZones);
+  hasher.add(group.allowedMachineTypes);
+  hasher.add(group.holders.size() * 2 + (group.recentlyMoved ? 1 : 0));
+  for (const std::uint32_t holder : group.holders) hasher.add(holder);
+}
+
+// Sorts the engines by name and drops those with a name seen before. Returns the new index of each engine.
+std::vector<std::uint32_t> sortEngines(std::vector<EngineSnapshot>& engines) {
+  std::vector<std::uint32_t> order(engines.size()), newIndices(engines.size(), UINT32_MAX);
   std::iota(order.begin(), order.end(), 0U);
-  const auto nameAt = [&](std::uint32_t engineIndex) -> const std::string& {
-    return cluster.engines[engineIndex].name;
-  };
-  std::stable_sort(order.begin(), order.end(),
-                   [&](auto left, auto right) { return nameAt(left) < nameAt(right); });
-  ClusterView ordered;
-  for (const std::uint32_t value : order) {
-    const bool isDuplicate = !ordered.engines.empty() && ordered.engines.back().name == nameAt(value);
-    if (!isDuplicate) ordered.engines.push_back(cluster.engines[value]);
-    newIndices[value] = static_cast<std::uint32_t>(ordered.engines.size() - 1);
+  std::ranges::stable_sort(order, [&](std::uint32_t left, std::uint32_t right) {
+    return engines[left].name < engines[right].name;
+  });
+  std::vector<EngineSnapshot> sorted;
+  for (const std::uint32_t index : order) {
+    const bool isDuplicate = !sorted.empty() && sorted.back().name == engines[index].name;
+    if (!isDuplicate) sorted.push_back(engines[index]);
+    newIndices[index] = static_cast<std::uint32_t>(sorted.size() - 1);
   }
-  ordered.groups = std::move(cluster.groups);
-  std::stable_sort(ordered.groups.begin(), ordered.groups.end(),
-                   [](const auto& left, const auto& right) { return left.groupId < right.groupId; });
-  const auto hasSameId = [](const auto& left, const auto& right) { return left.groupId == right.groupId; };
-  ordered.groups.erase(std::unique(ordered.groups.begin(), ordered.groups.end(), hasSameId),
-                       ordered.groups.end());
-  for (GroupSnapshot& group : ordered.groups) {
-    std::erase_if(group.holders, [&](std::uint32_t holder) { return holder >= newIndices.size(); });
-    for (std::uint32_t& holder : group.holders) holder = newIndices[holder];
-    std::erase_if(group.holders,
-                  [&](auto holder) { return ordered.engines[holder].state == EndpointState::removed; });
-    std::sort(group.holders.begin(), group.holders.end());
-    group.holders.erase(std::unique(group.holders.begin(), group.holders.end()), group.holders.end());
-    for (auto* constraint : {&group.allowedZones, &group.allowedMachineTypes})
-      if (*constraint) std::sort((*constraint)->begin(), (*constraint)->end());
+  engines = std::move(sorted);
+  return newIndices;
+}
+
+// Sorts the groups by number and drops those with a number seen before.
+void sortGroups(std::vector<GroupSnapshot>& groups) {
+  std::ranges::stable_sort(groups, [](const GroupSnapshot& left, const GroupSnapshot& right) {
+    return left.groupId < right.groupId;
+  });
+  const auto hasSameId = [](const GroupSnapshot& left, const GroupSnapshot& right) {
+    return left.groupId == right.groupId;
+  };
+  const auto duplicates = std::ranges::unique(groups, hasSameId);
+  groups.erase(duplicates.begin(), duplicates.end());
+}
+
+void renumberHolders(GroupSnapshot& group, const std::vector<std::uint32_t>& newIndices,
+                     const std::vector<EngineSnapshot>& engines) {
+  auto& holders = group.holders;
+  std::erase_if(holders, [&](std::uint32_t holder) { return holder >= newIndices.size(); });
+  for (std::uint32_t& holder : holders) holder = newIndices[holder];
+  std::erase_if(holders,
+                [&](std::uint32_t holder) { return engines[holder].state == EndpointState::removed; });
+  std::ranges::sort(holders);
+  const auto duplicates = std::ranges::unique(holders);
+  holders.erase(duplicates.begin(), duplicates.end());
+}
+
+void sortConstraint(std::optional<std::vector<unsigned>>& allowedValues) {
+  if (allowedValues) std::ranges::sort(*allowedValues);
+}
+
+}  // namespace
+
+ClusterView canonicalize(ClusterView cluster) {
+  const std::vector<std::uint32_t> newIndices = sortEngines(cluster.engines);
+  sortGroups(cluster.groups);
+  for (GroupSnapshot& group : cluster.groups) {
+    renumberHolders(group, newIndices, cluster.engines);
+    sortConstraint(group.allowedZones);
+    sortConstraint(group.allowedMachineTypes);
   }
-  return ordered;
+  return cluster;
 }
 
 std::uint64_t computeDigest(const ClusterView& cluster) {
   DigestHasher hasher;
-  for (const EngineSnapshot& engine : cluster.engines) {
-    hasher.add(engine.name);
-    for (const std::int64_t value : {engine.capacity, engine.headroom, engine.weight})
-      hasher.add(static_cast<std::uint64_t>(value));
-    hasher.add(static_cast<std::uint64_t>(engine.state) * 2 + (engine.warmingUp ? 1 : 0));
-    hasher.add(engine.zone), hasher.add(engine.machineType);
-  }
-  for (const GroupSnapshot& group : cluster.groups) {
-    hasher.add(group.groupId), hasher.add(static_cast<std::uint64_t>(group.size));
-    hasher.add(static_cast<std::uint64_t>(group.readRate)), hasher.add(group.wantedReplicas);
-    hasher.add(group.allowedZones), hasher.add(group.allowedMachineTypes);
-    hasher.add(group.holders.size() * 2 + (group.recentlyMoved ? 1 : 0));
-    for (const std::uint32_t holder : group.holders) hasher.add(holder);
-  }
+  for (const EngineSnapshot& engine : cluster.engines) addEngine(hasher, engine);
+  for (const GroupSnapshot& group : cluster.groups) addGroup(hasher, group);
   return hasher.value();
 }
 
@@ -103,50 +138,4 @@
   return (std::max<std::int64_t>(0, group.readRate) + replicas - 1) / replicas;
 }
 
-// The mean over all; over the engines of each placement bound, of the groups with just that; and the dearest
-// group on the strongest engine that may have it.
-LoadLowerBound::LoadLowerBound(const ClusterView& cluster) {
-  const auto raiseBound = [&](std::int64_t load, std::int64_t weight) {
-    if (weight > 0 && Int128(load) * weight_ > Int128(load_) * weight) load_ = load, weight_ = weight;
-  };
-  struct PlacementConstraint {
-    const GroupSnapshot* sampleGroup;
-    std::int64_t totalWeight = 0, load = 0, maxWeight = 0;
-    std::size_t eligibleEngines = 0;
-  };
-  std::vector<PlacementConstraint> constraints;
-  std::int64_t totalLoad = 0, totalWeight = 0;
-  for (const EngineSnapshot& engine : cluster.engines)
-    if (engine.state == EndpointState::ready) totalWeight += engine.weight;
-  for (const GroupSnapshot& group : cluster.groups) {
-    auto constraint = std::find_if(
-        constraints.begin(), constraints.end(), [&](const PlacementConstraint& placementConstraint) {
-          return placementConstraint.sampleGroup->allowedZones == group.allowedZones &&
-                 placementConstraint.sampleGroup->allowedMachineTypes == group.allowedMachineTypes;
-        });
-    if (constraint == constraints.end()) {
-      constraint = constraints.insert(constraints.end(), PlacementConstraint{&group});
-      for (const EngineSnapshot& engine : cluster.engines) {
-        if (engine.state != EndpointState::ready || !canHold(group, engine)) continue;
-        constraint->totalWeight += engine.weight, ++constraint->eligibleEngines;
-        constraint->maxWeight = std::max(constraint->maxWeight, engine.weight);
-      }
-    }
-    if (constraint->eligibleEngines == 0) continue;
-    const std::int64_t replicaLoad = readRatePerReplica(group, constraint->eligibleEngines);
-    const std::int64_t groupLoad =
-        replicaLoad * static_cast<std::int64_t>(replicaCount(group, constraint->eligibleEngines));
-    totalLoad += groupLoad, constraint->load += groupLoad;
-    raiseBound(replicaLoad, constraint->maxWeight);
-  }
-  raiseBound(totalLoad, totalWeight);
-  for (const PlacementConstraint& constraint : constraints)
-    raiseBound(constraint.load, constraint.totalWeight);
-}
-
-std::int64_t LoadLowerBound::loadLimit(const EngineSnapshot& engine, int overloadPercent) const {
-  return static_cast<std::int64_t>(Int128(load_) * engine.weight * (100 + overloadPercent) /
-                                   (Int128(weight_) * 100));
-}
-
 }  // namespace paddletrack::rebalance
--- a/src/rebalance/codec.cpp
+++ b/src/rebalance/codec.cpp
@@ -80,7 +80,7 @@
     }
     groupsByReads.emplace_back(-totalReads, std::move(groupTuple));
   }
-  std::sort(groupsByReads.begin(), groupsByReads.end());
+  std::ranges::sort(groupsByReads);
   if (groupsByReads.size() > kMaxGroups) groupsByReads.resize(kMaxGroups);
   std::vector<GroupTuple> groups;
   for (auto& groupsByRead : groupsByReads) groups.push_back(std::move(groupsByRead.second));
--- /dev/null
+++ b/src/rebalance/move_ordering.cpp
@@ -0,0 +1,129 @@
+#include "rebalance/move_ordering.hpp"
+
+#include <algorithm>
+
+namespace paddletrack::rebalance {
+
+MoveOrdering::MoveOrdering(const ClusterView& cluster, const PlanOptions& options,
+                           const std::vector<Move>& wantedMoves, OrderingStrategy strategy)
+    : cluster_(cluster),
+      options_(options),
+      wantedMoves_(wantedMoves),
+      strategy_(strategy),
+      transfers_(cluster.engines.size()),
+      awaitedBytes_(cluster.engines.size()),
+      nextHops_(wantedMoves),
+      waitingByEngine_(cluster.engines.size()) {
+  for (const Move& move : wantedMoves_)
+    if (move.target) awaitedBytes_[*move.target] += move.bytes;
+}
+
+OrderedMoves MoveOrdering::run() {
+  for (std::uint32_t index = 0; index < wantedMoves_.size(); ++index) enqueue(index);
+  applyReadyMoves();
+  if (strategy_ == OrderingStrategy::unblockingFirstWithDetours)
+    while (startSmallestDetour()) applyReadyMoves();
+  result_.blockedMoves = blockedMoves();
+  return std::move(result_);
+}
+
+bool MoveOrdering::hasRoom(const Move& move) const {
+  if (!move.target) return true;
+  const EngineTransfer& transfer = transfers_[*move.target];
+  const EngineSnapshot& engine = cluster_.engines[*move.target];
+  return (transfer.incomingBytes + move.bytes) * options_.headroomDivisor <=
+         engine.headroom + transfer.freedBytes;
+}
+
+void MoveOrdering::enqueue(std::uint32_t moveIndex) {
+  const Move& move = wantedMoves_[moveIndex];
+  const bool prioritizesUnblocking = strategy_ != OrderingStrategy::smallestFirst;
+  const Bytes priority =
+      prioritizesUnblocking && move.source ? std::min<Bytes>(awaitedBytes_[*move.source], 1) : 0;
+  readyMoves_.push({-priority, move.bytes, moveIndex});
+}
+
+void MoveOrdering::enqueueMovesWaitingFor(std::uint32_t engine) {
+  for (const std::uint32_t moveIndex : std::exchange(waitingByEngine_[engine], {})) enqueue(moveIndex);
+}
+
+void MoveOrdering::apply(const Move& move) {
+  if (move.target) transfers_[*move.target].incomingBytes += move.bytes;
+  if (move.source) transfers_[*move.source].freedBytes += cluster_.groups[move.group].size;
+  result_.moves.push_back(move);
+}
+
+void MoveOrdering::applyReadyMoves() {
+  while (!readyMoves_.empty()) {
+    const std::uint32_t moveIndex = readyMoves_.top().move;
+    readyMoves_.pop();
+    const Move& move = nextHops_[moveIndex];
+    if (!hasRoom(move)) {
+      waitingByEngine_[*move.target].push_back(moveIndex);
+      continue;
+    }
+    apply(move);
+    if (move.source) enqueueMovesWaitingFor(*move.source);
+  }
+}
+
+std::vector<std::uint32_t> MoveOrdering::blockedMovesBySize() const {
+  std::vector<std::uint32_t> blocked = blockedMoves();
+  std::ranges::stable_sort(
+      blocked, [&](auto left, auto right) { return nextHops_[left].bytes < nextHops_[right].bytes; });
+  return blocked;
+}
+
+// The smallest blocked move for which some third engine has room makes a stop there. Returns false if there
+// is none.
+bool MoveOrdering::startSmallestDetour() {
+  for (const std::uint32_t moveIndex : blockedMovesBySize()) {
+    const std::optional<std::uint32_t> detourEngine = findDetourEngine(moveIndex);
+    if (!detourEngine) continue;
+    startDetour(moveIndex, *detourEngine);
+    return true;
+  }
+  return false;
+}
+
+std::optional<std::uint32_t> MoveOrdering::findDetourEngine(std::uint32_t moveIndex) const {
+  const Move& hop = nextHops_[moveIndex];
+  // A move that has made a stop already starts from there.
+  const bool hasAlreadyDetoured = wantedMoves_[moveIndex].source != hop.source;
+  if (!hop.source || hasAlreadyDetoured) return std::nullopt;
+  for (std::uint32_t engine = 0; engine < cluster_.engines.size(); ++engine)
+    if (isDetourEngine(engine, moveIndex)) return engine;
+  return std::nullopt;
+}
+
+bool MoveOrdering::isDetourEngine(std::uint32_t engineIndex, std::uint32_t moveIndex) const {
+  Move detour = nextHops_[moveIndex];
+  const GroupSnapshot& group = cluster_.groups[detour.group];
+  const EngineSnapshot& engine = cluster_.engines[engineIndex];
+  if (engine.state != EndpointState::ready || engine.weight <= 0 || !canHold(group, engine)) return false;
+  if (engineIndex == *detour.target || engineIndex == *detour.source) return false;
+  if (std::ranges::binary_search(group.holders, engineIndex)) return false;
+  if (!waitingByEngine_[engineIndex].empty()) return false;
+  detour.target = engineIndex;
+  return hasRoom(detour);
+}
+
+void MoveOrdering::startDetour(std::uint32_t moveIndex, std::uint32_t detourEngine) {
+  Move detour = nextHops_[moveIndex];
+  detour.target = detourEngine;
+  apply(detour);
+  result_.detourBytes += detour.bytes;
+  std::erase(waitingByEngine_[*wantedMoves_[moveIndex].target], moveIndex);
+  nextHops_[moveIndex].source = detourEngine;
+  enqueue(moveIndex);
+  enqueueMovesWaitingFor(*detour.source);
+}
+
+std::vector<std::uint32_t> MoveOrdering::blockedMoves() const {
+  std::vector<std::uint32_t> blocked;
+  for (const auto& waiting : waitingByEngine_) blocked.insert(blocked.end(), waiting.begin(), waiting.end());
+  std::ranges::sort(blocked);
+  return blocked;
+}
+
+}  // namespace paddletrack::rebalance
--- /dev/null
+++ b/src/rebalance/placement_solver.hpp
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <vector>
+
+#include "rebalance/placement_state.hpp"
+#include "rebalance/plan.hpp"
+#include "rebalance/shed_selection.hpp"
+
+namespace paddletrack::rebalance {
+
+/// Decides where the replicas of the groups should lie, so that little data moves and every engine keeps its
+/// limits: replicas stay at their holders where they may; engines over their limits shed the cheapest set;
+/// unassigned replicas are placed, the hardest first; a local search then improves the result.
+class PlacementSolver {
+ public:
+  /// Keeps references to both arguments, which must outlive it. `cluster` must be canonical.
+  PlacementSolver(const ClusterView& cluster, const PlanOptions& options);
+
+  /// Sets the placements of `plan` and what it says about limits that could not be kept.
+  void solve(Plan& plan);
+
+ private:
+  enum class EnginePreference { leastLoaded, mostLoaded };
+  struct PlacementScore;
+
+  void keepCurrentHolders();
+  void assignToHolders(std::uint32_t groupIndex);
+  int findLeastLoadedHolder(const Replica& replica) const;
+
+  void relieveOverloadedEngines();
+  void relocateToOtherHolders(int engine, std::vector<int>& candidates);
+  int findOtherHolderWithCapacity(const Replica& replica) const;
+  std::vector<int> selectReplicasToShed(int engine, const std::vector<int>& candidates) const;
+
+  void placeUnassigned();
+  std::vector<int> placeReplicas(const std::vector<int>& replicaIndices, EnginePreference preference);
+  bool tryPlace(int replicaIndex, EnginePreference preference);
+  PlacementScore scorePlacement(const Replica& replica, int engine, EnginePreference preference) const;
+
+  std::size_t placeBeyondLimits();
+  bool returnToHolder(int replicaIndex);
+  void evictNewReplicas(int engine, std::vector<int>& displaced);
+  bool placeWhereRoomIs(int replicaIndex);
+
+  void reportLimits(Plan& plan) const;
+  void reportPlacements(Plan& plan) const;
+
+  const ClusterView& cluster_;
+  const PlanOptions& options_;
+  int remainingWork_;
+  PlacementState placement_;
+};
+
+}  // namespace paddletrack::rebalance
--- a/src/rebalance/plan_follower.cpp
+++ b/src/rebalance/plan_follower.cpp
@@ -61,7 +61,7 @@
 bool PlanFollower::isMoveDone(const Move& move, const std::vector<const GroupSnapshot*>& groups) const {
   const GroupSnapshot* group = groups[move.group];
   const auto holds = [&](std::uint32_t engine) {
-    return group && std::binary_search(group->holders.begin(), group->holders.end(), engine);
+    return group && std::ranges::binary_search(group->holders, engine);
   };
   return !group || ((!move.target || holds(*move.target)) && (!move.source || !holds(*move.source)));
 }
@@ -95,7 +95,7 @@
     if (move.target) {
       ++incomingMovesTotal, ++incomingMoves[*move.target];
       const GroupSnapshot* group = groups[move.group];
-      if (!group || !std::binary_search(group->holders.begin(), group->holders.end(), *move.target))
+      if (!group || !std::ranges::binary_search(group->holders, *move.target))
         remainingHeadroom[*move.target] -= move.bytes;
     }
     ++openMove;
@@ -104,9 +104,9 @@
     if (moveStates_[value] != MoveState::pending) continue;
 
     const Move& move = plan_.moves[value];
-    const bool isUnblocked =
-        std::all_of(move.dependencies.begin(), move.dependencies.end(),
-                    [&](std::uint32_t dependency) { return moveStates_[dependency] == MoveState::done; });
+    const bool isUnblocked = std::ranges::all_of(move.dependencies, [&](std::uint32_t dependency) {
+      return moveStates_[dependency] == MoveState::done;
+    });
     if (!isUnblocked) continue;
     if (move.target) {
       const unsigned maxIncomingMoves =
--- a/src/rebalance/plan_follower.hpp
+++ b/src/rebalance/plan_follower.hpp
@@ -5,7 +5,7 @@
 #include <map>
 #include <string_view>
 
-#include "rebalance/cluster_view.hpp"
+#include "rebalance/plan.hpp"
 
 namespace paddletrack::rebalance {
 
--- a/src/rebalance/rebalance_executor.cpp
+++ b/src/rebalance/rebalance_executor.cpp
@@ -47,9 +47,8 @@
 double RebalanceExecutor::placementBias(std::uint32_t dataSet, const routing::EngineEndpoint& engine) const {
   const std::vector<std::string>* preferredEngines = follower_.preferredEngines(dataSet);
   if (!preferredEngines) return 1;
-  return std::find(preferredEngines->begin(), preferredEngines->end(), engine.id) != preferredEngines->end()
-             ? options_.placementBias
-             : 1;
+  return std::ranges::find(*preferredEngines, engine.id) != preferredEngines->end() ? options_.placementBias
+                                                                                    : 1;
 }
 
 void RebalanceExecutor::onAttemptStarted(std::uint32_t dataSet, const routing::EngineEndpoint& engine) {
@@ -114,9 +113,9 @@
           counter != reads_.end() && now - counter->second.lastReadAt < kReadIdleTimeout;
       const auto* preferredEngines = follower_.preferredEngines(group.groupId);
       const bool isPreferred =
-          !preferredEngines || std::find(preferredEngines->begin(), preferredEngines->end(),
-                                         observed.engines[value].name) != preferredEngines->end();
-      const bool wasHolder = std::binary_search(group.holders.begin(), group.holders.end(), value);
+          !preferredEngines ||
+          std::ranges::find(*preferredEngines, observed.engines[value].name) != preferredEngines->end();
+      const bool wasHolder = std::ranges::binary_search(group.holders, value);
       if (isRecentlyRead || (wasHolder && isPreferred))
         holders.push_back(value), heldBytes[value] += group.size;
     }
--- /dev/null
+++ b/src/rebalance/window_search.hpp
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <vector>
+
+#include "rebalance/placement_state.hpp"
+
+namespace paddletrack::rebalance {
+
+/// Searches the assignments of some replicas to a few engines by branch and bound, all others left as they
+/// are: for fewer unplaced replicas first, then for a lower move cost.
+class WindowSearch {
+ public:
+  /// Changes `placement`, which must outlive the search. A replica may also stay on the engine it is on, if
+  /// that is not one of `engines`.
+  WindowSearch(PlacementState& placement, const std::vector<int>& engines, std::vector<int> replicaIndices,
+               int maxNodes);
+
+  /// Assigns the best placement found, or restores the previous one. Returns true if it is better.
+  bool run();
+  int visitedNodes() const;
+
+ private:
+  struct Score {
+    std::size_t unplaced = 0;
+    std::int64_t cost = 0;
+    auto operator<=>(const Score&) const = default;
+  };
+  struct Candidate {
+    std::int64_t cost = 0;
+    int engine = kUnassigned;
+    Bytes requiredBytes = 0;
+  };
+
+  void recordInitialPlacement();
+  void collectCandidates(const std::vector<int>& engines);
+  std::vector<Candidate> candidatesOf(std::size_t position, const std::vector<int>& engines) const;
+  void visit(std::size_t depth);
+  void visitWithCandidate(std::size_t depth, const Candidate& candidate);
+  void visitUnplaced(std::size_t depth);
+  bool canImprove(std::size_t depth) const;
+
+  PlacementState& placement_;
+  std::vector<int> replicaIndices_;
+  int maxNodes_;
+  int nodesLeft_;
+  // Parallel to replicaIndices_:
+  std::vector<int> previousEngines_, chosenEngines_;
+  std::vector<std::vector<Candidate>> candidates_;
+  // The lowest move cost of the replicas from a position on, each taken by itself.
+  std::vector<std::int64_t> remainingMinCost_;
+  std::vector<int> bestEngines_;  // empty: nothing better than the initial placement was found
+  Score bestScore_, currentScore_;
+};
+
+}  // namespace paddletrack::rebalance
