--- a/src/rebalance/cluster_view_builder.cpp
+++ b/src/rebalance/cluster_view_builder.cpp
@@ -2,75 +2,122 @@
 
 #include <algorithm>
 #include <array>
+#include <cstddef>
 #include <set>
+#include <utility>
 
 namespace paddletrack::rebalance {
+namespace {
 
-ClusterView buildClusterView(const std::map<std::string, ControllerReport>& reports,
-                             const ViewBuilderOptions& options) {
-  struct MergedEngine {
-    ControllerReport::EngineReport report;
-    std::array<unsigned, 3> stateCounts{};
-    std::uint32_t engineIndex = 0;
-  };
-  struct MergedGroup {
-    Bytes size = 0;
-    bool recentlyMoved = false;
-    std::int64_t readRate = 0;
-    std::set<std::string> holders;  // an engine's earlier process is none
-  };
-  std::map<std::string, MergedEngine> engines;
-  std::map<std::uint32_t, MergedGroup> groups;
-  for (const auto& [owner, controllerReport] : reports)
+constexpr std::size_t kEndpointStates = 3;
+
+struct MergedEngine {
+  ControllerReport::EngineReport report;
+  std::array<unsigned, kEndpointStates> stateCounts{};  // reports by state
+  std::uint32_t engineIndex = 0;
+};
+
+struct MergedGroup {
+  Bytes size = 0;
+  bool recentlyMoved = false;
+  std::int64_t readRate = 0;
+  std::set<std::string> holders;
+};
+
+using MergedEngines = std::map<std::string, MergedEngine>;
+using MergedGroups = std::map<std::uint32_t, MergedGroup>;
+using Reports = std::map<std::string, ControllerReport>;
+
+MergedEngines mergeEngines(const Reports& reports) {
+  MergedEngines engines;
+  for (const auto& [owner, controllerReport] : reports) {
     for (const auto& [name, report] : controllerReport.engines) {
-      const auto [mergedEngine, fresh] = engines.try_emplace(name, MergedEngine{report});
-      ++mergedEngine->second.stateCounts[static_cast<std::size_t>(report.state)];
-      ControllerReport::EngineReport& merged = mergedEngine->second.report;
-      const Bytes capacity = std::min(merged.capacity, report.capacity);
-      if (report.startedAt > merged.startedAt) merged = report;
-      merged.capacity = capacity;
+      MergedEngine& engine = engines.try_emplace(name, MergedEngine{report}).first->second;
+      ++engine.stateCounts[static_cast<std::size_t>(report.state)];
+      const Bytes minCapacity = std::min(engine.report.capacity, report.capacity);
+      if (report.startedAt > engine.report.startedAt) engine.report = report;
+      engine.report.capacity = minCapacity;
     }
-  for (const auto& [owner, controllerReport] : reports)
+  }
+  return engines;
+}
+
+// Reads in an earlier process of the engine count for the rate, but make it no holder.
+void mergeReads(MergedGroup& group, const ControllerReport::GroupReport& report,
+                const ControllerReport& controllerReport, const MergedEngines& engines) {
+  for (const auto& [name, readCount] : report.readsByEngine) {
+    const auto mergedEngine = engines.find(name);
+    const auto reportedEngine = controllerReport.engines.find(name);
+    if (mergedEngine == engines.end() || reportedEngine == controllerReport.engines.end()) continue;
+    if (readCount <= 0) continue;
+    group.readRate += readCount;
+    if (reportedEngine->second.startedAt == mergedEngine->second.report.startedAt) group.holders.insert(name);
+  }
+}
+
+MergedGroups mergeGroups(const Reports& reports, const MergedEngines& engines) {
+  MergedGroups groups;
+  for (const auto& [owner, controllerReport] : reports) {
     for (const auto& [groupId, report] : controllerReport.groups) {
-      MergedGroup& merged = groups[groupId];
-      merged.size = std::max(merged.size, report.size),
-      merged.recentlyMoved = merged.recentlyMoved || report.recentlyMoved;
-      for (const auto& [engine, readCount] : report.readsByEngine) {
-        const auto mergedEngine = engines.find(engine);
-        const auto ownEngine = controllerReport.engines.find(engine);
-        if (mergedEngine == engines.end() || ownEngine == controllerReport.engines.end() || readCount <= 0)
-          continue;
-        merged.readRate += readCount;
-        if (ownEngine->second.startedAt == mergedEngine->second.report.startedAt)
-          merged.holders.insert(engine);
-      }
+      MergedGroup& group = groups[groupId];
+      group.size = std::max(group.size, report.size);
+      group.recentlyMoved = group.recentlyMoved || report.recentlyMoved;
+      mergeReads(group, report, controllerReport, engines);
     }
-  ClusterView view;
-  for (auto& [name, merged] : engines) {
-    std::size_t mostFrequentState = 2;
-    for (std::size_t index = 2; index-- > 0;)
-      if (merged.stateCounts[index] > merged.stateCounts[mostFrequentState]) mostFrequentState = index;
-    merged.engineIndex = static_cast<std::uint32_t>(view.engines.size());
-    view.engines.push_back({name, merged.report.capacity, 0, merged.report.weight,
-                            static_cast<EndpointState>(mostFrequentState), merged.report.warmingUp,
-                            merged.report.zone, merged.report.machineType});
   }
+  return groups;
+}
+
+EndpointState mostFrequentState(const MergedEngine& engine) {
+  std::size_t best = kEndpointStates - 1;
+  for (std::size_t state = best; state-- > 0;)
+    if (engine.stateCounts[state] > engine.stateCounts[best]) best = state;
+  return static_cast<EndpointState>(best);
+}
+
+void addEngines(ClusterView& view, MergedEngines& engines) {
+  for (auto& [name, engine] : engines) {
+    const ControllerReport::EngineReport& report = engine.report;
+    engine.engineIndex = static_cast<std::uint32_t>(view.engines.size());
+    view.engines.push_back({name, report.capacity, report.capacity, report.weight, mostFrequentState(engine),
+                            report.warmingUp, report.zone, report.machineType});
+  }
+}
+
+unsigned wantedReplicas(std::int64_t readRate, const ViewBuilderOptions& options) {
+  if (options.maxReadsPerReplica <= 0) return 1;
+  const std::int64_t replicas = (readRate + options.maxReadsPerReplica - 1) / options.maxReadsPerReplica;
+  return static_cast<unsigned>(std::clamp<std::int64_t>(replicas, 1, options.maxReplicas));
+}
+
+void addGroups(ClusterView& view, const MergedGroups& groups, const MergedEngines& engines,
+               const ViewBuilderOptions& options) {
   for (const auto& [groupId, merged] : groups) {
     GroupSnapshot& group = view.groups.emplace_back();
-    group.groupId = groupId, group.size = merged.size, group.recentlyMoved = merged.recentlyMoved;
+    group.groupId = groupId;
+    group.size = merged.size;
+    group.recentlyMoved = merged.recentlyMoved;
     group.readRate = merged.readRate;
-    for (const std::string& engine : merged.holders) {
-      const std::uint32_t engineIndex = engines.at(engine).engineIndex;
-      if (view.engines[engineIndex].state == EndpointState::removed) continue;
+    group.wantedReplicas = wantedReplicas(merged.readRate, options);
+    for (const std::string& name : merged.holders) {
+      const std::uint32_t engineIndex = engines.at(name).engineIndex;
+      EngineSnapshot& engine = view.engines[engineIndex];
+      if (engine.state == EndpointState::removed) continue;
       group.holders.push_back(engineIndex);
-      view.engines[engineIndex].headroom -= merged.size;
+      engine.headroom -= merged.size;
     }
-    if (options.maxReadsPerReplica > 0)
-      group.wantedReplicas = static_cast<unsigned>(std::clamp<std::int64_t>(
-          (group.readRate + options.maxReadsPerReplica - 1) / options.maxReadsPerReplica, 1,
-          options.maxReplicas));
   }
-  for (EngineSnapshot& engine : view.engines) engine.headroom += engine.capacity;
+}
+
+}  // namespace
+
+ClusterView buildClusterView(const std::map<std::string, ControllerReport>& reports,
+                             const ViewBuilderOptions& options) {
+  MergedEngines engines = mergeEngines(reports);
+  const MergedGroups groups = mergeGroups(reports, engines);
+  ClusterView view;
+  addEngines(view, engines);
+  addGroups(view, groups, engines, options);
   return canonicalize(std::move(view));
 }
 
--- a/src/rebalance/cluster_view_builder.hpp
+++ b/src/rebalance/cluster_view_builder.hpp
@@ -1,7 +1,8 @@
-// One view out of what all controllers say for an epoch: the same from the same words, whoever gathers them
-// and in whatever order they came. No I/O, no clock.
+// Merges the reports of all controllers for one epoch into one cluster view: the same view from the same
+// reports, whichever controller merges them and in whatever order they arrived. No I/O, no clock.
 #pragma once
 
+#include <cstdint>
 #include <map>
 #include <string>
 
@@ -9,12 +10,12 @@
 
 namespace paddletrack::rebalance {
 
-// One controller's word for one epoch.
+/// What one controller reports for one epoch.
 struct ControllerReport {
   struct EngineReport {
     EndpointState state = EndpointState::ready;
-    std::int64_t startedAt =
-        0;  // of its process, 0: a long time back; data read before is not there any more
+    /// Start of the engine's process; 0: unknown, long ago. Data read before it is not in memory any more.
+    std::int64_t startedAt = 0;
     bool warmingUp = false;
     unsigned zone = 0, machineType = 0;
     std::int64_t weight = 1;
@@ -22,22 +23,23 @@
   };
   struct GroupReport {
     Bytes size = 0;
-    std::map<std::string, std::int64_t> readsByEngine;  // by engine, since the last epoch
+    std::map<std::string, std::int64_t> readsByEngine;  ///< By engine name, since the last epoch.
     bool recentlyMoved = false;
   };
-  std::map<std::string, EngineReport> engines;
-  std::map<std::uint32_t, GroupReport> groups;
+  std::map<std::string, EngineReport> engines;  ///< By name.
+  std::map<std::uint32_t, GroupReport> groups;  ///< By group number.
 };
 
 struct ViewBuilderOptions {
-  std::int64_t maxReadsPerReplica =
-      0;  // a group read more than this is wanted at so many engines that none has more; 0: at one
+  /// A group with more reads than this gets as many replicas as keep each within it; 0: always one.
+  std::int64_t maxReadsPerReplica = 0;
   unsigned maxReplicas = 4;
 };
 
-// An engine's standing is what most say (of two as frequent the worse); its process the latest that anyone
-// names, and reads at an earlier one are no holding; its capacity the least that anyone says. Headroom is
-// capacity without what it holds. A group is held where anyone reads it; its size is the largest told.
+/// Merges the reports, given by controller. An engine's state is the one reported most often (the worse of
+/// two as frequent), its process the latest that is reported, its capacity the smallest. A group is held by
+/// each engine that read it in its present process, and its size is the largest reported. Headroom is the
+/// capacity minus what the engine holds.
 ClusterView buildClusterView(const std::map<std::string, ControllerReport>& reports,
                              const ViewBuilderOptions& options);
 
--- a/src/rebalance/move_ordering.cpp
+++ b/src/rebalance/move_ordering.cpp
@@ -27,12 +27,10 @@
   return std::move(result_);
 }
 
-bool MoveOrdering::hasRoom(const Move& move) const {
-  if (!move.target) return true;
-  const EngineTransfer& transfer = transfers_[*move.target];
-  const EngineSnapshot& engine = cluster_.engines[*move.target];
-  return (transfer.incomingBytes + move.bytes) * options_.headroomDivisor <=
-         engine.headroom + transfer.freedBytes;
+bool MoveOrdering::hasRoom(std::uint32_t engineIndex, Bytes bytes) const {
+  const EngineTransfer& transfer = transfers_[engineIndex];
+  return (transfer.incomingBytes + bytes) * options_.headroomDivisor <=
+         cluster_.engines[engineIndex].headroom + transfer.freedBytes;
 }
 
 void MoveOrdering::enqueue(std::uint32_t moveIndex) {
@@ -58,7 +56,7 @@
     const std::uint32_t moveIndex = readyMoves_.top().move;
     readyMoves_.pop();
     const Move& move = nextHops_[moveIndex];
-    if (!hasRoom(move)) {
+    if (move.target && !hasRoom(*move.target, move.bytes)) {
       waitingByEngine_[*move.target].push_back(moveIndex);
       continue;
     }
@@ -97,26 +95,25 @@
 }
 
 bool MoveOrdering::isDetourEngine(std::uint32_t engineIndex, std::uint32_t moveIndex) const {
-  Move detour = nextHops_[moveIndex];
-  const GroupSnapshot& group = cluster_.groups[detour.group];
+  const Move& hop = nextHops_[moveIndex];
+  const GroupSnapshot& group = cluster_.groups[hop.group];
   const EngineSnapshot& engine = cluster_.engines[engineIndex];
   if (engine.state != EndpointState::ready || engine.weight <= 0 || !canHold(group, engine)) return false;
-  if (engineIndex == *detour.target || engineIndex == *detour.source) return false;
+  if (hop.target == engineIndex || hop.source == engineIndex) return false;
   if (std::ranges::binary_search(group.holders, engineIndex)) return false;
   if (!waitingByEngine_[engineIndex].empty()) return false;
-  detour.target = engineIndex;
-  return hasRoom(detour);
+  return hasRoom(engineIndex, hop.bytes);
 }
 
 void MoveOrdering::startDetour(std::uint32_t moveIndex, std::uint32_t detourEngine) {
   Move detour = nextHops_[moveIndex];
+  if (detour.target) std::erase(waitingByEngine_[*detour.target], moveIndex);
   detour.target = detourEngine;
   apply(detour);
   result_.detourBytes += detour.bytes;
-  std::erase(waitingByEngine_[*wantedMoves_[moveIndex].target], moveIndex);
   nextHops_[moveIndex].source = detourEngine;
   enqueue(moveIndex);
-  enqueueMovesWaitingFor(*detour.source);
+  if (detour.source) enqueueMovesWaitingFor(*detour.source);
 }
 
 std::vector<std::uint32_t> MoveOrdering::blockedMoves() const {
--- a/src/rebalance/move_ordering.hpp
+++ b/src/rebalance/move_ordering.hpp
@@ -13,7 +13,7 @@
 namespace paddletrack::rebalance {
 
 /// Which moves come first, and whether blocked ones may stop at a third engine on their way.
-enum class OrderingStrategy {
+enum class OrderingStrategy : std::uint8_t {
   smallestFirst,
   unblockingFirst,             ///< First the moves that free memory on an engine that others wait for.
   unblockingFirstWithDetours,  ///< The same; if all are stuck, a move makes a stop at a third engine.
@@ -48,7 +48,7 @@
     auto operator<=>(const QueuedMove&) const = default;
   };
 
-  bool hasRoom(const Move& move) const;
+  bool hasRoom(std::uint32_t engineIndex, Bytes bytes) const;
   void enqueue(std::uint32_t moveIndex);
   void enqueueMovesWaitingFor(std::uint32_t engine);
   void apply(const Move& move);
--- a/src/rebalance/move_scheduler.cpp
+++ b/src/rebalance/move_scheduler.cpp
@@ -36,7 +36,7 @@
       Move& move = moves_[index];
       addEarlierHops(move);
       movesByGroup_[move.group].push_back(index);
-      if (move.target) addFreeingMoves(move);
+      if (move.target) addFreeingMoves(move, *move.target);
       if (move.source) progressByEngine_[*move.source].freeingMoves.push_back(index);
       auto& dependencies = move.dependencies;
       std::ranges::sort(dependencies);
@@ -52,9 +52,9 @@
       if (moves_[earlierMove].target == move.source) move.dependencies.push_back(earlierMove);
   }
 
-  void addFreeingMoves(Move& move) {
-    const EngineSnapshot& engine = cluster_.engines[*move.target];
-    EngineProgress& progress = progressByEngine_[*move.target];
+  void addFreeingMoves(Move& move, std::uint32_t target) {
+    const EngineSnapshot& engine = cluster_.engines[target];
+    EngineProgress& progress = progressByEngine_[target];
     progress.incomingBytes += move.bytes;
     while (progress.incomingBytes * options_.headroomDivisor > engine.headroom + progress.freedBytes &&
            progress.usedFreeingMoves < progress.freeingMoves.size()) {
@@ -115,7 +115,7 @@
 // The replica stays on the engine that it should have left, if that engine still serves.
 void MoveScheduler::deferMove(const Move& move, Plan& plan) const {
   auto& placement = plan.placements[move.group];
-  std::erase(placement, *move.target);
+  if (move.target) std::erase(placement, *move.target);
   if (move.source && cluster_.engines[*move.source].state == EndpointState::ready)
     placement.push_back(*move.source);
   std::ranges::sort(placement);
--- a/src/rebalance/placement_solver.hpp
+++ b/src/rebalance/placement_solver.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <cstddef>
+#include <cstdint>
 #include <vector>
 
 #include "rebalance/placement_state.hpp"
@@ -20,7 +22,7 @@
   void solve(Plan& plan);
 
  private:
-  enum class EnginePreference { leastLoaded, mostLoaded };
+  enum class EnginePreference : std::uint8_t { leastLoaded, mostLoaded };
   struct PlacementScore;
 
   void keepCurrentHolders();
--- a/src/rebalance/plan_agreement.hpp
+++ b/src/rebalance/plan_agreement.hpp
@@ -1,6 +1,6 @@
-// Which of several plans may be followed, so that two never add up: one an epoch, and epochs never beside
-// each other. No I/O, no clock; times are of the wall clock, as all controllers have to mean the same stretch
-// of it.
+// Decides which of several plans may be followed, so that the moves of two plans never add up: one plan per
+// epoch, and epochs do not overlap. No I/O; the caller passes the time, which is that of the wall clock,
+// because all controllers have to agree on the epoch.
 #pragma once
 
 #include <chrono>
@@ -13,11 +13,11 @@
 
 namespace paddletrack::rebalance {
 
-// Epochs follow each other on the wall clock. What is shared for one is put at its start; its view is taken
-// and promised once that has had time to spread; its plan is followed until a little before its end.
+/// Divides the wall clock into epochs. Reports are published at the start of an epoch; its view is taken and
+/// promised once they have had time to spread; its plan is followed until shortly before its end.
 struct EpochSchedule {
   Duration epochDuration{std::chrono::seconds(20)};
-  Duration clockSkewTolerance{std::chrono::seconds(1)};  // clocks differ by less than this
+  Duration clockSkewTolerance{std::chrono::seconds(1)};  ///< The controllers' clocks differ by less.
 
   std::uint64_t epochAt(Duration wallTime) const {
     return static_cast<std::uint64_t>(wallTime / epochDuration);
@@ -27,22 +27,24 @@
   Duration epochDeadline(std::uint64_t epoch) const { return epochStart(epoch + 1) - clockSkewTolerance; }
 };
 
+/// A controller's promise to follow, in this epoch, only a plan of the view with this digest.
 struct Promise {
-  std::uint64_t epoch = 0, viewDigest = 0;  // of the view
+  std::uint64_t epoch = 0, viewDigest = 0;
   bool operator==(const Promise&) const = default;
 };
 
-// A controller promises one view an epoch, and follows a plan only once more than half of all controllers
-// have promised its view. Two views of one epoch can't both have that: some controller would have promised
-// both.
+/// A controller promises one view per epoch, and follows a plan only once a majority of all controllers has
+/// promised its view. Two views of one epoch cannot both have a majority, because some controller would have
+/// promised both.
 class PlanAgreement {
  public:
-  // `started`: a controller forgets with its process what it has promised, so one that starts within an epoch
-  // promises nothing in it.
+  /// A controller loses its promises when its process ends, so one that starts within an epoch, at
+  /// `startedAt`, promises nothing in it.
   PlanAgreement(unsigned controllers, const EpochSchedule& schedule, Duration startedAt)
       : controllers_(controllers), firstEpoch_(schedule.epochAt(startedAt) + 1) {}
 
-  // Whether this epoch's promise is, or now becomes, this view. None goes back to an earlier epoch.
+  /// Returns true if the proposal is, or now becomes, this controller's promise of the epoch. Proposals for
+  /// earlier epochs are rejected.
   bool tryPromise(const Promise& proposal) {
     if (proposal.epoch < firstEpoch_ || (ownPromise_ && proposal.epoch < ownPromise_->epoch)) return false;
     if (!ownPromise_ || ownPromise_->epoch < proposal.epoch) ownPromise_ = proposal;
@@ -50,7 +52,8 @@
   }
   const std::optional<Promise>& ownPromise() const { return ownPromise_; }
 
-  // What another has promised, as last heard; never more of them than there are controllers.
+  /// Records a peer's promise. The number of peers is limited by that of the controllers; beyond it, one
+  /// whose promise is out of date is forgotten, or the new one ignored.
   void onPromise(const std::string& owner, const Promise& promise) {
     const auto known = peerPromises_.find(owner);
     if (known == peerPromises_.end() && peerPromises_.size() + 1 >= controllers_) forgetOldest(promise.epoch);
@@ -58,6 +61,8 @@
     Promise& lastPromise = peerPromises_[owner];
     if (promise.epoch >= lastPromise.epoch) lastPromise = promise;
   }
+
+  /// Returns true if a majority of all controllers, this one included, has promised the proposal.
   bool hasMajority(const Promise& proposal) const {
     if (ownPromise_ != proposal) return false;
     unsigned promiseCount = 1;
--- a/src/rebalance/plan_follower.cpp
+++ b/src/rebalance/plan_follower.cpp
@@ -2,11 +2,16 @@
 
 #include <algorithm>
 #include <array>
+#include <utility>
 
 namespace paddletrack::rebalance {
 namespace {
 
-constexpr std::size_t kMaxRememberedMoves = 100'000;  // groups remembered to have been moved
+constexpr std::size_t kMaxRememberedMoves = 100'000;  // groups whose last move is remembered
+
+bool isHeldBy(const GroupSnapshot* group, std::uint32_t engine) {
+  return group && std::ranges::binary_search(group->holders, engine);
+}
 
 }  // namespace
 
@@ -24,124 +29,168 @@
 
 void PlanFollower::start(Duration now, ClusterView view, Plan plan, Duration deadline) {
   abandon(PlanOutcome::replaced);
-  view_ = std::move(view), plan_ = std::move(plan), deadline_ = deadline;
+  view_ = std::move(view);
+  plan_ = std::move(plan);
+  deadline_ = deadline;
   outcome_ = PlanOutcome::inProgress;
   moveStates_.assign(plan_.moves.size(), MoveState::pending);
   completedMoves_ = 0;
   update(now, view_);
 }
 
+// Open moves count as not done, because it is not known whether the target holds the group.
 void PlanFollower::abandon(PlanOutcome reason) {
   if (!isActive()) return;
   outcome_ = reason;
-  for (const auto& [moveIndex, since] : openMoves_)
-    moveStates_[moveIndex] = MoveState::pending;  // not there yet, as far as is known
+  for (const auto& [moveIndex, openedAt] : openMoves_) moveStates_[moveIndex] = MoveState::pending;
   openMoves_.clear();
   updatePreferredEngines();
 }
 
-// The standing of an engine, a new one, or one whose headroom has fallen below what is still to come there.
-bool PlanFollower::abandonIfClusterChanged(const ClusterView& observed) {
-  if (observed.engines.size() != view_.engines.size()) return abandon(PlanOutcome::engineStateChanged), true;
+// The plan does not hold any more once the set of engines, the state of one or its capacity has changed, or
+// once an engine has less headroom than the moves to it still need.
+std::optional<PlanOutcome> PlanFollower::findClusterChange(const ClusterView& observed) const {
+  if (observed.engines.size() != view_.engines.size()) return PlanOutcome::engineStateChanged;
   std::vector<Bytes> incomingBytes(view_.engines.size());
-  for (const auto& [moveIndex, since] : openMoves_)
-    if (const Move& move = plan_.moves[moveIndex]; move.target) incomingBytes[*move.target] += move.bytes;
+  for (const auto& [moveIndex, openedAt] : openMoves_) {
+    const Move& move = plan_.moves[moveIndex];
+    if (move.target) incomingBytes[*move.target] += move.bytes;
+  }
   for (std::size_t index = 0; index < observed.engines.size(); ++index) {
-    const EngineSnapshot &planned = view_.engines[index], &current = observed.engines[index];
-    if (planned.name != current.name || planned.state != current.state ||
-        (current.warmingUp && !planned.warmingUp))
-      return abandon(PlanOutcome::engineStateChanged), true;
-    if (current.capacity < planned.capacity) return abandon(PlanOutcome::insufficientHeadroom), true;
-    if (incomingBytes[index] > 0 && current.headroom < 0)
-      return abandon(PlanOutcome::insufficientHeadroom), true;
+    const EngineSnapshot& planned = view_.engines[index];
+    const EngineSnapshot& current = observed.engines[index];
+    const bool hasChangedState = planned.name != current.name || planned.state != current.state;
+    const bool hasRestarted = current.warmingUp && !planned.warmingUp;
+    if (hasChangedState || hasRestarted) return PlanOutcome::engineStateChanged;
+    if (current.capacity < planned.capacity) return PlanOutcome::insufficientHeadroom;
+    if (incomingBytes[index] > 0 && current.headroom < 0) return PlanOutcome::insufficientHeadroom;
   }
-  return false;
+  return std::nullopt;
 }
 
-bool PlanFollower::isMoveDone(const Move& move, const std::vector<const GroupSnapshot*>& groups) const {
-  const GroupSnapshot* group = groups[move.group];
-  const auto holds = [&](std::uint32_t engine) {
-    return group && std::ranges::binary_search(group->holders, engine);
-  };
-  return !group || ((!move.target || holds(*move.target)) && (!move.source || !holds(*move.source)));
+bool PlanFollower::isMoveDone(const Move& move, const GroupSnapshot* group) {
+  if (!group) return true;
+  const bool hasArrived = !move.target || isHeldBy(group, *move.target);
+  const bool hasLeft = !move.source || !isHeldBy(group, *move.source);
+  return hasArrived && hasLeft;
 }
 
 void PlanFollower::update(Duration now, const ClusterView& observed) {
   if (!isActive()) return;
-  if (now >= deadline_) return abandon(PlanOutcome::epochEnded);
-  if (abandonIfClusterChanged(observed)) return;
+  if (now >= deadline_) {
+    abandon(PlanOutcome::epochEnded);
+    return;
+  }
+  if (const std::optional<PlanOutcome> change = findClusterChange(observed)) {
+    abandon(*change);
+    return;
+  }
+  const std::vector<const GroupSnapshot*> groups = matchPlannedGroups(observed);
+  if (!closeFinishedMoves(now, groups)) {
+    abandon(PlanOutcome::moveTimedOut);
+    return;
+  }
+  TransferSlots slots = computeTransferSlots(observed, groups);
+  openReadyMoves(now, slots);
+  updatePreferredEngines();
+}
+
+// Returns the observed state of each planned group, null for a group that is not observed any more. Both
+// views are sorted by group number.
+std::vector<const GroupSnapshot*> PlanFollower::matchPlannedGroups(const ClusterView& observed) const {
   std::vector<const GroupSnapshot*> groups(view_.groups.size());
-  for (std::size_t plannedIndex = 0, observedIndex = 0; plannedIndex < groups.size(); ++plannedIndex) {
-    while (observedIndex < observed.groups.size() &&
-           observed.groups[observedIndex].groupId < view_.groups[plannedIndex].groupId)
-      ++observedIndex;
-    if (observedIndex < observed.groups.size() &&
-        observed.groups[observedIndex].groupId == view_.groups[plannedIndex].groupId)
-      groups[plannedIndex] = &observed.groups[observedIndex];
+  auto candidate = observed.groups.begin();
+  for (std::size_t index = 0; index < groups.size(); ++index) {
+    const std::uint32_t groupId = view_.groups[index].groupId;
+    while (candidate != observed.groups.end() && candidate->groupId < groupId) ++candidate;
+    if (candidate != observed.groups.end() && candidate->groupId == groupId) groups[index] = &*candidate;
   }
-  std::vector<Bytes> remainingHeadroom(view_.engines.size());
-  for (std::size_t index = 0; index < remainingHeadroom.size(); ++index)
-    remainingHeadroom[index] = observed.engines[index].headroom;
-  std::vector<unsigned> incomingMoves(view_.engines.size());
-  unsigned incomingMovesTotal = 0;
+  return groups;
+}
+
+// Returns false as soon as an open move has timed out.
+bool PlanFollower::closeFinishedMoves(Duration now, const std::vector<const GroupSnapshot*>& groups) {
   for (auto openMove = openMoves_.begin(); openMove != openMoves_.end();) {
-    const Move& move = plan_.moves[openMove->first];
-    if (isMoveDone(move, groups)) {
-      moveStates_[openMove->first] = MoveState::done, ++completedMoves_;
+    const auto& [moveIndex, openedAt] = *openMove;
+    const Move& move = plan_.moves[moveIndex];
+    if (isMoveDone(move, groups[move.group])) {
+      moveStates_[moveIndex] = MoveState::done;
+      ++completedMoves_;
       openMove = openMoves_.erase(openMove);
       continue;
     }
-    if (now - openMove->second > limits_.moveTimeout) return abandon(PlanOutcome::moveTimedOut);
-    if (move.target) {
-      ++incomingMovesTotal, ++incomingMoves[*move.target];
-      const GroupSnapshot* group = groups[move.group];
-      if (!group || !std::ranges::binary_search(group->holders, *move.target))
-        remainingHeadroom[*move.target] -= move.bytes;
-    }
+    if (now - openedAt > limits_.moveTimeout) return false;
     ++openMove;
   }
-  for (std::uint32_t value = 0; value < plan_.moves.size(); ++value) {
-    if (moveStates_[value] != MoveState::pending) continue;
-
-    const Move& move = plan_.moves[value];
-    const bool isUnblocked = std::ranges::all_of(move.dependencies, [&](std::uint32_t dependency) {
-      return moveStates_[dependency] == MoveState::done;
-    });
-    if (!isUnblocked) continue;
-    if (move.target) {
-      const unsigned maxIncomingMoves =
-          view_.engines[*move.target].warmingUp ? 1 : limits_.maxOpenMovesPerEngine;
-      if (incomingMovesTotal >= limits_.maxOpenMoves || incomingMoves[*move.target] >= maxIncomingMoves)
-        continue;
-      if (remainingHeadroom[*move.target] < move.bytes)
-        continue;  // it has less than it was planned to have: later, or stuck
-      ++incomingMovesTotal, ++incomingMoves[*move.target], remainingHeadroom[*move.target] -= move.bytes;
-    }
-    moveStates_[value] = MoveState::open;
-    openMoves_[value] = now;
+  return true;
+}
+
+// A group that has arrived already is part of the observed headroom.
+PlanFollower::TransferSlots PlanFollower::computeTransferSlots(
+    const ClusterView& observed, const std::vector<const GroupSnapshot*>& groups) const {
+  TransferSlots slots;
+  slots.incomingMoves.resize(view_.engines.size());
+  for (const EngineSnapshot& engine : observed.engines) slots.remainingHeadroom.push_back(engine.headroom);
+  for (const auto& [moveIndex, openedAt] : openMoves_) {
+    const Move& move = plan_.moves[moveIndex];
     if (!move.target) continue;
-    if (lastMovedAt_.size() >= kMaxRememberedMoves) lastMovedAt_.erase(lastMovedAt_.begin());
-    lastMovedAt_[view_.groups[move.group].groupId] = now;
+    ++slots.incomingMovesTotal;
+    ++slots.incomingMoves[*move.target];
+    if (!isHeldBy(groups[move.group], *move.target)) slots.remainingHeadroom[*move.target] -= move.bytes;
   }
-  updatePreferredEngines();
+  return slots;
+}
+
+void PlanFollower::openReadyMoves(Duration now, TransferSlots& slots) {
+  for (std::uint32_t index = 0; index < plan_.moves.size(); ++index) {
+    const Move& move = plan_.moves[index];
+    if (moveStates_[index] != MoveState::pending || !areDependenciesDone(move)) continue;
+    if (move.target && !tryReserveTransfer(*move.target, move.bytes, slots)) continue;
+    moveStates_[index] = MoveState::open;
+    openMoves_[index] = now;
+    if (move.target) rememberMove(now, view_.groups[move.group].groupId);
+  }
+}
+
+bool PlanFollower::areDependenciesDone(const Move& move) const {
+  return std::ranges::all_of(move.dependencies, [&](std::uint32_t dependency) {
+    return moveStates_[dependency] == MoveState::done;
+  });
 }
 
-// A group's jobs go to where it stays, and to where it has come or is to come now; until its move opens, to
-// where it is.
+// An engine that has less headroom than planned for gets the move later, or the plan times out.
+bool PlanFollower::tryReserveTransfer(std::uint32_t target, Bytes bytes, TransferSlots& slots) const {
+  const unsigned maxIncomingMoves = view_.engines[target].warmingUp ? 1 : limits_.maxOpenMovesPerEngine;
+  if (slots.incomingMovesTotal >= limits_.maxOpenMoves) return false;
+  if (slots.incomingMoves[target] >= maxIncomingMoves) return false;
+  if (slots.remainingHeadroom[target] < bytes) return false;
+  ++slots.incomingMovesTotal;
+  ++slots.incomingMoves[target];
+  slots.remainingHeadroom[target] -= bytes;
+  return true;
+}
+
+void PlanFollower::rememberMove(Duration now, std::uint32_t groupId) {
+  if (lastMovedAt_.size() >= kMaxRememberedMoves) lastMovedAt_.erase(lastMovedAt_.begin());
+  lastMovedAt_[groupId] = now;
+}
+
+// Until its move opens, a group's requests go to its holders; from then on to the target in place of the
+// source.
 void PlanFollower::updatePreferredEngines() {
-  preferredEngines_.clear();
-  std::vector<std::vector<std::uint32_t>> enginesByGroup(view_.groups.size());
-  for (std::size_t group = 0; group < enginesByGroup.size(); ++group)
-    enginesByGroup[group] = view_.groups[group].holders;
-  for (std::uint32_t value = 0; value < plan_.moves.size(); ++value) {
-    if (moveStates_[value] == MoveState::pending) continue;
-    const Move& move = plan_.moves[value];
+  std::vector<std::vector<std::uint32_t>> enginesByGroup;
+  for (const GroupSnapshot& group : view_.groups) enginesByGroup.push_back(group.holders);
+  for (std::size_t index = 0; index < plan_.moves.size(); ++index) {
+    if (moveStates_[index] == MoveState::pending) continue;
+    const Move& move = plan_.moves[index];
     if (move.source) std::erase(enginesByGroup[move.group], *move.source);
     if (move.target) enginesByGroup[move.group].push_back(*move.target);
   }
+  preferredEngines_.clear();
   for (std::size_t group = 0; group < enginesByGroup.size(); ++group) {
     std::vector<std::string> engineNames;
-    for (const std::uint32_t item : enginesByGroup[group]) engineNames.push_back(view_.engines[item].name);
+    for (const std::uint32_t engine : enginesByGroup[group])
+      engineNames.push_back(view_.engines[engine].name);
     if (!engineNames.empty()) preferredEngines_[view_.groups[group].groupId] = std::move(engineNames);
   }
 }
--- a/src/rebalance/rebalance_executor.cpp
+++ b/src/rebalance/rebalance_executor.cpp
@@ -1,25 +1,29 @@
 #include "rebalance/rebalance_executor.hpp"
 
 #include <algorithm>
+#include <iterator>
+#include <utility>
 
 namespace paddletrack::rebalance {
 namespace {
 
 constexpr std::chrono::milliseconds kUpdateInterval{200};
-constexpr Duration kReadIdleTimeout{
-    std::chrono::milliseconds(1500)};        // no read there for so long: it has given way
-constexpr int kRestEpochs = 3;               // epochs that a moved group rests
-constexpr int kTriggerOverloadPercent = 40;  // per cent over the best load
+// An engine that has not read a group for this long has given it up.
+constexpr Duration kReadIdleTimeout{std::chrono::milliseconds(1500)};
+constexpr int kRestEpochs = 3;  // epochs in which a moved group counts as recently moved
+constexpr int kTriggerOverloadPercent = 40;
 constexpr int kHeadroomDivisor = 2;
-constexpr int kWorkBudget = 200'000;  // it runs beside the jobs, on one thread
+constexpr int kWorkBudget = 200'000;  // planning takes time from the requests on the same thread
 
 Duration systemWallTime() {
   return std::chrono::duration_cast<Duration>(std::chrono::system_clock::now().time_since_epoch());
 }
+
+// Returns the start of the engine's process in seconds of the wall clock, 0 if it is not known. Controllers'
+// values differ by a few milliseconds, so it is rounded.
 std::int64_t engineStartTime(const routing::EngineEndpoint& engine, Duration now, Duration wallTime) {
   if (!engine.endpoint.startedAt) return 0;
-  const Duration startedAt =
-      wallTime - (now - *engine.endpoint.startedAt);  // the same at every controller but for a few ms
+  const Duration startedAt = wallTime - (now - *engine.endpoint.startedAt);
   return std::chrono::duration_cast<std::chrono::seconds>(startedAt + std::chrono::milliseconds(500)).count();
 }
 
@@ -63,16 +67,17 @@
   counter->second.lastReadAt = router_.now();
 }
 
-ControllerReport RebalanceExecutor::buildReport(std::size_t epochCount) const {
+ControllerReport RebalanceExecutor::buildReport(ReportPeriod period) const {
   ControllerReport report;
+  const bool includesCurrentEpoch = period == ReportPeriod::previousAndCurrentEpoch;
   const Deployment& deployment = router_.config().deployment;
   const Duration now = router_.now();
   std::map<std::string, std::int64_t> startedAtByEngine;
-  router_.forEachEndpoint([&](const routing::EngineEndpoint& fakeEngine) {
-    const EndpointRecord& endpoint = fakeEngine.endpoint;
-    const std::int64_t startedAt = engineStartTime(fakeEngine, now, wallTime());
-    startedAtByEngine[fakeEngine.id] = startedAt;
-    report.engines[fakeEngine.id] = {
+  router_.forEachEndpoint([&](const routing::EngineEndpoint& engine) {
+    const EndpointRecord& endpoint = engine.endpoint;
+    const std::int64_t startedAt = engineStartTime(engine, now, wallTime());
+    startedAtByEngine[engine.id] = startedAt;
+    report.engines[engine.id] = {
         endpoint.state,
         startedAt,
         endpoint.startedAt && now - *endpoint.startedAt < deployment.warmupTime,
@@ -82,7 +87,7 @@
         options_.engineCapacity};
   });
   for (const auto& [key, reads] : reads_) {
-    const std::int64_t readCount = reads.previousEpoch + (epochCount > 1 ? reads.currentEpoch : 0);
+    const std::int64_t readCount = reads.previousEpoch + (includesCurrentEpoch ? reads.currentEpoch : 0);
     const auto engineStart = startedAtByEngine.find(key.second);
     if (readCount == 0 || engineStart == startedAtByEngine.end() ||
         engineStart->second != reads.engineStartedAt)
@@ -96,81 +101,100 @@
   return report;
 }
 
-// The plan's engines and groups as they are now by this controller's own list and reads: a group has left
-// where it gives way and none of its jobs has gone for a while, and has come where one has.
+// The planned groups with the holders that this controller's own endpoint list and reads show now.
 ClusterView RebalanceExecutor::observeCluster() const {
-  ControllerReport report = buildReport(2);
+  const ControllerReport report = buildReport(ReportPeriod::previousAndCurrentEpoch);
   ClusterView observed = buildClusterView({{"", report}}, {});
-  const ClusterView& plannedView = follower_.plannedView();
   const Duration now = router_.now();
-  observed.groups = plannedView.groups;
-  std::vector<Bytes> heldBytes(observed.engines.size());
+  observed.groups = follower_.plannedView().groups;
+  for (EngineSnapshot& engine : observed.engines) engine.headroom = engine.capacity;
   for (GroupSnapshot& group : observed.groups) {
     std::vector<std::uint32_t> holders;
-    for (std::uint32_t value = 0; value < observed.engines.size(); ++value) {
-      const auto counter = reads_.find({group.groupId, observed.engines[value].name});
-      const bool isRecentlyRead =
-          counter != reads_.end() && now - counter->second.lastReadAt < kReadIdleTimeout;
-      const auto* preferredEngines = follower_.preferredEngines(group.groupId);
-      const bool isPreferred =
-          !preferredEngines ||
-          std::ranges::find(*preferredEngines, observed.engines[value].name) != preferredEngines->end();
-      const bool wasHolder = std::ranges::binary_search(group.holders, value);
-      if (isRecentlyRead || (wasHolder && isPreferred))
-        holders.push_back(value), heldBytes[value] += group.size;
+    for (std::uint32_t index = 0; index < observed.engines.size(); ++index) {
+      EngineSnapshot& engine = observed.engines[index];
+      if (!isObservedHolder(group, index, engine.name, now)) continue;
+      holders.push_back(index);
+      engine.headroom -= group.size;
     }
     group.holders = std::move(holders);
   }
-  for (std::uint32_t value = 0; value < heldBytes.size(); ++value)
-    observed.engines[value].headroom = observed.engines[value].capacity - heldBytes[value];
   return observed;
 }
 
+// An engine has received a group once it has read it. It has given the group up once it is not preferred any
+// more and has not read it for a while.
+bool RebalanceExecutor::isObservedHolder(const GroupSnapshot& group, std::uint32_t engineIndex,
+                                         const std::string& engineName, Duration now) const {
+  const auto counter = reads_.find({group.groupId, engineName});
+  if (counter != reads_.end() && now - counter->second.lastReadAt < kReadIdleTimeout) return true;
+  if (!std::ranges::binary_search(group.holders, engineIndex)) return false;
+  const auto* preferredEngines = follower_.preferredEngines(group.groupId);
+  return !preferredEngines || std::ranges::find(*preferredEngines, engineName) != preferredEngines->end();
+}
+
 void RebalanceExecutor::onTimer() {
   timer_.runAt(scheduler_.now() + kUpdateInterval);
   const Duration wallNow = wallTime();
   const EpochSchedule& schedule = options_.epochSchedule;
   const std::uint64_t epoch = schedule.epochAt(wallNow);
-  if (publishedEpoch_ < epoch) {
-    for (auto counter = reads_.begin(); counter != reads_.end();) {
-      counter->second.previousEpoch = std::exchange(counter->second.currentEpoch, 0);
-      counter = counter->second.previousEpoch == 0 ? reads_.erase(counter) : std::next(counter);
-    }
-    const bool isFirstEpoch = publishedEpoch_ == 0;
-    publishedEpoch_ = epoch;
-    if (!isFirstEpoch) publishReport(store_, gossipClock_(), epoch, buildReport(1));
-  }
+  if (publishedEpoch_ < epoch) startEpoch(epoch);
   const bool isInPlanningWindow =
       wallNow >= schedule.snapshotAt(epoch) && wallNow < schedule.epochDeadline(epoch);
-  if (isInPlanningWindow && startedEpoch_ < epoch) {
-    const ReceivedReports received = readReports(store_, gossipClock_(), epoch);
-    if (snapshotEpoch_ < epoch) {
-      snapshotEpoch_ = epoch;
-      view_ = buildClusterView(received.reports, {});
-      viewDigest_ = computeDigest(view_);
-      if (agreement_.tryPromise({epoch, viewDigest_}))
-        publishPromise(store_, gossipClock_(), *agreement_.ownPromise());
-    }
-    for (const auto& [owner, promise] : received.promises)
-      if (owner != store_.owner()) agreement_.onPromise(owner, promise);
-    if (agreement_.hasMajority({epoch, viewDigest_})) {
-      startedEpoch_ = epoch;
-      PlanOptions options;
-      options.triggerOverloadPercent = kTriggerOverloadPercent, options.headroomDivisor = kHeadroomDivisor,
-      options.workBudget = kWorkBudget;
-      Plan plan = computePlan(view_, options);
-      logger_("rebalance", "epoch " + std::to_string(epoch) + ": " + std::to_string(plan.moves.size()) +
-                               " moves, " + std::to_string(plan.totalBytes) + " bytes, " +
-                               std::to_string(plan.forcedBytes) + " of them forced, " +
-                               std::to_string(plan.unplacedReplicas + plan.deferredMoves) +
-                               " left out; view " + std::to_string(viewDigest_));
-      follower_.start(wallNow, view_, std::move(plan), schedule.epochDeadline(epoch));
-    }
+  if (isInPlanningWindow && startedEpoch_ < epoch) agreeOnPlan(wallNow, epoch);
+  if (follower_.isActive()) followPlan(wallNow);
+}
+
+// The reads before the first epoch boundary do not cover a whole epoch and are not published.
+void RebalanceExecutor::startEpoch(std::uint64_t epoch) {
+  advanceReadCounters();
+  const bool isFirstEpoch = publishedEpoch_ == 0;
+  publishedEpoch_ = epoch;
+  if (isFirstEpoch) return;
+  publishReport(store_, gossipClock_(), epoch, buildReport(ReportPeriod::previousEpoch));
+}
+
+void RebalanceExecutor::advanceReadCounters() {
+  for (auto counter = reads_.begin(); counter != reads_.end();) {
+    counter->second.previousEpoch = std::exchange(counter->second.currentEpoch, 0);
+    counter = counter->second.previousEpoch == 0 ? reads_.erase(counter) : std::next(counter);
   }
-  if (!follower_.isActive()) return;
+}
+
+void RebalanceExecutor::agreeOnPlan(Duration wallNow, std::uint64_t epoch) {
+  const ReceivedReports received = readReports(store_, gossipClock_(), epoch);
+  if (snapshotEpoch_ < epoch) takeSnapshot(received, epoch);
+  for (const auto& [owner, promise] : received.promises)
+    if (owner != store_.owner()) agreement_.onPromise(owner, promise);
+  if (agreement_.hasMajority({epoch, viewDigest_})) startPlan(wallNow, epoch);
+}
+
+void RebalanceExecutor::takeSnapshot(const ReceivedReports& received, std::uint64_t epoch) {
+  snapshotEpoch_ = epoch;
+  view_ = buildClusterView(received.reports, {});
+  viewDigest_ = computeDigest(view_);
+  if (agreement_.tryPromise({epoch, viewDigest_}))
+    publishPromise(store_, gossipClock_(), *agreement_.ownPromise());
+}
+
+void RebalanceExecutor::startPlan(Duration wallNow, std::uint64_t epoch) {
+  startedEpoch_ = epoch;
+  PlanOptions options;
+  options.triggerOverloadPercent = kTriggerOverloadPercent;
+  options.headroomDivisor = kHeadroomDivisor;
+  options.workBudget = kWorkBudget;
+  Plan plan = computePlan(view_, options);
+  logger_("rebalance", "epoch " + std::to_string(epoch) + ": " + std::to_string(plan.moves.size()) +
+                           " moves, " + std::to_string(plan.totalBytes) + " bytes, " +
+                           std::to_string(plan.forcedBytes) + " of them forced, " +
+                           std::to_string(plan.unplacedReplicas + plan.deferredMoves) + " left out; view " +
+                           std::to_string(viewDigest_));
+  follower_.start(wallNow, view_, std::move(plan), options_.epochSchedule.epochDeadline(epoch));
+}
+
+void RebalanceExecutor::followPlan(Duration wallNow) {
   follower_.update(wallNow, observeCluster());
-  if (!follower_.isActive() && follower_.outcome() != PlanOutcome::epochEnded)
-    logger_("rebalance", std::string(nameOf(follower_.outcome())));
+  const bool hasFailed = !follower_.isActive() && follower_.outcome() != PlanOutcome::epochEnded;
+  if (hasFailed) logger_("rebalance", std::string(nameOf(follower_.outcome())));
 }
 
 }  // namespace paddletrack::rebalance
--- a/src/rebalance/rebalance_executor.hpp
+++ b/src/rebalance/rebalance_executor.hpp
@@ -1,5 +1,6 @@
-// The rebalancing of one running controller: counts its reads, shares them, takes part in the agreement, and
-// leans jobs as the plan says. On the scheduler; what it decides is decided in the modules beside it.
+// Runs the rebalancing of one controller: counts reads, publishes them, takes part in the agreement on a
+// view, and biases the placement of requests towards the engines that the plan prefers. Everything runs on
+// the scheduler's thread.
 #pragma once
 
 #include <functional>
@@ -13,14 +14,16 @@
 namespace paddletrack::rebalance {
 
 struct RebalanceOptions {
-  Bytes engineCapacity = 0;  // of an engine, for groups that it keeps warm
-  Bytes groupSize = 0;       // what one counts
+  Bytes engineCapacity = 0;  ///< Memory of each engine for the groups that it keeps warm.
+  Bytes groupSize = 0;       ///< The assumed size of every group.
   EpochSchedule epochSchedule;
-  double placementBias = 0.5;  // times the score of an engine where a job's group should be
+  double placementBias = 0.5;  ///< Factor on the score of an engine that the request's group should be on.
 };
 
 class RebalanceExecutor final : private routing::RequestRouter::PlacementBiasSource {
  public:
+  /// Registers with the router until it is destroyed. Keeps references to all arguments but `gossipClock` and
+  /// `options`; they must outlive it.
   RebalanceExecutor(transport::Scheduler& scheduler, routing::RequestRouter& router, gossip::Store& store,
                     std::function<Duration()> gossipClock, const RebalanceOptions& options,
                     const Logger& logger);
@@ -32,16 +35,25 @@
   double placementBias(std::uint32_t dataSet, const routing::EngineEndpoint& engine) const override;
   void onAttemptStarted(std::uint32_t dataSet, const routing::EngineEndpoint& engine) override;
   void onTimer();
-  ControllerReport buildReport(std::size_t epochCount) const;
+  void startEpoch(std::uint64_t epoch);
+  void advanceReadCounters();
+  void agreeOnPlan(Duration wallNow, std::uint64_t epoch);
+  void takeSnapshot(const ReceivedReports& received, std::uint64_t epoch);
+  void startPlan(Duration wallNow, std::uint64_t epoch);
+  void followPlan(Duration wallNow);
+  enum class ReportPeriod : std::uint8_t { previousEpoch, previousAndCurrentEpoch };
+  ControllerReport buildReport(ReportPeriod period) const;
   ClusterView observeCluster() const;
+  bool isObservedHolder(const GroupSnapshot& group, std::uint32_t engineIndex, const std::string& engineName,
+                        Duration now) const;
   Duration wallTime() const;
 
   struct ReadCounter {
-    std::int64_t currentEpoch = 0, previousEpoch = 0;  // in this epoch, in the last
+    std::int64_t currentEpoch = 0, previousEpoch = 0;
     Duration lastReadAt{0};
-    std::int64_t engineStartedAt = 0;  // of the engine's process
+    std::int64_t engineStartedAt = 0;  // start of the process that was read from
   };
-  static constexpr std::size_t kMaxReadCounters = 50'000;  // of group and engine
+  static constexpr std::size_t kMaxReadCounters = 50'000;  // pairs of group and engine
 
   transport::Scheduler& scheduler_;
   routing::RequestRouter& router_;
@@ -52,8 +64,9 @@
   PlanAgreement agreement_;
   PlanFollower follower_{MoveLimits{}};
   std::map<std::pair<std::uint32_t, std::string>, ReadCounter> reads_;
-  std::uint64_t publishedEpoch_ = 0, snapshotEpoch_ = 0,
-                startedEpoch_ = 0;  // last put, last taken, last begun
+  std::uint64_t publishedEpoch_ = 0;  // the last epoch whose start was handled
+  std::uint64_t snapshotEpoch_ = 0;   // the last epoch whose view was taken
+  std::uint64_t startedEpoch_ = 0;    // the last epoch whose plan was started
   ClusterView view_;
   std::uint64_t viewDigest_ = 0;
   transport::ScheduledCall timer_;
