Split the engine connection pool: endpoint, address book, connector, connection, pool

EngineConnection is now a state machine with named states (connecting, ready, suspect, retiring, closed; a connection can retire while it connects or is suspect, which are states of their own). EngineConnector races the addresses, EngineAddressBook records their health, EngineConnectionPool selects connections and reroutes. Calls, their order, timing and log texts are unchanged. Comments and names of the tests follow.

--- a/src/admin/service_lifecycle.cpp
+++ b/src/admin/service_lifecycle.cpp
@@ -224,7 +224,7 @@
       addressStatus.connections =
           static_cast<std::size_t>(std::count_if(engine->connections.begin(), engine->connections.end(),
                                                  [&](const routing::EngineConnection* connection) {
-                                                   return connection->addressName == health.name;
+                                                   return connection->addressName() == health.name;
                                                  }));
       if (health.lastSuccessAt) addressStatus.lastSuccessAgo = now - *health.lastSuccessAt;
       if (health.lastFailureAt) {
--- a/src/routing/engine_connection_pool.hpp
+++ b/src/routing/engine_connection_pool.hpp
@@ -1,128 +1,86 @@
 #pragma once
 
+#include <cstddef>
+#include <cstdint>
 #include <list>
-#include <memory>
-#include <optional>
-#include <random>
 #include <string>
-#include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "addresses/address_table.hpp"
-#include "model/engine.hpp"
-#include "protocol/resp.hpp"
+#include "base/logger.hpp"
+#include "routing/engine_address_book.hpp"
+#include "routing/engine_connection.hpp"
+#include "routing/engine_connector.hpp"
+#include "routing/engine_endpoint.hpp"
 #include "routing/request_context.hpp"
 #include "transport/connection.hpp"
 
 namespace paddletrack::routing {
 
-// An engine as it is reached over sockets.
-struct EngineEndpoint : Engine {
-  std::string id;
-  addresses::AddressTable addressTable;
-  std::unordered_map<std::string, transport::Address> addressesByName;  // of the routes, by name
-  std::size_t pendingConnects = 0;
-  std::vector<EngineConnection*> connections;
-  std::uint64_t incarnation = 0;  // another with each start and each time it was told to take nothing new
-  std::size_t referencedAttempts = 0;  // dispatches to it, of exchanges that are alive
-  std::uint64_t attemptsSent = 0;      // dispatches to it, ever
-};
-
-// One connection to one executor, from before its dial until it has been given back.
-class EngineConnection {
- public:
-  explicit EngineConnection(EngineEndpoint& engineEndpoint, std::uint64_t serialNumber)
-      : endpoint(engineEndpoint), serial(serialNumber) {}
-  EngineEndpoint& endpoint;
-  const std::uint64_t serial;
-  std::unique_ptr<transport::Connection> stream;  // none: still dialling
-  std::string addressName;                        // the address that it is to, once it is up
-  Duration connectTime{0};                        // of its dial
-  bool hasResponded = false;                      // an answer to a dispatch has come over it
-  std::uint64_t stalledPosition = 0;              // when it was last looked at and had taken too little
-  std::vector<AttemptContext*> queuedAttempts;    // wait for the dial
-  std::unordered_map<std::string, AttemptContext*> openAttempts;
-  transport::TimePoint lastUsedAt{};               // when it last took a dispatch
-  std::optional<transport::TimePoint> pingSentAt;  // a NOOP is out since then
-  bool unresponsive = false;                       // and was not answered in time: takes nothing new
-  bool established = false;  // it is up, and if others were silent, something came over it
-  bool draining = false;     // takes nothing new, ends when nothing is open
-  bool faulted = false;      // of no more use, its executor may be well
-  std::optional<transport::TimePoint>
-      partialMessageSince;  // the first byte of a message that is not whole came then
-  std::list<EngineConnection>::iterator position;
-
-  std::size_t attemptCount() const { return queuedAttempts.size() + openAttempts.size(); }
-};
-
-// Dispatches to executors over connections that many share. What ends by itself is told to Ends, always from
-// the loop and never from within a call made here.
+/// Sends attempts to engines. Owns the connections to all engines, opens and closes them, and selects the
+/// connection of each attempt. Reports each attempt that ends by itself to the listener, always from the
+/// scheduler loop and never from within a call made here.
 class EngineConnectionPool {
  public:
-  class AttemptListener {
-   public:
-    virtual ~AttemptListener() = default;
-    virtual void onAttemptFinished(AttemptContext& attemptContext, AttemptOutcome outcome) = 0;
-  };
+  using AttemptListener = routing::AttemptListener;
   struct Limits {
-    std::size_t maxAttemptsPerConnection = 1;  // dispatches on one connection
-    std::size_t maxConnections = 1;            // connections in all
-    Duration connectTimeout{0}, idleTimeout{0};
+    std::size_t maxAttemptsPerConnection = 1;
+    std::size_t maxConnections = 1;  ///< To all engines together.
+    Duration connectTimeout{0};      ///< Of a race between the addresses of an engine.
+    Duration idleTimeout{0};         ///< After which engines close idle connections.
     std::vector<addresses::AddressFamily> familyPreference = addresses::ConnectOptions{}.familyPreference;
   };
 
+  /// The references must outlive the pool, as must all endpoints and attempts that are passed to it.
   EngineConnectionPool(transport::Scheduler& scheduler, transport::OutputBudget& outputBudget,
                        const Limits& limits, AttemptListener& listener, const Logger& logger);
 
+  /// Sends an attempt to its engine, now or as soon as a connection is up. Throws std::bad_alloc.
   void sendAttempt(AttemptContext& attemptContext);
-  void abandonAttempt(AttemptContext& attemptContext);  // that may have left; nothing more of it will be told
-  bool recallAttempt(AttemptContext& attemptContext);   // true: nothing whole of it has left, nor will
-  void updatePriority(AttemptContext& attemptContext);  // as its exchange now says
+  /// Ends an attempt that may have been sent; it is not reported any more.
+  void abandonAttempt(AttemptContext& attemptContext);
+  /// Takes an attempt back and returns true if its engine cannot have received it whole, nor will.
+  bool recallAttempt(AttemptContext& attemptContext);
+  /// Sends the current priority of the attempt's request to the engine, if it can still matter there.
+  void updatePriority(AttemptContext& attemptContext);
+  /// Counts of connections and reroutes, for the log.
   std::string formatCounts() const;
-  void drainConnections(EngineEndpoint& endpoint);  // its connections take nothing new
-  // Its addresses as they are now. What is open on one that has gone may still end.
+  /// Starts a new incarnation of the endpoint: its present connections carry no new attempts.
+  void drainConnections(EngineEndpoint& endpoint);
+  /// Replaces the addresses of an endpoint. Attempts that are open on a removed address may finish.
   void updateAddresses(EngineEndpoint& endpoint, const std::vector<std::string>& names, bool isNewProcess);
-  Duration addressClock() const;  // of what is known of addresses
+  /// The current time on the clock of the address tables.
+  Duration addressClock() const { return addressBook_.now(); }
   void setFamilyPreference(std::vector<addresses::AddressFamily> preference) {
-    connectOptions_.familyPreference = std::move(preference);
+    addressBook_.setFamilyPreference(std::move(preference));
   }
 
  private:
-  EngineConnection* selectConnection(AttemptContext& attemptContext);
-  void writeAttempt(EngineConnection& connection, AttemptContext& attemptContext);
-  transport::Task<> runConnection(EngineConnection& connection);
-  transport::Task<> serveConnection(EngineConnection& connection);
-  struct ConnectAttempt;
-  transport::Task<bool> connectToEndpoint(EngineConnection& connection);
-  transport::Task<> runConnectAttempt(EngineConnection& connection, ConnectAttempt& attempt,
-                                      addresses::ConnectRace& race, transport::Signal& attemptFinished);
-  void recordConnectOutcome(EngineEndpoint& endpoint, const std::string& addressName,
-                            addresses::ConnectOutcome outcome, std::optional<Duration> connectTime = {});
-  void onBytesReceived(EngineConnection& connection);
-  bool keepQuietConnection(EngineConnection& connection);
-  bool canCarry(const EngineConnection& connection, const AttemptContext& attemptContext) const;
-  bool canSend(const AttemptContext& attemptContext) const;
-  void onEstablished(EngineConnection& connection);
-  void readResponses(EngineConnection& connection);
-  void onResponse(EngineConnection& connection, const protocol::resp::Answer& answer);
-  void finishAttempt(EngineConnection& connection, AttemptContext& attemptContext, AttemptOutcome outcome);
-  void onConnectionLost(EngineConnection& connection);
-  [[noreturn]] void failStalledMessage(EngineConnection& connection);
-  void markFaulted(EngineConnection& connection);
+  using ConnectionList = std::list<EngineConnection>;
+
+  EngineConnection* selectConnection(const AttemptContext& attemptContext);
+  EngineConnection* findBestConnection(const EngineEndpoint& endpoint,
+                                       const AttemptContext& attemptContext) const;
+  EngineConnection& openConnection(EngineEndpoint& endpoint);
+  std::size_t descriptorCount() const { return connections_.size() + connector_.parallelConnects(); }
+  transport::Task<> runConnection(ConnectionList::iterator position);
+  void removeConnection(ConnectionList::iterator position);
+  void rerouteAttempt(AttemptContext& attemptContext);
+  void reportUnplacedAttempts();
 
-  transport::Scheduler& scheduler_;
-  transport::OutputBudget& outputBudget_;
   const Limits limits_;
   AttemptListener& attemptListener_;
   const Logger& logger_;
-  std::uint64_t lastSerial_ = 0, faultedConnections_ = 0, reroutedAttempts_ = 0;
-  addresses::ConnectOptions connectOptions_;
-  addresses::ConnectLimiter connectLimiter_;
-  std::size_t parallelConnects_ = 0;  // dials out beside the first of their races
-  std::minstd_rand random_;
-  std::list<EngineConnection> connections_;
-  std::vector<AttemptContext*> unplacedAttempts_;  // no descriptor was left for them
+  EngineAddressBook addressBook_;
+  ConnectionContext connectionContext_;
+  EngineConnector connector_;
+  ConnectionList connections_;
+  std::uint64_t lastSerial_ = 0;
+  std::uint64_t reroutedAttempts_ = 0;
+  std::vector<AttemptContext*> unplacedAttempts_;  ///< Found no connection; to be reported as unreachable.
   transport::ScheduledCall reportUnplacedCall_;
+  /// Declared last, so that it is destroyed first: the coroutines use the connections and the connector.
   transport::TaskGroup connectionTasks_;
 };
 
--- a/tests/routing/engine_connection_test.cpp
+++ b/tests/routing/engine_connection_test.cpp
@@ -1,6 +1,6 @@
-// Moments between a dispatch and its connection: what becomes of it when its client leaves, its engine drains
-// or starts anew, its time ends or its answer comes just then. Each moment is forced, by doing both between
-// two turns of the loop or by a peer that holds its word back.
+// Races between an attempt and its connection: the client leaves, the engine drains or restarts, the deadline
+// passes or the response arrives at the same time. Each race is forced, either by doing both between two
+// iterations of the loop or by a peer that withholds its response.
 #include <gtest/gtest.h>
 
 #include "fakes/fake_engine.hpp"
@@ -18,9 +18,9 @@
 using FakeEngine = fakes::FakeEngine;
 using paddletrack::EndpointState;
 
-constexpr std::size_t kIdempotent = 0, kIdempotentByKey = 1, kNotIdempotent = 2;  // types, by effect
+constexpr std::size_t kIdempotent = 0, kIdempotentByKey = 1, kNotIdempotent = 2;  // Request classes.
 constexpr std::size_t kLargerThanSocketBuffers = 32 << 20;
-constexpr auto kIdempotencyWindow = 150ms;  // of repeats, of the keyed type
+constexpr auto kIdempotencyWindow = 150ms;  // Of the idempotent-by-key class.
 const std::string kAllowCancellation = "limits.cancelling=true\n";
 
 std::string makeSettings(const std::string& extraLines) {
@@ -65,7 +65,7 @@
     event.entries.push_back(entry);
     router.onEndpointUpdate(event);
   }
-  // A dispatch of it is out when this returns; no turn of the loop has passed.
+  // An attempt has been started when this returns; the loop has not run in between.
   RequestContext& submitRequest(std::size_t classIndex, Duration timeout = 2s,
                                 BufferSlice statement = BufferSlice(std::string("select 1"))) {
     auto newContext = std::make_unique<RequestContext>();
@@ -88,7 +88,8 @@
   bool waitUntilIdle(std::chrono::milliseconds timeout = 5s) {
     return runUntil([&] { return router.openRequestCount() == 0; }, timeout);
   }
-  void drainSockets() {  // all that is on its way between sockets of this process has come
+  // Runs until everything in flight between sockets of this process has arrived.
+  void drainSockets() {
     for (int index = 0; index < 5; ++index) runFor(1ms);
   }
 
@@ -115,7 +116,7 @@
   if (word == "ASK") FakeEngine::sendReply(connection, {id, "200", "batches=1", "r\to\tw\n"});
 }
 
-// A listener that takes connections and reads nothing until it is told to.
+// Accepts one connection and reads nothing until startReading().
 class StalledServer {
  public:
   StalledServer(EngineConnectionFixture& fixture, int host)
@@ -123,11 +124,14 @@
         listener_(std::in_place, fixture, Address(EngineConnectionFixture::engineAddress(host))) {
     tasks_.spawn(acceptConnection());
   }
-  std::size_t bytesRead = 0;  // bytes
+  std::size_t bytesRead = 0;
   bool finished = false;
   bool hasAccepted() const { return descriptor_ || connection_; }
   void startReading() { tasks_.spawn(readUntilEnd()); }
-  void disconnect() { descriptor_.reset(), listener_.reset(); }
+  void disconnect() {
+    descriptor_.reset();
+    listener_.reset();
+  }
 
  private:
   transport::Task<> acceptConnection() {
@@ -151,7 +155,7 @@
   transport::TaskGroup tasks_{fixture_, [](const char*) {}};
 };
 
-// The kernel has taken all that it takes of a statement, and no more.
+// Waits until the kernel accepts no more bytes of a partly written statement.
 bool waitUntilWriteStalls(EngineConnectionFixture& fixture) {
   std::size_t previousBytes = 0;
   return fixture.runUntil([&] {
@@ -162,7 +166,7 @@
   });
 }
 
-// ---- held for a dial ------------------------------------------------------------------------------------
+// ---- Attempts that wait for a connection ---------------------------------------------------------------
 
 TEST(EngineConnection, DoesNotWritePendingAttemptWhenClientHasGone) {
   for (const std::string& extraSettings : {std::string(), kAllowCancellation}) {
@@ -170,7 +174,7 @@
     FakeEngine& engine = fixture.startEngine(1, answerNormally);
     fixture.updateEndpoint({1});
     RequestContext& context = fixture.submitRequest(kIdempotent);
-    fixture.router.onClientGone(context);  // its dial has just begun
+    fixture.router.onClientGone(context);  // Its connect has just started.
     EXPECT_TRUE(fixture.waitUntilIdle());
     fixture.drainSockets();
     EXPECT_EQ(engine.receivedCommands, "") << extraSettings;
@@ -180,7 +184,8 @@
 }
 
 TEST(EngineConnection, DoesNotWritePendingAttemptWhenEngineHasRestarted) {
-  // A cold engine may have less than a job: nothing at all may be sent to the new process.
+  // An engine that warms up may have less capacity than one request needs: nothing may be sent to the new
+  // process.
   for (const bool clientLeaves : {false, true}) {
     EngineConnectionFixture fixture(
         "rules.coldUs=60000000\nrules.startCapacity=0.01\nrules.fallMultiple=1\nrules.fallUs=1000000\n");
@@ -200,23 +205,23 @@
 }
 
 TEST(EngineConnection, DoesNotWritePendingAttemptWhenEngineIsDrainingOrRemoved) {
-  for (const EndpointState standing : {EndpointState::draining, EndpointState::removed}) {
+  for (const EndpointState state : {EndpointState::draining, EndpointState::removed}) {
     EngineConnectionFixture fixture;
     FakeEngine& engine = fixture.startEngine(1, answerNormally);
     fixture.updateEndpoint({1});
     fixture.submitRequest(kNotIdempotent);
-    fixture.updateEndpoint({1}, standing);
+    fixture.updateEndpoint({1}, state);
     EXPECT_TRUE(fixture.waitUntilIdle());
     fixture.drainSockets();
     EXPECT_EQ(engine.receivedCommands, "");
     EXPECT_EQ(fixture.listener.answers,
-              std::vector{RequestContext::ResponseKind::rejected});  // it surely never ran
+              std::vector{RequestContext::ResponseKind::rejected});  // It was certainly not executed.
     const bool isForgotten = fixture.runUntil([&] { return !fixture.router.isReady(); }, 100ms);
-    EXPECT_EQ(isForgotten, standing == EndpointState::removed);
+    EXPECT_EQ(isForgotten, state == EndpointState::removed);
   }
 }
 
-// The loop stands still while its dial comes up, past its time.
+// The loop is blocked while the connect completes, until the deadline has passed.
 TEST(EngineConnection, DoesNotWritePendingAttemptWhenRequestDeadlineHasPassed) {
   EngineConnectionFixture fixture;
   FakeEngine& engine = fixture.startEngine(1, answerNormally);
@@ -233,8 +238,8 @@
   EXPECT_EQ(fixture.listener.answers.size(), 1U);
 }
 
-// Its first address ended it before it said a word, so it must show life before it takes anything; it holds
-// that back until the window is over.
+// The engine closed the first connection without a response, so it must answer a probe before it gets another
+// attempt. It withholds that answer until the idempotency window has ended.
 TEST(EngineConnection, DoesNotWritePendingRetryWhenIdempotencyWindowHasEnded) {
   EngineConnectionFixture fixture;
   Connection* pendingConnection = nullptr;
@@ -244,13 +249,14 @@
         if (word == "ASK")
           return self.receivedCommands == "ASK " ? connection.shutDown()
                                                  : answerNormally(self, connection, word, id);
-        pendingConnection = &connection, requestId = id;
+        pendingConnection = &connection;
+        requestId = id;
       });
-  fixture.updateEndpoint({2, 1});  // nobody listens at the other
+  fixture.updateEndpoint({2, 1});  // Nothing listens at the other address.
   fixture.submitRequest(kIdempotentByKey);
   const transport::TimePoint deadline = fixture.now() + kIdempotencyWindow;
   ASSERT_TRUE(fixture.runUntil([&] { return pendingConnection != nullptr; }));
-  ASSERT_LT(fixture.now(), deadline);  // the repeat is held, in good time
+  ASSERT_LT(fixture.now(), deadline);  // The retry is queued before the window ends.
   ASSERT_TRUE(fixture.runUntil([&] { return fixture.now() >= deadline; }));
   FakeEngine::sendReply(*pendingConnection, {requestId, "alive", "-", ""});
   EXPECT_TRUE(fixture.waitUntilIdle());
@@ -260,7 +266,7 @@
   EXPECT_NE(fixture.listener.answers[0], RequestContext::ResponseKind::succeeded);
 }
 
-// ---- not whole at the kernel ----------------------------------------------------------------------------
+// ---- Attempts that are partly written ------------------------------------------------------------------
 
 TEST(EngineConnection, NeverCompletesPartialStatementWhenClientGoes) {
   for (const std::string& extraSettings : {std::string(), kAllowCancellation}) {
@@ -302,7 +308,7 @@
   }
 }
 
-// The repeat is stuck midway as its window ends: the rest of it never comes.
+// The retry is partly written when its window ends: the rest must never be sent.
 TEST(EngineConnection, NeverCompletesPartialRetryWhenIdempotencyWindowEnds) {
   EngineConnectionFixture fixture("profiles.1.windowUs=1000000\n");
   FakeEngine& firstEngine = fixture.startEngine(
@@ -328,10 +334,10 @@
   EXPECT_NE(fixture.listener.answers[0], RequestContext::ResponseKind::succeeded);
 }
 
-// Nothing of it was taken on, by a bound of this process's own: it never ran, and a run-once job may go
-// again.
+// The output budget of this process refused the attempts, so they were not executed and even a non-idempotent
+// request may be retried.
 TEST(EngineConnection, ReportsAttemptsUnreachableWhenOutputBudgetRefusesThem) {
-  EngineConnectionFixture fixture(kAllowCancellation, 1);  // one connection: all that is held waits for it
+  EngineConnectionFixture fixture(kAllowCancellation, 1);  // All attempts wait for the only connection.
   fixture.startEngine(1, answerNormally);
   fixture.updateEndpoint({1});
   for (int index = 0; index < 3; ++index) fixture.submitRequest(kNotIdempotent);
@@ -343,14 +349,14 @@
   fixture.outputBudget.usedBytes -= 2 * fixture.outputBudget.maxBytes - heldBytes;
   EXPECT_TRUE(fixture.waitUntilIdle());
   EXPECT_EQ(fixture.countOutcomes(AttemptOutcome::reset), 0U) << fixture.router.formatCounts();
-  const auto& all = fixture.listener.answers;
-  EXPECT_EQ(std::count(all.begin(), all.end(), RequestContext::ResponseKind::failed), 0);
+  const auto& answers = fixture.listener.answers;
+  EXPECT_EQ(std::count(answers.begin(), answers.end(), RequestContext::ResponseKind::failed), 0);
 }
 
-// ---- ends and answers that cross ------------------------------------------------------------------------
+// ---- Outcomes and responses that race ------------------------------------------------------------------
 
-// By how much of it the executor had: none (it closes the idle connection in the turn of the dispatch), a
-// part, or all.
+// The engine has received none of the statement (it closes the idle connection in the loop iteration of the
+// attempt), a part of it, or all of it.
 TEST(EngineConnection, RetriesNonIdempotentRequestOnlyWhenStatementWasNotFullyWritten) {
   for (const bool closesBeforeSend : {true, false}) {
     EngineConnectionFixture fixture;
@@ -363,7 +369,8 @@
     fixture.updateEndpoint({1});
     fixture.submitRequest(kNotIdempotent);
     ASSERT_TRUE(fixture.waitUntilIdle());
-    // Two turns after the cut its end is known to the poll, and this call comes before the link's own.
+    // Two iterations after the disconnect the poll reports it, and this call runs before the connection's
+    // coroutine does.
     transport::ScheduledCall secondCallback(fixture, [&] { fixture.submitRequest(kNotIdempotent); });
     transport::ScheduledCall firstCallback(fixture, [&] { secondCallback.runSoon(); });
     transport::ScheduledCall cutCallback(fixture, [&] {
@@ -374,7 +381,7 @@
     ASSERT_TRUE(fixture.runUntil(
         [&] { return fixture.requestCount == 2 && fixture.router.openRequestCount() == 0; }));
     EXPECT_EQ(attemptCount,
-              closesBeforeSend ? 2 : 1);  // written as it closes: it may have run, and is not sent twice
+              closesBeforeSend ? 2 : 1);  // Written while it closes: it may have been executed.
     EXPECT_EQ(fixture.listener.answers.back(), closesBeforeSend ? RequestContext::ResponseKind::succeeded
                                                                 : RequestContext::ResponseKind::failed);
   }
@@ -400,7 +407,7 @@
   }
 }
 
-// A second answer that says the contrary: it ran, whatever comes then.
+// A second response contradicts the first, which has already proven that the attempt was executed.
 TEST(EngineConnection, IgnoresRefusalWhenAttemptHasAlreadyAnswered) {
   for (const std::string& word : {std::string("503"), std::string("504")}) {
     EngineConnectionFixture fixture;
@@ -418,17 +425,18 @@
   }
 }
 
-// The answer is at this process's kernel, and the loop comes to look only when the time is over, or when its
-// client has gone.
+// The response is in this process's kernel, and the loop reads it only after the timeout or after the client
+// has gone.
 TEST(EngineConnection, EndsAttemptOnceWhenResponseRacesTimeoutOrClientDeparture) {
   for (const bool clientLeaves : {false, true}) {
     EngineConnectionFixture fixture(kAllowCancellation);
     RequestContext* context = nullptr;
     transport::TimePoint deadline{};
-    transport::ScheduledCall raceCallback(fixture, [&] {  // the peer has written: its turn came before
-      if (clientLeaves) return fixture.router.onClientGone(*context);
-      while (fixture.now() <= deadline) continue;
-    });
+    transport::ScheduledCall raceCallback(fixture,
+                                          [&] {  // The peer wrote its response earlier in this iteration.
+                                            if (clientLeaves) return fixture.router.onClientGone(*context);
+                                            while (fixture.now() <= deadline) continue;
+                                          });
     FakeEngine& engine = fixture.startEngine(
         1, [&](FakeEngine& self, Connection& connection, const std::string& word, const std::string& id) {
           answerNormally(self, connection, word, id);
@@ -446,15 +454,15 @@
               1U)
         << fixture.router.formatCounts();
     const std::uint64_t completedBefore = fixture.countOutcomes(AttemptOutcome::completed);
-    fixture.submitRequest(kIdempotent);  // what comes next on that connection is its own
+    fixture.submitRequest(kIdempotent);  // The next response on that connection belongs to this request.
     EXPECT_TRUE(fixture.waitUntilIdle());
     EXPECT_EQ(fixture.countOutcomes(AttemptOutcome::completed), completedBefore + 1);
     EXPECT_EQ(engine.connections.size(), 1U);
   }
 }
 
-// The first attempt answers after all, as the repeat is written: an id goes over a connection once, and the
-// end of the first has been told.
+// The first attempt is answered after all when its retry has been written. A request id is used only once on
+// a connection, and the outcome of the first attempt has been reported already.
 TEST(EngineConnection, IgnoresFirstAttemptsResponseWhenRetryHasBeenWritten) {
   EngineConnectionFixture fixture;
   Connection* firstConnection = nullptr;
@@ -477,7 +485,7 @@
   EXPECT_EQ(fixture.countOutcomes(AttemptOutcome::completed), 1U);
 }
 
-// All on one connection, which ends: each end sets off further dispatches while the others are still told.
+// All attempts share one connection that closes: each outcome triggers retries while others are reported.
 TEST(EngineConnection, KeepsToRetryBudgetWhenManyAttemptsEndInOneLoopIteration) {
   EngineConnectionFixture fixture(
       kAllowCancellation + "rules.extraFloor=3\nrules.repeatRatio=0\nrules.budgetSpanUs=10000000\n", 1);
@@ -498,8 +506,8 @@
   EXPECT_EQ(engine.receivedCommands.size(), 13U * 4);
 }
 
-// This process stands still midway in an answer, for longer than an executor may: the rest lies in its
-// kernel.
+// This process is suspended in the middle of a response, for longer than an engine may pause. The rest of the
+// response is in this process's kernel.
 TEST(EngineConnection, AcceptsResponseWhenItsRestArrivedDuringProcessStall) {
   EngineConnectionFixture fixture("limits.dialTimeoutUs=400000\n");
   Connection* firstConnection = nullptr;
@@ -514,8 +522,8 @@
   fixture.updateEndpoint({1});
   fixture.submitRequest(kNotIdempotent);
   ASSERT_TRUE(fixture.runUntil([&] { return firstConnection != nullptr; }));
-  fixture.drainSockets();                                // it has the first half
-  transport::ScheduledCall stallCallback(fixture, [&] {  // the peer's write has its turn before
+  fixture.drainSockets();                                // The first half has arrived.
+  transport::ScheduledCall stallCallback(fixture, [&] {  // The peer writes earlier in this iteration.
     for (const transport::TimePoint deadline = fixture.now() + 900ms; fixture.now() < deadline;) continue;
   });
   firstConnection->send({BufferSlice(remainder)});
@@ -525,8 +533,8 @@
       << fixture.router.formatCounts();
 }
 
-// Half a line on a resting connection belongs to nobody's answer: what is sent there next would end with it.
-// It harms no job that takes another, and a connection that is shut over it ends nothing else.
+// A partial line on an idle connection belongs to no attempt, and an attempt sent there would be lost with
+// the connection. So the next attempt uses another one, and closing the first affects nothing else.
 TEST(EngineConnection, CompletesNonIdempotentRequestWhenIdleConnectionHoldsPartialLine) {
   for (const bool drainsBetween : {false, true}) {
     EngineConnectionFixture fixture;
@@ -552,9 +560,9 @@
   }
 }
 
-// ---- hand-overs -----------------------------------------------------------------------------------------
+// ---- Rerouted attempts ---------------------------------------------------------------------------------
 
-// Moved to a dial that hears nothing, where it ends in each way there is.
+// The attempt is rerouted to a connect that gets no reply, where it ends in each possible way.
 TEST(EngineConnection, EndsMovedAttemptOnceWhenInterruptedBeforeReconnecting) {
   for (const std::string interruption : {"left", "time", "gone", "process"}) {
     EngineConnectionFixture fixture("limits.dialTimeoutUs=1200000\n" +
@@ -580,15 +588,15 @@
     for (const std::uint64_t attemptOutcome : fixture.router.totals().attemptOutcomes)
       outcomeCount += attemptOutcome;
     EXPECT_EQ(outcomeCount, 1U) << interruption << fixture.router.formatCounts();
-    fixture.updateEndpoint(
-        {3, 4}, EndpointState::removed);  // its link goes with its dial, and then the engine is forgotten
+    // The connection ends with its connect, and then the engine is forgotten.
+    fixture.updateEndpoint({3, 4}, EndpointState::removed);
     EXPECT_TRUE(fixture.runUntil(
         [&] { return fixture.router.formatCounts().find("; 0 executors") != std::string::npos; }, 5s))
         << interruption << fixture.router.formatCounts();
   }
 }
 
-// ---- answers without an end -----------------------------------------------------------------------------
+// ---- Responses that never complete ---------------------------------------------------------------------
 
 TEST(EngineConnection, ClosesWhenResponseNeverCompletes) {
   for (const bool sendsSlowly : {true, false}) {
