Addresses, transport and discovery: comments in technical English

The comments of these folders and of their tests were in the earlier house style, which says little to a newcomer about units, errors and ownership. They are now doc comments on the types and functions.

--- a/src/addresses/address_table.cpp
+++ b/src/addresses/address_table.cpp
@@ -7,20 +7,19 @@
 namespace paddletrack::addresses {
 namespace {
 
-// In dial time-outs.
-constexpr double kAttemptDelayFactor = 1.0 / 5;  // between the begins of dials of one race
-constexpr double kInitialBackoffFactor = 4;      // after a first failure; doubled with each further one
+// The following are multiples of the connect timeout.
+constexpr double kAttemptDelayFactor = 1.0 / 5;  // Between the starts of connects of one race.
+constexpr double kInitialBackoffFactor = 4;      // After a first failure; doubled with each further one.
 constexpr unsigned kMaxBackoffDoublings = 5;
-constexpr double kBackoffJitter = 0.5;  // of a rest, by chance
+constexpr double kBackoffJitter = 0.5;  // The part of a backoff that is random.
 constexpr double kFailureExpiryFactor =
-    256;  // so long after its last failure an address is as good as unknown
-constexpr double kMinTimeLeftFactor = 1.0 / 5;  // of its job's time: with less a dispatch goes no other way
+    256;  // After the last failure, until the address is treated as unknown.
+constexpr double kMinTimeLeftFactor = 1.0 / 5;  // Least time left for which an attempt is rerouted.
 
-constexpr std::size_t kMaxPendingPerEngine = 8;  // dials out
+constexpr std::size_t kMaxPendingPerEngine = 8;  // Connects.
 constexpr std::size_t kConnectReserveDivisor = 4,
-                      kMinPendingConnects =
-                          8;                 // of all connections that there may be: dials out, but so many
-constexpr double kConnectTimeWeight = 0.25;  // of the newest in the mean
+                      kMinPendingConnects = 8;  // Of all connections; pending connects, at least.
+constexpr double kConnectTimeWeight = 0.25;     // Weight of the newest sample in the mean.
 
 Duration scaleDuration(Duration duration, double factor) {
   return Duration{static_cast<std::int64_t>(static_cast<double>(duration.count()) * factor)};
@@ -66,7 +65,7 @@
   std::size_t omittedCount = 0;
   for (const ListedAddress& listedAddress : listedAddresses) {
     const auto isSameAddress = [&](const AddressHealth& health) { return health.name == listedAddress.name; };
-    if (std::any_of(updated.begin(), updated.end(), isSameAddress)) continue;  // named twice
+    if (std::any_of(updated.begin(), updated.end(), isSameAddress)) continue;  // Listed twice.
     if (updated.size() >= kMaxAddresses) {
       ++omittedCount;
       continue;
@@ -83,8 +82,8 @@
   return omittedCount;
 }
 
-// Local before remote and last good before unknown, as preferred; then families take turns, so that one that
-// is down as a whole costs one stagger.
+// By state first. Within a state the address families alternate in order of preference, so that a family that
+// is down as a whole delays a race only once.
 std::vector<std::size_t> AddressTable::rankAddresses(Duration now, const ConnectOptions& options,
                                                      bool avoidTrials) const {
   if (entries_.size() == 1) return {0};
@@ -102,7 +101,7 @@
     for (std::size_t index = 0; index < entries_.size(); ++index)
       if (evaluateState(entries_[index], now) == addressState)
         indexesByFamily[familyRank(index)].push_back(index), ++count;
-    if (addressState == AddressState::backingOff)  // of those at rest the one that is due first
+    if (addressState == AddressState::backingOff)  // The one that is due first comes first.
       for (auto& familyIndexes : indexesByFamily)
         std::stable_sort(familyIndexes.begin(), familyIndexes.end(),
                          [&](std::size_t left, std::size_t right) {
@@ -133,7 +132,7 @@
                                  std::optional<Duration> connectTime, const ConnectOptions& options,
                                  double randomDraw) {
   AddressHealth* health = findEntry(name);
-  if (!health) return;  // it has left the list meanwhile
+  if (!health) return;  // It was removed meanwhile.
   if (outcome == ConnectOutcome::succeeded) {
     health->lastSuccessAt = now;
     health->consecutiveFailures = 0;
@@ -145,7 +144,7 @@
               : *connectTime;
     return;
   }
-  // Several connections that fail together are one failure.
+  // Several connections that fail together count as one failure.
   const bool isRepeat =
       health->consecutiveFailures > 0 && now < health->backoffUntil && outcome == health->lastFailure;
   health->lastFailureAt = now;
@@ -229,15 +228,15 @@
   return !attempt.requestFinished && attempt.endpointAccepts && attempt.timeLeft > Duration{0};
 }
 
-// The border is the kernel: a message that it has not taken whole can never come whole, once its connection
-// has ended.
+// The kernel decides: a message that it has not accepted completely cannot arrive completely once the
+// connection has closed.
 Disposition classifyInterruption(const InterruptedAttempt& interrupted, std::size_t addressCount,
                                  const ConnectOptions& options) {
   if (interrupted.fullyWritten)
     return interrupted.connectionFaulted ? Disposition::connectionFault : Disposition::reset;
   const bool hasAlternative =
       interrupted.canBeSent &&
-      interrupted.rerouteCount + 1 < addressCount;  // to one that drains nothing goes anew
+      interrupted.rerouteCount + 1 < addressCount;  // canBeSent excludes engines that drain.
   return hasAlternative && interrupted.timeLeft > scaleDuration(options.connectTimeout, kMinTimeLeftFactor)
              ? Disposition::reroute
              : Disposition::unreachable;
--- a/src/addresses/address_table.hpp
+++ b/src/addresses/address_table.hpp
@@ -1,6 +1,7 @@
-// How an engine with several addresses is reached: which address next, when the next dial starts beside a
-// pending one, what each attempt has taught, and whether a dispatch whose connection ended may go another
-// way. No I/O and no clock: every call brings the time.
+// Decisions on how to reach an engine that has several addresses: which address to try next, when the next
+// connect starts beside a pending one, how the outcome of each connect changes an address's health, and
+// whether an attempt whose connection ended may be rerouted. There is no I/O and no clock: every call passes
+// the time.
 #pragma once
 
 #include <chrono>
@@ -18,68 +19,71 @@
 constexpr std::size_t kFamilyCount = 3;
 const char* nameOf(AddressFamily family);
 
-// What an attempt has taught of an address.
+/// The outcome of using an address.
 enum class ConnectOutcome {
-  succeeded,     // it answered
-  refused,       // nobody listens there
-  timedOut,      // the dial came to its end without a word
-  unresponsive,  // it accepts and says nothing, or takes no bytes
-  resetEarly,    // the connection ended before it said anything
+  succeeded,     ///< The engine responded.
+  refused,       ///< Nothing listens there, or the connect failed at once.
+  timedOut,      ///< The connect got no reply in time.
+  unresponsive,  ///< The connection is up, but sends nothing or accepts no bytes.
+  resetEarly,    ///< The connection closed before it sent anything.
 };
 const char* nameOf(ConnectOutcome outcome);
 
+/// Settings that all engines share.
 struct ConnectOptions {
-  Duration connectTimeout{0};  // the settings' dial time-out: of a race as a whole
+  Duration connectTimeout{0};  ///< Of a race as a whole; other delays are parts or multiples of it.
   std::vector<AddressFamily> familyPreference{AddressFamily::unixSocket, AddressFamily::ipv6,
                                               AddressFamily::ipv4};
 };
 
-// One address of one engine.
+/// What is known of one address of one engine. Times are on the clock of the caller.
 struct AddressHealth {
-  std::string name;  // as the list has it
+  std::string name;  ///< As in the endpoint list.
   AddressFamily family = AddressFamily::ipv4;
   std::optional<Duration> lastSuccessAt, lastFailureAt;
-  ConnectOutcome lastFailure = ConnectOutcome::succeeded;  // the latest bad one
+  ConnectOutcome lastFailure = ConnectOutcome::succeeded;  ///< The latest failure, if any.
   unsigned consecutiveFailures = 0;
-  Duration backoffUntil{0}, failureExpiresAt{0};         // due again then; as good as unknown then
-  std::optional<Duration> meanConnectTime;               // mean of what it took to connect
-  std::optional<Duration> avoidedUntil, preferredUntil;  // by hand
+  Duration backoffUntil{0}, failureExpiresAt{0};         ///< Due for a retry then; treated as unknown then.
+  std::optional<Duration> meanConnectTime;               ///< Exponentially weighted.
+  std::optional<Duration> avoidedUntil, preferredUntil;  ///< Set by an operator.
   bool hasHistory() const { return lastSuccessAt || lastFailureAt; }
 };
 
-// What is thought of an address now, best first.
+/// The assessment of an address at a moment, best first.
 enum class AddressState { preferred, healthy, unknown, retryDue, backingOff, avoided };
 const char* nameOf(AddressState state);
 AddressState evaluateState(const AddressHealth& health, Duration now);
 
-// All addresses of one engine and what is known of them.
+/// All addresses of one engine and their health.
 class AddressTable {
  public:
-  static constexpr std::size_t kMaxAddresses = 16;  // of one engine; what comes after is left out
+  static constexpr std::size_t kMaxAddresses = 16;  ///< Of one engine; further ones are omitted.
 
-  // The list as it is now, in the order of its preference; what is known of an address that stays is kept,
-  // but not where another process answers there. Tells how many were left out.
+  /// Replaces the addresses, given in order of preference. The health of an address that stays is kept,
+  /// unless the engine is a new process. Returns how many addresses were omitted.
   struct ListedAddress {
     std::string name;
     AddressFamily family;
   };
   std::size_t update(const std::vector<ListedAddress>& listedAddresses, bool isNewProcess);
 
-  // Places in `all`, best first. None is ever left out for good: those that rest, and those avoided by hand,
-  // come last.
-  // One that is due again and preferred to all that are good comes first, to find out, unless `careful`.
+  /// Indexes into entries(), best first. No address is left out: those that back off, and those that an
+  /// operator avoids, come last. An address that is due for a retry and preferred to all healthy ones comes
+  /// first, as a trial, unless `avoidTrials` is set.
   std::vector<std::size_t> rankAddresses(Duration now, const ConnectOptions& options,
                                          bool avoidTrials = true) const;
-  // `dice` from 0 to 1 spreads the rest, so that many that failed together are not tried again together.
+  /// `randomDraw`, from 0 to 1, spreads the backoff, so that addresses that failed together are not retried
+  /// together. An address that is not in the table is ignored.
   void recordOutcome(Duration now, const std::string& name, ConnectOutcome outcome,
                      std::optional<Duration> connectTime, const ConnectOptions& options, double randomDraw);
-  // Whether it must show a sign of life before it takes a dispatch: it last accepted and did nothing good.
+  /// Whether the address must answer a probe before it gets an attempt: it last accepted a connection and
+  /// then did not respond on it.
   bool isSuspect(const std::string& name) const;
-  bool isFailing(const std::string& name) const;  // and has not been good since
+  bool isFailing(const std::string& name) const;  ///< It failed and has not succeeded since.
 
   enum class ManualOverride { avoid, prefer, clear };
   bool setOverride(Duration now, const std::string& name, ManualOverride manualOverride,
-                   Duration duration);  // false: no such address
+                   Duration duration);  ///< Returns false if there is no such address.
 
   const std::vector<AddressHealth>& entries() const { return entries_; }
 
@@ -88,24 +92,27 @@
   std::vector<AddressHealth> entries_;
 };
 
-// One connection's way up: dials that start one after the other, a stagger apart or as soon as one has
-// failed, until the first is up. RFC 8305's manner, with delays as parts of the dial time-out.
+/// The schedule of the connects for one connection: they start one after the other, a fixed delay apart or as
+/// soon as one has failed, until the first is up. This is the method of RFC 8305, with delays that are parts
+/// of the connect timeout.
 class ConnectRace {
  public:
   ConnectRace(const ConnectOptions& options, std::vector<std::string> addressNames, Duration now);
 
   struct Step {
-    std::optional<std::string> addressToConnect{};  // begin this one, then look again
-    bool replacesPending = false;  // once those that are out have been ended: there is no room beside them
-    bool finished = false;         // nothing is left to wait for: it can't be reached
-    Duration nextCheckAt{0};       // else look again then, or when a dial has ended
+    std::optional<std::string> addressToConnect{};  ///< Start this one, then ask again.
+    bool replacesPending = false;  ///< End the pending connects first: limits allow none beside them.
+    bool finished = false;         ///< The engine cannot be reached: nothing is left to wait for.
+    Duration nextCheckAt{0};       ///< Otherwise ask again then, or when a connect has finished.
   };
-  Step nextStep(Duration now, bool allowsParallel);  // beside: the limits leave one more dial
-  void onConnected(Duration now);      // one of them, and it is to show life: as long again as for a dial
-  void onConnectFailed(Duration now);  // one that was begun
+  /// `allowsParallel`: the limits allow one more connect beside the pending ones.
+  Step nextStep(Duration now, bool allowsParallel);
+  /// One is connected and must still answer a probe, for which it gets the connect timeout once more.
+  void onConnected(Duration now);
+  void onConnectFailed(Duration now);
   std::size_t pendingCount() const { return pendingCount_; }
   Duration deadline() const { return deadline_; }
-  // Whether one that is still out has taught something when another is up: it had a stagger's start.
+  /// Whether a pending connect counts as timed out when another wins: it had a full delay's head start.
   bool isSlow(Duration startedAt, Duration winnerStartedAt) const {
     return startedAt + attemptDelay_ <= winnerStartedAt;
   }
@@ -116,11 +123,13 @@
   Duration connectTimeout_, attemptDelay_, nextStartAt_, deadline_;
 };
 
-// How many dials may be out: of one engine, and of all together.
+/// Limits the pending connects of one engine and of all engines together.
 class ConnectLimiter {
  public:
-  explicit ConnectLimiter(std::size_t connections);     // that all engines together may have
-  bool allowsConnect(std::size_t enginePending) const;  // one more, for an engine that has so many out
+  /// `connections`: the limit on connections to all engines together.
+  explicit ConnectLimiter(std::size_t connections);
+  /// Whether an engine with `enginePending` pending connects may start one more.
+  bool allowsConnect(std::size_t enginePending) const;
   void onConnectStarted() { ++pendingCount_, ++startedCount_; }
   void onConnectFinished() { --pendingCount_; }
   std::size_t pendingCount() const { return pendingCount_; }
@@ -131,27 +140,28 @@
   std::uint64_t startedCount_ = 0;
 };
 
-// A dispatch that has not left yet: it waits for a dial, or its connection ended before it was whole.
+/// An attempt that is not fully written: it waits for a connection, or its connection closed too early.
 struct UnsentAttempt {
-  bool requestFinished = false;  // its job is: it has its answer, or its client has gone
-  bool endpointAccepts = true;   // its engine, and it is still the process that it was dispatched to
-  Duration timeLeft{0};          // until it may run no more: its own time, and its type's window for repeats
+  bool requestFinished = false;  ///< It has its response, or its client has gone.
+  bool endpointAccepts = true;   ///< The engine is available and still the process that was selected.
+  Duration timeLeft{0};          ///< Until its timeout or the end of its idempotency window.
 };
 bool canSend(const UnsentAttempt& attempt);
 
-// A dispatch whose connection has ended.
+/// An attempt whose connection has closed.
 struct InterruptedAttempt {
-  bool fullyWritten = false;       // the kernel took all of its bytes: its executor may have it
-  bool connectionFaulted = false;  // the connection was ended here, for what came over it
-  bool canBeSent = true;           // it may leave all the same
-  unsigned rerouteCount = 0;       // ways it has gone before
-  Duration timeLeft{0};            // of its job's time
+  bool fullyWritten = false;       ///< The kernel accepted all bytes: the engine may have it.
+  bool connectionFaulted = false;  ///< Closed by this process, because of the connection.
+  bool canBeSent = true;           ///< See canSend().
+  unsigned rerouteCount = 0;       ///< How often it was rerouted before.
+  Duration timeLeft{0};            ///< Until it may not be sent any more.
 };
+/// What becomes of an interrupted attempt.
 enum class Disposition {
-  reroute,          // the same dispatch, over another connection: it can't have run
-  unreachable,      // it can't have run, and has no other way
-  reset,            // it may have run
-  connectionFault,  // the same, and its connection is to blame
+  reroute,          ///< It was not executed and is sent over another connection.
+  unreachable,      ///< It was not executed and has no alternative.
+  reset,            ///< It may have been executed.
+  connectionFault,  ///< It may have been executed; the connection is at fault.
 };
 Disposition classifyInterruption(const InterruptedAttempt& interrupted, std::size_t addressCount,
                                  const ConnectOptions& options);
--- a/src/discovery/reconnect_schedule.cpp
+++ b/src/discovery/reconnect_schedule.cpp
@@ -7,16 +7,18 @@
 
 using std::chrono::milliseconds;
 
-constexpr milliseconds kHeartbeatInterval{1000};                  // a line comes at least so often
-constexpr Duration kSilenceTimeout = kHeartbeatInterval * 3 / 2;  // without one the session is taken for dead
-constexpr unsigned kMaxTimeoutDoublings = 2;  // doublings of that, for the first line of a session
-constexpr Duration kMinWaitDuration = kHeartbeatInterval / 10;  // after a session has ended
+constexpr milliseconds kHeartbeatInterval{1000};  // Of the service: the longest time between lines.
+constexpr Duration kSilenceTimeout =
+    kHeartbeatInterval * 3 / 2;               // Without a line the session counts as dead.
+constexpr unsigned kMaxTimeoutDoublings = 2;  // Of the silence timeout, for the first line of a session.
+constexpr Duration kMinWaitDuration = kHeartbeatInterval / 10;  // After a session has ended.
 constexpr Duration kMaxWaitDuration =
-    kHeartbeatInterval * 4 / 5;      // where waits are not spread by the number of controllers
-constexpr int kJitterGrowth = 3;     // a wait is drawn up to so many times the one before
-constexpr int kExpediteDivisor = 4;  // a doubted list: at most so small a part of the wait is left
+    kHeartbeatInterval * 4 / 5;      // Where waits are not spread by the number of controllers.
+constexpr int kJitterGrowth = 3;     // The greatest ratio of a wait to the one before.
+constexpr int kExpediteDivisor = 4;  // An expedited wait has at most this part left.
 
-// Seeds of neighbours are often neighbours, whose first draws would be too (splitmix64's last steps).
+// Neighbouring controllers often have neighbouring seeds, whose first draws would be close as well. These are
+// the last steps of splitmix64.
 std::minstd_rand::result_type scrambleSeed(std::uint64_t seed) {
   seed += 0x9e3779b97f4a7c15;
   seed = (seed ^ (seed >> 30)) * 0xbf58476d1ce4e5b9;
@@ -45,9 +47,10 @@
       std::uniform_int_distribution<Duration::rep>(min.count(), std::max(min, max).count())(random_)};
 }
 
-// Patience is for a service that is slow with many who know nothing. What an engine does unseen counts as
-// told after 7 s: from the last line on, one silent session, two dials that tell nothing and the waits
-// between them have to be shorter than that.
+// The timeout grows for a service that is slow because many controllers read their first list. A controller
+// that knows a list must not wait long: the load that an engine has without this controller's knowledge
+// counts as reported after 7 s, so one silent session, two unsuccessful connects and the waits between them
+// must together be shorter than that.
 Duration ReconnectSchedule::silenceTimeout() const {
   const unsigned doublings =
       consecutiveUnresponsive_ > 0 && hasKnownList_ ? consecutiveUnresponsive_ - 1 : consecutiveUnresponsive_;
@@ -64,9 +67,10 @@
   nextConnectAt_ = now;
 }
 
-// Waits in a row are drawn between a least and three times the last (decorrelated jitter), so that those
-// which failed together scatter. With half a window at least, and two at most, all controllers together stay
-// near their rate. After a session that told something they were cut together: the whole window is theirs.
+// Successive waits are drawn between a minimum and three times the last wait (decorrelated jitter), so that
+// controllers that failed together scatter. With half a window at least and two windows at most, all
+// controllers together stay near their target rate. After a session with valid data all may have been
+// disconnected together, so they spread over the whole window.
 void ReconnectSchedule::onSessionEnded(Duration now, SessionEnd sessionEnd, bool hasEndpointList) {
   const Duration window = this->spreadWindow(hasEndpointList);
   const Duration minWait = std::max(kMinWaitDuration, window / 2);
--- a/src/transport/buffer_slice.hpp
+++ b/src/transport/buffer_slice.hpp
@@ -10,7 +10,7 @@
 
 namespace paddletrack::transport {
 
-// Bytes that stay where they were read or made for as long as anyone holds them.
+/// Immutable bytes with shared ownership, used to pass data on without a copy.
 class BufferSlice {
  public:
   BufferSlice() = default;
@@ -31,7 +31,7 @@
   std::string_view bytes_;
 };
 
-// What was read and not yet parsed, in one piece. Parsed parts may be kept as slices, without a copy.
+/// Contiguous input that was read and not yet parsed. Parsed parts may be retained as slices, without a copy.
 class InputBuffer {
  public:
   InputBuffer(std::size_t initialSize, std::size_t maxSize) : initialSize_(initialSize), maxSize_(maxSize) {}
@@ -39,10 +39,10 @@
   std::string_view view() const { return {storage_.get() + readOffset_, writeOffset_ - readOffset_}; }
   BufferSlice retain(std::string_view bytes) const { return BufferSlice(storage_, bytes); }
   void consume(std::size_t count) { readOffset_ += count; }
-  // The message that has begun is so long in all: room is made for the whole of it.
+  /// Announces the total size of the message that has begun, so that space is prepared for all of it.
   void expectSize(std::size_t size) { expectedSize_ = std::min(size, maxSize_); }
 
-  // Room for more, never none; a message as long as the bound leaves none to be read, see full().
+  /// Space for more input, never empty. A message as long as the maximum must not be read on; see isFull().
   std::pair<char*, std::size_t> prepareSpace() {
     const std::size_t unreadBytes = writeOffset_ - readOffset_,
                       requiredSize = std::max(initialSize_, expectedSize_);
@@ -50,7 +50,7 @@
         capacity_ <= 2 * initialSize_)
       readOffset_ = writeOffset_ = 0;
     if (!storage_ || writeOffset_ == capacity_ || readOffset_ + expectedSize_ > capacity_) {
-      // Twice what is held, so that what piles up is not copied over and over; not far past the bound.
+      // Twice the unread bytes, so that accumulating input is copied rarely, but not far beyond the maximum.
       const std::size_t grownSize = unreadBytes + initialSize_ / 2;
       const std::size_t size =
           std::max(requiredSize, std::max(grownSize, std::min(2 * unreadBytes, maxSize_)));
@@ -68,7 +68,7 @@
   void commit(std::size_t count) { writeOffset_ += count; }
   bool isFull() const { return writeOffset_ - readOffset_ >= maxSize_; }
   std::size_t maxSize() const { return maxSize_; }
-  // Gives the slab back while nothing waits in it.
+  /// Frees the storage if nothing in it is unread.
   void releaseIfEmpty() {
     if (readOffset_ != writeOffset_) return;
     storage_.reset();
--- a/src/transport/connection.cpp
+++ b/src/transport/connection.cpp
@@ -18,7 +18,7 @@
 namespace paddletrack::transport {
 namespace {
 
-constexpr std::size_t kMaxSlicesPerWrite = 64;  // pieces of one write
+constexpr std::size_t kMaxSlicesPerWrite = 64;  // Slices.
 constexpr std::chrono::milliseconds kAcceptRetryInterval{20};
 
 int openStreamSocket(int family) { return ::socket(family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0); }
@@ -113,17 +113,17 @@
       outputQueued_(scheduler),
       outputDrained_(scheduler),
       writeTask_(writeOutput()) {
-  disableNagle(descriptor_->fd());  // which a local socket does not know, nor need
+  disableNagle(descriptor_->fd());  // Has no effect on a Unix socket, which does not need it.
   writeTask_.start();
 }
 
 Connection::~Connection() { outputBudget_.usedBytes -= unsentBytes(); }
 
 Task<bool> Connection::receive(std::optional<TimePoint> deadline) {
-  if (!isInputDrained_) co_await scheduler_.yield();  // one peer with much to say does not starve the others
+  if (!isInputDrained_) co_await scheduler_.yield();  // A busy peer does not starve the others.
   for (;;) {
     if (isShutDown_ || readEnd_ != ReadEnd::none || input_.isFull()) co_return false;
-    // A read that did not fill its room has emptied the socket: no second one only to be told so.
+    // A read that did not fill its space has emptied the socket: a second one would only return EAGAIN.
     if (isInputDrained_ && !descriptor_->isHungUp()) {
       input_.releaseIfEmpty();
       const bool isReadable = co_await descriptor_->readable.wait(deadline);
@@ -144,7 +144,7 @@
       readEnd_ = ReadEnd::closed;
     } else if (errno == EAGAIN || errno == EWOULDBLOCK) {
       isInputDrained_ = true;
-      descriptor_->clearHangUp();  // a sign from before it was connected
+      descriptor_->clearHangUp();  // The event dates from before the connect.
       if (std::exchange(isReadForced_, false)) co_return false;
     } else if (errno != EINTR) {
       readEnd_ = ReadEnd::reset;
@@ -165,7 +165,7 @@
   while (wasSignaled && !isShutDown_ && !isHungUp() && writtenBytes_ == writtenBefore &&
          (isInputDrained_ || input_.isFull())) {
     wasSignaled = co_await descriptor_->readable.wait(deadline);
-    if (wasSignaled) isInputDrained_ = false;  // the sign is used up, and what it told of is still to be read
+    if (wasSignaled) isInputDrained_ = false;  // The signal is consumed, but its input is still unread.
   }
   isWaitingForActivity_ = false;
   co_return wasSignaled;
@@ -181,7 +181,7 @@
   try {
     PADDLETRACK_TABLE("unsent");
     outputQueue_.push_back(slice);
-  } catch (const std::bad_alloc&) {  // half a message is none: the peer is told by the end
+  } catch (const std::bad_alloc&) {  // Part of a message must not stay queued.
     return shutDown();
   }
   queuedBytes_ += slice.size();
@@ -197,11 +197,11 @@
   for (const BufferSlice& slice : slices) enqueue(slice);
 }
 
-// The one place where bytes leave. It ends with the connection or at the first error.
+// The only place that writes to the socket. It ends with the connection or at the first error.
 Task<> Connection::writeOutput() {
   for (;;) {
     while (outputQueue_.empty()) co_await outputQueued_.wait();
-    if (isShutDown_) co_return;  // what was not written when it was shut never is
+    if (isShutDown_) co_return;  // Unwritten output is dropped at shutdown.
     std::array<iovec, kMaxSlicesPerWrite> gathered;
     std::size_t count = 0;
     for (const BufferSlice& slice : outputQueue_) {
@@ -287,7 +287,7 @@
       if (isStopping_) co_return nullptr;
       co_await descriptor_.readable.wait();
     } else if (errno != EINTR && errno != ECONNABORTED) {
-      // Out of descriptors or memory: what waits in the backlog stays there until some are given back.
+      // Out of descriptors or memory: connections stay in the backlog until some are released.
       co_await scheduler_.sleepUntil(scheduler_.now() + kAcceptRetryInterval);
     }
   }
@@ -321,7 +321,7 @@
     PADDLETRACK_VALUE(fd, "connected", "ECONNREFUSED EHOSTUNREACH", result.error);
     if (!wasSignaled && result.error == 0) result.error = ETIMEDOUT;
     if (result.error != 0) co_return result;
-    sockaddr_storage peer{};  // an edge may tell of the time before the connect
+    sockaddr_storage peer{};  // An edge may date from before the connect.
     socklen_t size = sizeof peer;
     isConnected = PADDLETRACK_CALL(fd, "getpeername", "ENOTCONN",
                                    ::getpeername(fd, reinterpret_cast<sockaddr*>(&peer), &size)) == 0;
--- a/src/transport/datagram_socket.hpp
+++ b/src/transport/datagram_socket.hpp
@@ -9,25 +9,24 @@
 
 namespace paddletrack::transport {
 
-// An IPv4 address and port as one number.
-std::uint64_t packAddress(
-    const Address& address);  // throws std::invalid_argument where it is no IPv4 address
+/// An IPv4 address and port packed into one number, the port in the low 16 bits.
+std::uint64_t packAddress(const Address& address);  // Throws std::invalid_argument for other families.
 std::string formatPackedAddress(std::uint64_t packedAddress);
 
-// A UDP socket over IPv4. Throws std::system_error where it can't be had.
+/// A UDP socket over IPv4. The constructor throws std::system_error if the socket cannot be opened.
 class DatagramSocket {
  public:
   DatagramSocket(Scheduler& scheduler, const Address& localAddress, std::size_t maxSize);
 
   struct Datagram {
     std::uint64_t sender = 0;
-    std::string_view bytes;    // until the next read
-    bool isTruncated = false;  // it was longer than the longest
+    std::string_view bytes;    ///< Valid until the next receive().
+    bool isTruncated = false;  ///< It was longer than the maximum size.
   };
-  std::optional<Datagram> receive();  // none: nothing waits
+  std::optional<Datagram> receive();  // Empty: no datagram is available.
   auto waitUntilReadable() { return descriptor_.readable.wait(); }
   bool send(std::uint64_t packedDestination,
-            std::string_view bytes);  // false: the kernel does not take it; errno says why
+            std::string_view bytes);  // False: the kernel refused it; see errno.
 
  private:
   Descriptor descriptor_;
--- a/src/transport/scheduler.cpp
+++ b/src/transport/scheduler.cpp
@@ -66,21 +66,21 @@
 
 void Scheduler::runCall(ScheduledCall& isCall) {
   isCall.cancel();
-  const std::function<void()> action = isCall.action_;  // a copy: what is called may destroy the call
+  const std::function<void()> action = isCall.action_;  // A copy, because the action may destroy the call.
   action();
 }
 
-// Only what is due at the start: a timer set to the past from within waits for the next round.
+// Runs only what is due at the start: a timer that an action sets to the past waits for the next round.
 void Scheduler::runDueTimers() {
   const TimePoint startOfRound = now();
   while (!stopped_ && !timers_.empty() && timers_.begin()->first <= startOfRound) {
     maxTimerLateness_ = std::max(maxTimerLateness_, now() - timers_.begin()->first);
     runCall(*timers_.begin()->second);
-    if (now() > startOfRound + std::chrono::milliseconds(5)) return;  // sockets are served in between
+    if (now() > startOfRound + std::chrono::milliseconds(5)) return;  // Sockets are polled in between.
   }
 }
 
-// What is ready now gets one turn each; a timer that comes due meanwhile does not wait for the rest.
+// Runs each call that is ready now once. A timer that becomes due meanwhile does not wait for the rest.
 void Scheduler::runReady() {
   for (std::size_t remaining = ready_.size(); remaining > 0 && !ready_.empty() && !stopped_; --remaining) {
     runCall(*ready_.front());
@@ -111,7 +111,7 @@
   }
 }
 
-// Signals only queue their waiters, so no descriptor goes away while events are handed out.
+// Signals only queue their awaiters, so no descriptor is destroyed while poll() distributes events.
 Descriptor::Descriptor(Scheduler& scheduler, int fd)
     : readable(scheduler), writable(scheduler), scheduler_(scheduler), fd_(fd) {
   epoll_event registration{};
--- a/src/transport/scheduler.hpp
+++ b/src/transport/scheduler.hpp
@@ -17,8 +17,8 @@
 class Scheduler;
 class Descriptor;
 
-// Something that the loop calls once: soon, or at a moment. Asking anew replaces what was asked before;
-// destroying it takes it back.
+/// A function that the scheduler calls once, in the next round or at a given time. Scheduling it again
+/// replaces the earlier schedule; destroying it cancels the call.
 class ScheduledCall {
  public:
   ScheduledCall(Scheduler& scheduler, std::function<void()> action)
@@ -41,14 +41,14 @@
   std::optional<std::multimap<TimePoint, ScheduledCall*>::iterator> timerPosition_;
 };
 
-// Set by one side, awaited by one coroutine at a time. It stays set until a wait takes it.
+/// An event that one side sets and one coroutine at a time awaits. It stays set until a wait consumes it.
 class Signal {
  public:
   explicit Signal(Scheduler& scheduler) : scheduler_(scheduler) {}
 
   void set();
 
-  // True when it was set, false when the moment came first.
+  /// Yields true when the signal was set, false when the deadline came first.
   class SignalAwaiter {
    public:
     SignalAwaiter(Signal& signal, std::optional<TimePoint> deadline) : signal_(signal), deadline_(deadline) {}
@@ -75,7 +75,8 @@
   SignalAwaiter* awaiter_ = nullptr;
 };
 
-// The loop of one thread: a run queue, timers and epoll.
+/// The event loop of one thread: a run queue, timers and epoll. Everything that refers to it must be
+/// destroyed before it.
 class Scheduler {
  public:
   Scheduler();
@@ -84,13 +85,14 @@
   ~Scheduler();
 
   TimePoint now() const { return Clock::now(); }
-  void run();  // until stop
+  /// Runs until stop() is called.
+  void run();
   void stop() { stopped_ = true; }
 
-  // How late a timer has been at most since this was last asked.
+  /// The greatest lateness of a timer since the last call.
   Clock::duration takeMaxTimerLateness() { return std::exchange(maxTimerLateness_, {}); }
 
-  // Lets all others that are ready have their turn.
+  /// Awaited, resumes after all other calls that are ready now.
   auto yield() { return SleepAwaiter(*this, std::nullopt); }
   auto sleepUntil(TimePoint timePoint) { return SleepAwaiter(*this, timePoint); }
 
@@ -128,7 +130,7 @@
   Clock::duration maxTimerLateness_{};
 };
 
-// One open file descriptor and its place in the loop; both end with it.
+/// Owns an open file descriptor and its epoll registration. The signals are edge-triggered.
 class Descriptor {
  public:
   Descriptor(Scheduler& scheduler, int fd);
@@ -137,7 +139,7 @@
   ~Descriptor();
 
   int fd() const { return fd_; }
-  bool isHungUp() const { return isHungUp_; }  // the peer has ended: what is left to read ends too
+  bool isHungUp() const { return isHungUp_; }  ///< The peer closed: input ends after what is left.
   void clearHangUp() { isHungUp_ = false; }
   Signal readable, writable;
 
@@ -148,7 +150,8 @@
   bool isHungUp_ = false;
 };
 
-// Coroutines that run by themselves. Each is destroyed when it has ended, all of them with the group.
+/// Runs coroutines independently of each other. Each is destroyed when it has finished, all of them with the
+/// group. An exception that leaves a coroutine is passed to the failure handler.
 class TaskGroup {
  public:
   using FailureHandler = std::function<void(const char* message)>;
--- a/src/transport/task.hpp
+++ b/src/transport/task.hpp
@@ -13,7 +13,7 @@
 namespace detail {
 
 struct Promise {
-  std::coroutine_handle<> continuation;  // resumed when this one has ended
+  std::coroutine_handle<> continuation;  // Resumed when this coroutine has finished.
   std::exception_ptr error;
 
   std::suspend_always initial_suspend() noexcept { return {}; }
@@ -47,8 +47,8 @@
 
 }  // namespace detail
 
-// A coroutine that starts when it is awaited (or started) and is destroyed with its Task, wherever it
-// waits: what it waits for must take its own entry back on destruction.
+/// A coroutine that starts when it is awaited or started. The Task owns it and destroys it wherever it is
+/// suspended, so an awaitable must deregister itself in its destructor.
 template <typename T>
 class [[nodiscard]] Task {
  public:
--- a/tests/addresses/address_failover_test.cpp
+++ b/tests/addresses/address_failover_test.cpp
@@ -1,5 +1,5 @@
-// Engines with several addresses: stand-ins that listen on IPv4, IPv6 and Unix sockets, and every way in
-// which one of these can fail.
+// Engines with several addresses: fakes that listen on IPv4, IPv6 and Unix sockets, and each way in which one
+// of these can fail.
 #include <gtest/gtest.h>
 #include <sys/stat.h>
 #include <unistd.h>
@@ -23,7 +23,7 @@
 using transport::Address;
 using Fault = FakeEngine::Fault;
 
-constexpr auto kConnectTimeout = 100ms;  // of the settings here: a stagger is 20 ms
+constexpr auto kConnectTimeout = 100ms;  // As in the settings below; connects of a race start 20 ms apart.
 
 struct AddressFixture : TestScheduler {
   explicit AddressFixture(std::size_t connectionLimit = 40, const std::string& settings = "")
@@ -45,7 +45,7 @@
     event.entries.push_back(entry);
     router.onEndpointUpdate(event);
   }
-  // One job, to its end; ms it took.
+  // Runs one request to its end and returns the time that it took, in ms.
   double runRequestMs(std::size_t kindIndex = 0) {
     const std::size_t requestIndex = loadGenerator.send(kindIndex, 0);
     runUntil(
@@ -62,7 +62,7 @@
   bool hasLogged(const std::string& part) const { return logText.find(part) != std::string::npos; }
 
   const std::size_t maxEngineConnections;
-  const std::string extraSettings;  // further settings
+  const std::string extraSettings;
   std::string logText;
   const Logger logger{[this](const LogRecord& record) {
     logText += std::string(record.topic) + ": " + record.message + "\n";
@@ -136,7 +136,7 @@
   const std::size_t stalls = executor.addAddress(Address(front.unixAddress));
   executor.setFault(stalls, Fault::unresponsive);
   front.updateEndpoint({front.unixAddress, front.ipv4Address});
-  front.runRequestMs(2);  // it had left whole: it may have run, and is not sent again
+  front.runRequestMs(2);  // It was fully written: it may have been executed and is not retried.
   EXPECT_EQ(front.lastOutcome, Reply::Outcome::failed);
   EXPECT_EQ(executor.runCount(), 0U);
   EXPECT_TRUE(front.hasLogged("silent"));
@@ -145,8 +145,7 @@
   EXPECT_EQ(executor.runCount(), 1U);
 }
 
-// The kernel takes a part of a long statement for a process that reads nothing: the same dispatch goes
-// another way.
+// The kernel accepts a part of a long statement for a process that reads nothing: the attempt is rerouted.
 TEST(AddressFailover, MovesAttemptToOtherAddressWhenMessageIsOnlyPartlyWritten) {
   for (const std::size_t kind : {0U, 1U, 2U}) {
     AddressFixture front;
@@ -203,7 +202,7 @@
   front.runUntil([&] { return front.loadGenerator.counters().open == 0; }, 1000ms);
   EXPECT_EQ(front.loadGenerator.requests()[0].outcome, Reply::Outcome::completed);
   EXPECT_EQ(executor.duplicateRunCount(), 0U);
-  front.updateEndpoint({front.unixAddress}, "s-2", false);  // the same address is another engine's now
+  front.updateEndpoint({front.unixAddress}, "s-2", false);  // The address belongs to another engine now.
   front.updateEndpoint({front.ipv4Address}, "s-1", false);
   EXPECT_LT(front.runRequestMs(1), 30);
 }
@@ -225,12 +224,12 @@
     EXPECT_EQ(front.loadGenerator.requests()[0].outcome,
               kind == 2 ? Reply::Outcome::failed : Reply::Outcome::completed)
         << kind;
-    EXPECT_EQ(executor.duplicateRunCount(), 0U);  // the first was cut before its end
+    EXPECT_EQ(executor.duplicateRunCount(), 0U);  // The first was interrupted before it was complete.
     EXPECT_EQ(executor.askCountAt(0), kind == 2 ? 0U : 1U);
   }
 }
 
-// A preferred address that failed is found again by a job that may be repeated.
+// A request that may be retried is the trial that finds a failed, preferred address working again.
 TEST(AddressFailover, ReusesPreferredAddressWhenItRecovers) {
   AddressFixture front;
   FakeEngine executor(front, front.outputBudget, Address(front.ipv4Address));
@@ -239,7 +238,7 @@
   const std::size_t back = executor.addAddress(Address(front.unixAddress));
   EXPECT_TRUE(front.runUntil(
       [&] {
-        executor.disconnect();  // what is up would be used again
+        executor.disconnect();  // Open connections would be used again.
         front.runRequestMs(0);
         return executor.askCountAt(back) > 0;
       },
@@ -258,7 +257,7 @@
       [&] { return front.runRequestMs(0) > 0 && front.lastOutcome == Reply::Outcome::completed; }, 8000ms));
 }
 
-// Rule 3: what waits for a dial, or for another way, does not reach an engine that drains by then.
+// Rule 3: an attempt that waits for a connection or a reroute does not reach an engine that drains by then.
 TEST(AddressFailover, RejectsWithoutTryingOtherAddressWhenEngineDrains) {
   for (const bool dialling : {true, false}) {
     AddressFixture front;
@@ -280,9 +279,9 @@
   }
 }
 
-// Descriptors: dials beside the first of a race count as connections do. With one connection busy and one
-// left, an engine whose dials all hang holds one descriptor, not two; and one with a good second address is
-// still reached.
+// Connects beside the first of a race count as connections, for each holds a descriptor. With one connection
+// busy and one left, an engine whose connects all hang holds one descriptor, not two; and an engine with a
+// healthy second address is still reached.
 TEST(AddressFailover, LimitsConnectRaceWhenConnectionLimitIsReached) {
   for (const bool good : {false, true}) {
     AddressFixture front(2);
@@ -309,17 +308,17 @@
     const std::size_t before = open();
     const std::size_t job = front.loadGenerator.send(1, 0);
     std::size_t most = 0;
-    front.runUntil([&] { return most = std::max(most, open()), false; }, 80ms);  // less than the race
+    front.runUntil([&] { return most = std::max(most, open()), false; }, 80ms);  // Shorter than the race.
     front.runUntil([&] { return front.loadGenerator.requests()[job].answerCount > 0; }, 3000ms);
     EXPECT_EQ(front.loadGenerator.requests()[job].outcome, Reply::Outcome::completed) << front.logText;
-    EXPECT_EQ(most, before + (good ? 2 : 1)) << front.logText;  // both ends, where there is another
+    EXPECT_EQ(most, before + (good ? 2 : 1)) << front.logText;  // Both ends of a second connection.
     EXPECT_TRUE(front.hasLogged("no answer"));
     EXPECT_EQ(good && executor->runCount() == 1, good);
   }
 }
 
-// One that is known to stall shows no life when it is tried again: its race goes on a stagger later, and
-// nothing has been sent there.
+// An address that is known to stall does not answer the probe when it is tried again: the race goes on after
+// one delay, and no attempt has been sent there.
 TEST(AddressFailover, DelaysOneStaggerWhenRetriedAddressStallsAgain) {
   AddressFixture front;
   FakeEngine executor(front, front.outputBudget, Address(front.ipv4Address));
@@ -331,7 +330,7 @@
   EXPECT_TRUE(front.runUntil([&] { return front.hasLogged("silent"); }, 2000ms));
   EXPECT_TRUE(front.runUntil([&] { return front.loadGenerator.counters().open == 0; }, 5000ms));
   front.runRequestMs(0);
-  front.runFor(700ms);  // its rest is over
+  front.runFor(700ms);  // Its backoff is over.
   executor.disconnect();
   front.runFor(5ms);
   const double took = front.runRequestMs(0);
@@ -340,7 +339,7 @@
   EXPECT_LT(took, 60);
 }
 
-// Something else listens at the path; and one whose mode keeps this user out.
+// Something else listens at the path, or the mode of the socket denies access to this user.
 TEST(AddressFailover, UsesOtherAddressWhenUnixSocketIsForeignOrForbidden) {
   AddressFixture front;
   FakeEngine executor(front, front.outputBudget, Address(front.ipv4Address)),
@@ -354,7 +353,7 @@
   EXPECT_LT(front.runRequestMs(2), 60);
   EXPECT_EQ(front.lastOutcome, Reply::Outcome::completed);
   EXPECT_TRUE(front.hasLogged("reset early")) << front.logText;
-  if (::geteuid() != 0) return;  // to be kept out one has to be somebody else
+  if (::geteuid() != 0) return;  // Only root can drop to a user that has no access.
   const std::string shut = front.unixAddress + "-shut";
   FakeEngine kept(front, front.outputBudget, Address(shut)),
       open(front, front.outputBudget, Address("127.0.84.3:18443"));
@@ -369,7 +368,7 @@
   EXPECT_EQ(kept.askCount(), 0U);
 }
 
-// Rule 4: a cold engine gets no more over several addresses than its part, whichever of them serves.
+// Rule 4: an engine that warms up gets no more than its part over several addresses, whichever serves.
 TEST(AddressFailover, KeepsWarmupBudgetWhenEngineHasSeveralAddresses) {
   AddressFixture front(
       40, "rules.coldUs=60000000\nrules.startCapacity=0.03\nrules.fallMultiple=3\nrules.fallUs=2000000\n");
@@ -382,16 +381,16 @@
                        paddletrack::EndpointState::ready, now.count());
   for (int index = 0; index < 60; ++index) front.loadGenerator.send(0, 0);
   front.runFor(250ms);
-  // 0.03 x 64 cores x 2 s x 3, half of it for safety: 5.76 s of work, in jobs of 0.8 s as long as none is
-  // known.
+  // 0.03 x 64 cores x 2 s x 3, half of it for safety: 5.76 s of work, in requests of 0.8 s while no duration
+  // is known.
   EXPECT_GT(executor.askCount(), 0U);
   EXPECT_LE(executor.askCount(), 7U);
   front.runUntil([&] { return front.loadGenerator.counters().open == 0; }, 5000ms);
   EXPECT_EQ(front.loadGenerator.counters().lost + front.loadGenerator.counters().duplicateAnswers, 0U);
 }
 
-// One family goes for all engines at once: each pays one refusal or one stagger, none is left out, and what
-// came before on the others goes on.
+// One address family fails for all engines at once: each request is delayed by one refusal or one race delay,
+// none fails, and attempts on the other families continue.
 TEST(AddressFailover, ServesAllRequestsWhenOneAddressFamilyFailsOnAllEngines) {
   AddressFixture front;
   std::vector<std::unique_ptr<FakeEngine>> executors;
@@ -411,7 +410,8 @@
   for (const auto& executor : executors) EXPECT_EQ(executor->duplicateRunCount(), 0U);
 }
 
-// Up and down faster than what is known of it fades: no job pays more than a stagger, none is lost.
+// An address goes up and down faster than its health expires: no request is delayed by more than one race
+// delay, and none is lost.
 TEST(AddressFailover, LosesNoRequestWhenAddressFlaps) {
   AddressFixture front;
   FakeEngine executor(front, front.outputBudget, Address(front.ipv4Address));
--- a/tests/addresses/address_health_test.cpp
+++ b/tests/addresses/address_health_test.cpp
@@ -1,4 +1,4 @@
-// Which address next, when, and what becomes of a dispatch whose connection has ended.
+// The order and schedule of connects, and what becomes of an attempt whose connection has closed.
 #include <gtest/gtest.h>
 
 #include <functional>
@@ -50,13 +50,13 @@
   health.recordOutcome(1s, "6", ConnectOutcome::timedOut, {}, kOptions, 0.0);
   EXPECT_EQ(addressOrder(health, 1s).size(), 3U);
   EXPECT_EQ(addressOrder(health, 1s).substr(0, 1), "u");
-  EXPECT_EQ(addressOrder(health, 2500ms), "u64");  // all rests are over
+  EXPECT_EQ(addressOrder(health, 2500ms), "u64");  // All backoffs are over.
   health.recordOutcome(3s, "4", ConnectOutcome::succeeded, 2ms, kOptions, 0.5);
   EXPECT_EQ(addressOrder(health, 3s).substr(0, 1), "4");
-  EXPECT_EQ(addressOrder(health, 100s), "4u6");  // what failed long ago is as good as unknown
+  EXPECT_EQ(addressOrder(health, 100s), "4u6");  // A failure long ago has expired.
 }
 
-// A dispatch that must not run twice is not the one to find out.
+// An attempt that must not run twice is never a trial.
 TEST(AddressHealth, RetriesPreferredAddressWhenBackoffEnds) {
   AddressTable health = threeAddresses();
   health.recordOutcome(0s, "4", ConnectOutcome::succeeded, 2ms, kOptions, 0.5);
@@ -71,7 +71,7 @@
   health.recordOutcome(100s, "u", ConnectOutcome::succeeded, 1ms, kOptions, 0.5);
   EXPECT_EQ(firstName(100s, true), "u");
   health.recordOutcome(100s, "4", ConnectOutcome::refused, {}, kOptions, 0.5);
-  EXPECT_EQ(firstName(110s, false), "u");  // what is preferred less need not be tried
+  EXPECT_EQ(firstName(110s, false), "u");  // A less preferred address needs no trial.
 }
 
 TEST(AddressHealth, LimitsExponentialBackoffAndAppliesJitter) {
@@ -86,14 +86,14 @@
     shortest = std::min(shortest, backoff), longest = std::max(longest, backoff);
     const Duration backoffEnd = route.backoffUntil;
     health.recordOutcome(now + 1ms, "u", ConnectOutcome::refused, {}, kOptions,
-                         0.5);  // one of many that failed together
+                         0.5);  // One of many that failed together.
     EXPECT_EQ(route.backoffUntil, backoffEnd);
     now = route.backoffUntil;
   }
   EXPECT_LE(longest, 40s);
   health.recordOutcome(now, "u", ConnectOutcome::succeeded, 1ms, kOptions, 0);
   health.recordOutcome(now, "u", ConnectOutcome::refused, {}, kOptions, 0);
-  EXPECT_EQ(health.entries()[2].backoffUntil - now, 750ms);  // it begins afresh
+  EXPECT_EQ(health.entries()[2].backoffUntil - now, 750ms);  // The backoff starts anew.
 }
 
 TEST(AddressHealth, KeepsStateOnUpdateUnlessEngineHasRestarted) {
@@ -103,7 +103,7 @@
   health.update({{"6", AddressFamily::ipv6}, {"6", AddressFamily::ipv6}, {"n", AddressFamily::ipv4}}, false);
   ASSERT_EQ(health.entries().size(), 2U);
   EXPECT_TRUE(health.isSuspect("6"));
-  health.recordOutcome(0s, "4", ConnectOutcome::refused, {}, kOptions, 0.5);  // it has gone
+  health.recordOutcome(0s, "4", ConnectOutcome::refused, {}, kOptions, 0.5);  // It was removed.
   health.update({{"6", AddressFamily::ipv6}}, true);
   EXPECT_FALSE(health.isSuspect("6"));
   std::vector<AddressTable::ListedAddress> addresses;
@@ -134,14 +134,14 @@
   race.onConnectFailed(60ms);
   EXPECT_EQ(race.nextStep(60ms, true).addressToConnect, "c");
   race.onConnectFailed(70ms);
-  EXPECT_FALSE(race.nextStep(70ms, true).finished);  // a or b is still out
+  EXPECT_FALSE(race.nextStep(70ms, true).finished);  // a or b is still pending.
   EXPECT_TRUE(race.nextStep(250ms, true).finished);
   ConnectRace singleAddressRace(kOptions, {"a"}, 0s);
   EXPECT_EQ(singleAddressRace.nextStep(0s, false).addressToConnect,
-            "a");  // whatever the limits, its connection has its place
+            "a");  // The first connect of a race needs no further descriptor.
   singleAddressRace.onConnectFailed(1ms);
   EXPECT_TRUE(singleAddressRace.nextStep(1ms, true).finished);
-  ConnectRace limitedRace(kOptions, {"a", "b"}, 0s);  // no room beside it: the next goes in its place
+  ConnectRace limitedRace(kOptions, {"a", "b"}, 0s);  // Limits allow none beside it: the next replaces it.
   limitedRace.nextStep(0s, false);
   EXPECT_FALSE(limitedRace.nextStep(49ms, false).addressToConnect);
   const ConnectRace::Step nextAction = limitedRace.nextStep(50ms, false);
@@ -171,10 +171,10 @@
   EXPECT_EQ(classifyInterruption({false, true, true, 1, 5s}, 3, kOptions), Disposition::reroute);
   EXPECT_EQ(classifyInterruption({false, false, true, 2, 5s}, 3, kOptions), Disposition::unreachable);
   EXPECT_EQ(classifyInterruption({false, false, false, 0, 5s}, 3, kOptions),
-            Disposition::unreachable);  // it drains
+            Disposition::unreachable);  // Its engine drains.
   EXPECT_EQ(classifyInterruption({false, false, true, 0, 40ms}, 3, kOptions), Disposition::unreachable);
   EXPECT_EQ(classifyInterruption({false, false, true, 0, 5s}, 1, kOptions),
-            Disposition::unreachable);  // as with one address ever
+            Disposition::unreachable);  // As with a single address.
 }
 
 TEST(InterruptedAttempt, CanBeWrittenOnlyWhenRequestEngineAndTimeRemain) {
@@ -184,10 +184,10 @@
   EXPECT_FALSE(canSend({false, true, 0us}));
 }
 
-// Every order of what can happen to one dispatch over three addresses, eleven steps deep: dials that come up
-// or fail, writes that stop midway or are whole, connections that end, time that passes, an address that
-// leaves the list. Its bytes are never whole on two connections, it is never stuck, and no address is out for
-// ever.
+// Searches all orders of events of one attempt over three addresses, eleven steps deep: connects that succeed
+// or fail, writes that are partial or complete, connections that close, time that passes, an address that is
+// removed. The attempt is never fully written on two connections, it never gets stuck, and no address is
+// excluded for good.
 class EventOrderSearch {
  public:
   struct SearchState {
@@ -195,7 +195,7 @@
     AddressTable health = threeAddresses();
     std::optional<ConnectRace> race;
     std::vector<std::string> connecting;
-    std::optional<std::string> connectedAddress;  // up on this one
+    std::optional<std::string> connectedAddress;  // The address of the open connection.
     unsigned moveCount = 0, fullWriteCount = 0;
     bool isWritten = false, finished = false;
   };
@@ -209,7 +209,7 @@
     if (!state.race && !state.connectedAddress) return startRace(state, depth);
     if (state.race) {
       for (std::size_t index = 0; index < state.connecting.size(); ++index) {
-        SearchState connected = state;  // the first that is up wins, the others are closed
+        SearchState connected = state;  // The first to connect wins; the others are closed.
         connected.connectedAddress = connected.connecting[index];
         connected.connecting.clear();
         connected.race.reset();
@@ -229,7 +229,7 @@
       SearchState fullyWritten = state;
       if (!fullyWritten.isWritten) fullyWritten.isWritten = true, ++fullyWritten.fullWriteCount;
       explore(fullyWritten, depth + 1);
-      SearchState interrupted = state;  // before or after it was whole
+      SearchState interrupted = state;  // Before or after it was fully written.
       loseConnection(interrupted, depth);
       SearchState answered = state;
       if (answered.isWritten) {
@@ -262,7 +262,7 @@
   void advanceRace(SearchState state, int depth) {
     for (;;) {
       const ConnectRace::Step action = state.race->nextStep(state.now, true);
-      if (action.finished) {  // unreachable: it never ran
+      if (action.finished) {  // Unreachable: it was not executed.
         ASSERT_EQ(state.fullWriteCount, 0U);
         for (const std::string& name : state.connecting)
           state.health.recordOutcome(state.now, name, ConnectOutcome::timedOut, {}, kOptions, 0.5);
@@ -290,7 +290,7 @@
       explore(state, depth + 1);
     }
   }
-  // Left alone, time ends it; and each address is first again some time later.
+  // Without further events time ends it, and each address ranks first again some time later.
   void checkFinalState(const SearchState& state) {
     ++finalStates;
     SearchState finalState = state;
--- a/tests/transport/connection_test.cpp
+++ b/tests/transport/connection_test.cpp
@@ -1,4 +1,4 @@
-// The loop, its timers and coroutines, and connections over socketpairs.
+// The scheduler with its timers and coroutines, and connections over socket pairs.
 #include "transport/connection.hpp"
 
 #include <gtest/gtest.h>
@@ -23,7 +23,7 @@
   }
 };
 
-// A connection and the bare descriptor of its peer.
+// A connection and the raw descriptor of its peer.
 struct SocketPairFixture {
   explicit SocketPairFixture(TestLoop& loop, std::size_t maxInputBytes = 4096)
       : tasks(loop, [](const char*) {}) {
@@ -48,7 +48,7 @@
   }
   int peerDescriptor = -1;
   std::unique_ptr<Connection> connection;
-  TaskGroup tasks;  // of what reads from it: ends before it
+  TaskGroup tasks;  // Read from the connection, so they are destroyed before it.
 };
 
 Task<> readAll(Connection& connection, std::string& output) {
@@ -139,7 +139,7 @@
   fixture.writeFromPeer("first ");
   loop.runFor(2ms);
   fixture.writeFromPeer(std::string(1000, 'x'));
-  fixture.closePeer();  // the end comes with the last bytes: there will be no further sign
+  fixture.closePeer();  // The end arrives with the last bytes: no further event follows.
   loop.runFor(5ms);
   EXPECT_EQ(received, "first " + std::string(1000, 'x'));
   EXPECT_EQ(fixture.connection->readEnd(), Connection::ReadEnd::closed);
@@ -193,7 +193,7 @@
   EXPECT_EQ(fixture.connection->unsentBytes(), 0U);
 }
 
-// Guards against one slow reader that holds the memory of all.
+// A slow reader must not use up the output budget of all connections.
 TEST(Connection, ResetsSlowReaderWhenOutputBudgetIsExceeded) {
   TestLoop loop;
   loop.outputBudget.maxBytes = 256 << 10;
@@ -210,7 +210,7 @@
   EXPECT_EQ(fastReader.readFromPeer(), "answer");
 }
 
-// A peer that reads nothing once held the coroutine that waited for it, and its descriptor, for good.
+// Regression: a peer that read nothing kept the waiting coroutine and its descriptor forever.
 TEST(Connection, EndsDrainWaitWhenDeadlinePasses) {
   TestLoop loop;
   loop.outputBudget.maxBytes = 64 << 20;
