--- a/src/routing/engine_registry.cpp
+++ b/src/routing/engine_registry.cpp
@@ -20,7 +20,7 @@
   endpoint.number = ++lastNumber_;
   const std::string number = std::to_string(endpoint.number);
   logger_.info("list", "engine " + number + " is executor " + engineId,
-          {{"engine", engineId}, {"number", number}});
+               {{"engine", engineId}, {"number", number}});
   return endpoint;
 }
 
