Server is an object; status types, budgets, reloading and keys have files of their own

Need: serve.cpp built, wired and reported everything in one function, the operator's keys were a list of lambdas, and the status of all parts was one nested struct. Change: Server holds the parts in order of construction; resource_budget, config_reloader, load_publishing, gossip_options, gossip_status and counterfactual_reporter are files of their own; command_line and config_printer leave main with dispatch alone; config_keys is a table of rows of one type; admin/status.hpp has one type for each part. What the commands print stays as it was.

--- a/src/admin/admin_protocol.cpp
+++ b/src/admin/admin_protocol.cpp
@@ -63,9 +63,9 @@
   return std::chrono::milliseconds(std::min(value, kMaxMilliseconds));
 }
 
-Json toJson(const Status::GossipStatus& status) {
-  const auto loadToJson = [](const Status::GossipStatus::Load& loadGenerator) {
-    return Json{{"threads", loadGenerator.threads}, {"jobs", loadGenerator.requests}};
+Json toJson(const GossipStatus& status) {
+  const auto loadToJson = [](const LoadStatus& load) {
+    return Json{{"threads", load.threads}, {"jobs", load.requests}};
   };
   Json peers = Json::array(), dropped = Json::object(), engines = Json::object();
   for (const auto& peer : status.peers)
@@ -134,7 +134,7 @@
           {"locations", std::move(locations)}};
 }
 
-Json toJson(const Status::CounterfactualStatus& status) {
+Json toJson(const CounterfactualStatus& status) {
   Json json{{"window_ms", toMilliseconds(status.window)},
             {"records", status.maxRecords},
             {"held", status.recordCount},
@@ -147,7 +147,7 @@
   return json;
 }
 
-Json toJson(const Status& status) {
+Json toJson(const ControllerStatus& status) {
   Json openWork{{"jobs", status.open.requests}};
   Json requestsByClass = Json::object();
   for (const auto& [name, count] : status.open.requestsByClass) requestsByClass[name] = count;
@@ -164,11 +164,11 @@
             {"open", std::move(openWork)},
             {"totals",
              {{"taken", status.accepted},
-              {"done", status.completed},
-              {"throttled", status.rejected},
-              {"cancelled", status.failed},
-              {"left", status.abandoned},
-              {"turned_away", status.rejectedByDrain}}}};
+              {"done", status.totals.completed},
+              {"throttled", status.totals.rejected},
+              {"cancelled", status.totals.failed},
+              {"left", status.totals.abandoned},
+              {"turned_away", status.totals.rejectedByDrain}}}};
   json["expected_end"] = nullptr;
   if (status.expectedCompletion)
     json["expected_end"] = {{"estimate", true},
@@ -191,7 +191,7 @@
   if (status.counterfactual) json["hindsight"] = toJson(*status.counterfactual);
   json["drain"] = nullptr;
   if (!status.drain) return json;
-  const Status::DrainStatus& drainStatus = *status.drain;
+  const DrainStatus& drainStatus = *status.drain;
   json["drain"] = {{"number", drainStatus.number},
                    {"asked_ms_ago", toMilliseconds(drainStatus.requestedAgo)},
                    {"deadline_in_ms", toMilliseconds(drainStatus.deadlineIn)},
@@ -199,11 +199,11 @@
                    {"front_told", drainStatus.frontLayerNotified},
                    {"open_at_ask", drainStatus.requestsAtStart},
                    {"since_ask",
-                    {{"done", drainStatus.completed},
-                     {"throttled", drainStatus.rejected},
-                     {"cancelled", drainStatus.failed},
-                     {"left", drainStatus.abandoned},
-                     {"turned_away", drainStatus.rejectedByDrain}}},
+                    {{"done", drainStatus.totals.completed},
+                     {"throttled", drainStatus.totals.rejected},
+                     {"cancelled", drainStatus.totals.failed},
+                     {"left", drainStatus.totals.abandoned},
+                     {"turned_away", drainStatus.totals.rejectedByDrain}}},
                    {"ended_by_deadline", drainStatus.requestsEndedByDeadline},
                    {"missed", drainStatus.deadlineMissed},
                    {"cancelled", drainStatus.cancelled},
@@ -299,7 +299,7 @@
   return request;
 }
 
-std::string formatStatusReply(const std::string& id, const Status& status) {
+std::string formatStatusReply(const std::string& id, const ControllerStatus& status) {
   return toLine({{"v", kProtocolVersion}, {"id", Json::parse(id)}, {"ok", true}, {"status", toJson(status)}});
 }
 
@@ -307,14 +307,13 @@
   return toLine({{"v", kProtocolVersion}, {"id", Json::parse(id)}, {"ok", true}});
 }
 
-std::string formatEnginesReply(const std::string& id,
-                               const std::vector<ServiceLifecycle::EngineStatus>& engines) {
+std::string formatEnginesReply(const std::string& id, const std::vector<EngineStatus>& engines) {
   Json engineList = Json::array();
   const auto millisecondsOrNull = [](const std::optional<Duration>& duration) {
     return duration ? Json(toMilliseconds(*duration)) : Json(nullptr);
   };
   for (std::size_t index = 0; index < std::min(engines.size(), kMaxEnginesPerReply); ++index) {
-    const ServiceLifecycle::EngineStatus& engine = engines[index];
+    const EngineStatus& engine = engines[index];
     Json addresses = Json::array();
     for (const auto& address : engine.addresses) {
       Json addressJson{
@@ -348,7 +347,7 @@
   return toLine(response);
 }
 
-std::string formatProgressEvent(const Status& status) {
+std::string formatProgressEvent(const ControllerStatus& status) {
   return toLine({{"v", kProtocolVersion}, {"event", "progress"}, {"status", toJson(status)}});
 }
 
--- a/src/admin/admin_protocol.hpp
+++ b/src/admin/admin_protocol.hpp
@@ -5,7 +5,8 @@
 #include <string>
 #include <string_view>
 
-#include "admin/service_lifecycle.hpp"
+#include "addresses/address_table.hpp"
+#include "admin/status.hpp"
 #include "base/error.hpp"
 
 namespace paddletrack::admin {
@@ -34,11 +35,10 @@
 // On failure `id` is filled in as far as it could be read.
 AdminRequest parseAdminRequest(std::string_view line, std::string& id);
 
-std::string formatStatusReply(const std::string& id, const Status& status);
-std::string formatProgressEvent(const Status& status);
+std::string formatStatusReply(const std::string& id, const ControllerStatus& status);
+std::string formatProgressEvent(const ControllerStatus& status);
 constexpr std::size_t kMaxEnginesPerReply = 64;  // in one reply, which names the next
-std::string formatEnginesReply(const std::string& id,
-                               const std::vector<ServiceLifecycle::EngineStatus>& engines);
+std::string formatEnginesReply(const std::string& id, const std::vector<EngineStatus>& engines);
 std::string formatOkReply(const std::string& id);  // done
 std::string formatErrorReply(const std::string& id, const char* code, const std::string& message);
 std::string formatDrainErrorReply(const std::string& id, drain::DrainError drainError,
--- a/src/admin/operator_config.hpp
+++ b/src/admin/operator_config.hpp
@@ -1,4 +1,4 @@
-// The operator's own file: what is switched on beside the platform's configuration, and how.
+/// The operator's file (HCL): which optional parts of the controller are switched on, and how.
 #pragma once
 
 #include <chrono>
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "addresses/address_table.hpp"
+#include "admin/config_values.hpp"
 #include "base/error.hpp"
 #include "base/logger.hpp"
 #include "discovery/reconnect_schedule.hpp"
@@ -15,53 +16,58 @@
 
 namespace paddletrack::admin {
 
-// "FILE:LINE:COLUMN: KEY: what was expected"; its place is all but the last.
+/// What is wrong in the file. The text is "FILE:LINE:COLUMN: KEY: what was expected", its context all but the
+/// last part.
 struct OperatorConfigError : ErrorOfKind<ErrorKind::invalidOperatorFile> {
   using ErrorOfKind::ErrorOfKind;
 };
 
+/// The admin server (block `door`).
 struct AdminServerOptions {
-  std::string socketPath;  // path; empty: no door
+  std::string socketPath;  // Empty: no admin server.
   std::size_t maxClients = 8;
-  std::size_t maxLineBytes = 16 * 1024;     // bytes of a message from a client
-  std::size_t maxUnsentBytes = 256 * 1024;  // bytes that one client may leave unread
-  std::chrono::microseconds idleTimeout{
-      std::chrono::seconds(10)};  // without a whole message, or without reading
+  std::size_t maxLineBytes = 16 * 1024;     // Of a message from a client.
+  std::size_t maxUnsentBytes = 256 * 1024;  // That one client may leave unread.
+  // For a client that completes no message, or that does not read.
+  std::chrono::microseconds idleTimeout{std::chrono::seconds(10)};
+  bool operator==(const AdminServerOptions&) const = default;
 };
 
-// What is shared with the other controllers, and with whom (docs/share.md).
+/// What is shared with the other controllers by gossip (block `share`, docs/share.md).
 struct GossipOptions {
-  std::string listenAddress;       // IPv4 address and port; empty: nothing is shared
-  std::vector<std::string> peers;  // likewise, up to 1024
+  std::string listenAddress;       // IPv4 address and port. Empty: no gossip.
+  std::vector<std::string> peers;  // Addresses of the same form.
   std::chrono::microseconds interval{std::chrono::milliseconds(200)};
   std::string cluster = "paddletrack";
   std::chrono::microseconds retentionDuration{std::chrono::minutes(10)};
   bool operator==(const GossipOptions&) const = default;
 };
 
-// Where groups of tables should lie (docs/rebalance.md).
+/// Placement of table groups on engines (block `rebalance`, docs/rebalance.md).
 struct RebalanceOptions {
-  std::size_t engineCapacityBytes = 0;            // bytes of groups that an engine keeps warm; 0: off
-  std::size_t groupBytes = std::size_t{1} << 30;  // what one counts
-  std::chrono::microseconds interval{std::chrono::seconds(20)}, guardDuration{std::chrono::seconds(1)};
-  std::size_t placementBiasPercent =
-      50;  // per cent of its score that an engine counts for jobs whose group should be there
+  std::size_t engineCapacityBytes = 0;            // Groups that an engine keeps warm. 0: no rebalancing.
+  std::size_t groupBytes = std::size_t{1} << 30;  // Size that a group is assumed to have.
+  std::chrono::microseconds interval{std::chrono::seconds(20)};
+  std::chrono::microseconds guardDuration{std::chrono::seconds(1)};
+  // Percentage of its score that an engine counts for requests whose group is placed on it.
+  std::size_t placementBiasPercent = 50;
   bool operator==(const RebalanceOptions&) const = default;
 };
 
-// What is kept to look back at decisions (docs/hindsight.md).
+/// Records of decisions for counterfactual reports (block `hindsight`, docs/hindsight.md).
 struct CounterfactualOptions {
-  std::size_t maxRecords = 0;  // 0: nothing is kept
+  std::size_t maxRecords = 0;  // 0: no records.
   std::chrono::microseconds window{std::chrono::minutes(5)};
   bool operator==(const CounterfactualOptions&) const = default;
 };
 
 enum class LogFormat { text, json };
 
+/// All settings of the operator's file; keys that are absent have their defaults.
 struct OperatorConfig {
   AdminServerOptions adminServer;
   drain::Options drain;
-  discovery::ReconnectOptions reconnect;  // but for the number of controllers
+  discovery::ReconnectOptions reconnect;  // Except `controllerCount`, which the node's configuration sets.
   std::vector<addresses::AddressFamily> familyPreference = addresses::ConnectOptions{}.familyPreference;
   GossipOptions gossip;
   RebalanceOptions rebalance;
@@ -70,25 +76,17 @@
   LogLevel logLevel = LogLevel::info;
   std::map<std::string, LogLevel> topicLevels;
 
-  // Every key with its value in force and where that came from, in the order of the reference.
+  /// A key with its value in force and where that was set: "FILE:LINE" or "default".
   struct Entry {
     std::string key, value, origin;
   };
-  std::vector<Entry> entries;
+  std::vector<Entry> entries;  // All keys, in the order of the reference.
 };
 
 OperatorConfig defaultOperatorConfig();
+/// Reads and checks a file. Throws FileReadError or OperatorConfigError.
 OperatorConfig readOperatorConfig(const std::string& path);
+/// Checks a parsed file; `path` is for errors and origins. Throws OperatorConfigError.
 OperatorConfig parseOperatorConfig(const hcl::Body& body, const std::string& path);
 
-// Also for the command line: "20s", "1.5m", "250ms"; throws std::invalid_argument.
-std::chrono::microseconds parseDuration(const std::string& text);
-std::string formatDuration(std::chrono::microseconds duration);
-std::size_t parseByteSize(const std::string& text);  // "4MiB", "16KiB", "512"
-LogLevel parseLogLevel(const std::string& name);
-const char* nameOf(LogLevel level);
-
-// The known name that is nearest to one that is not known; empty: none is near.
-std::string findClosestName(const std::string& name, const std::vector<std::string>& candidates);
-
 }  // namespace paddletrack::admin
--- a/src/admin/service_lifecycle.cpp
+++ b/src/admin/service_lifecycle.cpp
@@ -3,9 +3,27 @@
 #include <unistd.h>
 
 #include <algorithm>
-#include <array>
+#include <utility>
+
+#include "admin/engine_status.hpp"
 
 namespace paddletrack::admin {
+namespace {
+
+// Positions in drain::OpenWork::responseCounts.
+constexpr std::size_t kAbandonedIndex = 0;
+constexpr std::size_t kCompletedIndex = 1;
+constexpr std::size_t kRejectedIndex = 2;
+constexpr std::size_t kFailedIndex = 3;
+
+constexpr int kMaxAdvanceRounds = 2;  // The second one follows the end of all requests.
+constexpr Duration kMinAdvanceDelay{std::chrono::milliseconds(1)};
+
+std::int64_t toMilliseconds(Duration duration) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
+}  // namespace
 
 ServiceLifecycle::ServiceLifecycle(transport::Scheduler& scheduler, routing::RequestRouter& router,
                                    routing::ClientListener& clientListener, std::string name,
@@ -43,8 +61,7 @@
       drain_.requestDrain(router_.now(), deadline, retryAfter, countOpenWork());
   if (drainError != drain::DrainError::none) return drainError;
   const drain::DrainProgress& progress = *drain_.progress();
-  const auto remainingMs =
-      std::chrono::duration_cast<std::chrono::milliseconds>(progress.deadline - router_.now()).count();
+  const std::int64_t remainingMs = toMilliseconds(progress.deadline - router_.now());
   log_("drain",
        "drain " + std::to_string(progress.number) + " asked by " + requestedBy + ", deadline in " +
            std::to_string(remainingMs) + " ms",
@@ -74,8 +91,7 @@
     maxRequestTimeout = std::max(maxRequestTimeout, requestClass.requestTimeout);
   drain_.onTerminate(router_.now(), maxRequestTimeout);
   const Duration responseDeadline = *drain_.responseDeadline();
-  const auto remainingMs =
-      std::chrono::duration_cast<std::chrono::milliseconds>(responseDeadline - router_.now()).count();
+  const std::int64_t remainingMs = toMilliseconds(responseDeadline - router_.now());
   log_("leaving", std::to_string(router_.openRequestCount()) + " requests open, " +
                       std::to_string(remainingMs) + " ms at most");
   router_.setFinalDeadline(responseDeadline);
@@ -86,7 +102,8 @@
   const drain::State previousState = drain_.state();
   const bool isHealthy = drain_.onHeartbeat(router_.now());
   if (drain_.state() != previousState) onStateChanged(previousState);
-  if (previousState == drain::State::leaving) advanceDrain();  // from the first bad one on its time runs
+  // The time in this state runs from the first unhealthy heartbeat.
+  if (previousState == drain::State::leaving) advanceDrain();
   return isHealthy;
 }
 
@@ -105,26 +122,27 @@
   work.incomingClients = clientListener_.incomingConnectionCount();
   work.openConnections = clientListener_.openSocketCount();
   work.responseCounts = router_.totals().responses;
-  work.responseCounts[0] = router_.totals().clientsGone;
+  work.responseCounts[kAbandonedIndex] = router_.totals().clientsGone;
   work.rejectedByDrain = rejectedByDrain_;
   return work;
 }
 
 void ServiceLifecycle::advanceDrain() {
-  for (int round = 0; round < 2; ++round) {
+  for (int round = 0; round < kMaxAdvanceRounds; ++round) {
     const drain::State previousState = drain_.state();
     const drain::DrainStateMachine::Actions actions = drain_.advance(router_.now(), countOpenWork());
     if (drain_.state() != previousState) onStateChanged(previousState);
     if (actions.shouldCloseConnections) clientListener_.close();
     if (actions.shouldExit) {
       log_("leaving", std::to_string(router_.openRequestCount()) + " requests open at the end");
-      return exit_();
+      exit_();
+      return;
     }
     if (!actions.shouldEndRequests) break;
     router_.finishAllRequests();
   }
   if (const auto nextAt = drain_.nextAdvanceAt(router_.now()))
-    advanceTimer_.runAt(scheduler_.now() + std::max(*nextAt - router_.now(), Duration{1000}));
+    advanceTimer_.runAt(scheduler_.now() + std::max(*nextAt - router_.now(), kMinAdvanceDelay));
 }
 
 void ServiceLifecycle::onStateChanged(drain::State previousState) {
@@ -139,106 +157,88 @@
   if (stateListener_) stateListener_();
 }
 
-Status ServiceLifecycle::status() const {
-  Status snapshot;
+ControllerStatus ServiceLifecycle::status() const {
   const Duration now = router_.now();
-  snapshot.name = name_;
-  snapshot.processId = static_cast<std::uint64_t>(::getpid());
-  snapshot.state = drain_.state();
-  snapshot.isStopping = drain_.isStopping();
-  snapshot.uptime = now;
-  std::vector<std::size_t> countByClass(router_.config().requestClassNames.size());
-  std::vector<drain::CompletionEstimator::OpenRequest> openRequests;
-  router_.forEachOpenRequest([&](const routing::RequestContext& requestContext) {
-    ++snapshot.open.requests;
-    ++countByClass[requestContext.requestClass->index];
-    const Duration remaining = std::max(requestContext.deadline - now, Duration{0});
-    snapshot.open.maxRemaining = std::max(snapshot.open.maxRemaining, remaining);
-    openRequests.push_back({requestContext.requestClass->index, now - requestContext.arrivedAt, remaining});
-  });
-  for (std::size_t index = 0; index < countByClass.size(); ++index)
-    snapshot.open.requestsByClass.emplace_back(router_.config().requestClassNames[index],
-                                               countByClass[index]);
-  snapshot.open.attempts = router_.attemptsInFlight();
-  snapshot.open.unsentBytes = clientListener_.unsentBytes();
-  snapshot.open.connections = clientListener_.connectionCount();
-  const routing::RequestRouter::Totals& totals = router_.totals();
-  snapshot.accepted = totals.requests;
-  snapshot.abandoned = totals.clientsGone;
-  snapshot.completed = totals.responses[1];
-  snapshot.rejected = totals.responses[2];
-  snapshot.failed = totals.responses[3];
-  snapshot.rejectedByDrain = rejectedByDrain_;
-  snapshot.expectedCompletion = completionEstimator_.estimateCompletion(openRequests);
-  if (gossipSource_) snapshot.gossip = gossipSource_();
-  if (endpointListSource_) snapshot.endpointList = endpointListSource_();
-  if (counterfactualSource_) snapshot.counterfactual = counterfactualSource_();
+  ControllerStatus status;
+  status.name = name_;
+  status.processId = static_cast<std::uint64_t>(::getpid());
+  status.state = drain_.state();
+  status.isStopping = drain_.isStopping();
+  status.uptime = now;
+  status.open = openWorkStatus(now);
+  status.accepted = router_.totals().requests;
+  status.totals = requestTotals();
+  status.expectedCompletion = completionEstimator_.estimateCompletion(listOpenRequests(now));
+  if (gossipSource_) status.gossip = gossipSource_();
+  if (endpointListSource_) status.endpointList = endpointListSource_();
+  if (counterfactualSource_) status.counterfactual = counterfactualSource_();
   if (const drain::DrainProgress* progress = drain_.progress()) {
-    Status::DrainStatus& drainStatus = snapshot.drain.emplace();
-    drainStatus.number = progress->number;
-    drainStatus.requestedAgo = now - progress->requestedAt;
-    drainStatus.deadlineIn = progress->deadline - now;
-    drainStatus.retryAfter = progress->retryAfter;
-    drainStatus.frontLayerNotified = progress->firstUnhealthyAt.has_value();
-    drainStatus.deadlineMissed = progress->deadlineMissed;
-    drainStatus.cancelled = progress->cancelled;
-    if (progress->drainedAt) drainStatus.drainedAfter = *progress->drainedAt - progress->requestedAt;
-    drainStatus.requestsAtStart = progress->workAtStart.openRequests;
-    drainStatus.requestsEndedByDeadline = progress->requestsEndedByDeadline;
-    drainStatus.abandoned = totals.clientsGone - progress->workAtStart.responseCounts[0];
-    drainStatus.completed = totals.responses[1] - progress->workAtStart.responseCounts[1];
-    drainStatus.rejected = totals.responses[2] - progress->workAtStart.responseCounts[2];
-    drainStatus.failed = totals.responses[3] - progress->workAtStart.responseCounts[3];
-    drainStatus.rejectedByDrain = rejectedByDrain_ - progress->workAtStart.rejectedByDrain;
-    if (snapshot.expectedCompletion && drain_.isDraining())  // the deadline ends what is open then
-      snapshot.expectedCompletion->remaining =
-          std::min(snapshot.expectedCompletion->remaining, std::max(drainStatus.deadlineIn, Duration{0}));
+    const DrainStatus& latestDrain = status.drain.emplace(drainStatus(*progress, now));
+    // The deadline of a drain ends all requests that are open then.
+    if (status.expectedCompletion && drain_.isDraining())
+      status.expectedCompletion->remaining =
+          std::min(status.expectedCompletion->remaining, std::max(latestDrain.deadlineIn, Duration{0}));
   }
-  return snapshot;
+  return status;
 }
 
-std::vector<ServiceLifecycle::EngineStatus> ServiceLifecycle::listEngines(const std::string& firstEngineId,
-                                                                          std::size_t limit) const {
-  std::vector<const routing::EngineEndpoint*> engines;
-  router_.forEachEndpoint([&](const routing::EngineEndpoint& fakeEngine) {
-    if (fakeEngine.id >= firstEngineId) engines.push_back(&fakeEngine);
+OpenWorkStatus ServiceLifecycle::openWorkStatus(Duration now) const {
+  const std::vector<std::string>& classNames = router_.config().requestClassNames;
+  OpenWorkStatus status;
+  std::vector<std::size_t> countByClass(classNames.size());
+  router_.forEachOpenRequest([&](const routing::RequestContext& context) {
+    ++status.requests;
+    ++countByClass[context.requestClass->index];
+    status.maxRemaining = std::max(status.maxRemaining, context.deadline - now);
   });
-  std::sort(engines.begin(), engines.end(),
-            [](const auto* left, const auto* right) { return left->id < right->id; });
-  if (engines.size() > limit) engines.resize(limit);
-  const Duration now = router_.addressClock();
-  std::vector<EngineStatus> statuses;
-  for (const routing::EngineEndpoint* engine : engines) {
-    static constexpr std::array<const char*, 3> kStateNames{"ready", "draining", "gone"};
-    EngineStatus& engineStatus = statuses.emplace_back();
-    engineStatus.id = engine->id;
-    engineStatus.state = kStateNames[static_cast<std::size_t>(engine->endpoint.state)];
-    engineStatus.connections = engine->connections.size();
-    engineStatus.attempts = engine->inFlightAttempts.size();
-    engineStatus.connecting = engine->pendingConnects;
-    for (const addresses::AddressHealth& health : engine->addressTable.entries()) {
-      EngineStatus::AddressStatus& addressStatus = engineStatus.addresses.emplace_back();
-      addressStatus.name = health.name;
-      addressStatus.family = nameOf(health.family);
-      addressStatus.state = nameOf(addresses::evaluateState(health, now));
-      addressStatus.connections =
-          static_cast<std::size_t>(std::count_if(engine->connections.begin(), engine->connections.end(),
-                                                 [&](const routing::EngineConnection* connection) {
-                                                   return connection->addressName == health.name;
-                                                 }));
-      if (health.lastSuccessAt) addressStatus.lastSuccessAgo = now - *health.lastSuccessAt;
-      if (health.lastFailureAt) {
-        addressStatus.lastFailureAgo = now - *health.lastFailureAt;
-        addressStatus.lastFailure = nameOf(health.lastFailure);
-      }
-      addressStatus.connectDuration = health.meanConnectTime;
-      addressStatus.backoffRemaining =
-          health.consecutiveFailures > 0 ? std::max(health.backoffUntil - now, Duration{0}) : Duration{0};
-      for (const auto& overrideEnd : {health.avoidedUntil, health.preferredUntil})
-        if (overrideEnd && *overrideEnd > now) addressStatus.overrideRemaining = *overrideEnd - now;
-    }
-  }
-  return statuses;
+  for (std::size_t index = 0; index < countByClass.size(); ++index)
+    status.requestsByClass.emplace_back(classNames[index], countByClass[index]);
+  status.attempts = router_.attemptsInFlight();
+  status.unsentBytes = clientListener_.unsentBytes();
+  status.connections = clientListener_.connectionCount();
+  return status;
+}
+
+std::vector<drain::CompletionEstimator::OpenRequest> ServiceLifecycle::listOpenRequests(Duration now) const {
+  std::vector<drain::CompletionEstimator::OpenRequest> openRequests;
+  router_.forEachOpenRequest([&](const routing::RequestContext& context) {
+    const Duration remaining = std::max(context.deadline - now, Duration{0});
+    openRequests.push_back({context.requestClass->index, now - context.arrivedAt, remaining});
+  });
+  return openRequests;
+}
+
+RequestTotals ServiceLifecycle::requestTotals() const {
+  const routing::RequestRouter::Totals& totals = router_.totals();
+  return {totals.clientsGone, totals.responses[kCompletedIndex], totals.responses[kRejectedIndex],
+          totals.responses[kFailedIndex], rejectedByDrain_};
+}
+
+DrainStatus ServiceLifecycle::drainStatus(const drain::DrainProgress& progress, Duration now) const {
+  const drain::OpenWork& workAtStart = progress.workAtStart;
+  const RequestTotals totals = requestTotals();
+  DrainStatus status;
+  status.number = progress.number;
+  status.requestedAgo = now - progress.requestedAt;
+  status.deadlineIn = progress.deadline - now;
+  status.retryAfter = progress.retryAfter;
+  status.frontLayerNotified = progress.firstUnhealthyAt.has_value();
+  status.deadlineMissed = progress.deadlineMissed;
+  status.cancelled = progress.cancelled;
+  if (progress.drainedAt) status.drainedAfter = *progress.drainedAt - progress.requestedAt;
+  status.requestsAtStart = workAtStart.openRequests;
+  status.requestsEndedByDeadline = progress.requestsEndedByDeadline;
+  status.totals = {totals.abandoned - workAtStart.responseCounts[kAbandonedIndex],
+                   totals.completed - workAtStart.responseCounts[kCompletedIndex],
+                   totals.rejected - workAtStart.responseCounts[kRejectedIndex],
+                   totals.failed - workAtStart.responseCounts[kFailedIndex],
+                   totals.rejectedByDrain - workAtStart.rejectedByDrain};
+  return status;
+}
+
+std::vector<EngineStatus> ServiceLifecycle::listEngines(const std::string& firstEngineId,
+                                                        std::size_t limit) const {
+  return listEngineStatuses(router_, firstEngineId, limit);
 }
 
 routing::RequestRouter::AddressLookup ServiceLifecycle::setAddressOverride(
--- a/src/admin/service_lifecycle.hpp
+++ b/src/admin/service_lifecycle.hpp
@@ -1,5 +1,3 @@
-// Keeps one controller in or out of service: brings the drain's decisions to the client side and the desk,
-// and what these hold to the drain.
 #pragma once
 
 #include <functional>
@@ -8,7 +6,7 @@
 #include <utility>
 #include <vector>
 
-#include "counterfactual/report.hpp"
+#include "admin/status.hpp"
 #include "drain/completion_estimator.hpp"
 #include "drain/drain_state_machine.hpp"
 #include "routing/client_listener.hpp"
@@ -17,123 +15,67 @@
 
 namespace paddletrack::admin {
 
-// What is to be told of a controller at one instant; figures are those of its books, but for the expected
-// end.
-struct Status {
-  std::string name;
-  std::uint64_t processId = 0;
-  drain::State state = drain::State::serving;
-  bool isStopping = false;
-  Duration uptime{0};
-  struct OpenWork {
-    std::size_t requests = 0, attempts = 0, unsentBytes = 0, connections = 0;
-    std::vector<std::pair<std::string, std::size_t>> requestsByClass;
-    Duration maxRemaining{0};  // until the last open job's time is up
-  } open;
-  std::uint64_t accepted = 0, abandoned = 0, completed = 0, rejected = 0, failed = 0, rejectedByDrain = 0;
-  struct DrainStatus {
-    std::uint64_t number = 0;
-    Duration requestedAgo{0}, deadlineIn{0}, retryAfter{0};
-    bool frontLayerNotified = false, deadlineMissed = false, cancelled = false;
-    std::optional<Duration> drainedAfter;
-    std::size_t requestsAtStart = 0, requestsEndedByDeadline = 0;
-    std::uint64_t abandoned = 0, completed = 0, rejected = 0, failed = 0,
-                  rejectedByDrain = 0;  // since the ask
-  };
-  std::optional<DrainStatus> drain;
-  std::optional<drain::CompletionEstimator::Estimate> expectedCompletion;  // an estimate
-
-  // What is shared among controllers, where that is switched on.
-  struct GossipStatus {
-    std::string cluster, controllerName;
-    std::uint64_t incarnation = 0, laterIncarnations = 0;  // met under its own name
-    std::size_t knownControllers = 0, entries = 0, bytes = 0, maxBytes = 0;
-    std::size_t peerCount = 0, activePeerCount = 0;  // heard within the last seconds
-    struct Peer {
-      std::string address, controllerName;
-      std::optional<Duration> lastMessageAgo;
-    };
-    std::vector<Peer> peers;  // kMostPeers at most
-    static constexpr std::size_t kMaxPeers = 64;
-    std::uint64_t datagramsReceived = 0, bytesReceived = 0, datagramsSent = 0, bytesSent = 0;
-    std::vector<std::pair<const char*, std::uint64_t>> droppedByReason;  // by reason
-    struct Load {
-      std::uint64_t threads = 0, requests = 0;
-    };
-    std::size_t reportingControllers = 0,
-                liveControllers = 0;  // that tell of their load, and those heard of lately
-    Load totalLoad;
-    std::vector<std::pair<std::string, Load>> engineLoads;  // kMostEngines at most, by name
-    static constexpr std::size_t kMaxEngines = 1024;
-  };
-  std::optional<GossipStatus> gossip;
-  std::optional<routing::EndpointWatcher::Status> endpointList;
-
-  // What looking back tells, where that is switched on: of this controller, and of all that share.
-  struct CounterfactualStatus {
-    Duration window{0};
-    std::size_t maxRecords = 0, recordCount = 0, openRequests = 0;
-    std::uint64_t finishedRequests = 0, droppedRecords = 0;
-    counterfactual::CounterfactualReport local;
-    std::optional<counterfactual::CounterfactualReport> fleet;
-  };
-  std::optional<CounterfactualStatus> counterfactual;
-};
-
+/// Takes a controller out of service and brings it back: carries the decisions of the drain state machine to
+/// the client listener and the request router, and reports the open work of these to the state machine.
 class ServiceLifecycle final : public routing::ServiceGate {
  public:
+  /// Registers itself as the client listener's gate. All references must outlive the object. `exit` is called
+  /// when the process may end after onTerminate().
   ServiceLifecycle(transport::Scheduler& scheduler, routing::RequestRouter& router,
                    routing::ClientListener& clientListener, std::string name, const drain::Options& options,
                    const Logger& log, std::function<void()> exit);
-  ~ServiceLifecycle();
+  ServiceLifecycle(const ServiceLifecycle&) = delete;
+  ServiceLifecycle& operator=(const ServiceLifecycle&) = delete;
+  ~ServiceLifecycle() override;
 
+  /// Starts a drain, or changes the deadline and the retry time of one that is under way. Both are spans from
+  /// now; the configured values stand in for absent ones. `requestedBy` is for the log.
   drain::DrainError requestDrain(std::optional<Duration> deadline, std::optional<Duration> retryAfter,
                                  const std::string& requestedBy);
+  /// Brings the controller back into service.
   drain::DrainError cancelDrain(const std::string& requestedBy);
-  void onTerminate();  // SIGTERM
+  /// SIGTERM: the process ends as soon as nothing is open, or at the latest at the final deadline.
+  void onTerminate();
+
+  /// Options of drains that are requested from now on.
   void setDrainOptions(const drain::Options& options) { drain_.setOptions(options); }
+  const drain::Options& drainOptions() const { return drain_.options(); }
+  /// The order in which address families are tried from now on.
   void setFamilyPreference(std::vector<addresses::AddressFamily> families) {
     router_.setFamilyPreference(std::move(families));
   }
-  const drain::Options& drainOptions() const { return drain_.options(); }
 
-  Status status() const;
+  ControllerStatus status() const;
   drain::State state() const { return drain_.state(); }
-
-  // Engines by id, from one on, so many at most.
-  struct EngineStatus {
-    std::string id, state;
-    std::size_t connections = 0, attempts = 0, connecting = 0;
-    struct AddressStatus {
-      std::string name, family, state;
-      std::size_t connections = 0;
-      std::optional<Duration> lastSuccessAgo, lastFailureAgo, connectDuration, overrideRemaining;
-      std::string lastFailure;
-      Duration backoffRemaining{0};
-    };
-    std::vector<AddressStatus> addresses;
-  };
+  /// Engines in the order of their ids, from `firstEngineId` on, at most `limit` of them.
   std::vector<EngineStatus> listEngines(const std::string& firstEngineId, std::size_t limit) const;
+  /// Avoids or prefers an address of an engine for `overrideDuration`, and logs who requested it.
   routing::RequestRouter::AddressLookup setAddressOverride(
       const std::string& engine, const std::string& address,
       addresses::AddressTable::ManualOverride addressOverride, Duration overrideDuration,
       const std::string& requestedBy);
-  void setGossipSource(std::function<Status::GossipStatus()> source) { gossipSource_ = std::move(source); }
-  void setCounterfactualSource(std::function<Status::CounterfactualStatus()> source) {
+
+  /// Each source reports the status of a part that can be switched off; without one the part is absent.
+  void setGossipSource(std::function<GossipStatus()> source) { gossipSource_ = std::move(source); }
+  void setCounterfactualSource(std::function<CounterfactualStatus()> source) {
     counterfactualSource_ = std::move(source);
   }
-  void setStateListener(std::function<void()> listener) {
-    stateListener_ = std::move(listener);
-  }  // of the state
   void setEndpointListSource(std::function<routing::EndpointWatcher::Status()> source) {
     endpointListSource_ = std::move(source);
   }
-  void enableCompletionEstimates();  // of jobs, for the expected end
+  /// Called after each change of the state.
+  void setStateListener(std::function<void()> listener) { stateListener_ = std::move(listener); }
+  /// Records the latency of responses from now on, for the estimate of when the open requests are completed.
+  void enableCompletionEstimates();
 
  private:
   bool onHeartbeat() override;
   std::optional<Duration> checkRejection() override;
   drain::OpenWork countOpenWork() const;
+  OpenWorkStatus openWorkStatus(Duration now) const;
+  std::vector<drain::CompletionEstimator::OpenRequest> listOpenRequests(Duration now) const;
+  RequestTotals requestTotals() const;
+  DrainStatus drainStatus(const drain::DrainProgress& progress, Duration now) const;
   void advanceDrain();
   void onStateChanged(drain::State previousState);
 
@@ -144,9 +86,9 @@
   const Logger& log_;
   const std::function<void()> exit_;
   std::function<void()> stateListener_;
-  std::function<Status::GossipStatus()> gossipSource_;
+  std::function<GossipStatus()> gossipSource_;
   std::function<routing::EndpointWatcher::Status()> endpointListSource_;
-  std::function<Status::CounterfactualStatus()> counterfactualSource_;
+  std::function<CounterfactualStatus()> counterfactualSource_;
   drain::DrainStateMachine drain_;
   drain::CompletionEstimator completionEstimator_;
   std::uint64_t rejectedByDrain_ = 0;
--- /dev/null
+++ b/src/program/config_printer.hpp
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <string>
+
+#include "program/node_config.hpp"
+#include "program/operator_options.hpp"
+
+namespace paddletrack::program {
+
+/// Prints every setting in force with its origin to standard output, one on a line.
+void printConfig(const NodeConfig& nodeConfig, const std::string& nodeConfigPath,
+                 const OperatorOptions& operatorOptions);
+
+}  // namespace paddletrack::program
--- /dev/null
+++ b/src/program/config_reloader.hpp
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <string>
+
+#include "admin/service_lifecycle.hpp"
+#include "base/logger.hpp"
+#include "program/log_writer.hpp"
+#include "program/node_config.hpp"
+#include "program/operator_options.hpp"
+#include "routing/endpoint_watcher.hpp"
+
+namespace paddletrack::program {
+
+/// Reads both configuration files again and applies what can change without a restart. A file with an error
+/// is logged and leaves everything as it was. All references must outlive the reloader.
+class ConfigReloader {
+ public:
+  ConfigReloader(std::string nodeConfigPath, const NodeConfig& nodeConfig, OperatorOptions& operatorOptions,
+                 routing::EndpointWatcher& endpointWatcher, admin::ServiceLifecycle& lifecycle,
+                 LogWriter& logWriter, const Logger& log);
+
+  /// Reloads the node's configuration and then the operator's file, if there is one.
+  void reload();
+
+ private:
+  void reloadNodeConfig();
+  void applyNodeConfig(const NodeConfig& newConfig);
+  void reloadOperatorConfig();
+  /// Puts the current value back wherever `newConfig` changes what only a restart can change.
+  void keepRestartOnlySections(admin::OperatorConfig& newConfig) const;
+  void applyOperatorConfig(admin::OperatorConfig newConfig);
+
+  const std::string nodeConfigPath_;
+  const NodeConfig& nodeConfig_;
+  OperatorOptions& operatorOptions_;
+  routing::EndpointWatcher& endpointWatcher_;
+  admin::ServiceLifecycle& lifecycle_;
+  LogWriter& logWriter_;
+  const Logger& log_;
+};
+
+}  // namespace paddletrack::program
--- a/src/program/serve.hpp
+++ b/src/program/operator_options.hpp
@@ -4,13 +4,12 @@
 #include <string>
 
 #include "admin/operator_config.hpp"
-#include "program/node_config.hpp"
 
 namespace paddletrack::program {
 
-// The operator's part: the file, if any, and what the command line says over it.
+/// The operator's settings: the operator's file, if there is one, and what the command line overrides in it.
 struct OperatorOptions {
-  std::string configPath;
+  std::string configPath;  // Empty if there is no operator's file.
   admin::OperatorConfig config = admin::defaultOperatorConfig();
   std::optional<admin::LogFormat> logFormatOverride;
   std::optional<LogLevel> logLevelOverride;
@@ -19,7 +18,4 @@
   LogLevel logLevel() const { return logLevelOverride.value_or(config.logLevel); }
 };
 
-// Until SIGTERM or SIGINT; the exit code. SIGHUP reads both files again.
-int serve(const NodeConfig& nodeConfig, const std::string& configPath, OperatorOptions operatorOptions);
-
 }  // namespace paddletrack::program
--- /dev/null
+++ b/src/program/resource_budget.cpp
@@ -0,0 +1,78 @@
+#include "program/resource_budget.hpp"
+
+#include <fcntl.h>
+
+#include <algorithm>
+
+namespace paddletrack::program {
+namespace {
+
+constexpr std::size_t kOutputMemoryDivisor = 4;       // A fourth of the memory is for bytes to be sent.
+constexpr std::size_t kInputMemoryDivisor = 8;        // An eighth is for requests that are being received.
+constexpr std::size_t kOpenRequestMemoryDivisor = 4;  // A fourth is for open requests.
+constexpr std::size_t kOpenRequestBytes = 8192;       // Estimated cost of an open request with its response.
+constexpr std::size_t kMaxFrameBytes = std::size_t{1} << 20;
+
+constexpr std::size_t kMinConnectionDescriptors = 14;  // For clients and engines together.
+constexpr std::size_t kStandardStreams = 3;
+constexpr std::size_t kServiceDescriptors = 3;    // epoll, signals and the client listener.
+constexpr std::size_t kDiscoveryDescriptors = 2;  // The endpoint list and the one that the node switches to.
+constexpr std::size_t kSpareDescriptors = 2;      // One for a file that is reloaded and one in reserve.
+constexpr std::size_t kReservedDescriptors =
+    kStandardStreams + kServiceDescriptors + kDiscoveryDescriptors + kSpareDescriptors;
+constexpr std::size_t kAdminServerDescriptors = 2;  // Beside its clients: the listener and a refused client.
+constexpr std::size_t kGossipDescriptors = 1;
+
+std::size_t countReservedDescriptors(const admin::OperatorConfig& config) {
+  std::size_t count = kReservedDescriptors;
+  if (!config.adminServer.socketPath.empty())
+    count += config.adminServer.maxClients + kAdminServerDescriptors;
+  if (!config.gossip.listenAddress.empty()) count += kGossipDescriptors;
+  return count;
+}
+
+std::size_t countConnectionDescriptors(std::size_t limit, std::size_t reserved, std::size_t inherited) {
+  // Many inherited descriptors do not prevent the start: they reduce only what exceeds the minimum.
+  const std::size_t maxDeductible = limit - reserved - kMinConnectionDescriptors;
+  return limit - reserved - std::min(inherited, maxDeductible);
+}
+
+}  // namespace
+
+std::size_t maxOutputBytes(const NodeConfig& nodeConfig) {
+  return nodeConfig.memoryLimitBytes / kOutputMemoryDivisor;
+}
+
+std::size_t countInheritedDescriptors(std::size_t limit) {
+  constexpr std::size_t kFirstDescriptor = 3;
+  constexpr std::size_t kMaxChecked = 4096;
+  std::size_t count = 0;
+  for (std::size_t index = kFirstDescriptor; index < std::min(limit, kMaxChecked); ++index)
+    if (::fcntl(static_cast<int>(index), F_GETFD) >= 0) ++count;
+  return count;
+}
+
+ResourceBudget computeResourceBudget(const NodeConfig& nodeConfig, const OperatorOptions& operatorOptions,
+                                     std::size_t inheritedDescriptors) {
+  const std::size_t reservedDescriptors = countReservedDescriptors(operatorOptions.config);
+  if (reservedDescriptors + kMinConnectionDescriptors > nodeConfig.descriptorLimit)
+    throw ConfigurationError(
+        operatorOptions.configPath + ": door.clients",
+        std::to_string(operatorOptions.config.adminServer.maxClients) + " leave too few of limits.sockets");
+  const std::size_t connectionDescriptors =
+      countConnectionDescriptors(nodeConfig.descriptorLimit, reservedDescriptors, inheritedDescriptors);
+  const std::size_t inputBytes = nodeConfig.memoryLimitBytes / kInputMemoryDivisor;
+
+  ResourceBudget budget;
+  // Engines are few, so that clients get two thirds. However many descriptors there are, the memory has room
+  // for a request of each client.
+  budget.maxClientConnections = std::min(connectionDescriptors * 2 / 3, inputBytes / kOpenRequestBytes);
+  budget.maxEngineConnections = connectionDescriptors - budget.maxClientConnections;
+  budget.maxOpenRequests =
+      std::min(nodeConfig.controllerConfig.maxOpenRequests,
+               nodeConfig.memoryLimitBytes / kOpenRequestMemoryDivisor / kOpenRequestBytes);
+  budget.maxFrameBytes = std::min(kMaxFrameBytes, inputBytes / budget.maxClientConnections);
+  return budget;
+}
+
+}  // namespace paddletrack::program
