--- a/src/routing/engine_connection.cpp
+++ b/src/routing/engine_connection.cpp
@@ -283,7 +283,7 @@
   }
   if (isSuspect()) return;
   recordOutcome(ConnectOutcome::unresponsive);
-  context_.logger(
+  context_.logger.warning(
       "silent",
       Error(ErrorKind::engineUnresponsive, "executor " + endpoint_.id, "a connection answers nothing"),
       {{"engine", endpoint_.id}, {"address", addressName_}});
