--- a/src/routing/engine_connector.cpp
+++ b/src/routing/engine_connector.cpp
@@ -176,7 +176,7 @@
   attempt.connectTime = addressBook_.now() - attempt.startedAt;
   if (!result.descriptor) {
     attempt.fail(result.error == ETIMEDOUT ? ConnectOutcome::timedOut : ConnectOutcome::refused);
-    logger_.info(
+    logger_.warning(
         "dial",
         SystemErrorOfKind<ErrorKind::connectFailed>("executor " + endpoint.id, "no connection", result.error),
         {{"engine", endpoint.id}, {"address", attempt.addressName}});
