--- a/src/counterfactual/decision_record.hpp
+++ b/src/counterfactual/decision_record.hpp
@@ -1,5 +1,5 @@
-// What is kept of one job's decision: who could have served it, with which chance, what other policies would
-// have done, and what came of it. docs/hindsight.md.
+// The record of one request's placement decision: the engines that could have served it, their probabilities,
+// what other policies would have done, and the outcome. See docs/hindsight.md.
 #pragma once
 
 #include <array>
@@ -10,68 +10,78 @@
 
 namespace paddletrack::counterfactual {
 
-// Other ways to choose. Each starts by the module's own rule on the engine that it wants, but for the last.
+/// Alternative policies for engine selection. All but the last start a request at the selected engine by the
+/// rule of the admission module.
 enum class Policy : std::uint8_t {
-  leastInFlight,  // fewest own threads in flight for its cores; the list's order breaks ties
-  twoChoices,     // the better of two by that, drawn at random from those that fit
-  nearest,        // of the own location where one fits, there by the module's score; else by the score alone
-  noProbabilisticStart,  // the module's engine, but never a start by chance above the mark
+  leastInFlight,  // fewest own threads in flight per core; the order of candidates breaks ties
+  twoChoices,     // of two random candidates the one with fewer threads in flight per core
+  nearest,        // the best score in the own zone, or the best of all if there is no candidate in the zone
+  noProbabilisticStart,  // the engine that the module selects, without starts above the concurrency target
 };
 constexpr std::size_t kPolicyCount = 4;
+/// Returns the policy's name in reports.
 const char* nameOf(Policy policy);
 
-constexpr std::size_t kMaxOptions = 8;  // engines of a record: those with the largest chance
-constexpr double kMinProbability =
-    0.05;                               // an engine taken more rarely is out of reach: weights stay below 20
-constexpr std::uint8_t kWaited = 0xff;  // at its first draw it did not start
-constexpr std::uint8_t kUnlistedEngine = 0xfe;  // on an engine that is not kept
+/// Engines in a record: those with the highest probabilities.
+constexpr std::size_t kMaxOptions = 8;
+/// Engines that are selected with a lower probability are unreachable. This keeps importance weights
+/// below 20.
+constexpr double kMinProbability = 0.05;
+/// Values of DecisionRecord::chosen: the first decision did not start the request, or started it at an engine
+/// that is not among the options.
+constexpr std::uint8_t kWaited = 0xff;
+constexpr std::uint8_t kUnlistedEngine = 0xfe;
 
-// What a policy would have done at one draw, as far as chance could have done it as well. The rest of its
-// wishes, `left`, is out of reach: there it is taken to do as the module did.
+/// What a policy would have done in one decision, as far as the logged policy could have done the same. The
+/// rest of its probability, asLoggedProbability, is assumed to act as the logged policy did.
 struct PolicyAction {
-  std::vector<double> startProbabilities;  // chance to start at each engine weighed
+  std::vector<double> startProbabilities;  // by candidate
   double waitProbability = 0;
-  double asLoggedProbability = 1;     // starts, waits and left sum to 1
-  double unreachableProbability = 0;  // of `left`: it wants another thing, out of reach
+  double asLoggedProbability = 1;     // sums to 1 with the two above
+  double unreachableProbability = 0;  // part of the above that is a different, unreachable action
 };
+/// The probabilities of one decision.
 struct Decision {
-  std::vector<double> selectionProbabilities;  // chance that each engine weighed is the one taken
-  std::vector<double> startProbabilities;      // and that the job starts there at once
+  std::vector<double> selectionProbabilities;  // that each candidate is selected
+  std::vector<double> startProbabilities;      // that the request starts there at once
   double waitProbability = 0;
   std::array<PolicyAction, kPolicyCount> policyActions;
 };
-// Pure: of what the module told (not empty), for a controller in `location`.
+/// Computes the probabilities of a decision among `candidates` (not empty) for a controller in `zone`.
 Decision analyzeDecision(const std::vector<Candidate>& candidates, unsigned zone);
-// The engine that a policy wants, by a chance from 0 to 1 of the caller's: an index into what was weighed.
-// `taken`: as Draw::taken.
+/// Returns the index of the candidate that the policy selects. `loggedIndex` is the one that the admission
+/// module selected, `randomDraw` a random number in [0, 1).
 std::size_t selectByPolicy(Policy policy, const std::vector<Candidate>& candidates, unsigned zone,
                            std::size_t loggedIndex, double randomDraw);
 
+/// The first decision of a request and its outcome.
 struct DecisionRecord {
-  Duration arrivedAt{0};  // taken
-  double latency = 0;     // seconds until its final answer; not done: all the time that its client gave it
+  Duration arrivedAt{0};
+  double latency = 0;  // seconds until the final response; for a failed request at least its time limit
   bool onTime = false;
-  bool wasDiverted = false;  // it went where the draw had not sent it: its chances are not known
-  std::uint8_t requestClass = 0, optionCount = 0;
-  std::uint8_t chosen = kWaited;  // of `engines`
-  float declaredCost = 0;         // work, in seconds of one thread
+  bool wasDiverted =
+      false;  // it started at another engine than decided, so that its probabilities are unknown
+  std::uint8_t requestClass = 0;
+  std::uint8_t optionCount = 0;
+  std::uint8_t chosen = kWaited;  // index in `options`, kWaited or kUnlistedEngine
+  float declaredCost = 0;         // in seconds of one thread
   struct Option {
     std::uint32_t engine = 0;  // Engine::number
     std::uint16_t zone = 0;
-    float startProbability = 0;  // chance that it is taken and the job started at the first draw
-    float utilization = 0;       // of its mark, with this job
+    float startProbability = 0;  // that the request starts there in its first decision
+    float utilization = 0;       // of its concurrency target, this request included
   };
   std::array<Option, kMaxOptions> options{};
-  float totalStartProbability = 0;  // over all engines weighed
-  struct PolicyOutcome {            // by policy
+  float totalStartProbability = 0;  // over all candidates
+  struct PolicyOutcome {
     std::array<float, kMaxOptions> startProbabilities{};
     float waitProbability = 0;
-    float asLoggedProbability = 1;  // the part of its wishes that is as the module did
-    float importanceWeight = 0;     // of what was done at the first draw: its chance there over the module's
-    float laterWeight = 1;          // of all that was done at later draws
-    float unreachableProbability = 0;  // the part of its wishes that is out of reach
+    float asLoggedProbability = 1;  // see PolicyAction
+    float importanceWeight = 0;  // first decision: the policy's probability of the action over the logged one
+    float laterWeight = 1;       // product of the weights of all later decisions
+    float unreachableProbability = 0;  // see PolicyAction
   };
-  std::array<PolicyOutcome, kPolicyCount> policies{};
+  std::array<PolicyOutcome, kPolicyCount> policies{};  // by Policy
 };
 
 }  // namespace paddletrack::counterfactual
--- a/src/counterfactual/decision_recorder.cpp
+++ b/src/counterfactual/decision_recorder.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr double kEqualityTolerance = 1e-9;
-constexpr double kMaxLaterWeight = 20;  // of later draws together: clipped there
+constexpr double kMaxLaterWeight = 20;  // importance weights are clipped at this value
 
 double seconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
 
@@ -17,7 +17,7 @@
   return candidate.engine->threadsInFlight / std::max(candidate.engine->effectiveCores, 1e-9);
 }
 
-// Indices by rising threads in flight; the order of what was weighed breaks ties.
+// Indices by ascending threads in flight per core. The order of candidates breaks ties.
 std::vector<std::size_t> orderByInFlight(const std::vector<Candidate>& candidates) {
   std::vector<std::size_t> order(candidates.size());
   std::iota(order.begin(), order.end(), std::size_t{0});
@@ -27,7 +27,21 @@
   return order;
 }
 
-// The chance of each to be wanted.
+// The candidate with the best score in the zone, or of all candidates if there is none in the zone.
+std::size_t findNearest(const std::vector<Candidate>& candidates, unsigned zone) {
+  const std::size_t count = candidates.size();
+  std::size_t bestIndex = count;
+  for (std::size_t index = 0; index < count; ++index)
+    if (candidates[index].engine->endpoint.zone == zone &&
+        (bestIndex == count || candidates[index].score < candidates[bestIndex].score))
+      bestIndex = index;
+  if (bestIndex < count) return bestIndex;
+  const auto hasLowerScore = [](const Candidate& a, const Candidate& b) { return a.score < b.score; };
+  return static_cast<std::size_t>(std::min_element(candidates.begin(), candidates.end(), hasLowerScore) -
+                                  candidates.begin());
+}
+
+// The probability of each candidate to be selected by the policy.
 std::vector<double> selectionByPolicy(Policy policy, const std::vector<Candidate>& candidates, unsigned zone,
                                       const std::vector<double>& loggedSelection) {
   std::vector<double> selection(candidates.size());
@@ -43,26 +57,78 @@
         selection[order[rank]] = count == 1 ? 1 : static_cast<double>(count - 1 - rank) / pairCount;
       break;
     }
-    case Policy::nearest: {
-      std::size_t bestIndex = count;
-      for (std::size_t index = 0; index < count; ++index)
-        if (candidates[index].engine->endpoint.zone == zone &&
-            (bestIndex == count || candidates[index].score < candidates[bestIndex].score))
-          bestIndex = index;
-      if (bestIndex == count) {
-        const auto hasLowerScore = [](const Candidate& a, const Candidate& b) { return a.score < b.score; };
-        bestIndex = static_cast<std::size_t>(
-            std::min_element(candidates.begin(), candidates.end(), hasLowerScore) - candidates.begin());
-      }
-      selection[bestIndex] = 1;
+    case Policy::nearest:
+      selection[findNearest(candidates, zone)] = 1;
       break;
-    }
     case Policy::noProbabilisticStart:
       selection = loggedSelection;
   }
   return selection;
 }
 
+// The probability that the policy starts the request at the candidate if it selects it.
+double startProbabilityUnder(Policy policy, const Candidate& candidate) {
+  if (policy != Policy::noProbabilisticStart) return candidate.startProbability;
+  return candidate.startProbability < 1 ? 0 : 1;
+}
+
+// `decision` holds the probabilities of the logged policy.
+PolicyAction computePolicyAction(Policy policy, const std::vector<Candidate>& candidates, unsigned zone,
+                                 const Decision& decision) {
+  PolicyAction action;
+  action.startProbabilities.assign(candidates.size(), 0);
+  const std::vector<double> selection =
+      selectionByPolicy(policy, candidates, zone, decision.selectionProbabilities);
+  double maxDifference = 0;  // from the logged policy
+  for (std::size_t index = 0; index < candidates.size(); ++index) {
+    const bool isReachable =
+        decision.selectionProbabilities[index] >= kMinProbability || policy == Policy::noProbabilisticStart;
+    if (selection[index] <= 0 || !isReachable) continue;
+    const double startProbability = startProbabilityUnder(policy, candidates[index]);
+    action.startProbabilities[index] = selection[index] * startProbability;
+    action.waitProbability += selection[index] * (1 - startProbability);
+    action.asLoggedProbability -= selection[index];
+    maxDifference = std::max(maxDifference,
+                             std::abs(action.startProbabilities[index] - decision.startProbabilities[index]));
+  }
+  action.asLoggedProbability = std::max(action.asLoggedProbability, 0.0);
+  action.unreachableProbability = action.asLoggedProbability;
+  const bool isSameAsLogged =
+      action.asLoggedProbability <= kEqualityTolerance && maxDifference <= kEqualityTolerance;
+  if (isSameAsLogged) return PolicyAction{std::vector<double>(candidates.size()), 0, 1, 0};
+  return action;
+}
+
+// Indices of the candidates that a record keeps as options, by descending probability. Candidates that are
+// never selected carry no information.
+std::vector<std::size_t> selectOptions(const std::vector<double>& selectionProbabilities) {
+  std::vector<std::size_t> order(selectionProbabilities.size());
+  std::iota(order.begin(), order.end(), std::size_t{0});
+  const std::size_t optionCount = std::min(order.size(), kMaxOptions);
+  std::partial_sort(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(optionCount), order.end(),
+                    [&](auto a, auto b) { return selectionProbabilities[a] > selectionProbabilities[b]; });
+  order.resize(optionCount);
+  while (!order.empty() && selectionProbabilities[order.back()] <= 0) order.pop_back();
+  return order;
+}
+
+// `order`: indices of the candidates that are kept as options.
+DecisionRecord::PolicyOutcome makePolicyOutcome(const PolicyAction& action,
+                                                const std::vector<std::size_t>& order) {
+  DecisionRecord::PolicyOutcome policyOutcome;
+  policyOutcome.waitProbability = static_cast<float>(action.waitProbability);
+  double keptProbability = action.waitProbability;
+  for (std::size_t index = 0; index < order.size(); ++index) {
+    policyOutcome.startProbabilities[index] = static_cast<float>(action.startProbabilities[order[index]]);
+    keptProbability += action.startProbabilities[order[index]];
+  }
+  // Actions at engines that are not among the options count as unreachable.
+  policyOutcome.asLoggedProbability = static_cast<float>(1 - keptProbability);
+  policyOutcome.unreachableProbability = static_cast<float>(
+      action.unreachableProbability + std::max(0.0, 1 - keptProbability - action.asLoggedProbability));
+  return policyOutcome;
+}
+
 }  // namespace
 
 const char* nameOf(Policy policy) {
@@ -96,38 +162,20 @@
     decision.waitProbability -= decision.startProbabilities.back();
   }
   decision.waitProbability = std::max(decision.waitProbability, 0.0);
-  for (std::size_t policy = 0; policy < kPolicyCount; ++policy) {
-    PolicyAction& action = decision.policyActions[policy];
-    action.startProbabilities.assign(candidates.size(), 0);
-    const bool startsOnlyWhenCertain = static_cast<Policy>(policy) == Policy::noProbabilisticStart;
-    const std::vector<double> selection =
-        selectionByPolicy(static_cast<Policy>(policy), candidates, zone, decision.selectionProbabilities);
-    double maxDifference = 0;  // from what the module does
-    for (std::size_t item = 0; item < candidates.size(); ++item) {
-      if (selection[item] <= 0 ||
-          (decision.selectionProbabilities[item] < kMinProbability && !startsOnlyWhenCertain))
-        continue;
-      const double startProbability = !startsOnlyWhenCertain ? candidates[item].startProbability
-                                      : candidates[item].startProbability < 1 ? 0
-                                                                              : 1;
-      action.startProbabilities[item] = selection[item] * startProbability;
-      action.waitProbability += selection[item] * (1 - startProbability);
-      action.asLoggedProbability -= selection[item];
-      maxDifference = std::max(maxDifference,
-                               std::abs(action.startProbabilities[item] - decision.startProbabilities[item]));
-    }
-    action.asLoggedProbability = action.unreachableProbability = std::max(action.asLoggedProbability, 0.0);
-    if (action.asLoggedProbability > kEqualityTolerance || maxDifference > kEqualityTolerance) continue;
-    action = PolicyAction{std::vector<double>(candidates.size()), 0, 1, 0};  // just what the module does
-  }
+  for (std::size_t policy = 0; policy < kPolicyCount; ++policy)
+    decision.policyActions[policy] =
+        computePolicyAction(static_cast<Policy>(policy), candidates, zone, decision);
   return decision;
 }
 
 void DecisionRecorder::onDecision(const Request& request, const std::vector<Candidate>& candidates) {
   resolvePendingDecision(kNotStarted);
-  if (!request.attempts.empty() || candidates.empty()) return;  // the record is of a job's first dispatch
+  if (!request.attempts.empty() || candidates.empty()) return;  // Only the first attempt is recorded.
   const bool hasOpenRecord = openRecords_.count(&request) > 0;
-  if (!hasOpenRecord && openRecords_.size() >= options_.maxRecords) return void(++dropped_);
+  if (!hasOpenRecord && openRecords_.size() >= options_.maxRecords) {
+    ++dropped_;
+    return;
+  }
   pending_.request = &request;
   pending_.isFirstDecision = !hasOpenRecord;
   pending_.engines.clear();
@@ -149,15 +197,7 @@
   record.declaredCost =
       static_cast<float>(request.declaredCost ? seconds(*request.declaredCost) : request.costTokens);
   record.totalStartProbability = static_cast<float>(1 - decision.waitProbability);
-  std::vector<std::size_t> order(candidates.size());
-  std::iota(order.begin(), order.end(), std::size_t{0});
-  record.optionCount = static_cast<std::uint8_t>(std::min(candidates.size(), kMaxOptions));
-  std::partial_sort(order.begin(), order.begin() + record.optionCount, order.end(), [&](auto a, auto b) {
-    return decision.selectionProbabilities[a] > decision.selectionProbabilities[b];
-  });
-  order.resize(record.optionCount);
-  // Those of a small chance are of no use to anybody later.
-  while (!order.empty() && decision.selectionProbabilities[order.back()] <= 0) order.pop_back();
+  const std::vector<std::size_t> order = selectOptions(decision.selectionProbabilities);
   record.optionCount = static_cast<std::uint8_t>(order.size());
   for (std::size_t index = 0; index < order.size(); ++index) {
     const Candidate& candidate = candidates[order[index]];
@@ -166,25 +206,14 @@
                              static_cast<float>(decision.startProbabilities[order[index]]),
                              static_cast<float>(candidate.utilization)};
   }
-  for (std::size_t policy = 0; policy < kPolicyCount; ++policy) {
-    const PolicyAction& action = decision.policyActions[policy];
-    DecisionRecord::PolicyOutcome& policyOutcome = record.policies[policy];
-    policyOutcome.waitProbability = static_cast<float>(action.waitProbability);
-    double keptProbability = action.waitProbability;
-    for (std::size_t item = 0; item < order.size(); ++item) {
-      policyOutcome.startProbabilities[item] = static_cast<float>(action.startProbabilities[order[item]]);
-      keptProbability += action.startProbabilities[order[item]];
-    }
-    policyOutcome.asLoggedProbability = static_cast<float>(
-        1 - keptProbability);  // what it wants of engines that are not kept is out of reach
-    policyOutcome.unreachableProbability = static_cast<float>(
-        action.unreachableProbability + std::max(0.0, 1 - keptProbability - action.asLoggedProbability));
-  }
+  for (std::size_t policy = 0; policy < kPolicyCount; ++policy)
+    record.policies[policy] = makePolicyOutcome(decision.policyActions[policy], order);
 }
 
 void DecisionRecorder::resolvePendingDecision(std::size_t engineIndex) {
   if (!pending_.request) return;
-  const auto found = openRecords_.find(std::exchange(pending_.request, nullptr));
+  const Request* request = std::exchange(pending_.request, nullptr);
+  const auto found = openRecords_.find(request);
   if (found == openRecords_.end()) return;
   DecisionRecord& record = found->second;
   const Decision& decision = pending_.decision;
@@ -214,7 +243,7 @@
 void DecisionRecorder::onAttemptStarted(const Attempt& attempt) {
   if (pending_.request != attempt.request) return;
   const auto found = std::find(pending_.engines.begin(), pending_.engines.end(), attempt.engine);
-  if (found == pending_.engines.end()) {  // not one that was weighed
+  if (found == pending_.engines.end()) {  // It was not a candidate.
     openRecords_[attempt.request].wasDiverted = true;
     pending_.request = nullptr;
     return;
@@ -227,8 +256,8 @@
   const auto found = openRecords_.find(&request);
   if (found == openRecords_.end()) return;
   DecisionRecord& record = found->second;
-  const double elapsed = seconds(now - request.arrivedAt),
-               timeLimit = seconds(request.deadline - request.arrivedAt);
+  const double elapsed = seconds(now - request.arrivedAt);
+  const double timeLimit = seconds(request.deadline - request.arrivedAt);
   record.latency = succeeded ? elapsed : std::max(elapsed, timeLimit);
   const double latencyObjective =
       seconds(request.requestClass->latencyObjective) +
--- a/src/counterfactual/decision_recorder.hpp
+++ b/src/counterfactual/decision_recorder.hpp
@@ -1,5 +1,6 @@
-// Keeps the records of one controller's decisions, as its Host is told of them. Bounded: so many finished
-// ones, so many open; the oldest finished go first. No I/O, no clock, no chance.
+// Records the decisions of one controller from the events of its admission host. The numbers of open and
+// finished records are bounded; the oldest finished record is overwritten first. No I/O, no clock, no
+// randomness.
 #pragma once
 
 #include <cstddef>
@@ -10,30 +11,35 @@
 
 namespace paddletrack::counterfactual {
 
+/// Collects decision records. Requests are identified by address until onRequestFinished().
 class DecisionRecorder {
  public:
   struct Options {
-    std::size_t maxRecords = 4096;  // finished ones; as many may be open
-    Duration window{std::chrono::minutes(5)};
+    std::size_t maxRecords = 4096;             // limit of finished records and of open ones
+    Duration window{std::chrono::minutes(5)};  // age of requests that records() returns
   };
+  /// `deployment` must outlive this object.
   DecisionRecorder(const Deployment& deployment, Options options)
       : deployment_(deployment), options_(options) {}
 
+  /// The admission module weighed `candidates` for the request.
   void onDecision(const Request& request, const std::vector<Candidate>& candidates);
   void onAttemptStarted(const Attempt& attempt);
-  void onRequestFinished(Duration now, const Request& request,
-                         bool succeeded);  // its final answer, or its client has left
+  /// The request got its final response, or its client disconnected.
+  void onRequestFinished(Duration now, const Request& request, bool succeeded);
 
-  // The finished ones of jobs that were taken within the window, oldest first.
+  /// Finished records of requests that arrived within the window, oldest first. Valid until the next event.
   std::vector<const DecisionRecord*> records(Duration now) const;
   struct Counts {
-    std::uint64_t finished = 0, dropped = 0;  // dropped: too many open
+    std::uint64_t finished = 0;
+    std::uint64_t dropped = 0;  // not recorded, because too many records were open
     std::size_t openRecords = 0;
   };
   Counts counts() const { return {finished_, dropped_, openRecords_.size()}; }
   const Options& options() const { return options_; }
 
  private:
+  // The last decision, until it is known whether it started an attempt.
   struct PendingDecision {
     const Request* request = nullptr;
     bool isFirstDecision = false;
@@ -42,8 +48,8 @@
     Decision decision;
   };
   void openRecord(const Request& request, const std::vector<Candidate>& candidates);
-  void resolvePendingDecision(
-      std::size_t engineIndex);  // what the last draw came to: an index of what was weighed
+  // Records the result of the last decision: the index of the candidate that was started, or kNotStarted.
+  void resolvePendingDecision(std::size_t engineIndex);
   static constexpr std::size_t kNotStarted = static_cast<std::size_t>(-1);
 
   const Deployment& deployment_;
@@ -51,7 +57,8 @@
   std::unordered_map<const Request*, DecisionRecord> openRecords_;
   std::vector<DecisionRecord> finishedRecords_;
   std::size_t nextSlot_ = 0;
-  std::uint64_t finished_ = 0, dropped_ = 0;
+  std::uint64_t finished_ = 0;
+  std::uint64_t dropped_ = 0;
   PendingDecision pending_;
 };
 
--- a/src/counterfactual/estimate.hpp
+++ b/src/counterfactual/estimate.hpp
@@ -1,122 +1,56 @@
-// From records to what would have been: sums that add up over controllers, and what can be told from them.
-// Pure: no I/O, no clock, no chance. Formulas and their sources are in docs/hindsight.md.
+// Estimates of what other policies would have achieved, computed from sums of decision records. No I/O, no
+// clock, no randomness. See docs/hindsight.md for the formulas and their sources.
 #pragma once
 
 #include <array>
 #include <cstddef>
+#include <cstdint>
 #include <map>
-#include <string>
-#include <vector>
 
-#include "counterfactual/decision_record.hpp"
+#include "counterfactual/summary.hpp"
 
 namespace paddletrack::counterfactual {
 
-enum class Measure : std::uint8_t { onTime, latency };  // a share of jobs; seconds
-constexpr std::size_t kMeasureCount = 2;
 enum class Method : std::uint8_t { weighted, selfNormalized, direct, doublyRobust };
 constexpr std::size_t kMethodCount = 4;
 
-// Sums over jobs. Those of two controllers, or of two classes, are added place by place.
-struct PolicySums {
-  double reachable = 0;    // the part of its wishes that chance could have done as well, where they differ
-  double unreachable = 0;  // that chance could not
-  double weights = 0, squaredWeights = 0;  // of those weights
-  double weightVariance = 0;               // of weights - reached: its variance, by design
-  struct MeasureSums {
-    double asLogged = 0;  // as the module did: known, not estimated
-    double weighted = 0;  // weight x outcome
-    double designVariance = 0, designVarianceOutcome = 0,
-           designVarianceOutcomeSquared = 0;  // w (w - q) times 1, outcome, its square: variances by design
-    double direct = 0, directVariance = 0;
-    double doublyRobust = 0, doublyRobustVariance = 0,
-           doublyRobustVarianceSquares = 0;  // squares of what the variance is a sum of
-    double pooledVariance = 0;               // the same, as if each job's error were that of what it did
-    double informativeRequests = 0;          // weighted jobs whose outcome is unlike the class's usual one
-  };
-  std::array<MeasureSums, kMeasureCount> measures{};
-};
-struct PairSums {  // of two policies: doubly robust
-  struct MeasureSums {
-    double variance = 0, differingRequests = 0;  // jobs in which their wishes differ
-  };
-  std::array<MeasureSums, kMeasureCount> measures{};
-};
-constexpr std::size_t kPairCount = kPolicyCount * (kPolicyCount - 1) / 2;
-std::size_t pairIndex(Policy first, Policy second);  // first before second
-
-struct ClassSums {
-  double requests = 0;
-  std::array<double, kMeasureCount> logged{};  // what happened
-  std::array<PolicySums, kPolicyCount> policies{};
-  std::array<PairSums, kPairCount> pairs{};
-};
-
-// Of one engine, or one location: what going there did, against going elsewhere, in jobs that could have done
-// either.
-struct DestinationSums {
-  double requests = 0, chosenRequests = 0;
-  double chosenWeights = 0, notChosenWeights = 0, squaredWeights = 0;
-  struct MeasureSums {
-    double chosen = 0, notChosen = 0;  // weight x (outcome less the class's mean)
-    double variance = 0;
-  };
-  std::array<MeasureSums, kMeasureCount> measures{};
-};
-
-// Whether what was chosen goes with the chances told, as sums of (chosen - chance) and their variances: in
-// all, with the work told, with what the job before did. Something that the record lacks and that lasts, or
-// goes with the work, shows here.
-struct CalibrationSums {
-  static constexpr std::size_t kCheckCount = 3;
-  double requests = 0, divertedRequests = 0;
-  std::array<double, kCheckCount> residualSum{}, variance{};
-};
-
-struct Summary {
-  std::map<std::size_t, ClassSums> classes;  // by reservation type
-  std::map<std::uint32_t, DestinationSums> engines;
-  std::map<unsigned, DestinationSums> zones;
-  std::map<std::uint32_t, CalibrationSums> calibration;  // by engine
-  CalibrationSums pooledCalibration;                     // over all engines
-};
-Summary summarize(const std::vector<const DecisionRecord*>& records);
-
-template <typename Sums>
-void addSums(Sums& total, const Sums& addend) {  // all of them are of doubles alone
-  static_assert(sizeof(Sums) % sizeof(double) == 0);
-  auto* destination = reinterpret_cast<double*>(&total);
-  const auto* source = reinterpret_cast<const double*>(&addend);
-  for (std::size_t index = 0; index < sizeof(Sums) / sizeof(double); ++index)
-    destination[index] += source[index];
-}
-
+/// Whether an estimate may be reported, and otherwise why not.
 enum class Verdict : std::uint8_t {
   conclusive,
-  sameAsLogged,    // it wants what the module does, in all jobs
-  unreachable,     // chance hardly ever takes what it wants
-  tooFewRequests,  // too few jobs speak of it
-  miscalibrated,   // what was chosen does not go with the chances told
+  sameAsLogged,    // the policy acts as the logged one for all requests
+  unreachable,     // the logged policy hardly ever takes the policy's actions
+  tooFewRequests,  // too few requests carry information on the policy
+  miscalibrated,   // the choices do not agree with the recorded probabilities
 };
+/// Returns the verdict's text in reports.
 const char* describeVerdict(Verdict verdict);
 
+/// A value with its confidence interval.
 struct Estimate {
   Verdict verdict = Verdict::tooFewRequests;
-  double value = 0, low = 0, high = 0;  // 90 % interval
+  double value = 0;
+  // Bounds of the interval: 90 %, and 95 % where two policies are compared.
+  double low = 0;
+  double high = 0;
   bool isConclusive() const { return verdict == Verdict::conclusive; }
 };
+/// The estimates of one measure of one policy.
 struct PolicyEstimate {
   std::array<Estimate, kMethodCount> byMethod{};
-  double loggedMean = 0;  // what happened, in the same jobs
-  double reachableRatio =
-      0;  // part of the jobs in which it wants another thing and chance could have done that
-  double unreachableRatio = 0;     // and could not: there it is taken to do as the module did
-  double effectiveSampleSize = 0;  // sample size: (sum of weights)^2 / sum of squares
+  double loggedMean = 0;  // the observed mean over the same requests
+  // Ratio of requests for which the policy acts differently, and the logged policy could have done the same.
+  double reachableRatio = 0;
+  // Ratio for which it could not. There the policy is assumed to act as the logged one.
+  double unreachableRatio = 0;
+  double effectiveSampleSize = 0;  // (sum of weights)^2 / sum of squared weights
   const Estimate& doublyRobust() const { return byMethod[static_cast<std::size_t>(Method::doublyRobust)]; }
 };
 
-bool isMiscalibrated(const CalibrationSums& sums);  // past what chance does
+/// True if a check deviates by more than chance explains.
+bool isMiscalibrated(const CalibrationSums& sums);
+/// True if too many requests did not go where the recorded decision had sent them.
 bool hasTooManyDiverted(const CalibrationSums& pooledCalibration);
+/// True if the checks pass for all engines together and for each engine.
 template <typename Name>
 bool isWellCalibrated(const CalibrationSums& pooledCalibration,
                       const std::map<Name, CalibrationSums>& engines) {
@@ -125,15 +59,16 @@
     if (isMiscalibrated(item)) return false;
   return true;
 }
+/// Estimates the mean of a measure had the policy made all decisions. `isCalibrated` is the result of
+/// isWellCalibrated(); without it no estimate is conclusive.
 PolicyEstimate estimatePolicy(const ClassSums& sums, Policy policy, Measure measure, bool isCalibrated);
-// First less second; told where the interval leaves no doubt of which is better.
+/// Estimates the mean under `first` minus that under `second`. Conclusive only if the interval excludes 0.
 Estimate comparePolicies(const ClassSums& sums, Policy first, Policy second, Measure measure,
                          bool isCalibrated);
-Estimate compareWithLogged(const ClassSums& sums, Policy policy, Measure measure,
-                           bool isCalibrated);  // the module's own
-// What its jobs lost by going there: in the in-time share or seconds; above 0: elsewhere would have been
-// better.
+/// Estimates the mean under the policy minus the observed one. Conclusive only if the interval excludes 0.
+Estimate compareWithLogged(const ClassSums& sums, Policy policy, Measure measure, bool isCalibrated);
+/// Estimates what requests lost by going to the destination, as on-time ratio or in seconds. Above 0 another
+/// destination would have been better.
 Estimate estimateRegret(const DestinationSums& sums, Measure measure, bool isCalibrated);
-ClassSums sumClasses(const Summary& summary);
 
 }  // namespace paddletrack::counterfactual
--- a/src/counterfactual/fleet_statistics.cpp
+++ b/src/counterfactual/fleet_statistics.cpp
@@ -8,7 +8,8 @@
 namespace {
 
 constexpr std::uint64_t kFormatVersion = 1;
-constexpr std::size_t kMaxKeyBytes = 64, kMaxValueBytes = 1024;  // bytes
+constexpr std::size_t kMaxKeyBytes = 64;
+constexpr std::size_t kMaxValueBytes = 1024;
 
 template <typename Sums>
 constexpr std::size_t kValueCount = sizeof(Sums) / sizeof(double);
@@ -66,8 +67,8 @@
       addEntry("c" + names.requestClasses[requestClass], values);
   }
   for (const auto& [engine, sums] : summary.engines) {
-    const auto name = names.engines.find(engine), notFound = names.engines.end();
-    if (name == notFound) continue;
+    const auto name = names.engines.find(engine);
+    if (name == names.engines.end()) continue;
     std::vector<float> values;
     appendSums(values, sums);
     const auto calibration = summary.calibration.find(engine);
@@ -103,18 +104,23 @@
       received.sums.push_back(fields[index + 2].as<float>());
       if (!std::isfinite(received.sums.back())) throw msgpack::type_error();
     }
-  } catch (const std::exception&) {  // of msgpack, all of them
+  } catch (const std::exception&) {  // All exceptions of msgpack derive from it.
+    ++rejectedCount_;
+    return false;
+  }
+  if (!owners_.contains(owner) && owners_.size() >= kMaxOwners) {
     ++rejectedCount_;
     return false;
   }
-  if (owners_.count(owner) == 0 && owners_.size() >= kMaxOwners) return ++rejectedCount_, false;
   OwnerValues& ownerValues = owners_[owner];
   if (incarnation < ownerValues.incarnation) return false;
   if (incarnation > ownerValues.incarnation) ownerValues = OwnerValues{incarnation, {}};
   const auto known = ownerValues.values.find(key);
   if (known != ownerValues.values.end() && known->second.version >= received.version) return false;
-  if (known == ownerValues.values.end() && ownerValues.values.size() >= kMaxKeys)
-    return ++rejectedCount_, false;
+  if (known == ownerValues.values.end() && ownerValues.values.size() >= kMaxKeys) {
+    ++rejectedCount_;
+    return false;
+  }
   ownerValues.values.insert_or_assign(std::string(key), std::move(received));
   return true;
 }
--- a/src/counterfactual/fleet_statistics.hpp
+++ b/src/counterfactual/fleet_statistics.hpp
@@ -1,9 +1,9 @@
-// The fleet's estimate: what each controller shares of its sums, and the sum of these. No I/O, no clock.
+// Each controller publishes its sums, and the fleet's statistics are the total of these. No I/O, no clock.
 //
-// A value is the whole of a controller's sums over its window under one key, never a difference: of one key
-// of one owner the latest alone counts, and a later generation takes the place of all of an earlier one. So a
-// duplicate, an old copy or any order of arrival changes nothing, and what a controller had shared before it
-// died stays, as long as whoever carries it keeps it.
+// A value holds the complete sums of a controller's window under one key, never a difference. Of each key of
+// an owner only the latest version counts, and a later incarnation replaces all values of an earlier one.
+// Duplicates, outdated copies and the order of arrival therefore do not change the result, and the sums of a
+// controller that died count as long as the store keeps them.
 #pragma once
 
 #include <map>
@@ -15,23 +15,30 @@
 
 namespace paddletrack::counterfactual {
 
-// Keys: "c" and the reservation type's name, "e" and the engine's, "l" and the location's, "p" for the checks
-// over all engines. Values: MessagePack, [format, version, sums...], 1024 bytes at most.
+/// An entry of the gossip store. Its key is "c" and the request class's name, "e" and the engine's name, "l"
+/// and the zone's name, or "p" for the calibration over all engines. Its value is the MessagePack array
+/// [format, version, sums...] of at most 1024 bytes.
 struct EncodedEntry {
-  std::string key, value;
+  std::string key;
+  std::string value;
 };
+/// Names of classes and zones by index.
 struct NameTable {
-  std::vector<std::string> requestClasses, zones;
-  std::map<std::uint32_t, std::string> engines;  // by Engine::number; an engine without a name is left out
+  std::vector<std::string> requestClasses;
+  std::vector<std::string> zones;
+  std::map<std::uint32_t, std::string> engines;  // by Engine::number; engines without a name are omitted
 };
-// `version` grows with each telling of a generation.
+/// Encodes the sums of a controller. `version` must increase with each call in one incarnation.
 std::vector<EncodedEntry> encodeSummary(const Summary& summary, const NameTable& names,
                                         std::uint64_t version);
 
+/// Collects the values of all controllers and sums them.
 class FleetStatistics {
  public:
-  static constexpr std::size_t kMaxOwners = 1024, kMaxKeys = 2048;  // of one owner; what is past is refused
-  // False: not taken, for it is known, older, past the bounds or can't be read (then counted).
+  static constexpr std::size_t kMaxOwners = 1024;
+  static constexpr std::size_t kMaxKeys = 2048;  // of one owner
+  /// Returns false if the value was not merged: it is known or outdated, or it is malformed or exceeds a
+  /// limit, which increments rejectedCount().
   bool mergeValue(const std::string& owner, std::uint64_t incarnation, std::string_view key,
                   std::string_view value);
   void removeOwner(const std::string& owner) { owners_.erase(owner); }
@@ -65,11 +72,12 @@
   std::uint64_t rejectedCount_ = 0;
 };
 
-// On a store of shared entries (share::Store): the own ones are put, and all that it shows is heard.
+/// Writes the entries to a store (gossip::Store).
 template <typename Store, typename Topic>
 void publishEntries(Store& store, Duration now, Topic topic, const std::vector<EncodedEntry>& entries) {
   for (const EncodedEntry& entry : entries) (void)store.put(now, topic, entry.key, entry.value);
 }
+/// Merges the entries of all owners in a store (gossip::Store).
 template <typename Store, typename Topic>
 FleetStatistics collectFleetStatistics(const Store& store, Duration now, Topic topic) {
   FleetStatistics fleet;
--- a/src/counterfactual/propensity.cpp
+++ b/src/counterfactual/propensity.cpp
@@ -14,8 +14,74 @@
      {0.5255324099163290, 0.3137066458778873},
      {0.7966664774136267, 0.2223810344533745},
      {0.9602898564975363, 0.1012285362903763}}};
+// Pieces of the integration range. With more contenders the range is divided evenly instead of at their
+// scores.
 constexpr std::size_t kMaxPieces = 24;
 
+// Boundaries of the integration pieces, ascending. `contenders` are ordered by score.
+std::vector<double> computeBreakpoints(const std::vector<double>& scores,
+                                       const std::vector<std::size_t>& contenders, double minScore,
+                                       double maxReach) {
+  std::vector<double> breakpoints;
+  if (contenders.size() <= kMaxPieces) {
+    for (const std::size_t contender : contenders) breakpoints.push_back(scores[contender]);
+  } else {
+    for (std::size_t piece = 0; piece < kMaxPieces; ++piece)
+      breakpoints.push_back(minScore + (maxReach - minScore) * static_cast<double>(piece) / kMaxPieces);
+  }
+  breakpoints.push_back(maxReach);
+  return breakpoints;
+}
+
+// Integrates, for each contender, the density of its randomized score times the probability that all other
+// randomized scores are higher.
+class PropensityIntegrator {
+ public:
+  PropensityIntegrator(const std::vector<double>& scores, const std::vector<std::size_t>& contenders,
+                       double jitter, std::vector<double>& probabilities)
+      : scores_(scores),
+        contenders_(contenders),
+        jitter_(jitter),
+        probabilities_(probabilities),
+        survival_(contenders.size()),
+        prefixProducts_(contenders.size() + 1) {}
+
+  void addPiece(double begin, double end) {
+    const double half = (end - begin) / 2;
+    const double middle = (end + begin) / 2;
+    if (half <= 0) return;
+    for (const auto& [node, weight] : kQuadratureNodes) {
+      addQuadraturePoint(middle - half * node, half * weight);
+      addQuadraturePoint(middle + half * node, half * weight);
+    }
+  }
+
+ private:
+  void addQuadraturePoint(double value, double weight) {
+    prefixProducts_[0] = 1;
+    for (std::size_t index = 0; index < contenders_.size(); ++index) {
+      const double score = scores_[contenders_[index]];
+      survival_[index] = value <= score ? 1 : (score * (1 + jitter_) - value) / (score * jitter_);
+      prefixProducts_[index + 1] = prefixProducts_[index] * survival_[index];
+    }
+    double suffixProduct = 1;  // of the survival probabilities of later contenders
+    for (std::size_t index = contenders_.size(); index-- > 0;) {
+      const double score = scores_[contenders_[index]];
+      if (value > score)
+        probabilities_[contenders_[index]] +=
+            weight * prefixProducts_[index] * suffixProduct / (score * jitter_);
+      suffixProduct *= survival_[index];
+    }
+  }
+
+  const std::vector<double>& scores_;
+  const std::vector<std::size_t>& contenders_;
+  const double jitter_;
+  std::vector<double>& probabilities_;
+  std::vector<double> survival_;
+  std::vector<double> prefixProducts_;
+};
+
 }  // namespace
 
 std::vector<double> computePropensities(const std::vector<double>& scores, double jitter) {
@@ -23,7 +89,7 @@
   if (scores.empty()) return probabilities;
   const double minScore = *std::min_element(scores.begin(), scores.end());
   const double maxReach = minScore * (1 + jitter);
-  std::vector<std::size_t> contenders;  // who may come out least
+  std::vector<std::size_t> contenders;  // scores that can become the lowest
   for (std::size_t index = 0; index < scores.size(); ++index)
     if (scores[index] < maxReach) contenders.push_back(index);
   if (contenders.size() == 1 || jitter <= 0 || minScore <= 0) {
@@ -31,38 +97,10 @@
     return probabilities;
   }
   std::sort(contenders.begin(), contenders.end(), [&](auto a, auto b) { return scores[a] < scores[b]; });
-  std::vector<double> breakpoints;
-  if (contenders.size() <= kMaxPieces)
-    for (const std::size_t contender : contenders) breakpoints.push_back(scores[contender]);
-  else
-    for (std::size_t item = 0; item < kMaxPieces; ++item)
-      breakpoints.push_back(minScore + (maxReach - minScore) * static_cast<double>(item) / kMaxPieces);
-  breakpoints.push_back(maxReach);
-  std::vector<double> survival(contenders.size()), prefixProducts(contenders.size() + 1);
-  const auto addQuadraturePoint = [&](double value, double weight) {
-    prefixProducts[0] = 1;
-    for (std::size_t element = 0; element < contenders.size(); ++element) {
-      const double score = scores[contenders[element]];
-      survival[element] = value <= score ? 1 : (score * (1 + jitter) - value) / (score * jitter);
-      prefixProducts[element + 1] = prefixProducts[element] * survival[element];
-    }
-    double suffixProduct = 1;  // the product of those behind it
-    for (std::size_t entry = contenders.size(); entry-- > 0;) {
-      const double score = scores[contenders[entry]];
-      if (value > score)
-        probabilities[contenders[entry]] += weight * prefixProducts[entry] * suffixProduct / (score * jitter);
-      suffixProduct *= survival[entry];
-    }
-  };
-  for (std::size_t element = 0; element + 1 < breakpoints.size(); ++element) {
-    const double half = (breakpoints[element + 1] - breakpoints[element]) / 2,
-                 middle = (breakpoints[element + 1] + breakpoints[element]) / 2;
-    if (half <= 0) continue;
-    for (const auto& [node, weight] : kQuadratureNodes) {
-      addQuadraturePoint(middle - half * node, half * weight);
-      addQuadraturePoint(middle + half * node, half * weight);
-    }
-  }
+  const std::vector<double> breakpoints = computeBreakpoints(scores, contenders, minScore, maxReach);
+  PropensityIntegrator integrator(scores, contenders, jitter, probabilities);
+  for (std::size_t index = 0; index + 1 < breakpoints.size(); ++index)
+    integrator.addPiece(breakpoints[index], breakpoints[index + 1]);
   const double sum = std::accumulate(probabilities.begin(), probabilities.end(), 0.0);
   for (double& probability : probabilities) probability /= sum;
   return probabilities;
--- a/src/counterfactual/report.cpp
+++ b/src/counterfactual/report.cpp
@@ -19,8 +19,8 @@
     for (std::size_t measure = 0; measure < kMeasureCount; ++measure) {
       const PolicyEstimate policyEstimate =
           estimatePolicy(sums, policyValue, static_cast<Measure>(measure), isCalibrated);
-      policyReport.reachableRatio = policyEstimate.reachableRatio,
-      policyReport.unreachableRatio = policyEstimate.unreachableRatio,
+      policyReport.reachableRatio = policyEstimate.reachableRatio;
+      policyReport.unreachableRatio = policyEstimate.unreachableRatio;
       policyReport.effectiveSampleSize = policyEstimate.effectiveSampleSize;
       policyReport.value[measure] = policyEstimate.doublyRobust();
       policyReport.improvement[measure] =
--- a/src/counterfactual/report.hpp
+++ b/src/counterfactual/report.hpp
@@ -1,4 +1,4 @@
-// What an operator is told of looking back: plain figures out of a view of sums. Pure.
+// The counterfactual report for operators, computed from the fleet's statistics. No I/O, no clock.
 #pragma once
 
 #include <string>
@@ -9,28 +9,34 @@
 namespace paddletrack::counterfactual {
 
 struct CounterfactualReport {
-  struct PolicyReport {  // policy
+  struct PolicyReport {
     const char* name = "";
-    double reachableRatio = 0, unreachableRatio = 0, effectiveSampleSize = 0;
-    std::array<Estimate, kMeasureCount> value{},
-        improvement{};  // better: less what happened, told where it is sure
+    double reachableRatio = 0;
+    double unreachableRatio = 0;
+    double effectiveSampleSize = 0;
+    std::array<Estimate, kMeasureCount> value{};
+    std::array<Estimate, kMeasureCount> improvement{};  // value minus the observed mean
   };
   struct ClassReport {
     std::string name;
-    double requests = 0, onTimeRatio = 0, meanLatency = 0;
+    double requests = 0;
+    double onTimeRatio = 0;
+    double meanLatency = 0;  // seconds
     std::vector<PolicyReport> policies;
   };
   struct DestinationReport {
     std::string name;
-    double requests = 0;  // that could have gone there or elsewhere
+    double requests = 0;  // that could have gone there or to another destination
     std::array<Estimate, kMeasureCount> regret{};
   };
   std::size_t controllers = 0;
   bool isCalibrated = true;
-  std::vector<ClassReport> classes;  // all of them together first, with an empty name
-  std::vector<DestinationReport> engines, zones;
+  std::vector<ClassReport> classes;        // the first, with an empty name, is the total
+  std::vector<DestinationReport> engines;  // by descending number of requests
+  std::vector<DestinationReport> zones;
 };
-constexpr std::size_t kMaxReportedEngines = 64;  // those with the most jobs
+/// Only the engines with the most requests are reported.
+constexpr std::size_t kMaxReportedEngines = 64;
 
 CounterfactualReport buildReport(const FleetStatistics& statistics);
 
--- a/src/gossip/codec.cpp
+++ b/src/gossip/codec.cpp
@@ -10,6 +10,17 @@
 using Packer = msgpack::packer<msgpack::sbuffer>;
 using Object = msgpack::object;
 
+// Numbers of fields in the arrays of the wire format.
+constexpr std::uint32_t kDatagramFieldCount = 5;
+constexpr std::uint32_t kDigestFieldCount = 4;
+constexpr std::uint32_t kOwnerVersionFieldCount = 3;
+constexpr std::uint32_t kDeltaFieldCount = 2;
+constexpr std::uint32_t kOwnerDeltaFieldCount = 5;
+constexpr std::uint32_t kUpdateFieldCount = 6;
+// MessagePack can encode the kind in one byte up to this number.
+constexpr std::uint64_t kMaxKind = 127;
+constexpr std::size_t kMaxNestingDepth = 8;
+
 struct DecodeError : std::runtime_error {
   using std::runtime_error::runtime_error;
 };
@@ -25,41 +36,42 @@
 void packArray(Packer& packer, std::size_t size) { packer.pack_array(static_cast<std::uint32_t>(size)); }
 
 void packBody(Packer& packer, const Digest& digest) {
-  packArray(packer, 4);
+  packArray(packer, kDigestFieldCount);
   packText(packer, digest.firstOwner);
   packText(packer, digest.lastOwner);
   packer.pack(digest.rejectsNewOwners);
   packArray(packer, digest.ownerVersions.size());
   for (const Digest::OwnerVersion& ownerVersion : digest.ownerVersions) {
-    packArray(packer, 3);
+    packArray(packer, kOwnerVersionFieldCount);
     packText(packer, ownerVersion.owner);
     packer.pack_uint64(ownerVersion.incarnation);
     packer.pack_uint64(ownerVersion.version);
   }
 }
 
+void packUpdate(Packer& packer, const EntryUpdate& update) {
+  packArray(packer, kUpdateFieldCount);
+  packer.pack_uint8(update.topic);
+  packBytes(packer, update.key);
+  packBytes(packer, update.value);
+  packer.pack_uint64(update.version);
+  packer.pack(update.removed);
+  const auto ageMilliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(update.age).count();
+  packer.pack_uint32(static_cast<std::uint32_t>(std::clamp<std::int64_t>(ageMilliseconds, 0, UINT32_MAX)));
+}
+
 void packBody(Packer& packer, const Delta& delta) {
-  packArray(packer, 2);
+  packArray(packer, kDeltaFieldCount);
   packer.pack(delta.truncated);
   packArray(packer, delta.ownerDeltas.size());
   for (const Delta::OwnerDelta& ownerDelta : delta.ownerDeltas) {
-    packArray(packer, 5);
+    packArray(packer, kOwnerDeltaFieldCount);
     packText(packer, ownerDelta.owner);
     packer.pack_uint64(ownerDelta.incarnation);
     packer.pack_uint64(ownerDelta.fromVersion);
     packer.pack_uint64(ownerDelta.upToVersion);
     packArray(packer, ownerDelta.updates.size());
-    for (const EntryUpdate& update : ownerDelta.updates) {
-      packArray(packer, 6);
-      packer.pack_uint8(update.topic);
-      packBytes(packer, update.key);
-      packBytes(packer, update.value);
-      packer.pack_uint64(update.version);
-      packer.pack(update.removed);
-      const auto ageMilliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(update.age).count();
-      packer.pack_uint32(
-          static_cast<std::uint32_t>(std::clamp<std::int64_t>(ageMilliseconds, 0, UINT32_MAX)));
-    }
+    for (const EntryUpdate& update : ownerDelta.updates) packUpdate(packer, update);
   }
 }
 
@@ -105,15 +117,15 @@
 }
 
 Digest readDigest(const Object& object) {
-  const auto& fields = readList(object, 4, "digest");
+  const auto& fields = readList(object, kDigestFieldCount, "digest");
   Digest result;
   result.firstOwner = readText(fields.ptr[0], kMaxOwnerBytes + 1, "digest.first");
   result.lastOwner = readText(fields.ptr[1], kMaxOwnerBytes, "digest.last");
   result.rejectsNewOwners = readBool(fields.ptr[2], "digest.closed");
   const auto& versionList = readList(fields.ptr[3], "digest.lines");
   result.ownerVersions.reserve(versionList.size);
-  for (std::uint32_t value = 0; value < versionList.size; ++value) {
-    const auto& versionFields = readList(versionList.ptr[value], 3, "digest.line");
+  for (std::uint32_t index = 0; index < versionList.size; ++index) {
+    const auto& versionFields = readList(versionList.ptr[index], kOwnerVersionFieldCount, "digest.line");
     result.ownerVersions.push_back({readOwner(versionFields.ptr[0]),
                                     readNumber(versionFields.ptr[1], kNumberLimit - 1, "generation"),
                                     readNumber(versionFields.ptr[2], kNumberLimit - 1, "version")});
@@ -121,34 +133,42 @@
   return result;
 }
 
+EntryUpdate readUpdate(const Object& object) {
+  const auto& fields = readList(object, kUpdateFieldCount, "delta.item");
+  EntryUpdate update;
+  update.topic = static_cast<Topic>(readNumber(fields.ptr[0], kMaxTopic, "topic"));
+  update.key = readBytes(fields.ptr[1], kMaxKeyBytes, "key");
+  update.value = readBytes(fields.ptr[2], kMaxValueBytes, "value");
+  update.version = readNumber(fields.ptr[3], kNumberLimit - 1, "version");
+  update.removed = readBool(fields.ptr[4], "gone");
+  update.age = std::chrono::milliseconds(readNumber(fields.ptr[5], UINT32_MAX, "age"));
+  if (update.version == 0 || (update.removed && !update.value.empty()))
+    throw DecodeError("delta.item: no such item");
+  return update;
+}
+
+Delta::OwnerDelta readOwnerDelta(const Object& object) {
+  const auto& fields = readList(object, kOwnerDeltaFieldCount, "delta.part");
+  Delta::OwnerDelta ownerDelta;
+  ownerDelta.owner = readOwner(fields.ptr[0]);
+  ownerDelta.incarnation = readNumber(fields.ptr[1], kNumberLimit - 1, "generation");
+  ownerDelta.fromVersion = readNumber(fields.ptr[2], kNumberLimit - 1, "from");
+  ownerDelta.upToVersion = readNumber(fields.ptr[3], kNumberLimit - 1, "upTo");
+  if (ownerDelta.incarnation == 0 || ownerDelta.fromVersion > ownerDelta.upToVersion)
+    throw DecodeError("delta.part: versions out of order");
+  const auto& updateList = readList(fields.ptr[4], "delta.items");
+  for (std::uint32_t index = 0; index < updateList.size; ++index)
+    ownerDelta.updates.push_back(readUpdate(updateList.ptr[index]));
+  return ownerDelta;
+}
+
 Delta readDelta(const Object& object) {
-  const auto& fields = readList(object, 2, "delta");
+  const auto& fields = readList(object, kDeltaFieldCount, "delta");
   Delta result;
   result.truncated = readBool(fields.ptr[0], "delta.more");
   const auto& ownerDeltaList = readList(fields.ptr[1], "delta.parts");
-  for (std::uint32_t value = 0; value < ownerDeltaList.size; ++value) {
-    const auto& ownerDeltaFields = readList(ownerDeltaList.ptr[value], 5, "delta.part");
-    Delta::OwnerDelta& ownerDelta = result.ownerDeltas.emplace_back();
-    ownerDelta.owner = readOwner(ownerDeltaFields.ptr[0]);
-    ownerDelta.incarnation = readNumber(ownerDeltaFields.ptr[1], kNumberLimit - 1, "generation");
-    ownerDelta.fromVersion = readNumber(ownerDeltaFields.ptr[2], kNumberLimit - 1, "from");
-    ownerDelta.upToVersion = readNumber(ownerDeltaFields.ptr[3], kNumberLimit - 1, "upTo");
-    if (ownerDelta.incarnation == 0 || ownerDelta.fromVersion > ownerDelta.upToVersion)
-      throw DecodeError("delta.part: versions out of order");
-    const auto& updateList = readList(ownerDeltaFields.ptr[4], "delta.items");
-    for (std::uint32_t updateIndex = 0; updateIndex < updateList.size; ++updateIndex) {
-      const auto& updateFields = readList(updateList.ptr[updateIndex], 6, "delta.item");
-      EntryUpdate& update = ownerDelta.updates.emplace_back();
-      update.topic = static_cast<Topic>(readNumber(updateFields.ptr[0], kMaxTopic, "topic"));
-      update.key = readBytes(updateFields.ptr[1], kMaxKeyBytes, "key");
-      update.value = readBytes(updateFields.ptr[2], kMaxValueBytes, "value");
-      update.version = readNumber(updateFields.ptr[3], kNumberLimit - 1, "version");
-      update.removed = readBool(updateFields.ptr[4], "gone");
-      update.age = std::chrono::milliseconds(readNumber(updateFields.ptr[5], UINT32_MAX, "age"));
-      if (update.version == 0 || (update.removed && !update.value.empty()))
-        throw DecodeError("delta.item: no such item");
-    }
-  }
+  for (std::uint32_t index = 0; index < ownerDeltaList.size; ++index)
+    result.ownerDeltas.push_back(readOwnerDelta(ownerDeltaList.ptr[index]));
   return result;
 }
 
@@ -157,8 +177,10 @@
 }
 
 DecodeResult decodeOrThrow(std::string_view datagram, std::string_view cluster, std::string_view ownName) {
-  // Lists, texts and depth are bounded before they are made; texts stay in the datagram.
-  const msgpack::unpack_limit limit(kMaxDatagramBytes / 2, 0, kMaxOwnerBytes + 1, kMaxValueBytes, 0, 8);
+  // msgpack enforces the limits on list sizes, string sizes and depth before it allocates. Strings are not
+  // copied.
+  const msgpack::unpack_limit limit(kMaxDatagramBytes / 2, 0, kMaxOwnerBytes + 1, kMaxValueBytes, 0,
+                                    kMaxNestingDepth);
   const auto referenceInPlace = [](msgpack::type::object_type, std::size_t, void*) { return true; };
   std::size_t consumedBytes = 0;
   const msgpack::object_handle handle =
@@ -169,8 +191,8 @@
   if (const auto version = readNumber(fields.ptr[0], UINT32_MAX, "version"); version != kWireVersion)
     return makeDropResult(DropReason::unsupportedVersion,
                           "version " + std::to_string(version) + ", not " + std::to_string(kWireVersion));
-  readList(handle.get(), 5, "datagram");
-  const auto kind = static_cast<std::uint8_t>(readNumber(fields.ptr[1], 127, "kind"));
+  readList(handle.get(), kDatagramFieldCount, "datagram");
+  const auto kind = static_cast<std::uint8_t>(readNumber(fields.ptr[1], kMaxKind, "kind"));
   if (readText(fields.ptr[2], kMaxOwnerBytes, "cluster") != cluster)
     return makeDropResult(DropReason::otherCluster, "another cluster's");
   std::string sender = readOwner(fields.ptr[3]);
@@ -203,7 +225,7 @@
   Packer packer(buffer);
   static constexpr std::array<MessageKind, 3> kKinds{MessageKind::digest, MessageKind::delta,
                                                      MessageKind::deltaRequest};
-  packArray(packer, 5);
+  packArray(packer, kDatagramFieldCount);
   packer.pack_uint64(kWireVersion);
   packer.pack_uint8(static_cast<std::uint8_t>(kKinds[message.index()]));
   packText(packer, cluster);
--- a/src/gossip/codec.hpp
+++ b/src/gossip/codec.hpp
@@ -1,9 +1,11 @@
-// Datagrams of the fleet: one MessagePack array each,
+// Wire format of the gossip datagrams. Each datagram is one MessagePack array:
 //   [version, kind, cluster, sender, body]
-// where version is kProtocol, kind a number below 128, cluster and sender texts, and body an array after its
-// kind: digest and wants [first, last, closed, [[owner, generation, version]...]], delta
-// [more, [[owner, generation, from, upTo, [[topic, key, value, version, gone, age in ms]...]]...]].
-// Reading never throws, never takes memory beyond a few times the datagram's size, and says what was wrong.
+// `version` is kWireVersion, `kind` a MessageKind, `cluster` and `sender` are strings. `body` depends on the
+// kind:
+//   digest and delta request: [first, last, closed, [[owner, generation, version]...]]
+//   delta: [more, [[owner, generation, from, upTo, [[topic, key, value, version, gone, age in ms]...]]...]]
+// Field names of the wire that differ from the code: generation is `incarnation`, closed is
+// `rejectsNewOwners`, more is `truncated`, gone is `removed`.
 #pragma once
 
 #include <array>
@@ -16,44 +18,53 @@
 namespace paddletrack::gossip {
 
 constexpr std::uint64_t kWireVersion = 1;
-// Below Ethernet's 1500 with room for IP, UDP and a tunnel: no datagram is cut into fragments on its way.
+/// Below Ethernet's MTU of 1500 with room for IP, UDP and tunnel headers, so that no datagram is fragmented.
 constexpr std::size_t kMaxDatagramBytes = 1400;
 constexpr std::size_t kMaxClusterBytes = 32;
-// What a message may hold in the measures of Store's digest and delta, so that it fits.
+/// Size limits to pass to Store::buildDelta and Store::buildDigest so that the encoded message fits a
+/// datagram.
 constexpr std::size_t kMaxDeltaBytes = kMaxDatagramBytes - kMaxClusterBytes - kMaxOwnerBytes - 24;
 constexpr std::size_t kMaxDigestBytes = kMaxDeltaBytes - 2 * kMaxOwnerBytes - 8;
 
-// 16 to 31 are kept for the fleet's membership: ignored and counted by programs that do not know them.
+/// Kind of a message on the wire. Kinds 16 to 31 are reserved for a membership protocol; this version drops
+/// and counts them.
 enum class MessageKind : std::uint8_t { digest = 1, delta = 2, deltaRequest = 3 };
-constexpr std::uint8_t kFirstReservedKind = 16, kLastReservedKind = 31;
+constexpr std::uint8_t kFirstReservedKind = 16;
+constexpr std::uint8_t kLastReservedKind = 31;
 
+/// Asks a peer for a delta. It lists only owners of which the peer has newer entries.
 struct DeltaRequest : Digest {};
 using Message = std::variant<Digest, Delta, DeltaRequest>;
 
-// Why a datagram, or what it brought, was not used.
+/// Why a datagram, or the entries in it, were dropped.
 enum class DropReason : std::uint8_t {
-  otherCluster,        // another cluster's name
-  unsupportedVersion,  // another version of these datagrams
-  reservedKind,        // a kind kept for a membership
-  unknownKind,         // another kind that this program does not know
-  malformed,           // not as described above, or past a bound
-  oversized,           // longer than kMostDatagram
-  ownMessage,          // it says that this controller sent it
-  stale,               // all that it brought is of an earlier generation, or has aged out
-  storeFull,           // no room for what it brought
-  rateLimited,         // more asked than is answered in a period
-  sendFailed,          // the kernel did not take one of this controller's own
+  otherCluster,        // sent by a controller of another cluster
+  unsupportedVersion,  // its wire version is not kWireVersion
+  reservedKind,        // its kind is reserved for a membership protocol
+  unknownKind,         // any other kind that this version does not know
+  malformed,           // not in the wire format, or a field exceeds its limit
+  oversized,           // longer than kMaxDatagramBytes
+  ownMessage,          // its sender has this controller's name
+  stale,               // all of its entries are of an earlier incarnation or have expired
+  storeFull,           // the store has no space for its entries
+  rateLimited,         // the answer budget of the period is used up
+  sendFailed,          // the kernel rejected an outgoing datagram
 };
 constexpr std::size_t kDropReasonCount = 11;
+/// Returns the name of the reason in log lines and metrics.
 const char* nameOf(DropReason reason);
 
+/// Either the message or the reason why it is dropped.
 struct DecodeResult {
   std::variant<Message, DropReason> content = DropReason::malformed;
-  std::string sender;
-  std::string detail;  // of a drop, for the log: what was expected
+  std::string sender;  // empty if the datagram was dropped before its sender was read
+  std::string detail;  // explains a drop in the log: what was expected
 };
 
+/// Encodes a message. The result fits kMaxDatagramBytes if the message was built within the limits above.
 std::string encode(const Message& message, std::string_view cluster, std::string_view sender);
+/// Decodes a datagram of this cluster. Never throws; its memory use is bounded by a small multiple of the
+/// datagram's size. `ownName` identifies messages that carry this controller's own name.
 DecodeResult decode(std::string_view datagram, std::string_view cluster, std::string_view ownName) noexcept;
 
 }  // namespace paddletrack::gossip
--- a/src/gossip/gossip_protocol.cpp
+++ b/src/gossip/gossip_protocol.cpp
@@ -5,17 +5,21 @@
 namespace paddletrack::gossip {
 namespace {
 
-constexpr std::size_t kDigestsPerRound = 4;                        // datagrams of digests in a turn
-constexpr Duration kFollowUpDelay{std::chrono::milliseconds(10)};  // between turns with a peer that has more
-constexpr int kCleanupsPerRetention = 64;         // looks for what has aged, while an entry does
-constexpr std::size_t kMinAnswersPerPeriod = 64;  // answered in a period, of whoever asks
+// Digest datagrams sent to a peer in one round.
+constexpr std::size_t kDigestsPerRound = 4;
+// Minimum time between two follow-up rounds with peers that announced further entries.
+constexpr Duration kFollowUpDelay{std::chrono::milliseconds(10)};
+// Expired entries are collected this many times per retention duration.
+constexpr int kCleanupsPerRetention = 64;
+// Messages answered in one period, even if few peers are configured.
+constexpr std::size_t kMinAnswersPerPeriod = 64;
 
-// What the other has once it has taken a delta.
+// Updates the digest of a peer to its state after it has merged `delta`.
 void advanceDigest(Digest& peerDigest, const Delta& delta) {
   for (const Delta::OwnerDelta& ownerDelta : delta.ownerDeltas) {
-    const auto existing =
-        std::find_if(peerDigest.ownerVersions.begin(), peerDigest.ownerVersions.end(),
-                     [&](const auto& ownerVersion) { return ownerVersion.owner == ownerDelta.owner; });
+    const auto existing = std::ranges::find_if(peerDigest.ownerVersions, [&](const auto& ownerVersion) {
+      return ownerVersion.owner == ownerDelta.owner;
+    });
     const std::uint64_t version = ownerDelta.updates.empty()
                                       ? ownerDelta.upToVersion
                                       : std::max(ownerDelta.upToVersion, ownerDelta.updates.back().version);
@@ -75,7 +79,7 @@
   }
 }
 
-// A burst of deltas, each built as if those before it had come.
+// Appends a burst of deltas. Each is built on the assumption that the peer receives those before it.
 void GossipProtocol::appendDeltas(Duration now, PeerAddress destination, Digest peerDigest,
                                   OutboundMessages& messages) const {
   for (std::size_t index = 0; index < kMaxAnswerDatagrams; ++index) {
@@ -90,24 +94,22 @@
 }
 
 bool GossipProtocol::tryConsumeAnswerBudget(Duration now) {
-  if (now - answerWindowStartedAt_ >= options_.period) answerWindowStartedAt_ = now, answersInWindow_ = 0;
-  return ++answersInWindow_ <= std::max(kMinAnswersPerPeriod, kAnswersPerPeer * options_.peers.size());
+  if (now - answerWindowStartedAt_ >= options_.period) {
+    answerWindowStartedAt_ = now;
+    answersInWindow_ = 0;
+  }
+  ++answersInWindow_;
+  return answersInWindow_ <= std::max(kMinAnswersPerPeriod, kAnswersPerPeer * options_.peers.size());
 }
 
 GossipProtocol::OutboundMessages GossipProtocol::onMessage(Duration now, PeerAddress source,
                                                            const std::string& sender,
                                                            const Message& message) {
   OutboundMessages answers;
-  if (std::find(options_.peers.begin(), options_.peers.end(), source) != options_.peers.end())
+  if (std::ranges::find(options_.peers, source) != options_.peers.end())
     lastMessages_[source] = {now, sender};
   if (const auto* delta = std::get_if<Delta>(&message)) {
-    const Store::MergeResult merged = store_.merge(now, *delta);
-    if (merged.incarnationConflict) ++incarnationConflicts_;
-    if (merged.rejected > 0) countDrop(DropReason::storeFull);
-    if (merged.stale > 0 && merged.applied + merged.alreadyKnown + merged.rejected == 0)
-      countDrop(DropReason::stale);
-    if (delta->truncated && merged.applied > 0)
-      followUp_ = {source, std::max(now, lastFollowUpAt_ + kFollowUpDelay)};
+    onDelta(now, source, *delta);
     return answers;
   }
   if (!tryConsumeAnswerBudget(now)) {
@@ -118,14 +120,28 @@
     appendDeltas(now, source, *deltaRequest, answers);
     return answers;
   }
-  const auto& digest = std::get<Digest>(message);
+  onDigest(now, source, std::get<Digest>(message), answers);
+  return answers;
+}
+
+void GossipProtocol::onDelta(Duration now, PeerAddress source, const Delta& delta) {
+  const Store::MergeResult merged = store_.merge(now, delta);
+  if (merged.incarnationConflict) ++incarnationConflicts_;
+  if (merged.rejected > 0) countDrop(DropReason::storeFull);
+  if (merged.stale > 0 && merged.applied + merged.alreadyKnown + merged.rejected == 0)
+    countDrop(DropReason::stale);
+  if (delta.truncated && merged.applied > 0)
+    followUp_ = {source, std::max(now, lastFollowUpAt_ + kFollowUpDelay)};
+}
+
+void GossipProtocol::onDigest(Duration now, PeerAddress source, const Digest& digest,
+                              OutboundMessages& answers) {
   const std::uint64_t previousIncarnation = store_.incarnation();
-  Digest wantedDigest = store_.buildDeltaRequest(now, digest, kMaxDigestBytes);
+  Digest requestedVersions = store_.buildDeltaRequest(now, digest, kMaxDigestBytes);
   if (store_.incarnation() != previousIncarnation) ++incarnationConflicts_;
-  if (!wantedDigest.ownerVersions.empty())
-    answers.push_back({source, Message(DeltaRequest{std::move(wantedDigest)})});
+  if (!requestedVersions.ownerVersions.empty())
+    answers.push_back({source, Message(DeltaRequest{std::move(requestedVersions)})});
   appendDeltas(now, source, digest, answers);
-  return answers;
 }
 
 const GossipProtocol::LastMessage* GossipProtocol::lastMessageFrom(PeerAddress peer) const {
--- a/src/gossip/gossip_protocol.hpp
+++ b/src/gossip/gossip_protocol.hpp
@@ -1,5 +1,5 @@
-// With whom this controller reconciles what is shared, when, and what it answers. Decisions alone: no I/O, no
-// clock, chance from a seed.
+// The anti-entropy protocol on top of the store: which peer this controller reconciles with, when, and how it
+// answers messages. It performs no I/O and reads no clock; its randomness comes from a seed.
 #pragma once
 
 #include <array>
@@ -14,17 +14,19 @@
 
 namespace paddletrack::gossip {
 
-using PeerAddress =
-    std::uint64_t;  // a place that datagrams come from and go to; the network's own way to name it
+/// Address of a peer as the transport encodes it. The protocol only compares addresses.
+using PeerAddress = std::uint64_t;
 
 struct GossipOptions {
-  std::vector<PeerAddress> peers;  // whom it may begin with; answers go to whoever asks
-  Duration period{std::chrono::milliseconds(200)};
-  std::uint64_t seed = 0;
+  std::vector<PeerAddress> peers;                   // peers to start rounds with; answers go to any sender
+  Duration period{std::chrono::milliseconds(200)};  // mean time between rounds
+  std::uint64_t seed = 0;                           // of the order of peers and of the jitter
 };
 
+/// State machine of the protocol. All times are durations on the store's clock and never go back.
 class GossipProtocol {
  public:
+  /// `store` must outlive this object.
   GossipProtocol(Store& store, GossipOptions options);
 
   struct OutboundMessage {
@@ -33,51 +35,61 @@
   };
   using OutboundMessages = std::vector<OutboundMessage>;
 
-  // Once in a period, give or take a fourth by chance: digests to the next peer of a shuffled round, so that
-  // each peer has its turn within 2 * peers - 1 turns. At once again where a peer has said that it has more.
+  /// Time at which runRound() is due: once per period with a jitter of a fourth, and earlier if a peer
+  /// announced that it has further entries.
   Duration nextRoundAt() const { return std::min(nextRoundAt_, followUp_ ? followUp_->dueAt : nextRoundAt_); }
+  /// Runs what is due: expires and renews entries, and sends digests to the next peer. Peers come in shuffled
+  /// order, so that each peer is contacted at least once in 2 * peers - 1 rounds.
   OutboundMessages runRound(Duration now);
-  // What is answered: to a digest what the other lacks and what is wanted of it, to wants what the other
-  // lacks, at most kAnswers datagrams. In a period kAsks a peer are answered, 64 at least: the rest is
-  // dropped.
-  static constexpr std::size_t kMaxAnswerDatagrams = 8, kAnswersPerPeer = 4;
+  /// Datagrams of one answer.
+  static constexpr std::size_t kMaxAnswerDatagrams = 8;
+  /// Messages answered in one period, per configured peer.
+  static constexpr std::size_t kAnswersPerPeer = 4;
+  /// Handles a decoded message and returns the answers. A digest is answered with the entries that the sender
+  /// lacks and a request for those that it has; a delta request with the entries; a delta is merged. Messages
+  /// beyond the answer budget of the period are dropped.
   OutboundMessages onMessage(Duration now, PeerAddress source, const std::string& sender,
                              const Message& message);
 
   void countDrop(DropReason reason) { ++dropCounts_[static_cast<std::size_t>(reason)]; }
   std::uint64_t dropCount(DropReason reason) const { return dropCounts_[static_cast<std::size_t>(reason)]; }
-  std::uint64_t incarnationConflicts() const {
-    return incarnationConflicts_;
-  }  // later lives of its own name that it met
+  /// How often a peer held a later incarnation of this controller's own name.
+  std::uint64_t incarnationConflicts() const { return incarnationConflicts_; }
   struct LastMessage {
     Duration receivedAt{0};
     std::string sender;
   };
+  /// The last message from a configured peer; null if there was none. Valid until the next onMessage().
   const LastMessage* lastMessageFrom(PeerAddress peer) const;
-  std::size_t countActivePeersSince(Duration since) const;  // of the peers
+  /// Number of configured peers that sent a message at `since` or later.
+  std::size_t countActivePeersSince(Duration since) const;
   const GossipOptions& options() const { return options_; }
 
  private:
   void appendDigests(Duration now, PeerAddress destination, OutboundMessages& messages);
   void appendDeltas(Duration now, PeerAddress destination, Digest peerDigest,
                     OutboundMessages& messages) const;
+  void onDelta(Duration now, PeerAddress source, const Delta& delta);
+  void onDigest(Duration now, PeerAddress source, const Digest& digest, OutboundMessages& answers);
   bool tryConsumeAnswerBudget(Duration now);
   void scheduleNextRound(Duration now);
 
   Store& store_;
   const GossipOptions options_;
   std::mt19937_64 randomEngine_;
-  std::vector<PeerAddress> remainingPeers_;  // whose turn is still to come, the next at the back
-  std::string nextDigestStart_;              // where the next digest begins, if one does not hold all
+  std::vector<PeerAddress> remainingPeers_;  // not contacted yet in this cycle; the next one is at the back
+  std::string nextDigestStart_;  // first owner of the next digest, where one digest does not hold all owners
   Duration nextRoundAt_{0};
   struct FollowUp {
     PeerAddress peer = 0;
     Duration dueAt{0};
   };
   std::optional<FollowUp> followUp_;
-  Duration lastFollowUpAt_{0}, lastCleanupAt_{0}, answerWindowStartedAt_{0};
+  Duration lastFollowUpAt_{0};
+  Duration lastCleanupAt_{0};
+  Duration answerWindowStartedAt_{0};
   std::size_t answersInWindow_ = 0;
-  std::unordered_map<PeerAddress, LastMessage> lastMessages_;  // peers alone
+  std::unordered_map<PeerAddress, LastMessage> lastMessages_;  // configured peers only
   std::array<std::uint64_t, kDropReasonCount> dropCounts_{};
   std::uint64_t incarnationConflicts_ = 0;
 };
--- a/src/gossip/gossip_transport.cpp
+++ b/src/gossip/gossip_transport.cpp
@@ -7,12 +7,13 @@
 namespace paddletrack::gossip {
 namespace {
 
-constexpr int kMaxDatagramsPerBurst = 16;  // datagrams, before all others have their turn
+// Datagrams handled in a row before the receive loop yields to the scheduler's other tasks.
+constexpr int kMaxDatagramsPerBurst = 16;
 
 transport::DatagramSocket openSocket(transport::Scheduler& scheduler,
                                      const transport::Address& listenAddress) {
   try {
-    return transport::DatagramSocket(scheduler, listenAddress, kMaxDatagramBytes);
+    return {scheduler, listenAddress, kMaxDatagramBytes};
   } catch (const std::system_error& error) {
     throw SocketOpenError(
         "share.listen: " + transport::formatPackedAddress(transport::packAddress(listenAddress)) + ": " +
@@ -47,7 +48,7 @@
     if (datagram) {
       try {
         onDatagram(*datagram);
-      } catch (const std::exception& error) {  // of one datagram; the next is heard all the same
+      } catch (const std::exception& error) {  // One bad datagram must not end the receive loop.
         recordDrop(DropReason::malformed, datagram->sender, error.what());
       }
       if (datagramCount % kMaxDatagramsPerBurst == kMaxDatagramsPerBurst - 1) co_await scheduler_.yield();
@@ -60,11 +61,15 @@
 void GossipTransport::onDatagram(const transport::DatagramSocket::Datagram& datagram) {
   ++traffic_.datagramsIn;
   traffic_.bytesIn += datagram.bytes.size();
-  if (datagram.isTruncated)
-    return recordDrop(DropReason::oversized, datagram.sender, "longer than a datagram may be");
+  if (datagram.isTruncated) {
+    recordDrop(DropReason::oversized, datagram.sender, "longer than a datagram may be");
+    return;
+  }
   const DecodeResult decoded = decode(datagram.bytes, cluster_, store_.owner());
-  if (const auto* reason = std::get_if<DropReason>(&decoded.content))
-    return recordDrop(*reason, datagram.sender, decoded.detail);
+  if (const auto* reason = std::get_if<DropReason>(&decoded.content)) {
+    recordDrop(*reason, datagram.sender, decoded.detail);
+    return;
+  }
   const std::uint64_t previousIncarnation = store_.incarnation();
   send(gossipProtocol_.onMessage(now(), datagram.sender, decoded.sender, std::get<Message>(decoded.content)));
   if (store_.incarnation() != previousIncarnation)
--- a/src/gossip/gossip_transport.hpp
+++ b/src/gossip/gossip_transport.hpp
@@ -1,4 +1,4 @@
-// The share's datagrams on the network: carries what Gossip decides, and counts. One UDP socket over IPv4.
+// Carries the messages of GossipProtocol over one UDP socket (IPv4) and counts the traffic.
 #pragma once
 
 #include <functional>
@@ -14,7 +14,7 @@
 
 namespace paddletrack::gossip {
 
-// The socket could not be had: which address, why, and what to do.
+/// The socket could not be opened. The message names the address, the cause and a remedy.
 struct SocketOpenError : std::runtime_error {
   using std::runtime_error::runtime_error;
 };
@@ -26,15 +26,18 @@
   GossipOptions gossipOptions;
 };
 
+/// Owns the store, the protocol, their socket and their timer. Runs on the scheduler's thread.
 class GossipTransport {
  public:
-  // Throws NotOpened; std::invalid_argument where a term is wrong.
+  /// Throws SocketOpenError, or std::invalid_argument if an option is invalid. `scheduler` and `logger` must
+  /// outlive this object.
   GossipTransport(transport::Scheduler& scheduler, const GossipTransportOptions& options,
                   const Logger& logger);
 
   Store& store() { return store_; }
-  Duration now() const;  // on the store's clock
-  // Called before each turn, for who writes entries.
+  /// Time since the start: the clock of the store and the protocol.
+  Duration now() const;
+  /// Adds a function that is called before each round. Writers of entries publish in it.
   void addBeforeRoundHook(std::function<void(Duration now)> hook) {
     beforeRoundHooks_.push_back(std::move(hook));
   }
--- a/src/gossip/load_publisher.cpp
+++ b/src/gossip/load_publisher.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <msgpack.hpp>
+#include <optional>
 #include <set>
 
 namespace paddletrack::gossip {
@@ -16,21 +17,23 @@
   return {buffer.data(), buffer.size()};
 }
 
-bool unpackValue(const std::string& value, Load& load) {
+bool isNumberInRange(const msgpack::object& object) {
+  return object.type == msgpack::type::POSITIVE_INTEGER && object.via.u64 < kNumberLimit;
+}
+
+// Values come from other controllers: std::nullopt if one is not in the expected format.
+std::optional<Load> unpackValue(const std::string& value) {
   try {
     const msgpack::object_handle handle = msgpack::unpack(value.data(), value.size(), nullptr, nullptr,
                                                           msgpack::unpack_limit(2, 0, 0, 0, 0, 2));
     const msgpack::object& object = handle.get();
-    if (object.type != msgpack::type::ARRAY || object.via.array.size != 2) return false;
-    const msgpack::object *threads = object.via.array.ptr, *attempts = threads + 1;
-    if (threads->type != msgpack::type::POSITIVE_INTEGER ||
-        attempts->type != msgpack::type::POSITIVE_INTEGER || threads->via.u64 >= kNumberLimit ||
-        attempts->via.u64 >= kNumberLimit)
-      return false;
-    load = {threads->via.u64, attempts->via.u64};
-    return true;
+    if (object.type != msgpack::type::ARRAY || object.via.array.size != 2) return std::nullopt;
+    const msgpack::object& threads = object.via.array.ptr[0];
+    const msgpack::object& attempts = object.via.array.ptr[1];
+    if (!isNumberInRange(threads) || !isNumberInRange(attempts)) return std::nullopt;
+    return Load{threads.via.u64, attempts.via.u64};
   } catch (const std::exception&) {
-    return false;
+    return std::nullopt;
   }
 }
 
@@ -40,7 +43,7 @@
   if (now < nextHeartbeatAt_) return;
   nextHeartbeatAt_ = now + kHeartbeatInterval;
   for (auto published = publishedLoads_.begin(); published != publishedLoads_.end();) {
-    const bool isStillListed = engines.count(published->first) > 0;
+    const bool isStillListed = engines.contains(published->first);
     if (!isStillListed) store_.remove(now, kLoad, published->first);
     published = isStillListed ? std::next(published) : publishedLoads_.erase(published);
   }
@@ -62,20 +65,20 @@
   store.visitEntries(now, kLoad,
                      [&](const std::string& owner, std::uint64_t, const std::string& key,
                          const std::string& value, Duration age) {
-                       Load load;
-                       if (!unpackValue(value, load)) {
+                       const std::optional<Load> load = unpackValue(value);
+                       if (!load) {
                          ++fleet.unreadableValues;
                          return;
                        }
-                       // The key "" comes first of an owner's.
+                       // Keys are visited in order, so that an owner's heartbeat "" precedes its engines.
                        if (key.empty()) {
                          ++fleet.controllers;
                          if (age <= FleetLoad::kLivenessTimeout) liveOwners.insert(owner);
                        }
-                       const std::uint64_t threads = liveOwners.count(owner) > 0 ? load.threadsInFlight : 0;
+                       const std::uint64_t threads = liveOwners.contains(owner) ? load->threadsInFlight : 0;
                        Load& total = key.empty() ? fleet.total : fleet.engines[key];
                        total.threadsInFlight += threads;
-                       total.attempts += load.attempts;
+                       total.attempts += load->attempts;
                      });
   fleet.liveControllers = liveOwners.size();
   return fleet;
--- a/src/gossip/load_publisher.hpp
+++ b/src/gossip/load_publisher.hpp
@@ -1,6 +1,7 @@
-// What each controller shares of its own load, and the fleet's sum of it: topic kLoad, for each engine a key
-// with its name, and the key "" for the whole; the value is MessagePack, [threads out, jobs dispatched since
-// the start]. The whole is also the sign that its owner lives: it is written anew each kPulse.
+// Each controller publishes its own load under the topic kLoad, and sums the load of the fleet. There is an
+// entry per engine, with the engine's name as its key, and one with the key "" for the total. A value is the
+// MessagePack array [threads in flight, attempts since the start]. The total is also the controller's
+// heartbeat: it is rewritten every kHeartbeatInterval, even if it is unchanged.
 #pragma once
 
 #include <map>
@@ -11,18 +12,23 @@
 
 namespace paddletrack::gossip {
 
+/// Load that one controller, or the fleet, places on an engine or on all engines.
 struct Load {
-  std::uint64_t threadsInFlight = 0, attempts = 0;
+  std::uint64_t threadsInFlight = 0;  // engine threads used by attempts in flight
+  std::uint64_t attempts = 0;         // attempts started since the start of the controller
   bool operator==(const Load&) const = default;
 };
 
+/// Writes this controller's load into the store.
 class LoadPublisher {
  public:
   static constexpr Duration kHeartbeatInterval{std::chrono::milliseconds(500)};
+  /// `store` must outlive this object.
   explicit LoadPublisher(Store& store) : store_(store) {}
   Duration nextHeartbeatAt() const { return nextHeartbeatAt_; }
-  // By engine's name, each at most kLongestKey bytes; a longer one and what has no room are left out and
-  // counted. Only what differs is written.
+  /// Publishes the load by engine name, at most once per heartbeat interval. Only engines whose load changed
+  /// are written. Names that are empty or longer than kMaxKeyBytes, and entries that the store rejects, are
+  /// omitted and counted.
   void publish(Duration now, const std::map<std::string, Load>& engines, Load total);
   std::uint64_t omittedCount() const { return omittedCount_; }
 
@@ -33,13 +39,15 @@
   std::uint64_t omittedCount_ = 0;
 };
 
-// Threads count of controllers heard of within kLive; jobs of all that are held.
+/// Sum of the load of all controllers. Threads in flight count only for controllers with a heartbeat within
+/// kLivenessTimeout; attempts count for all controllers whose entries are in the store.
 struct FleetLoad {
   static constexpr Duration kLivenessTimeout = 10 * LoadPublisher::kHeartbeatInterval;
-  std::size_t controllers = 0, liveControllers = 0;
+  std::size_t controllers = 0;
+  std::size_t liveControllers = 0;
   Load total;
   std::map<std::string, Load> engines;
-  std::uint64_t unreadableValues = 0;  // values that are no load
+  std::uint64_t unreadableValues = 0;  // values that could not be decoded
 };
 FleetLoad sumFleetLoad(const Store& store, Duration now);
 
--- a/src/gossip/store.cpp
+++ b/src/gossip/store.cpp
@@ -4,16 +4,8 @@
 #include <stdexcept>
 
 namespace paddletrack::gossip {
-namespace {
 
-constexpr std::size_t kMaxEntryBytes = kEntryOverheadBytes + kMaxKeyBytes + kMaxValueBytes;
-
-bool isValidNumber(std::uint64_t value) { return value > 0 && value < kNumberLimit; }
-bool isInDigestRange(const Digest& digest, std::string_view owner) {
-  return owner >= digest.firstOwner && (digest.lastOwner.empty() || owner <= digest.lastOwner);
-}
-
-}  // namespace
+bool Store::isValidNumber(std::uint64_t value) { return value > 0 && value < kNumberLimit; }
 
 Store::Store(StoreOptions options) : options_(std::move(options)), incarnation_(options_.incarnation) {
   if (options_.owner.empty() || options_.owner.size() > kMaxOwnerBytes)
@@ -26,7 +18,7 @@
   owners_[options_.owner].incarnation = incarnation_;
 }
 
-// ---- a writer's side --------------------------------------------------------------------------------------
+// ---- writing this controller's own entries ----------------------------------------------------------------
 
 Store::PutResult Store::put(Duration now, Topic topic, std::string_view key, std::string_view value) {
   if (topic > kMaxTopic) return PutResult::invalidTopic;
@@ -67,9 +59,9 @@
   }
 }
 
-// ---- the table --------------------------------------------------------------------------------------------
+// ---- the table of entries ---------------------------------------------------------------------------------
 
-// An entry that has no version yet is new to the table.
+// Entries with version 0 were just created and are not part of the counters yet.
 void Store::writeEntry(OwnerState& owner, EntryMap::iterator position, std::string_view value, bool removed,
                        std::uint64_t version, Duration writtenAt) {
   Entry& entry = position->second;
@@ -109,14 +101,14 @@
   owner.entries.clear();
 }
 
-// This controller's own part is set aside for it, used or not.
+// kMaxBytesPerOwner is reserved for this controller's own entries, used or not.
 std::size_t Store::freeBytes() const {
   const std::size_t otherOwnersBytes = totalBytes_ - owners_.find(options_.owner)->second.bytes;
   return options_.maxBytes - kMaxBytesPerOwner -
          std::min(otherOwnersBytes, options_.maxBytes - kMaxBytesPerOwner);
 }
 
-// Who may give way: nothing of it is younger than half of `keep`.
+// Only owners without an entry younger than half of the retention duration may be evicted.
 Store::OwnerMap::const_iterator Store::findStalestOwner(Duration now, std::string_view requester) const {
   auto stalest = owners_.end();
   for (auto candidate = owners_.begin(); candidate != owners_.end(); ++candidate) {
@@ -160,251 +152,12 @@
   return previousCount - entryCount_;
 }
 
-// Somebody holds a later life of this name: a clock that went back, or another process under this name.
+// A peer holds a later incarnation of this name: this machine's clock went back, or another process uses the
+// name.
 void Store::startNewIncarnation(std::uint64_t previousIncarnation) {
   if (!isValidNumber(previousIncarnation + 1)) return;
   incarnation_ = previousIncarnation + 1;
   ownState().incarnation = incarnation_;
 }
 
-// ---- reconciliation ---------------------------------------------------------------------------------------
-
-Digest Store::buildDigest(Duration now, std::string_view firstOwner, std::size_t maxBytes) const {
-  Digest digest;
-  digest.firstOwner = firstOwner;
-  digest.rejectsNewOwners = rejectsNewOwners(now);
-  std::size_t usedBytes = 0;
-  for (auto ownerEntry = owners_.lower_bound(firstOwner); ownerEntry != owners_.end(); ++ownerEntry) {
-    usedBytes += ownerEntry->first.size() + kOwnerVersionOverheadBytes;
-    if (usedBytes > maxBytes && !digest.ownerVersions.empty()) {
-      digest.lastOwner = digest.ownerVersions.back().owner;
-      break;
-    }
-    digest.ownerVersions.push_back(
-        {ownerEntry->first, ownerEntry->second.incarnation, ownerEntry->second.contiguousVersion});
-  }
-  return digest;
-}
-
-Delta Store::buildDelta(Duration now, const Digest& peerDigest, std::size_t maxBytes) const {
-  struct MissingEntries {
-    OwnerMap::const_iterator owner;
-    std::uint64_t fromVersion;
-    std::size_t bytes;
-    bool ownerUnknownToPeer;  // to the other
-  };
-  std::vector<MissingEntries> missing;
-  // Also what is beyond a gap, which `upTo` does not speak of; and that there is a later life, with nothing
-  // yet.
-  const auto addIfMissing = [&](OwnerMap::const_iterator owner, std::uint64_t fromVersion,
-                                bool hasNewerIncarnation, bool ownerUnknownToPeer) {
-    auto entry = owner->second.byVersion.upper_bound(fromVersion);
-    if (owner->second.contiguousVersion <= fromVersion && entry == owner->second.byVersion.end() &&
-        !hasNewerIncarnation)
-      return;
-    std::size_t bytes = 0;
-    for (; entry != owner->second.byVersion.end(); ++entry)
-      bytes += entry->second->first.second.size() + entry->second->second.value.size() + kUpdateOverheadBytes;
-    missing.push_back({owner, fromVersion, bytes, ownerUnknownToPeer});
-  };
-  std::map<std::string_view, const Digest::OwnerVersion*> ownerVersionsByName;
-  for (const Digest::OwnerVersion& ownerVersion : peerDigest.ownerVersions)
-    ownerVersionsByName[ownerVersion.owner] = &ownerVersion;
-  for (const auto& [name, ownerVersion] : ownerVersionsByName) {
-    const auto owner = owners_.find(name);
-    if (owner == owners_.end() || owner->second.incarnation < ownerVersion->incarnation) continue;
-    const bool hasNewerIncarnation = owner->second.incarnation > ownerVersion->incarnation;
-    addIfMissing(owner, hasNewerIncarnation ? 0 : ownerVersion->version, hasNewerIncarnation,
-                 ownerVersion->incarnation == 0);
-  }
-  if (!peerDigest.rejectsNewOwners)
-    for (auto ownerEntry = owners_.lower_bound(peerDigest.firstOwner);
-         ownerEntry != owners_.end() && isInDigestRange(peerDigest, ownerEntry->first); ++ownerEntry)
-      if (ownerVersionsByName.find(ownerEntry->first) == ownerVersionsByName.end())
-        addIfMissing(ownerEntry, 0, false, true);
-  std::stable_sort(missing.begin(), missing.end(),
-                   [&](const MissingEntries& left, const MissingEntries& right) {
-                     if (options_.deltaOrder == DeltaOrder::newestFirst)
-                       return left.owner->second.newestEntryAt > right.owner->second.newestEntryAt;
-                     return options_.deltaOrder == DeltaOrder::smallestFirst ? left.bytes < right.bytes
-                                                                             : left.bytes > right.bytes;
-                   });
-  Delta delta;
-  std::size_t usedBytes = 0;
-  for (const MissingEntries& missingEntries : missing) {
-    const OwnerState& ownerState = missingEntries.owner->second;
-    usedBytes += missingEntries.owner->first.size() + kOwnerDeltaOverheadBytes;
-    if (usedBytes > maxBytes) {
-      delta.truncated = true;
-      break;
-    }
-    Delta::OwnerDelta ownerDelta{missingEntries.owner->first,
-                                 ownerState.incarnation,
-                                 missingEntries.fromVersion,
-                                 std::max(missingEntries.fromVersion, ownerState.contiguousVersion),
-                                 {}};
-    bool truncatedHere = false;
-    for (auto versionEntry = ownerState.byVersion.upper_bound(missingEntries.fromVersion);
-         versionEntry != ownerState.byVersion.end(); ++versionEntry) {
-      const auto& [key, entry] = *versionEntry->second;
-      if (entryAge(now, entry) >= options_.retentionDuration) continue;
-      const std::size_t entrySize = key.second.size() + entry.value.size() + kUpdateOverheadBytes;
-      if (usedBytes + entrySize > maxBytes) {
-        ownerDelta.upToVersion =
-            ownerDelta.updates.empty()
-                ? missingEntries.fromVersion
-                : std::max(missingEntries.fromVersion,
-                           std::min(ownerDelta.updates.back().version, ownerState.contiguousVersion));
-        delta.truncated = truncatedHere = true;
-        break;
-      }
-      usedBytes += entrySize;
-      ownerDelta.updates.push_back(
-          {key.first, key.second, entry.value, entry.version, entry.removed, entryAge(now, entry)});
-    }
-    const bool hasContent =
-        !ownerDelta.updates.empty() || !(truncatedHere || missingEntries.ownerUnknownToPeer);
-    if (hasContent) delta.ownerDeltas.push_back(std::move(ownerDelta));
-    if (truncatedHere) break;
-  }
-  return delta;
-}
-
-Digest Store::buildDeltaRequest(Duration now, const Digest& peerDigest, std::size_t maxBytes) {
-  Digest request;
-  request.rejectsNewOwners = true;
-  const bool rejectsNew = rejectsNewOwners(now);
-  std::size_t usedBytes = 0;
-  for (const Digest::OwnerVersion& peerVersion : peerDigest.ownerVersions) {
-    if (peerVersion.owner.empty() || peerVersion.owner.size() > kMaxOwnerBytes ||
-        !isValidNumber(peerVersion.incarnation))
-      continue;
-    const auto known = owners_.find(peerVersion.owner);
-    if (peerVersion.owner == options_.owner) {
-      if (peerVersion.incarnation > incarnation_ ||
-          (peerVersion.incarnation == incarnation_ && peerVersion.version > known->second.contiguousVersion))
-        startNewIncarnation(peerVersion.incarnation);
-      continue;
-    }
-    const bool isKnown = known != owners_.end();
-    if (isKnown ? known->second.incarnation > peerVersion.incarnation ||
-                      (known->second.incarnation == peerVersion.incarnation &&
-                       known->second.contiguousVersion >= peerVersion.version)
-                : rejectsNew || peerVersion.version == 0)
-      continue;
-    usedBytes += peerVersion.owner.size() + kOwnerVersionOverheadBytes;
-    if (usedBytes > maxBytes) break;
-    request.ownerVersions.push_back({peerVersion.owner, isKnown ? known->second.incarnation : 0,
-                                     isKnown ? known->second.contiguousVersion : 0});
-  }
-  return request;
-}
-
-void Store::applyUpdate(Duration now, OwnerMap::iterator owner, const EntryUpdate& update,
-                        MergeResult& result) {
-  if (update.topic > kMaxTopic || update.key.size() > kMaxKeyBytes || update.value.size() > kMaxValueBytes ||
-      !isValidNumber(update.version) || (update.removed && !update.value.empty())) {
-    ++result.rejected;
-    return;
-  }
-  OwnerState& ownerState = owner->second;
-  const Duration writtenAt = now - std::max(update.age, Duration{0});
-  const auto existing = ownerState.entries.find(EntryKey{update.topic, update.key});
-  const bool exists = existing != ownerState.entries.end();
-  if (exists) {
-    Entry& entry = existing->second;
-    if (entry.version == update.version) entry.writtenAt = std::min(entry.writtenAt, writtenAt);
-    // Only two processes under one name write two values under one number: the greater one stays, at
-    // everyone.
-    const bool winsVersionTie =
-        entry.version == update.version && std::pair(update.removed, std::string_view(update.value)) >
-                                               std::pair(entry.removed, std::string_view(entry.value));
-    if (entry.version > update.version || (entry.version == update.version && !winsVersionTie)) {
-      ++result.alreadyKnown;
-      return;
-    }
-  }
-  const std::size_t previousBytes = exists ? entryBytes(update.key.size(), existing->second.value.size()) : 0;
-  const std::size_t newBytes = entryBytes(update.key.size(), update.value.size());
-  const std::size_t addedBytes = newBytes > previousBytes ? newBytes - previousBytes : 0;
-  if (ownerState.bytes + addedBytes > kMaxBytesPerOwner ||
-      !evictToFit(now, owner->first, addedBytes, false)) {
-    // What is known to be superseded is not shown any longer.
-    if (exists) eraseEntry(ownerState, existing);
-    ++result.rejected;
-    return;
-  }
-  const bool isVisibleChange =
-      !exists || existing->second.removed != update.removed || existing->second.value != update.value;
-  writeEntry(ownerState,
-             exists ? existing : ownerState.entries.try_emplace(EntryKey{update.topic, update.key}).first,
-             update.value, update.removed, update.version, writtenAt);
-  if (isVisibleChange) ++changeCount_;
-  ++result.applied;
-}
-
-Store::MergeResult Store::merge(Duration now, const Delta& delta) {
-  MergeResult result;
-  for (const Delta::OwnerDelta& ownerDelta : delta.ownerDeltas) {
-    if (ownerDelta.owner.empty() || ownerDelta.owner.size() > kMaxOwnerBytes ||
-        !isValidNumber(ownerDelta.incarnation) || ownerDelta.upToVersion >= kNumberLimit ||
-        ownerDelta.fromVersion > ownerDelta.upToVersion) {
-      result.rejected += ownerDelta.updates.size();
-      continue;
-    }
-    auto ownerEntry = owners_.find(ownerDelta.owner);
-    if (ownerDelta.owner == options_.owner) {
-      std::uint64_t latestVersion = ownerDelta.upToVersion;
-      for (const EntryUpdate& update : ownerDelta.updates)
-        latestVersion = std::max(latestVersion, update.version);
-      const bool hasNewerIncarnation =
-          ownerDelta.incarnation > incarnation_ ||
-          (ownerDelta.incarnation == incarnation_ && latestVersion > ownerEntry->second.contiguousVersion);
-      if (hasNewerIncarnation) startNewIncarnation(ownerDelta.incarnation), result.incarnationConflict = true;
-      (ownerDelta.incarnation < incarnation_ ? result.stale : result.alreadyKnown) +=
-          ownerDelta.updates.size();
-      continue;
-    }
-    if (ownerEntry != owners_.end() && ownerDelta.incarnation < ownerEntry->second.incarnation) {
-      result.stale += ownerDelta.updates.size();
-      continue;
-    }
-    const auto isUnexpired = [&](const EntryUpdate& entryUpdate) {
-      return entryUpdate.age < options_.retentionDuration;
-    };
-    if (ownerEntry == owners_.end()) {
-      const auto firstUnexpired =
-          std::find_if(ownerDelta.updates.begin(), ownerDelta.updates.end(), isUnexpired);
-      if (firstUnexpired == ownerDelta.updates.end()) {
-        result.stale += ownerDelta.updates.size();
-        continue;
-      }
-      if (!evictToFit(now, ownerDelta.owner, kMaxEntryBytes, true)) {
-        result.rejected += ownerDelta.updates.size();
-        continue;
-      }
-      ownerEntry = owners_.try_emplace(ownerDelta.owner).first;
-      ownerEntry->second.newestEntryAt = now - firstUnexpired->age;
-    }
-    OwnerState& owner = ownerEntry->second;
-    if (owner.incarnation != ownerDelta.incarnation) {
-      clearOwner(owner);
-      owner.incarnation = ownerDelta.incarnation;
-      owner.contiguousVersion = 0;
-      owner.newestEntryAt = now;
-    }
-    for (const EntryUpdate& update : ownerDelta.updates) {
-      if (isUnexpired(update)) {
-        applyUpdate(now, ownerEntry, update, result);
-      } else {
-        ++result.stale;
-      }
-    }
-    // What had no room comes again when its owner renews it.
-    if (owner.contiguousVersion >= ownerDelta.fromVersion)
-      owner.contiguousVersion = std::max(owner.contiguousVersion, ownerDelta.upToVersion);
-  }
-  return result;
-}
-
 }  // namespace paddletrack::gossip
--- a/src/loadtest/controller_simulation.cpp
+++ b/src/loadtest/controller_simulation.cpp
@@ -12,7 +12,8 @@
 constexpr double kForcedStartCores = 1e12, kForcedWaitCores = 1e-9, kBlockingThreads = 1e9;
 constexpr unsigned kControllerCount = 4;
 constexpr double kCoresPerEngine = 8;
-constexpr double kMaxBackgroundThreads = 40;  // threads of others on one engine: they throttle past it
+constexpr double kMaxBackgroundThreads =
+    40;  // of other controllers on one engine, which reject requests above it
 constexpr Duration kLocalZoneLatency = 1ms, kRemoteZoneLatency = 12ms, kConnectTimeout = 100ms;
 
 double toSeconds(Duration span) { return std::chrono::duration<double>(span).count(); }
@@ -67,15 +68,14 @@
   EndpointRecords endpointRecords;
   for (unsigned value = 0; value < options.engineCount; ++value) {
     engines_.emplace_back().number = value;
-    simulatedEngines_[value].speed =
-        0.75 + 0.5 * drawUniform(scenarioRandom_);  // nobody tells the controller
+    simulatedEngines_[value].speed = 0.75 + 0.5 * drawUniform(scenarioRandom_);  // unknown to the controller
     endpointRecords.emplace_back(&engines_.back(), EndpointRecord{.zone = value % 2});
   }
   controller_->onEndpointUpdate(now_, true, endpointRecords);
   generateScenario();
 }
 
-// The trace and the faults: of the day's own seed alone, whatever the controller does.
+// The requests and the faults depend only on the seed, whatever the controller does.
 void ControllerSimulation::generateScenario() {
   const auto drawTimeWithin = [&](double minFraction, double maxFraction) {
     return toDuration(toSeconds(options_.duration) *
@@ -140,7 +140,7 @@
   for (unsigned value = 0; value < options_.engineCount; ++value) scheduleBackgroundRequest(value);
 }
 
-// The other controllers' jobs at one engine.
+// Requests of the other controllers at one engine.
 void ControllerSimulation::scheduleBackgroundRequest(unsigned engineIndex) {
   const double backgroundRate = options_.requestsPerSecond * (kControllerCount - 1) / options_.engineCount;
   const bool inBurst = now_ >= burstWindow_.first && now_ < burstWindow_.second;
@@ -231,7 +231,7 @@
       const auto finishedTask = std::min_element(
           nextEngine->tasks.begin(), nextEngine->tasks.end(),
           [](const auto& a, const auto& b) { return a.remainingThreadSeconds < b.remainingThreadSeconds; });
-      if (finishedTask->remainingThreadSeconds > 1e-6) continue;  // a cold engine has become faster meanwhile
+      if (finishedTask->remainingThreadSeconds > 1e-6) continue;  // The engine's speed has changed meanwhile.
       Attempt* attempt = finishedTask->attempt;
       nextEngine->tasks.erase(finishedTask);
       if (!attempt) continue;
@@ -248,7 +248,8 @@
       const auto event = std::move(eventQueue_.extract(eventQueue_.begin()).mapped());
       for (SimulatedEngine& simulatedEngine : simulatedEngines_)
         if (simulatedEngine.restartedAt)
-          advanceEngine(simulatedEngine, now_);  // its pace changes with time: in small steps
+          advanceEngine(simulatedEngine,
+                        now_);  // Its speed changes with time, which is integrated in small steps.
       event();
     }
   }
@@ -334,7 +335,7 @@
     const counterfactual::PolicyAction& policyAction = decision.policyActions[policy];
     if (candidates[bestIndex].startProbability >= 1 &&
         (policyAction.asLoggedProbability >= 1 || policyAction.startProbabilities[bestIndex] >= 1))
-      continue;  // it does the same
+      continue;  // It acts as the module does.
     const auto likeliestStart =
         std::max_element(policyAction.startProbabilities.begin(), policyAction.startProbabilities.end());
     const Engine* certainEngine =
@@ -351,8 +352,8 @@
   }
 }
 
-// Makes the module start the job, or keep it, whatever its chance says, by what an engine shows for a moment;
-// and what it starts goes where the policy wants it.
+// Makes the admission module start or queue the request regardless of its start probability, by a temporary
+// change of the engine's state. The attempt is then moved to the engine that the policy selects.
 void ControllerSimulation::forceDecision(const Request& request, const std::vector<Candidate>& candidates,
                                          Policy policy) {
   restoreEngineState();
@@ -381,7 +382,7 @@
           &bestEngine, bestEngine.effectiveCores, kForcedStartCores,      request.requestClass->index,
           0,           bestEngine.cachedDataSets, bestEngine.nextTrialAt, candidates[index].engine};
     }
-    if (policyDraw >= 0) return;  // out of reach: as the module does
+    if (policyDraw >= 0) return;  // Unreachable: it acts as the module does.
   }
   ++forcedDecisionCount_;
   bestEngine.effectiveCores = forcedDecision_->forcedCores;
--- a/src/loadtest/controller_simulation.hpp
+++ b/src/loadtest/controller_simulation.hpp
@@ -1,6 +1,6 @@
-// One day of one controller in virtual time: the real Controller behind its Host, stand-in engines that share
-// their cores among what runs, the other controllers as work that comes to the engines by itself. The same
-// terms give the same day; a policy may be forced on one job or on all.
+// Simulates one controller in virtual time: the real AdmissionController, simulated engines that share their
+// cores among the running attempts, and the load of other controllers as background requests. Equal options
+// give an equal run. A policy may be forced on one request or on all.
 #pragma once
 
 #include <deque>
@@ -24,25 +24,28 @@
   std::uint64_t seed = 1;
   ScenarioKind kind = ScenarioKind::calm;
   Duration duration{std::chrono::seconds(12)};
-  double requestsPerSecond = 54;  // jobs of this controller
+  double requestsPerSecond = 54;  // of this controller
   unsigned engineCount = 6;
-  std::optional<counterfactual::Policy> forcedPolicy;  // on all jobs
+  std::optional<counterfactual::Policy> forcedPolicy;  // on all requests
 };
 
+/// One run of the simulation, as the host of its admission controller.
 class ControllerSimulation final : public AdmissionHost {
  public:
   explicit ControllerSimulation(const SimulationOptions& options);
 
-  // What a job comes to under a policy that is forced on it alone, as far as the policy is within chance's
-  // reach. Called at its first draw wherever the policy may do another thing than the module, for the caller
-  // to fork: 0 in the day that goes on, in each copy another number, for the copy's own chance. `sure`: the
-  // engine at which it starts there without any chance.
+  // Lets the caller fork the process to measure the outcome of a request under a policy that is forced on it
+  // alone. Called at the request's first decision for each policy that may act differently from the admission
+  // module and is reachable. Returns 0 in the process that continues the run, and in each copy another
+  // number, which seeds the copy's own randomness. `certainEngine` is the engine at which the policy starts
+  // the request with certainty.
   using ForkFunction = std::function<unsigned(std::size_t requestIndex, counterfactual::Policy policy,
                                               const Engine* certainEngine)>;
   void setForkFunction(ForkFunction forkFunction) { fork_ = std::move(forkFunction); }
   using CompletionCallback =
       std::function<void(std::size_t requestIndex, double latencySeconds, bool inTime)>;
-  void run(const CompletionCallback& onFinished = nullptr);  // to the day's end and until all jobs are over
+  /// Runs until the end of the simulated duration and until all requests are finished.
+  void run(const CompletionCallback& onFinished = nullptr);
 
   struct RequestOutcome {
     double latencySeconds = 0;
@@ -55,7 +58,7 @@
 
  private:
   struct Task {
-    Attempt* attempt = nullptr;         // none: of another controller
+    Attempt* attempt = nullptr;         // null for a request of another controller
     double remainingThreadSeconds = 0;  // seconds of one thread
     double threads = 1;
   };
@@ -104,19 +107,19 @@
   std::deque<Engine> engines_;
   std::vector<SimulatedEngine> simulatedEngines_;
   std::deque<Request> requests_;
-  std::vector<double> actualCost_;  // what each job really takes
+  std::vector<double> actualCost_;  // by request, in seconds of one thread
   std::vector<RequestOutcome> outcomes_;
-  std::vector<char> decided_;  // jobs that have had their first draw
+  std::vector<char> decided_;  // by request: it had its first decision
   std::multimap<Duration, std::function<void()>> eventQueue_;
   std::optional<Duration> wakeUpAt_;
-  std::pair<Duration, Duration> partitionWindow_{};  // the far location is out of reach
+  std::pair<Duration, Duration> partitionWindow_{};  // the remote zone is unreachable
   std::pair<Duration, Duration> burstWindow_{};
   std::size_t openRequests_ = 0, forcedDecisionCount_ = 0;
   bool scenarioGenerated_ = false;
   CompletionCallback onRequestFinished_;
   ForkFunction fork_;
 
-  // Of a forced draw, until the module has acted on it.
+  // A forced decision, until the admission module has acted on it.
   std::optional<std::pair<std::size_t, counterfactual::Policy>> forcedRequest_;
   struct ForcedDecision {
     Engine* engine = nullptr;
--- a/src/loadtest/counterfactual_accuracy.cpp
+++ b/src/loadtest/counterfactual_accuracy.cpp
@@ -1,7 +1,7 @@
-// Whether what src/hindsight tells is true: days of the real module in virtual time. Each job's other
-// outcomes come from copies of the day (fork) in which the policy is forced on that job alone, so the truth
-// about one and the same trace is known; the estimates see the records alone. Further, whole days with the
-// policy forced on all jobs.
+// Measures the accuracy of the counterfactual estimates on simulated runs of the real admission module. The
+// true outcome of each request under another policy comes from a forked copy of the run in which the policy
+// is forced on that request alone; the estimates only see the records. Also simulates runs with the policy
+// forced on all requests.
 #include <sys/mman.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -25,11 +25,12 @@
 using counterfactual::Policy;
 using counterfactual::Verdict;
 
-constexpr unsigned kForksPerRequest = 3;        // of a job whose policy draws by chance
-constexpr std::size_t kMaxConcurrentForks = 4;  // copies that run at once
+constexpr unsigned kForksPerRequest = 3;        // of a request whose policy is randomized
+constexpr std::size_t kMaxConcurrentForks = 4;  // processes that run at once
 
 template <typename Element>
-class SharedArray {  // by a process and its copies
+// An array that a process shares with its forked copies.
+class SharedArray {
  public:
   explicit SharedArray(std::size_t count)
       : sizeBytes_(std::max<std::size_t>(1, count) * sizeof(Element)),
@@ -87,9 +88,10 @@
   bool isFork = false;
   std::size_t forkedRequest = 0, currentCell = 0;
   std::vector<pid_t> forkProcesses;
-  std::vector<std::size_t> sourceCell(requestCount * kPolicyCount);  // the cell that holds a cell's copies
+  std::vector<std::size_t> sourceCell(requestCount *
+                                      kPolicyCount);  // by cell: the cell whose forks it shares
   for (std::size_t index = 0; index < sourceCell.size(); ++index) sourceCell[index] = index;
-  std::vector<std::pair<const Engine*, std::size_t>> cellsByEngine;  // of the job at hand
+  std::vector<std::pair<const Engine*, std::size_t>> cellsByEngine;  // of the current request
   std::size_t lastRequest = requestCount;
   const auto waitForForks = [&](std::size_t maxRunning) {
     for (; forkProcesses.size() > maxRunning; forkProcesses.erase(forkProcesses.begin()))
@@ -130,7 +132,7 @@
   const counterfactual::ClassSums sums = counterfactual::sumClasses(summary);
   const bool explained = counterfactual::isWellCalibrated(summary.pooledCalibration, summary.calibration);
   result.requestCount = sums.requests;
-  // Jobs of which there is no record never came to a draw: the policies have no say in them.
+  // Requests without a record never had a decision, so that the policies do not affect them.
   std::array<double, kMeasureCount> unrecordedSums{};
   for (std::size_t policy = 0; policy < kPolicyCount; ++policy) {
     ScenarioResult::PolicyResult& policyResult = result.policies[policy];
@@ -175,8 +177,9 @@
 
 }  // namespace
 
-// Exit 0: 200 pairs told of, coverage of the doubly robust 90 % intervals within 85 to 95 %, the better of
-// two named right in nine of ten, its error below the others' (fewer pairs: only the last two).
+// Exits with 0 if there are 200 conclusive pairs, the doubly robust 90 % intervals cover the truth in 85 to
+// 95 % of them, the better of two policies is named correctly in nine of ten cases, and the doubly robust
+// error is below that of the other methods. With fewer pairs only the last two conditions are checked.
 int measureCounterfactualAccuracy(unsigned scenarioCount, unsigned workerCount, std::uint64_t seed) {
   SharedArray<ScenarioResult> results(scenarioCount);
   std::vector<pid_t> workerProcesses;
--- a/src/loadtest/gossip.cpp
+++ b/src/loadtest/gossip.cpp
@@ -1,5 +1,5 @@
-// What sharing costs and how soon all know: fleets of controllers as processes, with relays between each two,
-// and, in simulated time, the orders in which a delta may be filled.
+// Measures the cost and the convergence time of gossip in fleets of controller processes with a fault proxy
+// between each two, and compares the orders of owners in a delta in simulated time.
 #include <sys/resource.h>
 
 #include <cstdio>
@@ -14,7 +14,7 @@
 
 using fakes::GossipCluster;
 
-// Each two members have two sockets here.
+// This process holds two sockets for each pair of members.
 void raiseDescriptorLimit() {
   rlimit descriptorLimit{};
   if (::getrlimit(RLIMIT_NOFILE, &descriptorLimit) != 0) return;
@@ -22,12 +22,12 @@
   ::setrlimit(RLIMIT_NOFILE, &descriptorLimit);
 }
 
-// All doors watched at once: what each member tells last.
+// Watches the status of all members through their admin sockets and keeps the last one of each.
 class FleetStatusWatcher {
  public:
   FleetStatusWatcher(TestScheduler& loop, GossipCluster& fleet, unsigned memberCount)
       : loop_(loop), memberStatuses_(memberCount) {
-    for (unsigned value = 0; value < memberCount; ++value) watchMember(fleet, value);
+    for (unsigned member = 0; member < memberCount; ++member) watchMember(fleet, member);
   }
   void watchMember(GossipCluster& fleet, unsigned member) {
     connections_.resize(memberStatuses_.size());
@@ -43,23 +43,21 @@
     connections_[member]->send("{\"v\":1,\"id\":1,\"do\":\"watch\",\"every_ms\":20}\n");
   }
   const Json& memberStatus(unsigned member) const { return memberStatuses_[member]; }
-  // How many ms until all say so; none within so long.
+  // Milliseconds until the predicate holds for all members; std::nullopt after the timeout.
   std::optional<double> measureTimeUntil(const std::function<bool(const Json&)>& predicate,
                                          std::chrono::milliseconds timeout) {
     const transport::TimePoint startedAt = loop_.now();
     const bool reached = loop_.runUntil(
         [&] {
-          return std::all_of(memberStatuses_.begin(), memberStatuses_.end(), [&](const Json& memberStatuse) {
-            return !memberStatuse.is_null() && predicate(memberStatuse);
-          });
+          return std::all_of(memberStatuses_.begin(), memberStatuses_.end(),
+                             [&](const Json& status) { return !status.is_null() && predicate(status); });
         },
         timeout);
     return reached ? std::optional(toMilliseconds(loop_.now() - startedAt)) : std::nullopt;
   }
   double totalBytesSent() const {
     double totalBytes = 0;
-    for (const Json& memberStatuse : memberStatuses_)
-      totalBytes += memberStatuse["out"]["bytes"].get<double>();
+    for (const Json& status : memberStatuses_) totalBytes += status["out"]["bytes"].get<double>();
     return totalBytes;
   }
   double measureBytesPerSecond(std::chrono::milliseconds period) {
@@ -125,9 +123,9 @@
     loop.runUntil([&] { return fleet.fleet.controller(restartedMember).exitCode().has_value(); }, 5s);
     const transport::TimePoint startedAt = loop.now();
     fleet.fleet.startController(restartedMember);
-    loop.runUntil([&] { return fleet.memberCount(restartedMember) > 0; }, 10s);  // its door is open
+    loop.runUntil([&] { return fleet.memberCount(restartedMember) > 0; }, 10s);  // its admin socket answers
     watcher.watchMember(fleet, restartedMember);
-    // From its start until it knows all, and all sum the same as it does.
+    // From its start until it knows all owners and all members have the same sum.
     const bool allAgree =
         watcher
             .measureTimeUntil(
@@ -156,8 +154,8 @@
   return slowestMs < 1e8 && malformedCount == 0;
 }
 
-// A newcomer to a fleet that holds much: how long until it has the small record of half the owners, of nine
-// in ten, and everything.
+// Time until a new member of a fleet with much state has the load record of half of the owners, of 90 % of
+// them, and all entries.
 struct CatchUpTimes {
   double halfMs = 0, ninetyPercentMs = 0, allMs = 0;
   std::uint64_t datagrams = 0;
@@ -182,7 +180,7 @@
     gossipOptions.seed = seed * 1000 + value;
     fleet[value] = {std::make_unique<Store>(storeOptions), nullptr};
     fleet[value].gossip = std::make_unique<GossipProtocol>(*fleet[value].store, gossipOptions);
-    // The last one is new; of the others each holds its small record and more or less of a table.
+    // The last member is new. The others hold a load record and tables of different sizes.
     if (value + 1 == memberCount) continue;
     for (std::size_t row = 0; row * 1000 < largestTableBytes * value / memberCount; ++row, ++tableRowCount)
       fleet[value].store->put(now, kRebalance, std::to_string(row), std::string(1000, 'r'));
@@ -256,8 +254,9 @@
       std::vector<double> halfMs, ninetyPercentMs, allMs, datagramCounts;
       for (std::uint64_t seed = 1; seed <= 5; ++seed) {
         const CatchUpTimes times = simulateCatchUp(order, 30, largestTableBytes, seed);
-        halfMs.push_back(times.halfMs), ninetyPercentMs.push_back(times.ninetyPercentMs),
-            allMs.push_back(times.allMs);
+        halfMs.push_back(times.halfMs);
+        ninetyPercentMs.push_back(times.ninetyPercentMs);
+        allMs.push_back(times.allMs);
         datagramCounts.push_back(static_cast<double>(times.datagrams));
         passed = passed && times.allMs > 0;
       }
--- a/tests/counterfactual/counterfactual_fleet_test.cpp
+++ b/tests/counterfactual/counterfactual_fleet_test.cpp
@@ -1,4 +1,4 @@
-// Looking back over a fleet: processes of the program with faults between them.
+// Counterfactual statistics of a fleet: processes of the program with faults between them.
 #include <gtest/gtest.h>
 
 #include <csignal>
@@ -16,7 +16,7 @@
       : GossipCluster(
             *static_cast<TestScheduler*>(this),
             {PADDLETRACK_PROGRAM, subnet, members, 1, "100ms", "10m", {}, "hindsight { records = 512 }\n"}) {}
-  // Jobs in the sums: its own, and those of all that share.
+  // Requests in the sums: the controller's own, and those of all controllers.
   double countRequests(unsigned member, const char* scope) {
     const Json statusReport = status(member);
     if (statusReport.is_null() || !statusReport.contains("hindsight")) return -1;
@@ -46,17 +46,18 @@
   fleet.runRequests(1, 5);
   fleet.runRequests(2, 7);
   EXPECT_TRUE(
-      fleet.waitForFleetSum({1}, 38));  // each side has its own news, and what the dead one had shared
+      fleet.waitForFleetSum({1}, 38));  // each side has its own updates, and the sums of the dead member
   EXPECT_TRUE(fleet.waitForFleetSum({2}, 40));
   fleet.mesh.heal();
   fleet.mesh.setAllFaults(faults);
   EXPECT_TRUE(fleet.waitForFleetSum({1, 2}, 45));
-  fleet.runFor(3s);  // tellings of the same sums again
+  fleet.runFor(3s);  // the same sums are published again
   EXPECT_EQ(fleet.countRequests(1, "fleet"), 45);
   EXPECT_EQ(fleet.countRequests(2, "fleet"), 45);
-  const auto told = fleet.status(1)["hindsight"]["fleet"];
-  EXPECT_EQ(told["controllers"], 3);
-  EXPECT_EQ(told["classes"][0]["had_it_been"]["nearest"]["in_time"].is_string(), true);  // 45 jobs: too few
+  const auto fleetReport = fleet.status(1)["hindsight"]["fleet"];
+  EXPECT_EQ(fleetReport["controllers"], 3);
+  EXPECT_EQ(fleetReport["classes"][0]["had_it_been"]["nearest"]["in_time"].is_string(),
+            true);  // 45 requests are too few
 }
 
 }  // namespace
--- a/tests/counterfactual/counterfactual_test.cpp
+++ b/tests/counterfactual/counterfactual_test.cpp
@@ -1,5 +1,5 @@
-// Looking back: propensities against brute force, estimates against worlds whose truth is known, and worlds
-// made to fool them.
+// Tests of the counterfactual estimates: propensities against brute force, estimates against simulated worlds
+// whose truth is known, and worlds that violate their assumptions.
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
@@ -20,45 +20,49 @@
 
 RC_GTEST_PROP(PropensityProperty, MatchesSimulatedChoicesWhenScoresAreRandom, ()) {
   const auto count = *rc::gen::inRange<std::size_t>(1, 14);
-  std::mt19937_64 dice(*rc::gen::arbitrary<std::uint32_t>());
+  std::mt19937_64 randomEngine(*rc::gen::arbitrary<std::uint32_t>());
   std::vector<double> scores, times(count);
-  for (std::size_t index = 0; index < count; ++index) scores.push_back(1 + 0.15 * nextRandom(dice));
-  if (count > 3) scores[2] = scores[1];  // ties of the score are split by chance
+  for (std::size_t index = 0; index < count; ++index) scores.push_back(1 + 0.15 * nextRandom(randomEngine));
+  if (count > 3) scores[2] = scores[1];  // equal scores have equal probabilities
   constexpr int kDraws = 2000;
-  for (int draw = 0; draw < kDraws; ++draw) {
+  for (int sampleIndex = 0; sampleIndex < kDraws; ++sampleIndex) {
     std::size_t best = 0;
-    double least = 1e9;
+    double lowest = 1e9;
     for (std::size_t item = 0; item < count; ++item)
-      if (const double drawn = scores[item] * (1 + kScoreJitter * nextRandom(dice)); drawn < least)
-        least = drawn, best = item;
+      if (const double randomizedScore = scores[item] * (1 + kScoreJitter * nextRandom(randomEngine));
+          randomizedScore < lowest)
+        lowest = randomizedScore, best = item;
     times[best] += 1.0 / kDraws;
   }
-  const std::vector<double> told = computePropensities(scores);
+  const std::vector<double> propensities = computePropensities(scores);
   double sum = 0;
   for (std::size_t item = 0; item < count; ++item) {
-    sum += told[item];
-    const double scatter = std::sqrt(told[item] * (1 - told[item]) / kDraws);
-    RC_ASSERT(std::abs(told[item] - times[item]) <= 5 * scatter + 1e-3);
+    sum += propensities[item];
+    const double scatter = std::sqrt(propensities[item] * (1 - propensities[item]) / kDraws);
+    RC_ASSERT(std::abs(propensities[item] - times[item]) <= 5 * scatter + 1e-3);
   }
   RC_ASSERT(std::abs(sum - 1) < 1e-9);
 }
 
 TEST(Propensity, EqualsHandComputedValuesWhenScoresAreFixed) {
   EXPECT_EQ(computePropensities({}), std::vector<double>{});
-  EXPECT_EQ(computePropensities({2, 3}), (std::vector<double>{1, 0}));  // out of chance's reach
-  EXPECT_NEAR(computePropensities({1, 1.05})[1], 0.1190476, 1e-6);      // the integral of 1.1 - x, by hand
+  EXPECT_EQ(computePropensities({2, 3}), (std::vector<double>{1, 0}));  // beyond the jitter
+  EXPECT_NEAR(computePropensities({1, 1.05})[1], 0.1190476,
+              1e-6);  // the integral of 1.1 - x, solved manually
   for (const double value : computePropensities(std::vector<double>(200, 5.0)))
     EXPECT_NEAR(value, 1 / 200.0, 1e-3);
 }
 
-// A world of records alone: three engines, one of them slow. What each job would have come to is known.
+// Generates records only: three engines, one of them slow. The outcome of each request at each engine is
+// known.
 struct SimulatedWorld {
   std::mt19937_64 generator;
   std::vector<DecisionRecord> records;
   double trueMean = 0, loggedMean = 0;
   explicit SimulatedWorld(std::uint64_t seed) : generator(seed) {}
-  // `hidden` and `evade`: in stretches of jobs a state the record lacks makes engine 0 bad, and the choice
-  // turns away from it then, whatever the chances say. `never`: engine 0 is not taken at all.
+  // `avoidsHiddenState`: in some stretches of requests a state that the records lack makes engine 0 bad, and
+  // the choice avoids it then, regardless of the recorded probabilities. `excludesFirstEngine`: engine 0 is
+  // never chosen.
   void simulateRequests(int count, bool avoidsHiddenState = false, bool excludesFirstEngine = false) {
     bool firstEngineIsBad = false;
     for (int index = 0; index < count; ++index) {
@@ -87,7 +91,7 @@
                                                 static_cast<float>(probabilities[engine]), 0.5F};
         if (engine == chosenEngine) record.chosen = static_cast<std::uint8_t>(engine - firstEngine);
       }
-      DecisionRecord::PolicyOutcome& alternative = record.policies[0];  // always engine 0
+      DecisionRecord::PolicyOutcome& alternative = record.policies[0];  // selects engine 0 for all requests
       if (excludesFirstEngine) {
         alternative.unreachableProbability = 1;
       } else {
@@ -132,8 +136,8 @@
   EXPECT_LT(error[3], error[0]);
 }
 
-// The weights know nothing of a state that the record lacks: the number is wrong, far outside its interval,
-// and must not be told.
+// The weights do not account for a state that the records lack. The estimate is wrong, far outside of its
+// interval, and must not be reported as conclusive.
 TEST(CounterfactualEstimate, IsUnexplainedWhenHiddenStateDrivesChoice) {
   int wrong = 0;
   for (std::uint64_t seed = 0; seed < 20; ++seed) {
@@ -145,7 +149,7 @@
       wrong += world.trueMean > estimate.high;
     }
   }
-  EXPECT_GT(wrong, 60);  // of 80: each method is fooled
+  EXPECT_GT(wrong, 60);  // of 80: each method is wrong
 }
 
 TEST(CounterfactualEstimate, IsOutOfReachWhenEngineIsNeverChosen) {
@@ -159,7 +163,7 @@
   SimulatedWorld world(4);
   world.simulateRequests(60);
   EXPECT_EQ(world.evaluate().doublyRobust().verdict, Verdict::tooFewRequests);
-  SimulatedWorld rare(5);  // hardly a job of them was late
+  SimulatedWorld rare(5);  // hardly any request was late
   rare.simulateRequests(1000);
   for (DecisionRecord& record : rare.records) record.onTime = true;
   EXPECT_EQ(rare.evaluate(Measure::onTime).doublyRobust().verdict, Verdict::tooFewRequests);
@@ -173,58 +177,58 @@
   const Summary summary = summarize(all);
   const Estimate slow = estimateRegret(summary.engines.at(0), Measure::latency, true);
   ASSERT_TRUE(slow.isConclusive());
-  EXPECT_GT(slow.low, 0.1);  // twice the job's own time, 0.17 s on the average
+  EXPECT_GT(slow.low, 0.1);  // twice the request's own time, 0.17 s on average
   EXPECT_LT(estimateRegret(summary.engines.at(1), Measure::latency, true).low, 0);
 }
 
-// ---- the fleet's ----------------------------------------------------------------------------------------
+// ---- statistics of the fleet ----------------------------------------------------------------------------
 
 struct FleetMessage {
   std::string owner;
-  std::uint64_t generation;
+  std::uint64_t incarnation;
   EncodedEntry entry;
 };
 
-// Each controller tells several times, some start anew; whatever is lost of the earlier, doubled or
-// reordered, of each the last word of its last generation is counted, once.
+// Controllers publish repeatedly and some restart. Whatever values are lost, duplicated or reordered, only
+// the last values of the last incarnation of each controller are counted, and once.
 RC_GTEST_PROP(CounterfactualFleetProperty, CountsLastReportOnceWhenReportsAreDuplicatedAndReordered, ()) {
-  std::mt19937_64 dice(*rc::gen::arbitrary<std::uint32_t>());
+  std::mt19937_64 randomEngine(*rc::gen::arbitrary<std::uint32_t>());
   const NameTable names{{"look-up"}, {"here"}, {{0, "e0"}, {1, "e1"}, {2, "e2"}}};
-  std::vector<FleetMessage> all;
-  double jobs = 0, latency = 0;
+  std::vector<FleetMessage> published;
+  double requests = 0, latency = 0;
   for (const std::string owner : {"n1", "n2"}) {
-    const int generations = 1 + static_cast<int>(nextRandom(dice) * 2), words = 2;
-    for (int generation = 1; generation <= generations; ++generation)
-      for (int word = 1; word <= words; ++word) {
-        SimulatedWorld world(dice());
-        world.simulateRequests(3 + static_cast<int>(nextRandom(dice) * 5));
+    const int incarnations = 1 + static_cast<int>(nextRandom(randomEngine) * 2), versions = 2;
+    for (int incarnation = 1; incarnation <= incarnations; ++incarnation)
+      for (int version = 1; version <= versions; ++version) {
+        SimulatedWorld world(randomEngine());
+        world.simulateRequests(3 + static_cast<int>(nextRandom(randomEngine) * 5));
         std::vector<const DecisionRecord*> records;
         for (const DecisionRecord& record : world.records) records.push_back(&record);
-        for (EncodedEntry& subscriberGuard :
-             encodeSummary(summarize(records), names, static_cast<std::uint64_t>(word))) {
-          RC_ASSERT(subscriberGuard.value.size() <= 1024U);
-          all.push_back({owner, static_cast<std::uint64_t>(generation), std::move(subscriberGuard)});
+        for (EncodedEntry& entry :
+             encodeSummary(summarize(records), names, static_cast<std::uint64_t>(version))) {
+          RC_ASSERT(entry.value.size() <= 1024U);
+          published.push_back({owner, static_cast<std::uint64_t>(incarnation), std::move(entry)});
         }
-        if (generation == generations && word == words) {
-          jobs += static_cast<double>(records.size());
+        if (incarnation == incarnations && version == versions) {
+          requests += static_cast<double>(records.size());
           for (const DecisionRecord* record : records) latency += record->latency;
         }
       }
   }
-  std::vector<FleetMessage> heard = all;
-  for (const FleetMessage& fleetMessage : all)
-    if (nextRandom(dice) < 0.5) heard.push_back(fleetMessage);
-  std::shuffle(heard.begin(), heard.end(), dice);
+  std::vector<FleetMessage> received = published;
+  for (const FleetMessage& fleetMessage : published)
+    if (nextRandom(randomEngine) < 0.5) received.push_back(fleetMessage);
+  std::shuffle(received.begin(), received.end(), randomEngine);
   counterfactual::FleetStatistics fleet;
-  for (const FleetMessage& fleetMessage : heard)
-    fleet.mergeValue(fleetMessage.owner, fleetMessage.generation, fleetMessage.entry.key,
+  for (const FleetMessage& fleetMessage : received)
+    fleet.mergeValue(fleetMessage.owner, fleetMessage.incarnation, fleetMessage.entry.key,
                      fleetMessage.entry.value);
-  const auto view = fleet.snapshot();
-  RC_ASSERT(view.total.requests == jobs);
-  RC_ASSERT(std::abs(view.total.logged[1] - latency) < 1e-4);
-  RC_ASSERT(view.pooledCalibration.requests == jobs);
-  for (const FleetMessage& fleetMessage : heard)
-    RC_ASSERT(!fleet.mergeValue(fleetMessage.owner, fleetMessage.generation, fleetMessage.entry.key,
+  const auto snapshot = fleet.snapshot();
+  RC_ASSERT(snapshot.total.requests == requests);
+  RC_ASSERT(std::abs(snapshot.total.logged[1] - latency) < 1e-4);
+  RC_ASSERT(snapshot.pooledCalibration.requests == requests);
+  for (const FleetMessage& fleetMessage : received)
+    RC_ASSERT(!fleet.mergeValue(fleetMessage.owner, fleetMessage.incarnation, fleetMessage.entry.key,
                                 fleetMessage.entry.value));
 }
 
@@ -235,12 +239,12 @@
                                  good.value.substr(0, good.value.size() - 1), std::string(2000, 'x')})
     EXPECT_FALSE(fleet.mergeValue("n1", 1, "p", bad));
   EXPECT_FALSE(fleet.mergeValue("n1", 1, "x", good.value));
-  EXPECT_FALSE(fleet.mergeValue("n1", 1, "clook-up", good.value));  // of another kind
+  EXPECT_FALSE(fleet.mergeValue("n1", 1, "clook-up", good.value));  // the value of another kind of key
   EXPECT_EQ(fleet.rejectedCount(), 7U);
   EXPECT_TRUE(fleet.mergeValue("n1", 1, good.key, good.value));
 }
 
-// ---- the records, from the real module ------------------------------------------------------------------
+// ---- records of the real admission module ---------------------------------------------------------------
 
 class RecordingHost : public FakeAdmissionHost {
  public:
@@ -301,7 +305,7 @@
   EXPECT_EQ(all.size(), 64U);
   EXPECT_EQ(all.back()->arrivedAt, host.now - 10ms);
   EXPECT_EQ(host.recorder.counts().finished, 200U);
-  for (int item = 0; item < 200; ++item) host.submitRequest(1, 60s);  // open ones are bounded as well
+  for (int item = 0; item < 200; ++item) host.submitRequest(1, 60s);  // open records are limited as well
   EXPECT_LE(host.recorder.counts().openRecords, 64U);
   EXPECT_TRUE(host.recorder.records(host.now + 10min).empty());
 }
--- a/tests/gossip/gossip_cluster_test.cpp
+++ b/tests/gossip/gossip_cluster_test.cpp
@@ -1,4 +1,4 @@
-// What controllers share, between processes of the program with faults between them.
+// Gossip between processes of the program with faults between them.
 #include "fakes/gossip_cluster.hpp"
 
 #include <gtest/gtest.h>
@@ -34,7 +34,7 @@
     std::ifstream file(fleet.logPath(member));
     return std::string(std::istreambuf_iterator<char>(file), {});
   }
-  // Each of them sums the fleet's jobs up to this; how many ms until it did, -1: never.
+  // Milliseconds until each of the members has this sum of the fleet's requests; -1 if it never did.
   double convergenceMs(const std::vector<unsigned>& members, std::uint64_t expectedRequests,
                        milliseconds timeout = 8s) {
     const auto elapsed = GossipCluster::waitForMembers(
@@ -52,19 +52,19 @@
   fleet.runRequests(0, 3);
   ASSERT_GE(fleet.convergenceMs(fleet.allMembers(), 3), 0);
   fleet.mesh.partition({0, 1});
-  fleet.runFor(200ms);  // what was on its way
+  fleet.runFor(200ms);  // until datagrams in flight have arrived
   fleet.runRequests(0, 4);
   fleet.runRequests(3, 10);
   EXPECT_GE(fleet.convergenceMs({0, 1}, 7), 0);
   EXPECT_GE(fleet.convergenceMs({2, 3, 4}, 13), 0);
   fleet.runFor(1s);
-  EXPECT_EQ(fleet.fleetRequestCount(1), 7U);  // each side has its own news and no other
+  EXPECT_EQ(fleet.fleetRequestCount(1), 7U);  // each side has only its own updates
   EXPECT_EQ(fleet.fleetRequestCount(4), 13U);
   fleet.mesh.heal();
   const double elapsedMs = fleet.convergenceMs(fleet.allMembers(), 17);
   RecordProperty("healed_ms", std::to_string(elapsedMs));
   EXPECT_GE(elapsedMs, 0);
-  EXPECT_LT(elapsedMs, 4000);  // 40 periods; a loaded machine is allowed for
+  EXPECT_LT(elapsedMs, 4000);  // 40 periods, which allows for a loaded machine
   for (const unsigned allMember : fleet.allMembers()) EXPECT_EQ(fleet.droppedCount(allMember, "broken"), 0U);
 }
 
@@ -75,7 +75,7 @@
   fleet.runRequests(0, 5);
   fleet.runRequests(1, 6);
   EXPECT_GE(fleet.convergenceMs(fleet.allMembers(), 11), 0);
-  // Nothing of one member passes at all: the others go on without its news, and have it after.
+  // All datagrams of one member are lost. The others continue without its updates and get them afterwards.
   fleet.mesh.faultsBetween(0, 2).blocked = true;
   fleet.runFor(200ms);
   fleet.runRequests(0, 7);
@@ -123,7 +123,7 @@
   const auto generation = fleet.gossipStatus(1)["generation"].get<std::uint64_t>();
   fleet.sendSignal(1, SIGKILL);
   fleet.runFor(300ms);
-  EXPECT_EQ(fleet.fleetRequestCount(0), 9U);  // a dead one keeps what it has shared, while it lasts
+  EXPECT_EQ(fleet.fleetRequestCount(0), 9U);  // the entries of a dead member remain until they expire
   fleet.fleet.startController(1);
   ASSERT_TRUE(fleet.TestScheduler::runUntil(
       [&] { return fleet.loadGenerator.isInService(1) && fleet.memberCount(1) == 3; }));
--- a/tests/gossip/gossip_store_test.cpp
+++ b/tests/gossip/gossip_store_test.cpp
@@ -1,4 +1,4 @@
-// What controllers share, without a network: the table, its reconciliation, the datagrams, who is asked when.
+// Gossip without a network: the store, its reconciliation, the wire format, and the protocol's schedule.
 #include <gtest/gtest.h>
 #include <rapidcheck.h>
 #include <rapidcheck/gtest.h>
@@ -37,7 +37,7 @@
             const std::string& value, Duration) { snapshot.emplace(owner, generation, topic, key, value); });
   return snapshot;
 }
-// Without what only its owner may say.
+// Without the entries that only the owner may write.
 StoreSnapshot snapshotOf(const Store& store, Duration now, const std::string& excludedOwner) {
   StoreSnapshot snapshot = snapshotOf(store, now);
   std::erase_if(snapshot, [&](const auto& item) { return std::get<0>(item) == excludedOwner; });
@@ -90,7 +90,7 @@
   EXPECT_GT(entryCount, 200);
   EXPECT_EQ(firstStore.put(0s, 1, "more", std::string(kMaxValueBytes, 'v')), Store::PutResult::ownerFull);
   EXPECT_EQ(firstStore.put(0s, 1, "0", std::string(kMaxValueBytes, 'w')),
-            Store::PutResult::stored);  // in its place
+            Store::PutResult::stored);  // it replaces the previous value
   EXPECT_LE(firstStore.totalBytes(), kMaxBytesPerOwner);
   EXPECT_EQ(firstStore.entryCount(), static_cast<std::size_t>(entryCount));
   EXPECT_THROW(makeStore(""), std::invalid_argument);
@@ -108,7 +108,7 @@
   later.put(2s, 1, "a", "new");
   synchronize(2s, later, secondStore);
   EXPECT_EQ(snapshotOf(secondStore, 2s), (StoreSnapshot{{"one", 9, 1, "a", "new"}}));
-  synchronize(3s, thirdStore, secondStore);  // who has not heard of it does not bring the old one back
+  synchronize(3s, thirdStore, secondStore);  // a store without the tombstone does not restore the entry
   EXPECT_EQ(snapshotOf(secondStore, 3s), (StoreSnapshot{{"one", 9, 1, "a", "new"}}));
   EXPECT_EQ(secondStore.merge(3s, fullDelta(earlier, 3s)).stale, 2U);
   synchronize(3s, secondStore, thirdStore);
@@ -124,7 +124,7 @@
   synchronize(1s, later, secondStore);
   EXPECT_EQ(snapshotOf(secondStore, 1s), (StoreSnapshot{{"one", 9, 1, "a", "old"}}));
   later.buildDeltaRequest(1s, secondStore.buildDigest(1s, {}, kUnlimitedBytes),
-                          kUnlimitedBytes);  // it is told of its past
+                          kUnlimitedBytes);  // it learns of its earlier incarnation
   EXPECT_EQ(later.incarnation(), 10U);
   synchronize(1s, later, secondStore);
   EXPECT_EQ(snapshotOf(secondStore, 1s), (StoreSnapshot{{"one", 10, 1, "a", "new"}}));
@@ -138,15 +138,15 @@
         thirdStore = makeStore("three", 1, 60s);
   firstStore.put(0s, 1, "a", "1");
   synchronize(50s, firstStore, secondStore);
-  synchronize(55s, secondStore, thirdStore);  // its age goes along
+  synchronize(55s, secondStore, thirdStore);  // the age is transferred
   EXPECT_EQ(snapshotOf(thirdStore, 59s).size(), 1U);
   EXPECT_EQ(snapshotOf(thirdStore, 60s).size(), 0U);
   EXPECT_EQ(thirdStore.evictExpired(60s), 1U);
   EXPECT_EQ(thirdStore.ownerCount(), 1U);
-  synchronize(60s, secondStore, thirdStore);  // which has not looked yet
+  synchronize(60s, secondStore, thirdStore);  // it has not evicted the entry yet
   EXPECT_EQ(thirdStore.entryCount(), 0U);
   EXPECT_EQ(secondStore.evictExpired(60s), 1U);
-  firstStore.renewEntries(60s);  // late, for it was stopped; nobody wrote it meanwhile
+  firstStore.renewEntries(60s);  // late, because its process was stopped; the entry was not written meanwhile
   synchronize(61s, firstStore, secondStore);
   EXPECT_EQ(snapshotOf(secondStore, 61s), (StoreSnapshot{{"one", 1, 1, "a", "1"}}));
   const std::uint64_t changes = secondStore.changeCount();
@@ -172,15 +172,16 @@
   EXPECT_EQ(mergeOwner("dead", 0s, 100).rejected, 0U);
   EXPECT_EQ(mergeOwner("living", 60s, 100).rejected, 0U);
   EXPECT_FALSE(ownStore.buildDigest(60s, {}, kUnlimitedBytes).rejectsNewOwners);
-  EXPECT_EQ(mergeOwner("new", 60s, 100).rejected, 0U);  // in the place of the dead
+  EXPECT_EQ(mergeOwner("new", 60s, 100).rejected, 0U);  // replaces the dead owner
   std::set<std::string> owners;
   ownStore.forEachOwner(60s, [&](const std::string& name, std::uint64_t, Duration) { owners.insert(name); });
   EXPECT_EQ(owners, (std::set<std::string>{"me", "living", "new"}));
   EXPECT_GT(mergeOwner("late", 60s, 100).rejected, 0U);
   EXPECT_TRUE(ownStore.buildDigest(60s, {}, kUnlimitedBytes).rejectsNewOwners);
   EXPECT_LE(ownStore.totalBytes(), options.maxBytes);
-  EXPECT_EQ(ownStore.put(60s, 1, "more", value), Store::PutResult::stored);  // its own part is its own
-  // Who is closed is sent nothing of those whom it does not name.
+  EXPECT_EQ(ownStore.put(60s, 1, "more", value),
+            Store::PutResult::stored);  // space for own entries is reserved
+  // A peer that rejects new owners is sent no owners that its digest does not list.
   Store strangerStore = makeStore("stranger");
   strangerStore.put(60s, 1, "a", "1");
   EXPECT_TRUE(strangerStore.buildDelta(60s, ownStore.buildDigest(60s, {}, kUnlimitedBytes), kUnlimitedBytes)
@@ -208,7 +209,7 @@
   EXPECT_EQ(snapshotOf(secondStore, 0s, "two"), snapshotOf(firstStore, 0s, "one"));
 }
 
-// A history of a few owners with restarts, cut into deltas that answer to any digests.
+// A history of a few owners with restarts, split into deltas that answer arbitrary digests.
 struct UpdateHistory {
   std::vector<Delta> deltas;
   std::vector<Store> incarnations;
@@ -259,7 +260,7 @@
   std::shuffle(repeatedDeltas.begin(), repeatedDeltas.end(), generator);
   const StoreSnapshot expected = snapshotAfter(history.deltas);
   RC_ASSERT(snapshotAfter(repeatedDeltas) == expected);
-  // And it is the last life of each owner as that one sees it.
+  // The result is the last incarnation of each owner as the owner sees it.
   StoreSnapshot latestLives;
   for (const Store& incarnation : history.incarnations) {
     std::erase_if(latestLives,
@@ -294,7 +295,7 @@
   RC_ASSERT(withoutReaders(join({&a, &a})) == withoutReaders(a));
 }
 
-// A fleet whose datagrams are lost, doubled and late at random, in simulated time; then the losses end.
+// A fleet in simulated time whose datagrams are lost, duplicated and delayed at random; then the faults end.
 Duration convergenceTime(unsigned seed) {
   struct Member {
     std::unique_ptr<Store> store;
@@ -363,10 +364,10 @@
 }
 
 TEST(GossipProtocol, ConvergesWithinTwentyIntervalsWhenLossesEnd) {
-  Duration longest{0};
-  for (unsigned seed = 1; seed <= 30; ++seed) longest = std::max(longest, convergenceTime(seed));
-  EXPECT_LE(longest, 200ms * 20);
-  RecordProperty("worst_ms", static_cast<int>(longest / 1ms));
+  Duration slowest{0};
+  for (unsigned seed = 1; seed <= 30; ++seed) slowest = std::max(slowest, convergenceTime(seed));
+  EXPECT_LE(slowest, 200ms * 20);
+  RecordProperty("worst_ms", static_cast<int>(slowest / 1ms));
 }
 
 TEST(GossipProtocol, VisitsEveryPeerPerRoundInOrderGivenBySeed) {
@@ -377,11 +378,11 @@
     for (PeerAddress peerAddress = 1; peerAddress <= 10; ++peerAddress) options.peers.push_back(peerAddress);
     GossipProtocol gossip(store, options);
     std::vector<PeerAddress> visited;
-    for (int turn = 0; turn < 30; ++turn) {
+    for (int round = 0; round < 30; ++round) {
       const Duration now = gossip.nextRoundAt();
-      const auto letters = gossip.runRound(now);
-      EXPECT_EQ(letters.size(), 1U);
-      visited.push_back(letters.at(0).destination);
+      const auto messages = gossip.runRound(now);
+      EXPECT_EQ(messages.size(), 1U);
+      visited.push_back(messages.at(0).destination);
       EXPECT_GE(gossip.nextRoundAt() - now, 150ms);
       EXPECT_LE(gossip.nextRoundAt() - now, 250ms);
     }
@@ -409,8 +410,7 @@
   EXPECT_FALSE(gossip.onMessage(1s + options.period, 77, "two", digestMessage).empty());
 }
 
-// ---- datagrams
-// ----------------------------------------------------------------------------------------------
+// ---- wire format ----------------------------------------------------------------------------------------
 
 Delta largestDelta() {
   Delta delta;
@@ -432,7 +432,7 @@
   Store firstStore(StoreOptions{kMaxLengthName, kNumberLimit - 1, 10min});
   firstStore.put(0s, kMaxTopic, std::string(kMaxKeyBytes, 'k'), std::string(kMaxValueBytes, 'v'));
   EXPECT_EQ(firstStore.buildDelta(0s, Digest{}, kMaxDeltaBytes).ownerDeltas.size(),
-            1U);  // so every entry can travel
+            1U);  // so that every entry fits one datagram
   for (int index = 0; index < 100; ++index) {
     Store otherStore(
         StoreOptions{std::to_string(index) + std::string(kMaxOwnerBytes - 2, 'o'), kNumberLimit - 1, 10min});
@@ -481,13 +481,13 @@
   EXPECT_EQ(dropReason(datagram), DropReason::reservedKind);
   datagram[2] = '\x09';
   EXPECT_EQ(dropReason(datagram), DropReason::unknownKind);
-  datagram[2] = '\x01';  // a digest's body is another
+  datagram[2] = '\x01';  // the body of a digest differs
   EXPECT_EQ(dropReason(datagram), DropReason::malformed);
   EXPECT_EQ(dropReason("\xdd\xff\xff\xff\xff"), DropReason::malformed);     // a list of four billion
-  EXPECT_EQ(dropReason(std::string(1000, '\x91')), DropReason::malformed);  // a thousand deep
+  EXPECT_EQ(dropReason(std::string(1000, '\x91')), DropReason::malformed);  // a nesting depth of a thousand
   EXPECT_EQ(dropReason("\x95\x01\x02\xa1"
                        "c\xdb\xff\xff\xff\xff"),
-            DropReason::malformed);  // a text of as much
+            DropReason::malformed);  // a string of the same size
 }
 
 RC_GTEST_PROP(GossipCodec, KeepsOwnEntriesAndByteLimitWhenDatagramIsCorrupted, ()) {
@@ -507,8 +507,7 @@
   RC_ASSERT(snapshotOf(store, 1s).count({"me", store.incarnation(), 1, "mine", "1"}) == 1);
 }
 
-// ---- load
-// ---------------------------------------------------------------------------------------------------
+// ---- load publisher -------------------------------------------------------------------------------------
 
 TEST(FleetLoad, SumsEachLiveControllerOnceAndExcludesSilentOnes) {
   Store firstStore = makeStore("one"), secondStore = makeStore("two");
@@ -523,7 +522,7 @@
   EXPECT_EQ(sum.total, (Load{6, 15}));
   EXPECT_EQ(sum.engines, (std::map<std::string, Load>{{"e1", {5, 15}}, {"e3", {1, 1}}}));
   firstPublisher.publish(8s, {{"e1", {3, 11}}}, {3, 10});
-  sum = sumFleetLoad(firstStore, 8s);  // nothing of the other for so long
+  sum = sumFleetLoad(firstStore, 8s);  // no heartbeat of the other within the timeout
   EXPECT_EQ(sum.liveControllers, 1U);
   EXPECT_EQ(sum.total, (Load{3, 16}));
   EXPECT_EQ(sum.engines.at("e1"), (Load{3, 16}));
