--- a/src/admin/admin_protocol.hpp
+++ b/src/admin/admin_protocol.hpp
@@ -1,4 +1,5 @@
-// What is said at the operators' door: JSON, a message a line, version 1.
+/// The protocol of the admin server, version 1: JSON messages, one on a line. docs/operating/drain.md
+/// describes it.
 #pragma once
 
 #include <optional>
@@ -13,7 +14,7 @@
 
 constexpr int kProtocolVersion = 1;
 
-// A message that can't be used, with a code that stays the same through versions.
+/// A request that can't be processed. The code is part of the protocol and does not change.
 struct BadRequest : ErrorOfKind<ErrorKind::invalidAdminRequest> {
   BadRequest(const char* errorCode, const std::string& what) : ErrorOfKind(what), code(errorCode) {}
   BadRequest(const char* errorCode, const std::string& key, const std::string& what)
@@ -21,30 +22,35 @@
   const char* code;
 };
 
+/// What a request asks for (key `do`).
 enum class Command { status, drain, cancel, watch, engines, address };
+/// A request from a client. Only the members of its command are set.
 struct AdminRequest {
-  std::string id = "null";  // as it was written, for the reply
+  std::string id = "null";  // As it was written, for the reply.
   Command command = Command::status;
-  std::optional<Duration> deadline, retryAfter;            // of a drain
-  Duration watchInterval{std::chrono::milliseconds(500)};  // of a watch
-  std::string firstEngineId;                               // of engines: those from this id on
-  std::string engine, address;                             // of address
+  std::optional<Duration> deadline;                        // Of `drain`, from now.
+  std::optional<Duration> retryAfter;                      // Of `drain`.
+  Duration watchInterval{std::chrono::milliseconds(500)};  // Of `watch`.
+  std::string firstEngineId;                               // Of `engines`: only those from this id on.
+  std::string engine;                                      // Of `address`, as the members below.
+  std::string address;
   addresses::AddressTable::ManualOverride addressOverride = addresses::AddressTable::ManualOverride::clear;
   Duration overrideDuration{0};
 };
-// On failure `id` is filled in as far as it could be read.
+/// Throws BadRequest. `id` is set as soon as it is read, so that the error reply has it too.
 AdminRequest parseAdminRequest(std::string_view line, std::string& id);
 
 std::string formatStatusReply(const std::string& id, const ControllerStatus& status);
 std::string formatProgressEvent(const ControllerStatus& status);
-constexpr std::size_t kMaxEnginesPerReply = 64;  // in one reply, which names the next
+/// A reply has at most this many engines and names the next one.
+constexpr std::size_t kMaxEnginesPerReply = 64;
 std::string formatEnginesReply(const std::string& id, const std::vector<EngineStatus>& engines);
-std::string formatOkReply(const std::string& id);  // done
+std::string formatOkReply(const std::string& id);
 std::string formatErrorReply(const std::string& id, const char* code, const std::string& message);
 std::string formatDrainErrorReply(const std::string& id, drain::DrainError drainError,
                                   const drain::Options& options);
 
-// The commands' side.
+// Requests, for the commands that talk to an admin server.
 std::string formatDrainRequest(std::optional<Duration> deadline, std::optional<Duration> retryAfter);
 std::string formatCancelRequest();
 std::string formatStatusRequest();
--- a/src/admin/admin_server.hpp
+++ b/src/admin/admin_server.hpp
@@ -1,47 +1,35 @@
-// The operators' door: a Unix socket of which only the owner's processes (and root's) are let in. Each client
-// is bounded in time and memory; whatever it does, no job feels it.
 #pragma once
 
-#include <sys/types.h>
-
 #include <list>
 #include <memory>
 #include <string>
 
+#include "admin/admin_session.hpp"
 #include "admin/operator_config.hpp"
 #include "admin/service_lifecycle.hpp"
+#include "admin/socket_file.hpp"
 #include "transport/connection.hpp"
 
 namespace paddletrack::admin {
 
-// The socket's file: made under mode 0600, taken over from a dead process but from no live one, and removed
-// at the end if it is still this one. Throws an Error (doorFailed) with the path and the cause.
-class SocketFile {
- public:
-  explicit SocketFile(const std::string& path);
-  SocketFile(const SocketFile&) = delete;
-  SocketFile& operator=(const SocketFile&) = delete;
-  ~SocketFile();
-  int release();  // the listening descriptor, to its next owner
-
- private:
-  std::string path_;
-  int fd_ = -1;
-  dev_t device_ = 0;
-  ino_t inode_ = 0;
-};
-
+/// The operators' access to the controller: a Unix socket that admits only processes of the owner and of
+/// root. Time and memory of each client are limited, so that no client affects the controller's requests. All
+/// references must outlive the server.
 class AdminServer {
  public:
+  /// Listens at once. Throws an Error (adminSocketFailed) if the socket can't be made.
   AdminServer(transport::Scheduler& scheduler, const AdminServerOptions& options, ServiceLifecycle& lifecycle,
               const Logger& log);
+  AdminServer(const AdminServer&) = delete;
+  AdminServer& operator=(const AdminServer&) = delete;
   ~AdminServer();
 
  private:
-  class Session;
   transport::Task<> acceptClients();
   transport::Task<> serveClient(std::unique_ptr<transport::Descriptor> accepted);
-  bool isPeerAllowed(int fd, std::string& peerName) const;
+  void rejectClient(const transport::Descriptor& accepted) const;
+  /// Checks the owner of the peer's process, and describes the process for the log in `peerName`.
+  static bool isPeerAllowed(int fd, std::string& peerName);
 
   transport::Scheduler& scheduler_;
   const AdminServerOptions options_;
@@ -50,7 +38,7 @@
   transport::OutputBudget outputBudget_;
   SocketFile socketFile_;
   transport::Listener listener_;
-  std::list<Session*> sessions_;
+  std::list<AdminSession*> sessions_;
   transport::TaskGroup tasks_;
 };
 
--- a/src/command/admin_client.hpp
+++ b/src/command/admin_client.hpp
@@ -1,4 +1,3 @@
-// A command's line to a controller's door; it waits, but never for longer than it is told.
 #pragma once
 
 #include <chrono>
@@ -11,31 +10,40 @@
 
 namespace paddletrack::command {
 
-// Exit codes of all commands; they do not change from version to version.
-constexpr int kExitSuccess = 0, kExitFailure = 1, kExitMisconfigured = 2, kExitDeadlineMissed = 3,
-              kExitCancelled = 4, kExitNoResponse = 5, kExitRefused = 6;
+// Exit codes of all commands. They do not change from version to version.
+constexpr int kExitSuccess = 0;
+constexpr int kExitFailure = 1;
+constexpr int kExitMisconfigured = 2;
+constexpr int kExitDeadlineMissed = 3;
+constexpr int kExitCancelled = 4;
+constexpr int kExitNoResponse = 5;
+constexpr int kExitRefused = 6;
 
 using Json = nlohmann::ordered_json;
 using Deadline = std::chrono::steady_clock::time_point;
 
-// Nobody answers at the door, or what answers is not understood.
+/// The admin server does not answer, or its answer is not understood.
 struct NoResponse : ErrorOfKind<ErrorKind::adminUnreachable> {
   using ErrorOfKind::ErrorOfKind;
 };
 
-// Says an error on standard error, with its kind and hint in a second line; its exit code.
+/// Prints an error to standard error, with its kind and hint in a second line. Returns its exit code.
 int reportError(const Error& error, const char* prefix = "");
 
+/// A connection to a controller's admin server. It waits, but never past the deadline it is given. All
+/// functions throw NoResponse if the connection breaks.
 class AdminClient {
  public:
+  /// Connects to the socket at `path`.
   explicit AdminClient(const std::string& path);
   AdminClient(const AdminClient&) = delete;
   AdminClient& operator=(const AdminClient&) = delete;
   ~AdminClient();
 
   void send(const std::string& line, Deadline deadline);
-  std::optional<Json> receive(Deadline deadline);  // the next message; none: the time came first
-  // The answer to what is asked; progress that comes before it is passed over. Throws NoAnswer.
+  /// Returns the next message; none if the deadline came first.
+  std::optional<Json> receive(Deadline deadline);
+  /// Sends a request and returns its response. Progress events that come before it are skipped.
   Json call(const std::string& request);
 
  private:
--- a/src/command/drain_command.cpp
+++ b/src/command/drain_command.cpp
@@ -14,7 +14,7 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kWatchInterval{250};
-constexpr milliseconds kProgressTimeout{5000};  // without a line of progress
+constexpr milliseconds kProgressTimeout{5000};  // Without a progress event.
 constexpr int kBarWidth = 24;
 
 std::string seconds(const Json& duration) {
@@ -40,7 +40,7 @@
   return kExitRefused;
 }
 
-// What a drain came to, once it is over; none while it runs.
+// The exit code of a drain that is over; none while it runs.
 std::optional<int> drainExitCode(const Json& status, std::uint64_t drainNumber) {
   const Json& drain = status["drain"];
   if (drain.is_null() || drain["number"] != drainNumber || drain["cancelled"] == true) return kExitCancelled;
@@ -64,7 +64,7 @@
   return line;
 }
 
-// As much of a line as fits on the terminal's: what wraps can't be drawn over.
+// Cuts a line to the width of the terminal: a wrapped line could not be overwritten.
 std::string truncateToTerminal(std::string line) {
   winsize size{};
   if (::ioctl(STDOUT_FILENO, TIOCGWINSZ, &size) == 0 && size.ws_col > 1 && line.size() >= size.ws_col)
--- a/src/command/drain_command.hpp
+++ b/src/command/drain_command.hpp
@@ -7,16 +7,20 @@
 
 namespace paddletrack::command {
 
+/// The options of `drain`; `status` uses `json` of them.
 struct DrainRequest {
-  std::optional<Duration> deadline, retryAfter;
-  bool cancel = false, watch = false, json = false;
+  std::optional<Duration> deadline;    // From now. None: as the controller is configured.
+  std::optional<Duration> retryAfter;  // Likewise.
+  bool cancel = false;
+  bool watch = false;
+  bool json = false;
 };
 
-// Each returns an exit code and has said on standard error what went wrong.
+// Each runs a command against the admin socket at `path` and returns the exit code. Errors are printed.
 int runDrainCommand(const std::string& path, const DrainRequest& request);
 int runStatusCommand(const std::string& path, bool json);
 
-// One line of progress, for a person.
+/// Returns one line of progress for a person.
 std::string formatProgress(const Json& status);
 
 }  // namespace paddletrack::command
--- a/src/command/engines_command.hpp
+++ b/src/command/engines_command.hpp
@@ -8,14 +8,17 @@
 
 namespace paddletrack::command {
 
-// Each returns an exit code and has said on standard error what went wrong.
+/// Prints all engines, or only `engineId` if it is not empty. Returns the exit code; errors are printed.
 int runEnginesCommand(const std::string& path, const std::string& engineId, bool json);
 
+/// The options of `address`.
 struct AddressOverrideRequest {
-  std::string engine, address;
+  std::string engine;
+  std::string address;
   addresses::AddressTable::ManualOverride addressOverride = addresses::AddressTable::ManualOverride::clear;
   Duration overrideDuration{0};
 };
+/// Sets or clears a manual override of an address. Returns the exit code; errors are printed.
 int runAddressCommand(const std::string& path, const AddressOverrideRequest& request);
 
 }  // namespace paddletrack::command
--- a/src/command/rolling_drain_command.cpp
+++ b/src/command/rolling_drain_command.cpp
@@ -3,7 +3,9 @@
 #include <cstdio>
 #include <cstdlib>
 #include <memory>
+#include <optional>
 #include <thread>
+#include <utility>
 
 #include "admin/admin_protocol.hpp"
 #include "admin/operator_config.hpp"
@@ -15,11 +17,12 @@
 
 constexpr std::chrono::milliseconds kPollInterval{50};
 
-// One of the controllers; its line is dialled anew when it has broken.
+// One of the controllers. A connection that is broken is opened again for the next request.
 class ControllerClient {
  public:
   explicit ControllerClient(std::string path) : path_(std::move(path)) {}
   const std::string& path() const { return path_; }
+  const Json& lastStatus() const { return lastStatus_; }
 
   drain::ControllerObservation observe() {
     drain::ControllerObservation observation;
@@ -35,96 +38,145 @@
         observation.deadlineMissed = drain["missed"].get<bool>();
       }
       lastStatus_ = status;
-    } catch (const std::exception&) {  // a break, or words that are no controller's
+    } catch (const std::exception&) {
+      // The connection is broken, or the response is not a controller's.
       client_.reset();
     }
     return observation;
   }
-  // Whether it was taken; what stands against it is said.
-  bool execute(const std::string& request) {
+
+  // Sends a request and prints why it failed, if it did.
+  void execute(const std::string& request) {
     try {
       const Json response = call(request);
-      if (response["ok"] == true) return true;
+      if (response["ok"] == true) return;
       reportError(Error(ErrorKind::adminRequestRefused, path_, response["error"]["text"].get<std::string>()));
     } catch (const std::exception& error) {
       reportError(toError(error, path_, ErrorKind::adminUnreachable));
       client_.reset();
     }
-    return false;
   }
-  const Json& lastStatus() const { return lastStatus_; }
 
  private:
   Json call(const std::string& request) {
     if (!client_) client_ = std::make_unique<AdminClient>(path_);
     return client_->call(request);
   }
+
   const std::string path_;
   std::unique_ptr<AdminClient> client_;
   Json lastStatus_;
 };
 
-}  // namespace
-
-int runRollCommand(const RollingDrainRequest& request) {
-  std::vector<std::unique_ptr<ControllerClient>> controllers;
-  for (const std::string& socket : request.sockets)
-    controllers.push_back(std::make_unique<ControllerClient>(socket));
+drain::RollingDrain::Options makeOptions(const RollingDrainRequest& request) {
   drain::RollingDrain::Options options;
   options.drainTimeout = request.drainTimeout.value_or(options.drainTimeout);
   options.resumeTimeout = request.resumeTimeout.value_or(options.resumeTimeout);
   options.hasMaintenance = !request.maintenanceCommand.empty();
-  drain::RollingDrain rollingDrain(controllers.size(), options);
-  const auto startedAt = std::chrono::steady_clock::now();
-  const auto reportStep = [&](const std::string& path, const std::string& step) {
-    if (request.json) {
-      std::printf("%s\n", Json{{"socket", path}, {"step", step}}.dump().c_str());
-    } else {
-      std::printf("%s: %s\n", path.c_str(), step.c_str());
+  return options;
+}
+
+// Performs the steps of a rolling drain until it has finished or failed.
+class RollingDrainRunner {
+ public:
+  explicit RollingDrainRunner(const RollingDrainRequest& request)
+      : request_(request),
+        options_(makeOptions(request)),
+        rollingDrain_(request.sockets.size(), options_),
+        startedAt_(std::chrono::steady_clock::now()) {
+    for (const std::string& socket : request.sockets)
+      controllers_.push_back(std::make_unique<ControllerClient>(socket));
+  }
+
+  int run() {
+    for (;;) {
+      for (std::size_t index = 0; index < controllers_.size(); ++index)
+        rollingDrain_.recordObservation(index, controllers_[index]->observe());
+      const auto elapsed = std::chrono::steady_clock::now() - startedAt_;
+      const drain::RollingDrain::Step step =
+          rollingDrain_.advance(std::chrono::duration_cast<drain::Duration>(elapsed));
+      if (const std::optional<int> exitCode = perform(step)) return *exitCode;
     }
-    std::fflush(stdout);
-  };
-  std::string lastProgress;
-  for (;;) {
-    for (std::size_t index = 0; index < controllers.size(); ++index)
-      rollingDrain.recordObservation(index, controllers[index]->observe());
-    const auto now =
-        std::chrono::duration_cast<drain::Duration>(std::chrono::steady_clock::now() - startedAt);
-    const drain::RollingDrain::Step step = rollingDrain.advance(now);
-    ControllerClient* controller =
-        step.controllerIndex < controllers.size() ? controllers[step.controllerIndex].get() : nullptr;
+  }
+
+ private:
+  // Returns the exit code if the step is the last one.
+  std::optional<int> perform(const drain::RollingDrain::Step& step) {
+    using Action = drain::RollingDrain::Action;
+    if (step.action == Action::finished) {
+      reportFinished();
+      return kExitSuccess;
+    }
+    ControllerClient& controller = *controllers_[step.controllerIndex];
     switch (step.action) {
-      case drain::RollingDrain::Action::startDrain:
-        reportStep(controller->path(), "draining");
-        controller->execute(admin::formatDrainRequest(options.drainTimeout, std::nullopt));
-        continue;
-      case drain::RollingDrain::Action::runMaintenance: {
-        reportStep(controller->path(), "out: " + request.maintenanceCommand);
-        ::setenv("PADDLETRACK_SOCKET", controller->path().c_str(), 1);
-        rollingDrain.onMaintenanceFinished(std::system(request.maintenanceCommand.c_str()) == 0);
-        continue;
-      }
-      case drain::RollingDrain::Action::cancelDrain:
-        reportStep(controller->path(), "brought back");
-        controller->execute(admin::formatCancelRequest());
-        continue;
-      case drain::RollingDrain::Action::finished:
-        if (!request.json)
-          std::printf("all %zu have been out and serve again\n", rollingDrain.completedCount());
-        return kExitSuccess;
-      case drain::RollingDrain::Action::failed:
-        std::fprintf(stderr, "paddletrack: stopped at %s: %s (%zu of %zu done)\n", controller->path().c_str(),
-                     rollingDrain.failureReason().c_str(), rollingDrain.completedCount(), controllers.size());
+      case Action::startDrain:
+        reportStep(controller, "draining");
+        controller.execute(admin::formatDrainRequest(options_.drainTimeout, std::nullopt));
+        break;
+      case Action::runMaintenance:
+        runMaintenance(controller);
+        break;
+      case Action::cancelDrain:
+        reportStep(controller, "brought back");
+        controller.execute(admin::formatCancelRequest());
+        break;
+      case Action::failed:
+        reportFailure(controller);
         return kExitDeadlineMissed;
-      case drain::RollingDrain::Action::wait:
-        if (!request.json && controller && controller->lastStatus().is_object()) {
-          const std::string progress = formatProgress(controller->lastStatus());
-          if (progress != lastProgress) reportStep(controller->path(), progress);
-          lastProgress = progress;
-        }
+      case Action::wait:
+        reportProgress(controller);
         std::this_thread::sleep_for(kPollInterval);
+        break;
+      case Action::finished:
+        break;
     }
+    return std::nullopt;
   }
-}
+
+  void runMaintenance(const ControllerClient& controller) {
+    reportStep(controller, "out: " + request_.maintenanceCommand);
+    ::setenv("PADDLETRACK_SOCKET", controller.path().c_str(), 1);
+    rollingDrain_.onMaintenanceFinished(std::system(request_.maintenanceCommand.c_str()) == 0);
+  }
+
+  void reportStep(const ControllerClient& controller, const std::string& step) const {
+    const std::string& path = controller.path();
+    if (request_.json) {
+      std::printf("%s\n", Json{{"socket", path}, {"step", step}}.dump().c_str());
+    } else {
+      std::printf("%s: %s\n", path.c_str(), step.c_str());
+    }
+    std::fflush(stdout);
+  }
+
+  // Prints the progress of the controller if it has changed.
+  void reportProgress(const ControllerClient& controller) {
+    if (request_.json || !controller.lastStatus().is_object()) return;
+    const std::string progress = formatProgress(controller.lastStatus());
+    if (progress != lastProgress_) reportStep(controller, progress);
+    lastProgress_ = progress;
+  }
+
+  void reportFinished() const {
+    if (!request_.json)
+      std::printf("all %zu have been out and serve again\n", rollingDrain_.completedCount());
+  }
+
+  void reportFailure(const ControllerClient& controller) const {
+    std::fprintf(stderr, "paddletrack: stopped at %s: %s (%zu of %zu done)\n", controller.path().c_str(),
+                 rollingDrain_.failureReason().c_str(), rollingDrain_.completedCount(), controllers_.size());
+  }
+
+  const RollingDrainRequest& request_;
+  const drain::RollingDrain::Options options_;
+  drain::RollingDrain rollingDrain_;
+  const std::chrono::steady_clock::time_point startedAt_;
+  std::vector<std::unique_ptr<ControllerClient>> controllers_;
+  std::string lastProgress_;
+};
+
+}  // namespace
+
+int runRollCommand(const RollingDrainRequest& request) { return RollingDrainRunner(request).run(); }
 
 }  // namespace paddletrack::command
--- a/src/command/rolling_drain_command.hpp
+++ b/src/command/rolling_drain_command.hpp
@@ -8,14 +8,16 @@
 
 namespace paddletrack::command {
 
+/// The options of `roll`.
 struct RollingDrainRequest {
   std::vector<std::string> sockets;
-  std::optional<Duration> drainTimeout, resumeTimeout;  // else the roll's own
-  std::string maintenanceCommand;  // a shell command for the one that is out; empty: none
+  std::optional<Duration> drainTimeout;   // None: the default of RollingDrain.
+  std::optional<Duration> resumeTimeout;  // Likewise.
+  std::string maintenanceCommand;         // A shell command, run for each drained controller. Empty: none.
   bool json = false;
 };
 
-// The exit code; standard output has told each step, standard error what went wrong.
+/// Drains the controllers in turn. Returns the exit code; steps are printed, errors to standard error.
 int runRollCommand(const RollingDrainRequest& request);
 
 }  // namespace paddletrack::command
--- a/src/drain/completion_estimator.cpp
+++ b/src/drain/completion_estimator.cpp
@@ -5,31 +5,39 @@
 
 namespace paddletrack::drain {
 namespace {
-constexpr double kFirstBucketMs = 1, kBucketsPerDoubling = 4;
-}
+
+constexpr double kFirstBucketMs = 1;
+constexpr double kBucketsPerDoubling = 4;
+constexpr double kMicrosecondsPerMs = 1000;
+
+}  // namespace
 
 std::size_t CompletionEstimator::bucketIndex(Duration latency) {
-  const double ms = static_cast<double>(latency.count()) / 1000;
+  const double ms = static_cast<double>(latency.count()) / kMicrosecondsPerMs;
   if (ms <= kFirstBucketMs) return 0;
   const double index = std::ceil(std::log2(ms / kFirstBucketMs) * kBucketsPerDoubling);
   return std::min(static_cast<std::size_t>(index), kBucketCount - 1);
 }
 
 Duration CompletionEstimator::bucketUpperBound(std::size_t bucket) {
-  return Duration{
-      std::llround(kFirstBucketMs * 1000 * std::exp2(static_cast<double>(bucket) / kBucketsPerDoubling))};
+  return Duration{std::llround(kFirstBucketMs * kMicrosecondsPerMs *
+                               std::exp2(static_cast<double>(bucket) / kBucketsPerDoubling))};
 }
 
 void CompletionEstimator::recordCompletion(std::size_t classIndex, Duration latency) {
   DurationHistogram& histogram = histograms_[classIndex];
   ++histogram.buckets[bucketIndex(latency)];
-  if (++histogram.count < kMaxSamples) return;
+  ++histogram.count;
+  if (histogram.count < kMaxSamples) return;
   histogram.count = 0;
-  for (std::uint32_t& bucket : histogram.buckets) histogram.count += bucket /= 2;
+  for (std::uint32_t& bucket : histogram.buckets) {
+    bucket /= 2;
+    histogram.count += bucket;
+  }
 }
 
-// Among the earlier jobs of its type that took longer than it has taken, most had ended by then. One that has
-// outlasted all of them is given until its time-out: nothing better is known.
+// Compares the request with the earlier ones of its class that took longer than its present age. A request
+// that is older than all of them has its timeout as the estimate: nothing better is known.
 CompletionEstimator::Estimate CompletionEstimator::estimateRequest(const OpenRequest& request) const {
   const DurationHistogram& histogram = histograms_[request.classIndex];
   std::uint64_t longerCount = 0;
--- a/src/drain/completion_estimator.hpp
+++ b/src/drain/completion_estimator.hpp
@@ -1,4 +1,3 @@
-// How long open jobs will still take, from how long earlier ones took. An estimate, and told as one.
 #pragma once
 
 #include <array>
@@ -11,29 +10,34 @@
 
 using Duration = std::chrono::microseconds;
 
+/// Estimates when the open requests will be completed, from the latencies of earlier requests of their class.
+/// The caller passes times and latencies; there is no clock inside.
 class CompletionEstimator {
  public:
   explicit CompletionEstimator(std::size_t classCount) : histograms_(classCount) {}
 
+  /// Records a request that was completed.
   void recordCompletion(std::size_t classIndex, Duration latency);
 
-  // An open job, by its type's index: how old it is, and how long until its client's time is up.
+  /// A request without a final response.
   struct OpenRequest {
     std::size_t classIndex = 0;
-    Duration age{0}, remaining{0};
+    Duration age{0};
+    Duration remaining{0};  // Until the request times out.
   };
   struct Estimate {
-    Duration remaining{0};  // until the last of them has ended
-    std::uint64_t sampleCount =
-        0;  // answers that the estimate rests on, of the job that decides; 0: its time-out
+    Duration remaining{0};  // Until the last open request is completed.
+    // Latencies behind the estimate of that request. 0: there were none, and its timeout is the estimate.
+    std::uint64_t sampleCount = 0;
   };
-  static constexpr double kQuantile = 0.9;  // of jobs like it end by then
-  std::optional<Estimate> estimateCompletion(
-      const std::vector<OpenRequest>& openRequests) const;  // none: nothing is open
+  /// The share of comparable requests that were completed within the estimate.
+  static constexpr double kQuantile = 0.9;
+  /// Returns none if nothing is open.
+  std::optional<Estimate> estimateCompletion(const std::vector<OpenRequest>& openRequests) const;
 
  private:
-  // Answers by time taken, four cells to a doubling from a millisecond on; halved together now and then, so
-  // that what has changed shows.
+  // Latencies in exponential buckets, four to a doubling, from a millisecond on. All counts are halved when
+  // there are kMaxSamples, so that recent latencies weigh more.
   static constexpr std::size_t kBucketCount = 96;
   static constexpr std::uint32_t kMaxSamples = 4096;
   struct DurationHistogram {
--- a/src/drain/drain_state_machine.cpp
+++ b/src/drain/drain_state_machine.cpp
@@ -5,22 +5,30 @@
 namespace paddletrack::drain {
 namespace {
 
-// Where nobody asks for heartbeats there may be no front layer, or one that is late: so many notices.
+using std::chrono::milliseconds;
+
+// Without heartbeats there may be no front layer, or one that is late: the time to notice is multiplied.
 constexpr int kNoHeartbeatNoticeFactor = 2;
-// In notices: what is answered may take so long to leave past the deadline. Who reads more slowly does not
-// hold the drain.
+// The time, in multiples of the time to notice, for responses to be sent after the deadline. A client that
+// reads more slowly does not hold up the drain.
 constexpr int kFlushNoticeFactor = 1;
-// A planned restart: connections and requests go on coming for a while after SIGTERM, and SIGKILL comes no
-// sooner than the longest job timeout, at most so long, and a last stretch.
-using std::chrono::milliseconds;
-constexpr milliseconds kTrailingTrafficDuration{760}, kMaxRequestWaitDuration{3000},
-    kShutdownReserveDuration{700}, kShutdownMarginDuration{300};
-// Of the margin, for connections to be half-closed and read out at the very end.
+
+// In a planned restart connections and requests still arrive for a while after SIGTERM. SIGKILL follows, at
+// the earliest, after the longest request timeout (up to kMaxRequestWaitDuration) and
+// kShutdownReserveDuration.
+constexpr milliseconds kTrailingTrafficDuration{760};
+constexpr milliseconds kMaxRequestWaitDuration{3000};
+constexpr milliseconds kShutdownReserveDuration{700};
+constexpr milliseconds kShutdownMarginDuration{300};
+// The part of the margin in which connections are half-closed and their last input is read.
 constexpr milliseconds kHalfCloseDuration{150};
 
-constexpr Duration kPollInterval = std::chrono::milliseconds(5);  // between looks while one is awaited
-// A look that comes so late means that the process stood still: what came meanwhile has not been read yet.
-constexpr Duration kStallThresholdDuration = kPollInterval * 4, kStallRecoveryDuration = kPollInterval * 8;
+constexpr Duration kPollInterval =
+    milliseconds(5);  // Between two calls of advance() that wait for something.
+// A call that is late by more than this shows that the process was stalled: what arrived meanwhile has not
+// been read yet.
+constexpr Duration kStallThresholdDuration = kPollInterval * 4;
+constexpr Duration kStallRecoveryDuration = kPollInterval * 8;
 
 }  // namespace
 
@@ -38,29 +46,35 @@
     return DrainError::invalidRetryAfter;
   if (state_ == State::ending || state_ == State::drained) return DrainError::none;
   const bool isNewDrain = !isDraining();
-  if (isNewDrain) {
-    progress_ = DrainProgress{};
-    progress_->number = ++drainCount_;
-    progress_->requestedAt = now;
-    progress_->deadline = now + deadline.value_or(options_.defaultDeadline);
-    progress_->retryAfter = retryAfter.value_or(options_.retryAfter);
-    progress_->workAtStart = work;
-    state_ = State::leaving;
-    stateEnteredAt_ = now;
-  }
+  if (isNewDrain) startDrain(now, work);
   if (deadline) progress_->deadline = now + *deadline;
   if (retryAfter) progress_->retryAfter = *retryAfter;
-  if (exitDeadline_)
-    progress_->deadline = std::min(progress_->deadline, *responseDeadline());  // the earlier end holds
+  // Of the drain's deadline and the end of the process, the earlier one applies.
+  if (exitDeadline_) progress_->deadline = std::min(progress_->deadline, *responseDeadline());
   return DrainError::none;
 }
 
+void DrainStateMachine::startDrain(Duration now, const OpenWork& work) {
+  ++drainCount_;
+  progress_ = DrainProgress{};
+  progress_->number = drainCount_;
+  progress_->requestedAt = now;
+  progress_->deadline = now + options_.defaultDeadline;
+  progress_->retryAfter = options_.retryAfter;
+  progress_->workAtStart = work;
+  enterState(State::leaving, now);
+}
+
+void DrainStateMachine::enterState(State state, Duration now) {
+  state_ = state;
+  stateEnteredAt_ = now;
+}
+
 DrainError DrainStateMachine::cancelDrain(Duration now) {
   if (exitDeadline_) return DrainError::stopping;
   if (!isDraining() && state_ != State::drained) return DrainError::notDraining;
   progress_->cancelled = true;
-  state_ = State::comingBack;
-  stateEnteredAt_ = now;
+  enterState(State::comingBack, now);
   return DrainError::none;
 }
 
@@ -72,8 +86,7 @@
   if (isDraining()) {
     progress_->deadline = std::min(progress_->deadline, *responseDeadline());
   } else if (state_ != State::drained) {
-    state_ = State::stopping;
-    stateEnteredAt_ = now;
+    enterState(State::stopping, now);
   }
 }
 
@@ -83,7 +96,7 @@
 
 bool DrainStateMachine::onHeartbeat(Duration now) {
   if (state_ == State::leaving && !progress_->firstUnhealthyAt) progress_->firstUnhealthyAt = now;
-  if (state_ == State::comingBack) state_ = State::serving, stateEnteredAt_ = now;
+  if (state_ == State::comingBack) enterState(State::serving, now);
   return state_ == State::serving;
 }
 
@@ -92,7 +105,7 @@
   return isRejecting ? std::optional(progress_->retryAfter) : std::nullopt;
 }
 
-// The front layer has noticed a notice after the first bad heartbeat.
+// The front layer has noticed one notice duration after the first unhealthy heartbeat.
 Duration DrainStateMachine::stopAcceptingAt() const {
   const Duration noticedAt =
       progress_->firstUnhealthyAt
@@ -103,41 +116,46 @@
 
 DrainStateMachine::Actions DrainStateMachine::advance(Duration now, const OpenWork& work) {
   Actions actions;
-  const auto enterState = [&](State nextState) { state_ = nextState, stateEnteredAt_ = now; };
   if (state_ == State::comingBack &&
       now >= stateEnteredAt_ + options_.noticeDuration * kNoHeartbeatNoticeFactor)
-    enterState(State::serving);
-  if (state_ == State::leaving && now >= stopAcceptingAt()) enterState(State::closing);
+    enterState(State::serving, now);
+  if (state_ == State::leaving && now >= stopAcceptingAt()) enterState(State::closing, now);
   if (state_ == State::closing && now >= progress_->deadline) {
     progress_->deadlineMissed = work.openRequests > 0;
     progress_->requestsEndedByDeadline = work.openRequests;
-    enterState(State::ending);
+    enterState(State::ending, now);
   }
   if (state_ == State::ending && work.openRequests > 0) {
     actions.shouldEndRequests = true;
     return actions;
   }
-  const bool isFlushed =
-      work.unsentBytes == 0 ||
-      (state_ == State::ending && now >= progress_->deadline + options_.noticeDuration * kFlushNoticeFactor);
-  if ((state_ == State::closing || state_ == State::ending) && work.openRequests == 0 && isFlushed) {
+  const bool areResponsesSent = isFlushed(now, work);
+  if ((state_ == State::closing || state_ == State::ending) && work.openRequests == 0 && areResponsesSent) {
     progress_->drainedAt = now;
-    enterState(State::drained);
-  }
-  if (exitDeadline_) {
-    if (plannedAdvanceAt_ && now > *plannedAdvanceAt_ + kStallThresholdDuration)
-      stallRecoveryDeadline_ = now + kStallRecoveryDuration;
-    const bool isIdle = work.openRequests == 0 && work.incomingClients == 0 && isFlushed;
-    const bool mayExit =
-        now >= stallRecoveryDeadline_ && (now >= *exitDeadline_ || (now >= earliestExitAt_ && isIdle));
-    closingConnections_ = closingConnections_ || mayExit;
-    actions.shouldCloseConnections = closingConnections_;
-    actions.shouldExit = mayExit && (work.openConnections == 0 || now >= *exitDeadline_ + kHalfCloseDuration);
-    plannedAdvanceAt_ = nextAdvanceAt(now);
+    enterState(State::drained, now);
   }
+  if (exitDeadline_) advanceExit(now, work, areResponsesSent, actions);
   return actions;
 }
 
+bool DrainStateMachine::isFlushed(Duration now, const OpenWork& work) const {
+  if (work.unsentBytes == 0) return true;
+  return state_ == State::ending && now >= progress_->deadline + options_.noticeDuration * kFlushNoticeFactor;
+}
+
+void DrainStateMachine::advanceExit(Duration now, const OpenWork& work, bool areResponsesSent,
+                                    Actions& actions) {
+  if (plannedAdvanceAt_ && now > *plannedAdvanceAt_ + kStallThresholdDuration)
+    stallRecoveryDeadline_ = now + kStallRecoveryDuration;
+  const bool isIdle = work.openRequests == 0 && work.incomingClients == 0 && areResponsesSent;
+  const bool mayExit =
+      now >= stallRecoveryDeadline_ && (now >= *exitDeadline_ || (now >= earliestExitAt_ && isIdle));
+  closingConnections_ = closingConnections_ || mayExit;
+  actions.shouldCloseConnections = closingConnections_;
+  actions.shouldExit = mayExit && (work.openConnections == 0 || now >= *exitDeadline_ + kHalfCloseDuration);
+  plannedAdvanceAt_ = nextAdvanceAt(now);
+}
+
 std::optional<Duration> DrainStateMachine::nextAdvanceAt(Duration now) const {
   std::optional<Duration> nextAt;
   const auto scheduleAt = [&](Duration instant) { nextAt = nextAt ? std::min(*nextAt, instant) : instant; };
--- a/src/drain/rolling_drain.hpp
+++ b/src/drain/rolling_drain.hpp
@@ -1,4 +1,3 @@
-// Taking several controllers out in turn, one at a time. No I/O and no clock, as the drain.
 #pragma once
 
 #include <cstdint>
@@ -10,23 +9,26 @@
 
 namespace paddletrack::drain {
 
-// What a controller's door last told of it.
+/// What a controller's admin server last reported.
 struct ControllerObservation {
   bool reachable = false;
-  std::string state;              // as nameOf
-  std::uint64_t drainNumber = 0;  // the number of its latest drain; 0: none
-  bool deadlineMissed = false;    // that drain's deadline found jobs open
+  std::string state;              // As nameOf() writes it.
+  std::uint64_t drainNumber = 0;  // Of its latest drain; 0: there was none.
+  bool deadlineMissed = false;    // Of that drain.
   std::uint64_t processId = 0;
 };
 
+/// Drains several controllers in turn, one at a time, and stops at the first that fails. There is no I/O and
+/// no clock inside: the caller passes observations and times and performs the steps that are returned.
 class RollingDrain {
  public:
   struct Options {
-    Duration drainTimeout{std::chrono::seconds(20)};  // of each drain
-    Duration graceDuration{
-        std::chrono::seconds(2)};  // past it, until the controller must say that it is drained
-    Duration resumeTimeout{std::chrono::seconds(30)};  // from then on, until it must serve again
-    bool hasMaintenance = false;  // something is done to each while it is out, which may start it anew
+    Duration drainTimeout{std::chrono::seconds(20)};  // The deadline of each drain.
+    // After the deadline, for the controller to report that it is drained.
+    Duration graceDuration{std::chrono::seconds(2)};
+    // After the drain and the maintenance, for the controller to serve again.
+    Duration resumeTimeout{std::chrono::seconds(30)};
+    bool hasMaintenance = false;  // Maintenance of each drained controller, which may restart it.
   };
   RollingDrain(std::size_t controllerCount, const Options& options)
       : options_(options), observations_(controllerCount) {}
@@ -34,24 +36,33 @@
   void recordObservation(std::size_t controllerIndex, ControllerObservation observation) {
     observations_[controllerIndex] = std::move(observation);
   }
-  void onMaintenanceFinished(bool succeeded) {
-    maintenanceSucceeded_ = succeeded;
-  }  // what was done to the one that is out has ended
+  /// The maintenance of the drained controller has ended.
+  void onMaintenanceFinished(bool succeeded) { maintenanceSucceeded_ = succeeded; }
 
   enum class Action { wait, startDrain, runMaintenance, cancelDrain, finished, failed };
   struct Step {
     Action action = Action::wait;
     std::size_t controllerIndex = 0;
   };
-  // What to do now. Each is to be done once, and what then is seen to be told by saw or worked.
+  /// Returns what to do now. Each step is to be performed once; its effect is reported by recordObservation()
+  /// or onMaintenanceFinished().
   Step advance(Duration now);
 
-  std::size_t completedCount() const { return completedCount_; }  // so many have been out and serve again
+  /// The number of controllers that were drained and serve again.
+  std::size_t completedCount() const { return completedCount_; }
   const std::string& failureReason() const { return failureReason_; }
 
  private:
+  // One function for each phase.
+  Step startNext(Duration now);
+  Step awaitDrained(Duration now);
+  Step awaitMaintenance(Duration now);
+  Step awaitServing(Duration now);
+  Step awaitRollback(Duration now);
+
   enum class Phase { ready, draining, inMaintenance, resuming, rollingBack, finished };
   Step rollBack(Duration now, std::string reason);
+  void enterPhase(Phase phase, Duration now);
   bool isServing(std::size_t controllerIndex) const {
     return observations_[controllerIndex].reachable && observations_[controllerIndex].state == "serving";
   }
--- a/src/hcl/parser.cpp
+++ b/src/hcl/parser.cpp
@@ -44,11 +44,16 @@
   void advance(std::size_t count = 1) {
     for (; count > 0 && !isAtEnd(); --count) {
       if (text_[position_] == '\0') throw ParseError(currentLocation(), "a zero byte");
-      if (text_[position_++] == '\n') ++line_, lineStart_ = position_;
+      const bool isLineEnd = text_[position_] == '\n';
+      ++position_;
+      if (isLineEnd) {
+        ++line_;
+        lineStart_ = position_;
+      }
     }
   }
 
-  // Blanks and comments; line ends too where they mean nothing.
+  // Skips blanks and comments, and with `skipsLineEnds` line ends too.
   void skipBlanks(bool skipsLineEnds) {
     for (;;) {
       if (peek() == ' ' || peek() == '\t' || (peek() == '\r' && peek(1) == '\n')) {
@@ -88,7 +93,7 @@
 
   // ---- structure ---------------------------------------------------------------------------------------
 
-  // Up to the end of the text, or of the block.
+  // Parses up to the end of the text, or with `isBlock` up to the closing brace.
   Body parseBody(int depth, bool isBlock) {
     if (depth > kMaxNesting)
       throw ParseError(currentLocation(), "nested deeper than " + std::to_string(kMaxNesting));
@@ -182,7 +187,7 @@
     } else {
       throw ParseError(result.location, "a value is expected, not " + describeChar(first));
     }
-    // 1 + 2, a ? b : c, a.b, a[0]
+    // An operator after a value makes an expression: 1 + 2, a ? b : c, a.b, a[0].
     skipBlanks(false);
     static constexpr std::string_view kOperators = "+-*/%<>=!&|?.[(";
     if (!isAtEnd() && kOperators.find(peek()) != std::string_view::npos)
@@ -229,7 +234,7 @@
     return code;
   }
 
-  // "$${" and "%%{" stand for themselves less one mark; "${" and "%{" begin a template.
+  // "$${" and "%%{" are escapes of "${" and "%{", which begin a template.
   bool parseTemplateEscape(std::string& output) {
     for (const char mark : {'$', '%'}) {
       if (peek() != mark) continue;
@@ -278,7 +283,7 @@
     return result;
   }
 
-  // <<END or, with the common indent taken off, <<-END; up to a line that holds END alone.
+  // Parses <<END, or <<-END without the common indent, up to a line that has only END.
   std::string parseHeredoc() {
     const SourceLocation begin = currentLocation();
     advance(2);
@@ -293,10 +298,13 @@
       if (isAtEnd()) throw ParseError(begin, "a text without its closing line '" + terminator + "'");
       std::string line;
       while (!isAtEnd() && peek() != '\n')
-        if (!parseTemplateEscape(line)) line += peek(), advance();
+        if (!parseTemplateEscape(line)) {
+          line += peek();
+          advance();
+        }
       if (!line.empty() && line.back() == '\r') line.pop_back();
       const std::size_t indent = std::min(line.find_first_not_of(" \t"), line.size());
-      if (std::string_view(line).substr(indent) == terminator) break;  // its line end is the attribute's
+      if (std::string_view(line).substr(indent) == terminator) break;  // The attribute ends with the line.
       lines.push_back(std::move(line));
       advance();
     }
--- a/src/hcl/parser.hpp
+++ b/src/hcl/parser.hpp
@@ -1,6 +1,6 @@
-// HCL's native syntax as far as a file of settings needs it: blocks with labels, attributes, and literal
-// values. Expressions, functions and templates are not read, and said to be so. Parsed from text; no files,
-// no schema.
+/// A parser of the part of HCL's native syntax that a configuration file needs: blocks with labels,
+/// attributes and literal values. Expressions, functions and templates are errors. It knows no files and no
+/// schema.
 #pragma once
 
 #include <cstddef>
@@ -15,28 +15,33 @@
 namespace paddletrack::hcl {
 
 constexpr std::size_t kMaxTextBytes = 256 * 1024;
-constexpr int kMaxNesting = 16;  // blocks, lists and objects within each other
+constexpr int kMaxNesting = 16;  // Of blocks, lists and objects.
 
+/// A place in the text, counted from 1.
 struct SourceLocation {
-  std::size_t line = 1, column = 1;  // columns count bytes
+  std::size_t line = 1;
+  std::size_t column = 1;  // In bytes.
 };
 
-// What the text does not say as it should, and where.
+/// An error in the text, and its place.
 struct ParseError : ErrorOfKind<ErrorKind::invalidOperatorFile> {
   ParseError(SourceLocation where, const std::string& what) : ErrorOfKind(what), location(where) {}
   SourceLocation location;
 };
 
+/// A literal value.
 struct Value {
   using List = std::vector<Value>;
-  using Object = std::vector<std::pair<std::string, Value>>;  // in the order written
+  using Object = std::vector<std::pair<std::string, Value>>;  // In the order of the text.
   std::variant<std::nullptr_t, bool, double, std::string, List, Object> value = nullptr;
   SourceLocation location;
-  std::string sourceText;  // of a number: as it stands there
+  std::string sourceText;  // Of a number: as it was written.
 
-  const char* kindName() const;  // "a number", for messages
+  /// The kind of the value for messages, such as "a number".
+  const char* kindName() const;
 };
 
+/// `name = value`.
 struct Attribute {
   std::string name;
   SourceLocation location;
@@ -44,10 +49,12 @@
 };
 
 struct Block;
+/// The content of a file or of a block.
 struct Body {
-  std::vector<Attribute> attributes;  // no name twice
+  std::vector<Attribute> attributes;  // Their names differ.
   std::vector<Block> blocks;
 };
+/// `type "label" { body }`.
 struct Block {
   std::string type;
   SourceLocation location;
@@ -55,6 +62,7 @@
   Body body;
 };
 
+/// Throws ParseError.
 Body parse(std::string_view text);
 
 }  // namespace paddletrack::hcl
--- a/src/program/log_writer.cpp
+++ b/src/program/log_writer.cpp
@@ -11,7 +11,7 @@
 namespace paddletrack::program {
 namespace {
 
-constexpr unsigned kMaxLinesPerSecond = 5;
+constexpr unsigned kMaxLinesPerSecond = 5;  // Of each topic.
 
 spdlog::level::level_enum toSpdlogLevel(LogLevel level) {
   static constexpr std::array<spdlog::level::level_enum, 4> kLevels{spdlog::level::debug, spdlog::level::info,
@@ -19,12 +19,39 @@
   return kLevels[static_cast<std::size_t>(level)];
 }
 
-// Whoever reads the log may have stopped, and this process has one thread: a line that would wait for room is
-// left out. A pipe that can be written to takes 4,096 bytes at once, a line with its fields has fewer.
-constexpr std::size_t kMaxLineBytes = 2048;
+// A pipe that is writable takes 4,096 bytes at once; a message of this size has fewer with its fields.
+constexpr std::size_t kMaxMessageBytes = 2048;
+
+// The reader of the log may have stopped, and the process has one thread: a line that would block is
+// suppressed. A failed poll() counts as writable.
 bool canWriteToStderr() {
   pollfd standardError{STDERR_FILENO, POLLOUT, 0};
-  return ::poll(&standardError, 1, 0) != 0;  // also where it can't be told
+  return ::poll(&standardError, 1, 0) != 0;
+}
+
+std::string formatJsonLine(const LogRecord& record, const std::string& message,
+                           std::uint64_t suppressedCount) {
+  const auto wallTime = std::chrono::system_clock::now().time_since_epoch();
+  const auto wallTimeMs = std::chrono::duration_cast<std::chrono::milliseconds>(wallTime).count();
+  nlohmann::ordered_json line{{"time", static_cast<double>(wallTimeMs) / 1000},
+                              {"level", admin::nameOf(record.level)},
+                              {"topic", record.topic},
+                              {"text", message}};
+  for (const auto& [name, value] : record.fields) line[name] = value;
+  if (suppressedCount > 0) line["left_out_before"] = suppressedCount;
+  // Bytes that come from peers need not be UTF-8.
+  return line.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace);
+}
+
+std::string formatTextLine(const LogRecord& record, const std::string& message,
+                           std::uint64_t suppressedCount) {
+  constexpr unsigned char kFirstPrintable = 0x20;
+  std::string line = std::string(record.topic) + ": " + message;
+  // Bytes that come from peers must not start lines of their own.
+  for (char& character : line)
+    if (static_cast<unsigned char>(character) < kFirstPrintable) character = ' ';
+  if (suppressedCount > 0) line += " (" + std::to_string(suppressedCount) + " more like it before)";
+  return line;
 }
 
 }  // namespace
@@ -46,41 +73,28 @@
   logger_->set_pattern(format == admin::LogFormat::json ? "%v" : "%E.%e %v");
 }
 
+bool LogWriter::isEnabled(const LogRecord& record) const {
+  const auto topicLevel = topicLevels_.find(record.topic);
+  return record.level >= (topicLevel == topicLevels_.end() ? level_ : topicLevel->second);
+}
+
 void LogWriter::write(const LogRecord& record) {
-  const auto levelOverride = topicLevels_.find(record.topic);
-  if (record.level < (levelOverride == topicLevels_.end() ? level_ : levelOverride->second)) return;
+  if (!isEnabled(record)) return;
   TopicState& topicState = topics_[record.topic];
   const auto now = std::chrono::steady_clock::now();
   if (now - topicState.windowStartedAt >= std::chrono::seconds(1)) {
     topicState.windowStartedAt = now;
     topicState.lineCount = 0;
   }
-  if (++topicState.lineCount > kMaxLinesPerSecond || !canWriteToStderr()) {
+  ++topicState.lineCount;
+  if (topicState.lineCount > kMaxLinesPerSecond || !canWriteToStderr()) {
     ++topicState.suppressedCount;
     return;
   }
-  const std::string message(record.message.substr(0, kMaxLineBytes));
+  const std::string message = record.message.substr(0, kMaxMessageBytes);
   const std::uint64_t suppressedCount = std::exchange(topicState.suppressedCount, 0);
-  if (format_ == admin::LogFormat::json) {
-    const auto wallTime = std::chrono::system_clock::now().time_since_epoch();
-    nlohmann::ordered_json line{
-        {"time",
-         static_cast<double>(std::chrono::duration_cast<std::chrono::milliseconds>(wallTime).count()) / 1000},
-        {"level", admin::nameOf(record.level)},
-        {"topic", record.topic},
-        {"text", message}};
-    for (const auto& [name, value] : record.fields) line[name] = value;
-    if (suppressedCount > 0) line["left_out_before"] = suppressedCount;
-    // Peers' bytes need not be UTF-8.
-    return logger_->log(toSpdlogLevel(record.level),
-                        line.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace));
-  }
-  std::string text = std::string(record.topic) + ": " + message;
-  for (char& character : text)
-    if (static_cast<unsigned char>(character) < 0x20)
-      character = ' ';  // peers' bytes make no lines of their own
-  if (suppressedCount > 0) text += " (" + std::to_string(suppressedCount) + " more like it before)";
-  logger_->log(toSpdlogLevel(record.level), text);
+  const auto formatLine = format_ == admin::LogFormat::json ? formatJsonLine : formatTextLine;
+  logger_->log(toSpdlogLevel(record.level), formatLine(record, message, suppressedCount));
 }
 
 }  // namespace paddletrack::program
--- a/src/program/log_writer.hpp
+++ b/src/program/log_writer.hpp
@@ -15,13 +15,17 @@
 
 namespace paddletrack::program {
 
-// Lines to standard error, so many a second for each topic; what is left out is counted and said later.
+/// Writes log records to standard error. Each topic has a limit of lines per second, and a line that would
+/// block is not written; the next line of the topic says how many were suppressed.
 class LogWriter {
  public:
   LogWriter();
+  LogWriter(const LogWriter&) = delete;
+  LogWriter& operator=(const LogWriter&) = delete;
   ~LogWriter();
+
   void write(const LogRecord& record);
-  // From now on; topics that are not named have the common level.
+  /// Sets the format and the levels from now on. Topics without a level of their own have `level`.
   void configure(admin::LogFormat format, LogLevel level, const std::map<std::string, LogLevel>& topicLevels);
 
  private:
@@ -30,6 +34,8 @@
     unsigned lineCount = 0;
     std::uint64_t suppressedCount = 0;
   };
+  bool isEnabled(const LogRecord& record) const;
+
   std::map<std::string, TopicState> topics_;
   admin::LogFormat format_ = admin::LogFormat::text;
   LogLevel level_ = LogLevel::info;
--- a/src/program/node_config.cpp
+++ b/src/program/node_config.cpp
@@ -10,10 +10,15 @@
 namespace paddletrack::program {
 namespace {
 
-constexpr std::size_t kMinDescriptors = 32, kMinMemoryMb = 16;
-// No machine has more (a tebibyte of megabytes, the kernel's bound of descriptors): in bytes it still counts.
-constexpr std::size_t kMaxDescriptors = 1 << 30, kMaxMemoryMb = std::size_t{1} << 40;
-constexpr Duration kMinDuration = std::chrono::milliseconds(1);  // clients tell their times in milliseconds
+constexpr std::size_t kMinDescriptors = 32;
+constexpr std::size_t kMinMemoryMb = 16;
+// No machine has more: the kernel's limit of descriptors, and memory whose bytes can still be counted.
+constexpr std::size_t kMaxDescriptors = std::size_t{1} << 30;
+constexpr std::size_t kMaxMemoryMb = std::size_t{1} << 40;
+constexpr std::size_t kBytesPerMbShift = 20;
+constexpr std::size_t kMaxQuotedBytes = 40;  // Of a wrong value in an error.
+// Clients state their times in milliseconds.
+constexpr Duration kMinDuration = std::chrono::milliseconds(1);
 
 transport::Address readAddress(const protocol::Json& object, const char* key) {
   try {
@@ -37,7 +42,7 @@
                                       std::to_string(maxValue) + " is wanted");
 }
 
-// What all that is told refers to has a name, and one of its own.
+// Requests and events refer to these items by name: each must have one, and no two the same.
 void checkNames(const std::vector<std::string>& names, const std::string& list, const std::string& key) {
   for (std::size_t index = 0; index < names.size(); ++index) {
     const std::string location =
@@ -49,7 +54,7 @@
   }
 }
 
-// What a controller that serves clients and executors can't do without: a missing value reads as 0 or none.
+// Checks the settings that a controller can't do without. A missing value was decoded as 0 or as empty.
 void checkRequiredSettings(const protocol::ControllerConfig& controllerConfig,
                            const protocol::FlatSettings& flatSettings) {
   const auto require = [&](const std::string& key, bool isValid) {
@@ -59,15 +64,14 @@
                                                        ? "is missing"
                                                        : "'" + setting->second + "' is too little");
   };
-  require("balancers", flatSettings.count("balancers") > 0);  // its part of all is worked out from this
+  require("balancers", flatSettings.count("balancers") > 0);
   require("zones", !controllerConfig.zoneNames.empty());
   require("machineTypes", !controllerConfig.machineTypeNames.empty());
   require("limits.dialTimeoutUs", controllerConfig.connectTimeout > Duration{0});
   require("limits.idleCloseUs", controllerConfig.idleTimeout > Duration{0});
   for (const RequestClass& requestClass : controllerConfig.deployment.requestClasses) {
     const std::string prefix = "profiles." + std::to_string(requestClass.index) + ".";
-    require(prefix + "onTimeUs",
-            requestClass.latencyObjective >= kMinDuration);  // looks at what waits come by parts of this
+    require(prefix + "onTimeUs", requestClass.latencyObjective >= kMinDuration);
     require(prefix + "giveUpUs", requestClass.requestTimeout >= kMinDuration);
   }
   checkNames(controllerConfig.requestClassNames, "profiles", "name");
@@ -76,7 +80,18 @@
   checkNames(controllerConfig.machineTypeNames, "machineTypes", "");
 }
 
-// Runs a part of the reading; what goes wrong is told with where in the file that is.
+std::uint64_t parseSeed(const std::string& text) {
+  constexpr int kHexBase = 16;
+  std::uint64_t seed = 0;
+  const char* const textEnd = text.data() + text.size();
+  const auto [end, error] = std::from_chars(text.data(), textEnd, seed, kHexBase);
+  if (error != std::errc{} || end != textEnd)
+    throw protocol::ParseError("seed",
+                               "'" + text.substr(0, kMaxQuotedBytes) + "': up to 16 hex digits are wanted");
+  return seed;
+}
+
+// Runs `parse` and adds the file, and the key if one is known, to its errors.
 template <typename Parse>
 auto withFileContext(const std::string& filePath, Parse parse) {
   try {
@@ -87,7 +102,7 @@
   }
 }
 
-// The same for a block of keys.
+// Runs `parse` and adds the name of the block to the key of its errors.
 template <typename Parse>
 void withBlockContext(const char* block, Parse parse) {
   try {
@@ -116,13 +131,11 @@
                       {},
                       {},
                       {}};
-    const std::string& seed = document.getString("seed");
-    const auto [end, error] = std::from_chars(seed.data(), seed.data() + seed.size(), config.seed, 16);
-    if (error != std::errc{} || end != seed.data() + seed.size())
-      throw protocol::ParseError("seed", "'" + seed.substr(0, 40) + "': up to 16 hex digits are wanted");
+    config.seed = parseSeed(document.getString("seed"));
     withBlockContext("limits.", [&] {
       const protocol::Json& limits = document.at("limits");
-      config.memoryLimitBytes = readBoundedInteger(kMinMemoryMb, kMaxMemoryMb, limits, "memory_mb") << 20;
+      config.memoryLimitBytes = readBoundedInteger(kMinMemoryMb, kMaxMemoryMb, limits, "memory_mb")
+                                << kBytesPerMbShift;
       config.descriptorLimit = readBoundedInteger(kMinDescriptors, kMaxDescriptors, limits, "sockets");
     });
     withBlockContext("known.", [&] {
--- a/src/program/node_config.hpp
+++ b/src/program/node_config.hpp
@@ -10,30 +10,34 @@
 
 namespace paddletrack::program {
 
-// What is wrong with the configuration; its place is the file and the key at fault.
+/// An error in the configuration. Its context is the file and the key.
 struct ConfigurationError : ErrorOfKind<ErrorKind::invalidConfiguration> {
   using ErrorOfKind::ErrorOfKind;
 };
 
-// What one controller is told, read and checked.
+/// The configuration of one controller, read and checked.
 struct NodeConfig {
   std::string name;
-  transport::Address listenAddress, endpointListAddress;
+  transport::Address listenAddress;
+  transport::Address endpointListAddress;
   std::uint64_t seed = 0;
-  std::size_t memoryLimitBytes = 0, descriptorLimit = 0;
-  std::uint64_t knownSequence = 0;  // number of the last change that is known
+  std::size_t memoryLimitBytes = 0;
+  std::size_t descriptorLimit = 0;
+  std::uint64_t knownSequence = 0;  // Number of the last endpoint event in this file.
   std::vector<protocol::EndpointEvent> endpointEvents;
-  protocol::FlatSettings flatSettings;          // as written, and
-  protocol::ControllerConfig controllerConfig;  // decoded
+  protocol::FlatSettings flatSettings;          // The settings as written.
+  protocol::ControllerConfig controllerConfig;  // The settings decoded.
 };
 
-NodeConfig readNodeConfig(const std::string& path);  // throws FileUnreadable, Misconfigured
+/// Throws FileReadError or ConfigurationError.
+NodeConfig readNodeConfig(const std::string& path);
 
-// The key by which `now` is another controller's or customer's file, with what stands there; empty: it is
-// not. That file's change log tells of engines in words that mean nothing here, or something else.
+/// Returns the key, with its value, that shows `candidate` to be the file of another controller or customer;
+/// empty if it is not. The endpoint list of such a file names zones and machine types that are unknown here
+/// or mean something else.
 std::string findForeignKey(const NodeConfig& current, const NodeConfig& candidate);
 
-// The keys in which two readings differ and which only a restart changes, for the log; empty: none.
+/// Lists the keys that differ and take effect only after a restart, for the log; empty if there are none.
 std::string listRestartOnlyChanges(const NodeConfig& current, const NodeConfig& candidate);
 
 }  // namespace paddletrack::program
--- a/src/program/signal_receiver.cpp
+++ b/src/program/signal_receiver.cpp
@@ -15,7 +15,7 @@
 sigset_t handledSignals() {
   sigset_t signals;
   sigemptyset(&signals);
-  for (const int index : {SIGTERM, SIGINT, SIGHUP}) sigaddset(&signals, index);
+  for (const int signal : {SIGTERM, SIGINT, SIGHUP}) sigaddset(&signals, signal);
   return signals;
 }
 
@@ -33,7 +33,7 @@
 void blockSignals() {
   const sigset_t signals = handledSignals();
   sigprocmask(SIG_BLOCK, &signals, nullptr);
-  std::signal(SIGPIPE, SIG_IGN);  // for the log; sockets do without
+  std::signal(SIGPIPE, SIG_IGN);  // For the log: sockets are written to with MSG_NOSIGNAL.
 }
 
 SignalReceiver::SignalReceiver(transport::Scheduler& scheduler)
@@ -45,7 +45,8 @@
     const ssize_t received = PADDLETRACK_CALL(descriptor_.fd(), "read", "again EINTR",
                                               ::read(descriptor_.fd(), &info, sizeof info));
     if (received == static_cast<ssize_t>(sizeof info)) co_return static_cast<int>(info.ssi_signo);
-    if (received < 0 && errno == EINTR) continue;  // no new event comes for what is there already
+    // A signal that is pending already causes no new event, so that the read has to be repeated at once.
+    if (received < 0 && errno == EINTR) continue;
     co_await descriptor_.readable.wait();
   }
 }
--- a/src/program/signal_receiver.hpp
+++ b/src/program/signal_receiver.hpp
@@ -1,18 +1,19 @@
 #pragma once
 
-#include <optional>
-
 #include "transport/scheduler.hpp"
 
 namespace paddletrack::program {
 
-// The signals that the program heeds: SIGTERM and SIGINT end it, SIGHUP has its configuration read again.
-// They are held from the first line of main on, so that none finds the program without its handler.
+/// Blocks the signals that the server handles: SIGTERM and SIGINT stop it, SIGHUP reloads its configuration.
+/// To be called before anything else, so that a signal during the start waits for its handler.
 void blockSignals();
 
+/// Delivers the blocked signals to a coroutine. `scheduler` must outlive the receiver.
 class SignalReceiver {
  public:
+  /// Throws SystemCallError if the system provides no descriptor.
   explicit SignalReceiver(transport::Scheduler& scheduler);
+  /// Waits for the next signal and returns its number.
   transport::Task<int> receive();
 
  private:
