--- a/src/routing/client_session.cpp
+++ b/src/routing/client_session.cpp
@@ -14,7 +14,7 @@
 
 namespace thrift = protocol::thrift;
 
-constexpr std::size_t kInitialInputBytes = 4 * 1024;
+constexpr std::size_t kInitialInputBytes = 4UL * 1024;
 constexpr std::size_t kMaxLoggedNameBytes = 40;  // Bytes of a name that a client has sent.
 constexpr std::size_t kMaxOpenRequests = 32;     // On one connection.
 // Complete messages that wait to be handled: revocations come on top of the requests.
@@ -28,7 +28,7 @@
 // A request that crosses the close within 50 ms is sent again by its client. What comes is read for twice
 // that time, and for no more bytes than the open requests of a client usually have.
 constexpr std::chrono::milliseconds kLingerTimeout{100};
-constexpr std::size_t kMaxLingerBytes = 64 * 1024;
+constexpr std::size_t kMaxLingerBytes = 64UL * 1024;
 // The part of the message timeout for which a connection counts as recently active.
 constexpr int kRecentActivityDivisor = 8;
 // A connection on which more requests in a row are invalid is not one of a client.
@@ -157,7 +157,10 @@
 }
 
 void ClientSession::onBackedUpWaitFinished(bool wasActive) {
-  if (!wasActive && now() >= backedUpDeadline()) return end(environment_.counts.incomplete);
+  if (!wasActive && now() >= backedUpDeadline()) {
+    end(environment_.counts.incomplete);
+    return;
+  }
   // The listener may have asked for the close during the wait.
   if (state_ == State::backedUp) state_ = State::reading;
 }
@@ -188,8 +191,10 @@
     return;
   }
   if (!closeRequested_ && now() < receiveDeadline()) return;
-  if (wasLastRead) return end(isAwaitingMessage() ? counts.incomplete : counts.idle);
-  beginLastRead();
+  if (wasLastRead)
+    end(isAwaitingMessage() ? counts.incomplete : counts.idle);
+  else
+    beginLastRead();
 }
 
 // Handles one turn's messages: a client that has sent many does not keep the others waiting.
@@ -253,13 +258,18 @@
 }
 
 void ClientSession::handleMessage(const thrift::Message& message) {
-  if (isRevocation(message)) return abandonRequest(thrift::decodeRevoke(message.arguments));
-  if (!isCall(message)) throw protocol::ParseError("a message that no client sends");
-  if (message.method == "submit") return handleSubmit(message);
-  if (message.method == "heartbeat") return handleHeartbeat(message);
-  sendResponse(message.sequence,
-               thrift::encodeException(message.method, message.sequence, thrift::ExceptionCode::unknownMethod,
-                                       "unknown method"));
+  if (isRevocation(message))
+    abandonRequest(thrift::decodeRevoke(message.arguments));
+  else if (!isCall(message))
+    throw protocol::ParseError("a message that no client sends");
+  else if (message.method == "submit")
+    handleSubmit(message);
+  else if (message.method == "heartbeat")
+    handleHeartbeat(message);
+  else
+    sendResponse(message.sequence,
+                 thrift::encodeException(message.method, message.sequence,
+                                         thrift::ExceptionCode::unknownMethod, "unknown method"));
 }
 
 void ClientSession::handleHeartbeat(const thrift::Message& message) {
@@ -371,11 +381,13 @@
 void ClientSession::writeResponse(const RequestContext& context) {
   switch (context.responseKind) {
     case RequestContext::ResponseKind::succeeded:
-      return sendResultPages(context);
+      sendResultPages(context);
+      break;
     case RequestContext::ResponseKind::rejected:
-      return sendRejection(context.sequenceId, context.retryAfter);
+      sendRejection(context.sequenceId, context.retryAfter);
+      break;
     default:
-      return sendResponse(context.sequenceId, thrift::encodeFailure(context.sequenceId));
+      sendResponse(context.sequenceId, thrift::encodeFailure(context.sequenceId));
   }
 }
 
--- a/src/routing/client_session.hpp
+++ b/src/routing/client_session.hpp
@@ -115,7 +115,7 @@
   bool isIncoming() const { return isAwaitingMessage() && isRecentlyActive(); }
 
  private:
-  enum class State { reading, backedUp, closing, ended, lingering };
+  enum class State : std::uint8_t { reading, backedUp, closing, ended, lingering };
 
   // Steps of `run`.
   bool updateBackedUp();
--- a/src/routing/endpoint_watcher.cpp
+++ b/src/routing/endpoint_watcher.cpp
@@ -12,10 +12,11 @@
 
 using std::chrono::milliseconds;
 
-// A whole list is one line: the most is a thousand bytes for each of a thousand engines.
+// A snapshot is one line: at most a thousand bytes for each of a thousand engines.
 constexpr std::size_t kInitialInputBytes = 8 * 1024, kMaxInputBytes = 1024 * 1024;
 constexpr milliseconds kConnectTimeout{1000};
-constexpr milliseconds kUnreachableCheckInterval{100};  // while it waits: whether engines can't be reached
+constexpr milliseconds kUnreachableCheckInterval{100};
+constexpr int kMaxInvalidSessions = 3;  // After these in a row, a gap in the event numbers is accepted.
 
 std::string describeEndpointList(const transport::Address& listAddress) {
   return "the list at " + listAddress.text();
@@ -48,8 +49,8 @@
   currentWatch_->spawn(watch(++generation_, listAddress_));
 }
 
-// The new one may be out of reach, for a while or for good: a session that tells goes on until the new one
-// has told as much as is known. One that ends earlier is not begun again.
+// The new address may be unreachable, for a while or for good, so a session that has received data goes on
+// until the new one has caught up. If it ends earlier it is not restarted.
 bool EndpointWatcher::switchTo(const transport::Address& listAddress) {
   if (listAddress == (nextListAddress_ ? *nextListAddress_ : listAddress_)) return false;
   if (listAddress == listAddress_) {
@@ -76,7 +77,8 @@
   startWatching();
 }
 
-// Where the wait is long what was known may be too old by now: engines that can't be reached tell.
+// During a long wait the known list may become outdated. Engines that cannot be reached are a sign of that
+// and bring the next connect forward.
 transport::Task<> EndpointWatcher::waitToReconnect() {
   isWaiting_ = true;
   for (Duration now = router_.now(); now < reconnectSchedule_.nextConnectAt(); now = router_.now()) {
@@ -144,7 +146,7 @@
                                    kMaxInputBytes, outputBudget_);
   connection.send({BufferSlice(protocol::encodeSince(lastEventNumber_))});
   transport::InputBuffer& input = connection.input();
-  // The last line that told something: neither bytes that drip in nor empty lines are news.
+  // Only complete lines with content count: bytes that drip in and empty lines do not prolong the session.
   transport::TimePoint lastDataAt = scheduler_.now();
   while (scheduler_.now() < lastDataAt + reconnectSchedule_.silenceTimeout()) {
     const bool hasInput = co_await connection.receive(lastDataAt + reconnectSchedule_.silenceTimeout());
@@ -158,41 +160,37 @@
   }
   if (input.isFull()) throw protocol::ParseError("a line without an end");
   const bool isSilent = connection.readEnd() == transport::Connection::ReadEnd::none;
-  const std::string nextAction = generation == generation_ ? "connecting anew" : "another is followed by now";
-  isSilent ? logError(ErrorKind::discoveryStalled, listAddress, "silent: " + nextAction)
-           : logError(ErrorKind::discoveryInterrupted, listAddress, "cut: " + nextAction);
+  logSessionEnd(isSilent, generation == generation_, listAddress);
   co_return isSilent && !hasReceivedData_ ? SessionEnd::unresponsive : SessionEnd::refused;
 }
 
-// What a session from before the last move tells is taken in as far as it follows; it says nothing of how the
-// current one does. That one ends it once it has told as much.
+void EndpointWatcher::logSessionEnd(bool isSilent, bool isCurrent, const transport::Address& listAddress) {
+  const std::string nextAction = isCurrent ? "connecting anew" : "another is followed by now";
+  if (isSilent)
+    logError(ErrorKind::discoveryStalled, listAddress, "silent: " + nextAction);
+  else
+    logError(ErrorKind::discoveryInterrupted, listAddress, "cut: " + nextAction);
+}
+
+// Applies one line and returns whether it had content. Lines of a session from before the last switch are
+// applied as long as they continue what is known, but say nothing about the state of the current session,
+// which ends the previous one as soon as it has caught up.
 bool EndpointWatcher::handleLine(std::string_view text, std::uint64_t generation) {
   if (text.ends_with('\r')) text.remove_suffix(1);
   if (text.empty()) return false;
   const protocol::EndpointListLine parsedLine = protocol::parseEndpointListLine(text);
   const bool isCurrent = generation == generation_;
   const bool isNew = parsedLine.sequence > lastEventNumber_;
-  const bool isApplicable =
-      parsedLine.event && (parsedLine.sequence == lastEventNumber_ + 1 ||
-                           (lastEventNumber_ == 0 && isCurrent) || parsedLine.event->isSnapshot);
-  if (isNew && !isApplicable && (consecutiveInvalidSessions_ < 3 || !isCurrent))
-    throw protocol::ParseError("nothing of " + std::to_string(lastEventNumber_ + 1) + " before " +
-                               std::to_string(parsedLine.sequence));
+  if (isNew) checkApplicable(parsedLine, isCurrent);
   if (isCurrent) {
     reconnectSchedule_.onSessionData();
     hasReceivedData_ = true;
   }
-  // Told again after a break, or doubled: known. A gap would leave out an executor that has gone for good;
-  // one that is there even when all is read afresh is of the numbers, not of the events.
-  if (isCurrent && parsedLine.sequence < lastEventNumber_ && !parsedLine.event &&
-      !std::exchange(isBehind_, true))
-    logger_("changelog",
-            "an old list: it ends at " + std::to_string(parsedLine.sequence) + ", " +
-                std::to_string(lastEventNumber_) + " is known; what is known stays",
-            {}, LogLevel::warning);
+  if (isCurrent) warnIfBehind(parsedLine);
   if (isNew) {
     if (parsedLine.event) router_.onEndpointUpdate(*parsedLine.event);
-    lastEventNumber_ = parsedLine.sequence;  // not before: what could not be taken in is asked for again
+    // Only now, so that an event which could not be applied is requested again.
+    lastEventNumber_ = parsedLine.sequence;
   } else if (isCurrent && parsedLine.sequence == lastEventNumber_ && !parsedLine.event) {
     consecutiveInvalidSessions_ = 0;
   }
@@ -200,4 +198,26 @@
   return true;
 }
 
+// Throws protocol::ParseError if events are missing before the new line: among them could be the removal of
+// an engine. A gap that is there even when the list is read from the start is one in the numbers, not in the
+// events, and is accepted.
+void EndpointWatcher::checkApplicable(const protocol::EndpointListLine& line, bool isCurrent) const {
+  const bool isFirst = lastEventNumber_ == 0 && isCurrent;
+  const bool isNext = line.sequence == lastEventNumber_ + 1;
+  if (line.event && (isNext || isFirst || line.event->isSnapshot)) return;
+  if (isCurrent && consecutiveInvalidSessions_ >= kMaxInvalidSessions) return;
+  throw protocol::ParseError("nothing of " + std::to_string(lastEventNumber_ + 1) + " before " +
+                             std::to_string(line.sequence));
+}
+
+// Warns once in a session that the list ends before what is known.
+void EndpointWatcher::warnIfBehind(const protocol::EndpointListLine& line) {
+  if (line.event || line.sequence >= lastEventNumber_ || isBehind_) return;
+  isBehind_ = true;
+  logger_("changelog",
+          "an old list: it ends at " + std::to_string(line.sequence) + ", " +
+              std::to_string(lastEventNumber_) + " is known; what is known stays",
+          {}, LogLevel::warning);
+}
+
 }  // namespace paddletrack::routing
--- a/src/routing/endpoint_watcher.hpp
+++ b/src/routing/endpoint_watcher.hpp
@@ -1,3 +1,5 @@
+/// @file
+/// The connection to the service that publishes the endpoint list.
 #pragma once
 
 #include <cstdint>
@@ -10,9 +12,10 @@
 
 namespace paddletrack::routing {
 
-// Follows the change log: resumes after any cut where it was, and after what can't be read or is missing; if
-// that comes again it starts afresh. Moved elsewhere, it keeps the session that tells until the new one has
-// told as much as is known.
+/// Watches the endpoint list and passes its events to the router. After an interruption, an unreadable line
+/// or a gap it resumes after the last known event; if that fails again for the same reason, it reads the list
+/// from the start. After a switch to another address the previous session goes on until the new one has
+/// caught up with what is known. The references passed belong to the caller and outlive the watcher.
 class EndpointWatcher {
  public:
   EndpointWatcher(transport::Scheduler& scheduler, transport::OutputBudget& outputBudget,
@@ -20,16 +23,17 @@
                   RequestRouter& router, const Logger& logger,
                   const discovery::ReconnectOptions& options = {});
 
-  // Followed there soon, where it is not spread at once; until then the old one is. Whether it is another
-  // than was last asked for; back to the one that is still followed, and that one stays.
+  /// Watches the list at another address, at once or after a delay that spreads the controllers' switches;
+  /// the current list is watched until then. Returns whether the address differs from the one asked for last.
+  /// A switch back to the current address before the delay has passed cancels the switch.
   bool switchTo(const transport::Address& listAddress);
 
   struct Status {
-    std::uint64_t lastEventNumber = 0;  // of the last change that is known
-    bool isWatching = false;            // a session is up and has told something
-    bool isBehind = false;              // and it knows less than is known here
+    std::uint64_t lastEventNumber = 0;
+    bool isWatching = false;  ///< A session is established and has received data.
+    bool isBehind = false;    ///< That session's list ends before the last known event.
     std::uint64_t connectCount = 0;
-    unsigned consecutiveFailures = 0;  // sessions in a row that told nothing
+    unsigned consecutiveFailures = 0;  ///< Sessions in a row that received no data.
     std::optional<Duration> reconnectsIn{}, switchesIn{};
   };
   Status status() const;
@@ -41,7 +45,10 @@
   transport::Task<> waitToReconnect();
   transport::Task<> switchAt(transport::TimePoint switchTime);
   transport::Task<SessionEnd> runSession(std::uint64_t generation, transport::Address listAddress);
-  bool handleLine(std::string_view text, std::uint64_t generation);  // whether it told something
+  bool handleLine(std::string_view text, std::uint64_t generation);
+  void checkApplicable(const protocol::EndpointListLine& line, bool isCurrent) const;
+  void warnIfBehind(const protocol::EndpointListLine& line);
+  void logSessionEnd(bool isSilent, bool isCurrent, const transport::Address& listAddress);
   void logError(ErrorKind kind, const transport::Address& listAddress, const std::string& message);
 
   transport::Scheduler& scheduler_;
@@ -52,14 +59,16 @@
   const Logger& logger_;
   discovery::ReconnectSchedule reconnectSchedule_;
   std::uint64_t connectCount_ = 0;
-  bool isWaiting_ = false, hasReceivedData_ = false, isBehind_ = false;  // this session, if any
-  int consecutiveInvalidSessions_ = 0;  // sessions in a row that told what can't be used
+  bool isWaiting_ = false;        // For the time of the next connect.
+  bool hasReceivedData_ = false;  // In the current session.
+  bool isBehind_ = false;         // The current session's list ends before the last known event.
+  int consecutiveInvalidSessions_ = 0;
   std::optional<transport::Address> nextListAddress_;
   transport::TimePoint switchAt_{};
-  std::uint64_t generation_ = 0;  // counts up with each move: the one that is followed
+  std::uint64_t generation_ = 0;  // Incremented by each switch; identifies the current watch.
   std::unique_ptr<transport::TaskGroup> currentWatch_;
   std::unique_ptr<transport::TaskGroup>
-      previousWatch_;  // the session of the one before, until this one tells
+      previousWatch_;  // Of the address before the switch, until the current one has caught up.
   std::optional<transport::TaskGroup> pendingSwitch_;
 };
 
--- a/src/routing/request_context.hpp
+++ b/src/routing/request_context.hpp
@@ -1,3 +1,5 @@
+/// @file
+/// A client's request and its attempts, as the parts of the routing module share them.
 #pragma once
 
 #include <cstdint>
@@ -19,7 +21,7 @@
 class EngineConnection;
 struct RequestContext;
 
-// One dispatch on its way over a socket.
+/// One attempt of a request on one engine. The request's context owns it.
 struct AttemptContext {
   AttemptContext(RequestContext& context, Attempt& startedAttempt, transport::Scheduler& scheduler)
       : requestContext(context), attempt(startedAttempt), timeoutCall(scheduler) {}
@@ -27,25 +29,25 @@
   Attempt& attempt;
   transport::ScheduledCall timeoutCall;
   transport::TimePoint timesOutAt{};
-  transport::TimePoint sendDeadline{};  // no byte of it leaves for the first time from then on
-  std::uint64_t incarnation = 0;        // of its executor, when it was dispatched
-  bool recalled = false;                // by the desk, before it left
+  transport::TimePoint sendDeadline{};  ///< Sending does not begin from then on.
+  std::uint64_t incarnation = 0;        ///< Of the engine, when the attempt started.
+  bool recalled = false;                ///< By the router, before the attempt was sent.
 
-  // Of the server side, which alone reads and writes it. No link: it is over there.
-  EngineConnection* connection = nullptr;
-  std::uint64_t connectionSerial = 0;  // of the link that took it, kept when that has gone
-  unsigned rerouteCount = 0;           // connections that ended before they had it whole
-  std::uint64_t streamEndOffset =
-      0;  // position in the link's stream at which all of it is written; 0: still held
-  std::uint32_t expectedPages = 0;  // 0: no page has come
+  // Used by the connection pool only.
+  EngineConnection* connection = nullptr;  ///< None once the pool is done with the attempt.
+  std::uint64_t connectionSerial = 0;      ///< Of the last connection, kept when that has ended.
+  unsigned rerouteCount = 0;               ///< Connections that ended before they had sent all of it.
+  /// Offset in the connection's output stream at which all of the attempt is written; 0 while it is queued.
+  std::uint64_t streamEndOffset = 0;
+  std::uint32_t expectedPages = 0;  ///< 0 while no page has come.
   std::uint32_t receivedPages = 0;
   std::vector<BufferSlice> pages;
 };
 
-// One taken request, and the only thing that the client side and the server side both know. The desk owns it
-// until its job is over and nothing of it is out.
+/// One accepted request, which the client's session and the connection pool share. The router owns it until
+/// the request is finished and none of its attempts is in flight.
 struct RequestContext : Request {
-  // Who took it. Told of the final answer; forgotten once told, or once the client has left.
+  /// Receives the final response. The router drops it after that, or when the client is gone.
   class ResponseListener {
    public:
     virtual ~ResponseListener() = default;
@@ -53,19 +55,23 @@
   };
   enum class ResponseKind { none, succeeded, rejected, failed };
 
-  // Written by the client side.
+  // Written by the client's session.
   ResponseListener* responseListener = nullptr;
   std::int32_t sequenceId = 0;
-  std::string requestId, requestClassName, idempotencyKey;
+  std::string requestId;
+  std::string requestClassName;
+  std::string idempotencyKey;
   BufferSlice statement;
 
-  // Written by the desk.
+  // Written by the router.
   double grantMb = 0;
   std::optional<int> priority;
-  std::vector<std::unique_ptr<AttemptContext>> attemptContexts;  // as numbered in Job::dispatches
+  std::vector<std::unique_ptr<AttemptContext>> attemptContexts;  ///< Indexed as Request::attempts.
   ResponseKind responseKind = ResponseKind::none;
   Duration retryAfter{0};
   std::vector<BufferSlice> pages;
+
+  // Written by the request table.
   std::list<std::unique_ptr<RequestContext>>::iterator position;
   bool markedForCleanup = false;
 };
--- a/tests/routing/client_session_test.cpp
+++ b/tests/routing/client_session_test.cpp
@@ -1,4 +1,4 @@
-// Clients that go, and connections that are closed, in the moment in which something else happens.
+// Clients that disconnect, and connections that are closed, while something else happens.
 #include <fcntl.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -18,14 +18,13 @@
 namespace {
 
 constexpr int kSubnet = 181;
-constexpr auto kMaxStartAfterDeparture =
-    100ms;  // the rule's: no dispatch begins later than this after its client has gone
+constexpr auto kMaxStartAfterDeparture = 100ms;  // no attempt may start later after its client is gone
 
 enum class Departure { close, reset, halfClose, cancel };
 constexpr std::array<Departure, 4> kDepartures{Departure::close, Departure::reset, Departure::halfClose,
                                                Departure::cancel};
 
-// A client by hand: what it does, it does at once, whether or not the front's loop runs.
+// A client on a blocking socket, which acts at once, whether or not the controller's loop runs.
 class RawClient {
  public:
   explicit RawClient(const RouterFixture& fixture, int receiveBufferSize = 0)
@@ -41,12 +40,12 @@
   RawClient(RawClient&& other) noexcept : fd_(std::exchange(other.fd_, -1)) {}
   ~RawClient() { close(); }
 
-  // So much of it as the kernel takes.
+  // Sends as many bytes as the kernel accepts.
   std::size_t send(std::string_view text) const {
     const ssize_t count = ::send(fd_, text.data(), text.size(), MSG_NOSIGNAL);
     return count > 0 ? static_cast<std::size_t>(count) : 0;
   }
-  // All that has come; how it ended, if it did.
+  // Returns all bytes that have come, and how the connection ended if it did.
   std::string receive() const {
     std::string received;
     for (;;) {
@@ -85,17 +84,17 @@
       if (isDone()) return true;
     return isDone();
   }
-  // Has the front say much that this client does not read, until so many bytes of it are backed up there.
+  // Causes responses that this client does not read, until this many bytes are unsent in the controller.
   bool backUpOutput(const RawClient& rawClient, std::size_t minUnsentBytes = 65537) {
     const std::string message =
-        encodeMessage(1, std::string(4000, 'x'), 9, encodeInteger(0, 1));  // it is told back
+        encodeMessage(1, std::string(4000, 'x'), 9, encodeInteger(0, 1));  // the exception repeats it
     return runUntil([&] {
       if (clientListener.unsentBytes() >= minUnsentBytes) return true;
       for (int index = clientListener.unsentBytes() > 0 ? 1 : 8; index > 0; --index) rawClient.send(message);
       return false;
     });
   }
-  // An engine with a connection that is up, which answers nothing from now on.
+  // An engine with an established connection, which does not respond from now on.
   FakeEngine& addConnectedEngine() {
     FakeEngine& engine = addEngine(1, respondDone);
     updateEndpoints({1});
@@ -104,7 +103,7 @@
     engine.receivedCommands.clear();
     return engine;
   }
-  // A job of its own for each number, from one client.
+  // A request of its own for each number, from one client.
   static std::string encodeNumberedSubmit(int sequence, int timeoutMs = 3000) {
     std::array<char, 17> id;
     std::snprintf(id.data(), id.size(), "%016x", static_cast<unsigned>(sequence));
@@ -113,7 +112,8 @@
   }
 };
 
-// The front once read nothing of a client whose answers were backed up: it had gone, and its job went on.
+// Regression: the controller did not read from a client whose responses were backed up. The client had
+// disconnected, and its request went on.
 TEST(ClientSession, AbandonsRequestWhenClientLeavesWithResponsesBackedUp) {
   for (const Departure way : kDepartures) {
     ClientDepartureFixture front;
@@ -124,7 +124,7 @@
     ASSERT_TRUE(front.backUpOutput(caller));
     ASSERT_EQ(front.router.openRequestCount(), 1U);
     caller.depart(way);
-    // Well before the idle time would end it; the rule's 0.1 s is held below, over many.
+    // Well before the idle timeout. The limit of 0.1 s is checked below, over many clients.
     EXPECT_TRUE(front.runUntil([&] { return front.router.totals().clientsGone == 1; }, 400ms))
         << static_cast<int>(way);
     EXPECT_TRUE(front.runUntil([&] { return front.router.openRequestCount() == 0; }))
@@ -135,8 +135,8 @@
   }
 }
 
-// Whole requests waited in the input for their turn, and were sent on in it before what stood behind them was
-// read.
+// Regression: complete requests waited in the input for their turn and were then sent to engines before the
+// revocations behind them were read.
 TEST(ClientSession, DropsBufferedRequestWhenClientLeaves) {
   for (const Departure way : kDepartures) {
     ClientDepartureFixture front;
@@ -148,7 +148,7 @@
     caller.depart(way);
     front.runFor(5ms);
     if (way == Departure::cancel ||
-        way == Departure::halfClose)  // it reads on: answers leave, its request's turn comes
+        way == Departure::halfClose)  // it still reads: responses are written, and its request is handled
       front.runUntil([&] { return caller.receive().empty() && front.clientListener.unsentBytes() == 0; });
     front.runFor(20ms);
     EXPECT_EQ(peer.receivedCommands, "") << static_cast<int>(way);
@@ -156,8 +156,8 @@
   }
 }
 
-// A process held off its core reads late, and not all at once: what has come by then tells that the client
-// has gone, though it stands behind much else.
+// A process that was kept from its core reads late and in several steps. By then the input says that the
+// client is gone, though behind many other messages.
 TEST(ClientSession, DropsRequestsWhenDepartureIsReadInSameDelayedTurn) {
   for (const Departure way : kDepartures) {
     ClientDepartureFixture front;
@@ -167,7 +167,7 @@
     std::string many;
     for (int index = 1; index <= 30; ++index) many += ClientDepartureFixture::encodeNumberedSubmit(index);
     for (int item = 31; item <= 60; ++item) many += encodeRevoke(item);
-    ASSERT_GT(many.size(), 4096U);  // more than one read takes
+    ASSERT_GT(many.size(), 4096U);  // more than one read returns
     caller.send(many);
     if (way != Departure::cancel) caller.depart(way);
     for (int element = 1; way == Departure::cancel && element <= 30; ++element) caller.depart(way, element);
@@ -178,8 +178,8 @@
   }
 }
 
-// One that pushes and never reads is ended soon, as its withdrawals could no longer be read; others are
-// served all the while, and what it costs is bounded.
+// A client that sends and never reads is disconnected soon, as its revocations could no longer be read. Other
+// clients are served meanwhile, and its memory use is bounded.
 TEST(ClientSession, ClosesConnectionWhenClientSendsButNeverReads) {
   ClientDepartureFixture front;
   front.addEngine(1, respondDone);
@@ -203,7 +203,8 @@
   EXPECT_LT(held, 32 * 4200U + 65536U);
 }
 
-// A usual client reads slowly: all of its 32 requests are answered, however its answers are backed up.
+// A valid client that reads slowly gets the responses to all of its 32 requests, however long they are backed
+// up.
 TEST(ClientSession, DeliversAllResponsesWhenClientReadsSlowly) {
   ClientDepartureFixture front(10, "familyInfo.kindCores=64\n");
   const std::string row = std::string(5990, 'v') + "\t\t\n";
@@ -230,11 +231,11 @@
   EXPECT_TRUE(front.runUntil([&] { return all += caller.receive(), whole() == 32; })) << whole();
 }
 
-// ---- closes from this side ------------------------------------------------------------------------------
+// ---- Closes by the controller ---------------------------------------------------------------------------
 
 std::string encodeHeartbeat() { return encodeMessage(1, "heartbeat", 90, encodeInteger(0, 1)); }
 
-// The idle end was due, and a request was already in the socket: it met a reset.
+// Regression: the idle timeout had passed while a request was already in the socket, which met a reset.
 TEST(ClientSession, ServesRequestWhenItArrivesAtIdleTimeout) {
   ClientDepartureFixture front;
   front.addEngine(1, respondDone);
@@ -243,13 +244,14 @@
   caller.send(encodeHeartbeat());
   front.runFor(20ms);
   EXPECT_FALSE(caller.receive().empty());
-  std::this_thread::sleep_for(720ms);  // the loop stands still past the 700 ms
+  std::this_thread::sleep_for(720ms);  // the loop does not run until the idle timeout of 700 ms has passed
   caller.send(encodeSubmit(1));
   front.runFor(100ms);
   EXPECT_TRUE(front.contains(caller.receive(), "r\to\tw\n"));
 }
 
-// The same for the one that a full house ends for another, in each turn of the loop at which it can happen.
+// The same for a session that is evicted at the connection limit, in each turn of the loop in which that can
+// happen.
 TEST(ClientListener, ServesRequestAndEvictsOtherConnectionWhenItArrivesDuringEviction) {
   ClientDepartureFixture front;
   front.addEngine(1, respondDone);
@@ -276,7 +278,8 @@
   EXPECT_TRUE(front.runUntil([&] { return front.contains(callers[1]->receive(), "<closed>"); }));
 }
 
-// What crosses a close is not sent on, and takes no answer along that the client has not read.
+// A request that crosses the close is not sent to an engine, and no response that the client has not read is
+// lost.
 TEST(ClientSession, DropsLateRequestsAndKeepsLastResponseWhenServerHalfCloses) {
   for (const bool unreadable : {false, true}) {
     ClientDepartureFixture front;
@@ -306,7 +309,7 @@
   }
 }
 
-// ---- the process's end ----------------------------------------------------------------------------------
+// ---- Shutdown -------------------------------------------------------------------------------------------
 
 struct ShutdownFixture : ClientDepartureFixture {
   explicit ShutdownFixture(std::size_t connectionLimit = 60)
@@ -326,8 +329,9 @@
   std::size_t connectionsAtExit = 0, openRequestsAtExit = 0;
 };
 
-// Clients that rest until the controller ends them, and speak around that moment, one each millisecond: each
-// has its answer, or finds its connection closed with nothing of it sent on. None is reset.
+// Idle clients send a request around the moment at which the controller closes them, one each millisecond.
+// Each gets its response, or finds its connection closed and its request not sent to an engine. None is
+// reset.
 TEST(ServiceLifecycle, AnswersRequestOrClosesCleanlyWhenItArrivesAtShutdown) {
   ShutdownFixture front;
   std::set<std::string> asked;
@@ -348,7 +352,7 @@
   front.lifecycle.onTerminate();  // a second SIGTERM changes nothing
   const transport::TimePoint told = front.now();
   front.runFor(400ms);
-  for (const auto& caller : callers) caller->send(encodeHeartbeat());  // else they would be idle
+  for (const auto& caller : callers) caller->send(encodeHeartbeat());  // so that they are not idle
   front.runFor(50ms);
   for (const auto& caller : callers) caller->receive();
   std::size_t next = 0;
@@ -375,14 +379,15 @@
   EXPECT_TRUE(front.contains(front.logText, "0 requests open at the end"));
 }
 
-// One waits in the backlog of a full house as the process decides to end: it is let in and answered.
+// A client that waits in the backlog at the connection limit when the shutdown begins is accepted and gets
+// its response.
 TEST(ServiceLifecycle, AnswersOrResetsBacklogConnectionAndLeavesNoOpenRequestWhenProcessEnds) {
   ShutdownFixture front;
   front.lifecycle.onTerminate();
   front.runFor(700ms);
   std::this_thread::sleep_for(10ms);
   std::optional<RawClient> late;
-  transport::ScheduledCall look(front);  // in the very turn in which the end is decided
+  transport::ScheduledCall look(front);  // in the turn of the loop in which the shutdown begins
   look.setAction([&] {
     if (front.clientListener.openSocketCount() == 1 && !late && front.clientListener.isClosing()) {
       late.emplace(front);
@@ -402,8 +407,8 @@
   EXPECT_EQ(front.openRequestsAtExit, 0U);
 }
 
-// Executors hang under long time-outs, a drain is under way, half a frame never becomes whole: it ends in
-// time all the same, with each job answered before.
+// Engines hang under long timeouts, a drain is in progress and a frame stays incomplete: the process still
+// ends in time, and each request has its response before.
 TEST(ServiceLifecycle, ShutsDownInTimeWhenEnginesHangAndDrainIsUnderWay) {
   ShutdownFixture front;
   front.engines[0]->onCommand = ignoreCommand;
@@ -417,7 +422,8 @@
   front.lifecycle.onTerminate();
   std::string heard;
   EXPECT_TRUE(front.runUntil([&] { return heard += caller.receive(), front.exited; }, 3s));
-  EXPECT_LT(front.now() - asked, 2700ms);  // SIGKILL: the longest job, 2 s, and 0.7 s more
+  EXPECT_LT(front.now() - asked,
+            2700ms);  // SIGKILL comes after the longest request timeout, 2 s, and 0.7 s more
   heard += caller.receive();
   EXPECT_TRUE(front.contains(heard, "refused") || front.contains(heard, "cooldown") ||
               front.contains(heard, "failed"));
@@ -425,9 +431,10 @@
   EXPECT_EQ(front.openRequestsAtExit, 0U);
 }
 
-// ---- floods ---------------------------------------------------------------------------------------------
+// ---- Overload -------------------------------------------------------------------------------------------
 
-// Many come at once, say much at once, part of it unusable, and go: others are served, and nothing stays.
+// Many clients connect at once, send many messages, some of them invalid, and disconnect. Other clients are
+// served, and nothing of the former remains.
 TEST(ClientListener, ServesOtherClientsWhenConnectionsFlood) {
   ClientDepartureFixture front(100);
   front.addEngine(1, respondDone);
@@ -471,17 +478,17 @@
   std::printf("the other client waited %ld ms at most\n", static_cast<long>(longest / 1ms));
 }
 
-// ---- at random ------------------------------------------------------------------------------------------
+// ---- Randomized -----------------------------------------------------------------------------------------
 
-// Departures in every way at random moments, most with jobs that wait for room: no dispatch begins later than
-// the rule's 100 ms. PADDLETRACK_DEPARTURES=10000 for the full count.
+// Clients disconnect in every way at random moments, most of them with queued requests: no attempt starts
+// later than 100 ms after that. PADDLETRACK_DEPARTURES=10000 runs the full count.
 TEST(ClientSession, StartsNoAttemptAfterGracePeriodWhenClientsLeaveAtRandom) {
   const char* const told = std::getenv("PADDLETRACK_DEPARTURES");
   const int wanted = told ? std::atoi(told) : 800;
   ClientDepartureFixture front(100);
   std::minstd_rand dice(17);
   std::map<std::string, std::pair<transport::TimePoint, transport::Clock::duration>> gone;
-  // What the whole loop stood still, on a busy machine, tells nothing of the front: it is taken off.
+  // Time in which the loop did not run, on a busy machine, is no delay of the controller and is subtracted.
   transport::Clock::duration stood{};
   transport::TimePoint ticked = front.now();
   transport::ScheduledCall tick(front);
@@ -505,7 +512,7 @@
       ++lateNow;
     }
     if (dice() % 4 == 0)
-      respondDone(self, to, word, id);  // the others hold their threads until they are given up
+      respondDone(self, to, word, id);  // the others keep their threads until their timeout
   });
   front.updateEndpoints({1});
   struct One {
@@ -545,7 +552,7 @@
         waited += asked.count(id) == 0;
       }
       ++departed;
-      const auto going = item++;  // with a way back left open it stays for a while
+      const auto going = item++;  // a half-closed connection stays for a while
       kept.splice(kept.end(), there, going);
       if (kept.size() > 20) kept.pop_front();
     }
--- a/tests/routing/request_router_test.cpp
+++ b/tests/routing/request_router_test.cpp
@@ -1,4 +1,4 @@
-// What the front makes of usual and unusual peers.
+// The controller between scripted clients, engines and endpoint lists, valid and misbehaving ones.
 #include "support/router_fixture.hpp"
 
 namespace paddletrack::routing {
@@ -8,7 +8,7 @@
   RouterFixture fixture;
   const std::string firstAnswer =
       fixture.exchangeBytes(encodeMessage(1, "heartbeat", 0, encodeInteger(0, 1)));
-  EXPECT_EQ(firstAnswer[firstAnswer.size() - 3], 0);  // no executor is known yet
+  EXPECT_EQ(firstAnswer[firstAnswer.size() - 3], 0);  // no engine is known yet
   fixture.updateEndpoints({1});
   const std::string openAnswer = fixture.exchangeBytes(encodeMessage(1, "heartbeat", 1, encodeInteger(0, 1)));
   struct : ServiceGate {
@@ -22,7 +22,7 @@
   EXPECT_EQ(openAnswer[openAnswer.size() - 3], 1);
   EXPECT_EQ(closedAnswer[closedAnswer.size() - 3], 0);
   const std::string rejection =
-      fixture.exchangeBytes(encodeSubmit(3));  // at once, and the desk has not seen it
+      fixture.exchangeBytes(encodeSubmit(3));  // rejected at once, before the router sees it
   EXPECT_TRUE(fixture.contains(rejection, "cooldown") && fixture.contains(rejection, "700"));
   EXPECT_EQ(fixture.router.totals().requests, 0U);
 }
@@ -44,7 +44,7 @@
   EXPECT_EQ(engine.receivedCommands, "ASK NEXT 1 NEXT 2 ");
 }
 
-// A page that its executor has lost: the whole dispatch has failed, and a restartable job is sent again.
+// If the engine has lost a page the attempt has failed, and an idempotent request is retried.
 TEST(RequestRouter, RetriesRequestWhenPageIsLost) {
   RouterFixture fixture;
   int attemptCount = 0;
@@ -59,7 +59,7 @@
   const std::string answer = fixture.exchangeBytes(encodeSubmit(1), 150ms);
   EXPECT_TRUE(fixture.contains(answer, "new\t\t\n"));
   EXPECT_FALSE(fixture.contains(answer, "old\t\t\n"));
-  EXPECT_EQ(engine.connections.size(), 2U);  // the id goes over a connection once
+  EXPECT_EQ(engine.connections.size(), 2U);  // an id is sent only once over a connection
 }
 
 TEST(RequestRouter, RetriesRequestWhenConnectIsRefusedOrConnectionIsReset) {
@@ -70,7 +70,7 @@
         if (word == "ASK" && ++attemptCount == 1) return connection.shutDown();
         respondDone(engine, connection, word, id);
       });
-  fixture.updateEndpoints({1, 2});  // nobody listens at the first
+  fixture.updateEndpoints({1, 2});  // nothing listens at the first
   for (int index = 1; index <= 4; ++index)
     EXPECT_TRUE(fixture.contains(fixture.exchangeBytes(encodeSubmit(index), 150ms), "r\to\tw\n")) << index;
   EXPECT_TRUE(fixture.contains(fixture.router.formatCounts(), "unreachable"));
@@ -99,8 +99,8 @@
   EXPECT_EQ(fixture.router.openRequestCount(), 0U);
 }
 
-// On a busy core requests are read and answers written some tens of milliseconds late: a few clients in ten
-// thousand once got their last answer after the rule's time.
+// Regression: on a busy core requests are read and responses written some tens of milliseconds late, and a
+// few clients in ten thousand got their final response after the deadline.
 TEST(RequestRouter, RejectsRequestBeforeClientTimeoutWhenAnswerSlackIsSet) {
   RouterFixture fixture(kBaseSettings + "rules.answerSlackUs=20000\n");
   fixture.addEngine(1, ignoreCommand);
@@ -126,7 +126,7 @@
   EXPECT_EQ(fixture.router.openRequestCount(), 0U);
 }
 
-// Without it executors could not tell a keyed job's second dispatch from another job.
+// Without the key engines could not tell a request's second attempt from another request.
 TEST(RequestRouter, ForwardsIdempotencyKeyWithEachAttemptAndRejectsInvalidKeys) {
   RouterFixture fixture;
   std::string received;
@@ -185,7 +185,7 @@
   }
 }
 
-// Silent connections once stayed for good, and a byte now and then kept half a message alive.
+// Regression: silent connections were never closed, and single bytes prolonged an incomplete message.
 TEST(ClientListener, ClosesConnectionWhenMessageStaysIncompleteOrIdleTimeoutPasses) {
   RouterFixture fixture;
   fixture.addEngine(1, respondDone);
@@ -200,7 +200,7 @@
   EXPECT_EQ(received, "<closed>");
   fixture.client.reset();
   EXPECT_TRUE(fixture.contains(fixture.exchangeBytes(encodeSubmit(2)), "r\to\tw\n"));
-  EXPECT_EQ(fixture.exchangeBytes("", 500ms), "");  // kept while clients keep theirs
+  EXPECT_EQ(fixture.exchangeBytes("", 500ms), "");  // kept for as long as clients keep their connections
   EXPECT_EQ(fixture.exchangeBytes("", 300ms), "<closed>");
   EXPECT_TRUE(fixture.contains(fixture.clientListener.formatCounts(), "unfinished 2, idle 1"));
 }
@@ -212,13 +212,13 @@
   EXPECT_TRUE(fixture.contains(fixture.exchangeBytes(encodeSubmit(1)), "r\to\tw\n"));
   std::vector<std::unique_ptr<Connection>> silentConnections;
   for (int index = 0; index < 12; ++index) silentConnections.push_back(fixture.connectClient());
-  EXPECT_TRUE(
-      fixture.contains(fixture.exchangeBytes(encodeSubmit(2)), "r\to\tw\n"));  // it came first, but it asked
+  EXPECT_TRUE(fixture.contains(fixture.exchangeBytes(encodeSubmit(2)),
+                               "r\to\tw\n"));  // it connected first, but has sent a request
   EXPECT_TRUE(fixture.contains(fixture.clientListener.formatCounts(), "for others 4"));
 }
 
-// Connections that asked once and were kept for good filled the house; each new one was ended as the one that
-// had shown least, before it could ask.
+// Regression: connections that had sent one request and stayed open used up the limit. Each new one was
+// evicted as the least active one before it could send a request.
 TEST(ClientListener, ServesNewConnectionWhenFullOfIdleOnes) {
   RouterFixture fixture;
   fixture.addEngine(1, respondDone);
@@ -229,7 +229,7 @@
   }
 }
 
-// Executors call a second statement under an id an error, whichever connection it came over.
+// Engines reject a second statement under the same id, whichever connection it comes over.
 TEST(ClientListener, RejectsRequestWhenReferenceIsInUse) {
   RouterFixture fixture;
   FakeEngine& engine = fixture.addEngine(1, ignoreCommand);
@@ -240,8 +240,8 @@
   EXPECT_EQ(engine.receivedCommands, "ASK ");
   std::string submits;
   for (int index = 1; index <= 9; ++index) submits += encodeSubmit(index * 10 + 1);
-  EXPECT_TRUE(
-      fixture.contains(fixture.exchangeBytes(submits, 20ms), "<closed>"));  // the same again and again
+  EXPECT_TRUE(fixture.contains(fixture.exchangeBytes(submits, 20ms),
+                               "<closed>"));  // the same request again and again
 }
 
 TEST(EngineConnectionPool, ClosesConnectionAndRetriesWhenResponseIsUnreadable) {
@@ -258,7 +258,7 @@
   EXPECT_TRUE(fixture.contains(fixture.logText, "connection given up"));
 }
 
-// Notes of progress, on which there is no page, once cost every connection that carried one.
+// Regression: a progress message, which the protocol does not describe, closed its connection.
 TEST(EngineConnectionPool, IgnoresMessagesWithoutPage) {
   RouterFixture fixture;
   fixture.addEngine(
@@ -271,8 +271,8 @@
   EXPECT_TRUE(fixture.contains(fixture.router.formatCounts(), "1 done; "));
 }
 
-// One spoilt answer leaves its connection of no more use, in silence or with noise. That is no evidence
-// against the executor, and what shares a process but not the connection goes on.
+// After one invalid or incomplete response its connection cannot be used any more. That says nothing against
+// the engine, and attempts on its other connections go on.
 TEST(EngineConnectionPool, RetriesAttemptWhenResponseIsMalformed) {
   using Words = std::vector<std::string>;
   for (const Words& bad :
@@ -284,9 +284,10 @@
     fixture.addEngine(
         1, [&](FakeEngine& self, Connection& connection, const std::string& word, const std::string& id) {
           if (word != "ASK") return;
-          if (++attemptCount == 1) return;  // still runs while the next is spoilt
+          if (++attemptCount == 1) return;  // still runs while the next response is invalid
           if (attemptCount > 2) return respondDone(self, connection, word, id);
-          if (bad.empty()) return connection.send({BufferSlice("*4\r\n$16\r\n" + id)});  // and no more
+          if (bad.empty())
+            return connection.send({BufferSlice("*4\r\n$16\r\n" + id)});  // and nothing after it
           FakeEngine::sendReply(connection, {id, bad[0], bad[1], bad[2]});
         });
     fixture.updateEndpoints({1});
@@ -299,7 +300,7 @@
   }
 }
 
-// More than belongs to an answer harms nothing: the first whole one counts.
+// Bytes after a response do no harm: the first complete response counts.
 TEST(EngineConnectionPool, IgnoresDuplicateAndUnrequestedResponses) {
   RouterFixture fixture;
   fixture.addEngine(
@@ -318,7 +319,7 @@
   EXPECT_TRUE(fixture.contains(fixture.router.formatCounts(), "1 done; ")) << fixture.router.formatCounts();
 }
 
-// A second answer may come when its job has long been answered and its connection serves another.
+// A second response may come when its request has long been finished and the connection serves another.
 TEST(EngineConnectionPool, KeepsOtherRequestsIntactWhenDuplicateResponseIsLate) {
   RouterFixture fixture;
   std::string previousId;
@@ -338,14 +339,15 @@
     const std::string answer = fixture.exchangeBytes(encodeSubmit(index), 40ms);
     EXPECT_TRUE(fixture.contains(answer, "00000000000000a" + std::to_string(index) + "\t\t\n"));
     EXPECT_FALSE(fixture.contains(answer, "late"));
-    EXPECT_EQ(fixture.exchangeBytes("", 20ms), "");  // and no second one leaves
+    EXPECT_EQ(fixture.exchangeBytes("", 20ms), "");  // and no second response is written
   }
   EXPECT_EQ(engine.connections.size(), 1U);
   EXPECT_EQ(engine.receivedCommands, "ASK ASK ASK ");
   EXPECT_TRUE(fixture.contains(fixture.router.formatCounts(), "3 done; ")) << fixture.router.formatCounts();
 }
 
-// Executors under ever new ids once stayed known for good, to the desk and in every choice of the module.
+// Regression: engines that came under ever new ids were never forgotten by the router and the admission
+// controller.
 TEST(EngineRegistry, ForgetsRemovedEngineWhenNoAttemptIsInFlight) {
   RouterFixture fixture;
   fixture.addEngine(1, respondDone);
@@ -354,21 +356,22 @@
   std::string submits;
   for (int index = 1; index <= 6; ++index) submits += encodeSubmit(index, 600);
   fixture.exchangeBytes(submits);
-  EXPECT_GT(fixture.router.openRequestCount(), 0U);  // at the silent one
+  EXPECT_GT(fixture.router.openRequestCount(), 0U);  // on the silent engine
   fixture.updateEndpoints({1}, false, EndpointState::removed);
   fixture.updateEndpoints({2}, false, EndpointState::removed);
   fixture.runFor(100ms);
   EXPECT_TRUE(fixture.contains(fixture.router.formatCounts(), "1 executors known of 2"));
   fixture.runFor(600ms);
   EXPECT_TRUE(fixture.contains(fixture.router.formatCounts(), "0 executors known of 2"));
-  fixture.updateEndpoints({1});  // it comes back, as a new one
+  fixture.updateEndpoints({1});  // it comes back as a new engine
   EXPECT_TRUE(fixture.contains(fixture.exchangeBytes(encodeSubmit(7)), "r\to\tw\n"));
-  fixture.updateEndpoints({2});  // a whole list without it
+  fixture.updateEndpoints({2});  // a snapshot without it
   fixture.runFor(100ms);
   EXPECT_TRUE(fixture.contains(fixture.router.formatCounts(), "1 executors known of 4"));
 }
 
-// A machine that vanished and came back says nothing on its old connections; a slow one says nothing at all.
+// A machine that failed and came back does not respond on its old connections; a slow one does not respond at
+// all.
 TEST(EngineConnectionPool, ClosesSilentConnectionOnlyWhenEngineAnswersOnAnother) {
   RouterFixture fixture;
   bool answersOnNewConnections = false;
@@ -387,8 +390,8 @@
   EXPECT_TRUE(fixture.contains(fixture.router.formatCounts(), "1 spoilt"));
 }
 
-// The kernel takes what a standing process does not read. Thousands of statements once piled up there, and
-// were read after their jobs had been answered otherwise.
+// Regression: the kernel accepts bytes that a stopped process does not read. Thousands of statements were
+// queued there and were read after their requests had been finished otherwise.
 TEST(EngineConnectionPool, WritesNothingMoreWhenEngineAnswersNowhere) {
   RouterFixture fixture;
   FakeEngine& engine = fixture.addEngine(1, ignoreCommand);
@@ -464,14 +467,14 @@
   fixture.addEngine(1, respondDone);
   fixture.runFor(100ms);
   EXPECT_TRUE(fixture.contains(fixture.exchangeBytes(encodeSubmit(1)),
-                               "r\to\tw\n"));  // the repeat of 4 did not take the executor away
+                               "r\to\tw\n"));  // the repeated event 4 did not remove the engine
   fixture.runFor(800ms);
   EXPECT_EQ(requestLines, (std::vector<std::string>{"since 3\n", "since 4\n", "since 4\n", "since 0\n"}));
   EXPECT_TRUE(fixture.contains(fixture.logText, "nothing of 5 before 6"));
   EXPECT_TRUE(fixture.contains(fixture.logText, "nonsense"));
 }
 
-// A log that goes on with bytes but not with lines once counted as one that tells.
+// Regression: a list that sent bytes but no complete line counted as one that is alive.
 TEST(EndpointWatcher, ReconnectsWhenListSendsBytesButNoLine) {
   RouterFixture fixture;
   int connectCount = 0;
@@ -494,7 +497,7 @@
   EXPECT_EQ(connectCount, 2);
 }
 
-// An operator's file that named a change log out of reach once cost the list that was told until then.
+// Regression: an operator's file that named an unreachable list ended the watch of the current list.
 TEST(EndpointWatcher, KeepsCurrentListWhenNewListIsUnreachable) {
   RouterFixture fixture;
   fixture.addEngine(1, respondDone);
@@ -529,18 +532,18 @@
   EndpointWatcher watcher(fixture, fixture.outputBudget, Address("127.0.77.100:18443"), 3, 7, fixture.router,
                           fixture.logger);
   fixture.runFor(50ms);
-  EXPECT_TRUE(watcher.switchTo(Address("127.0.77.101:18443")));  // nobody listens there
+  EXPECT_TRUE(watcher.switchTo(Address("127.0.77.101:18443")));  // nothing listens there
   fixture.runFor(200ms);
-  EXPECT_TRUE(
-      fixture.contains(fixture.exchangeBytes(encodeSubmit(1)), "r\to\tw\n"));  // 4 was told after the move
+  EXPECT_TRUE(fixture.contains(fixture.exchangeBytes(encodeSubmit(1)),
+                               "r\to\tw\n"));  // event 4 came after the switch
   EXPECT_FALSE(firstClosed);
   secondListener.emplace(fixture, Address("127.0.77.101:18443"));
   fixture.group.spawn(serveSecondList());
   fixture.runFor(1s);
   EXPECT_EQ(secondAsked, "since 4\n");
   EXPECT_TRUE(firstClosed);
-  EXPECT_FALSE(
-      fixture.contains(fixture.exchangeBytes(encodeSubmit(2, 100), 200ms), "r\to\tw\n"));  // 5 counts
+  EXPECT_FALSE(fixture.contains(fixture.exchangeBytes(encodeSubmit(2, 100), 200ms),
+                                "r\to\tw\n"));  // event 5 was applied
 }
 
 }  // namespace
--- a/tests/support/router_fixture.hpp
+++ b/tests/support/router_fixture.hpp
@@ -1,4 +1,6 @@
-// A whole front on loopback: client, executors and change log are scripted peers in the same loop.
+/// @file
+/// A router with its client listener on loopback. Clients, engines and the endpoint list are scripted peers
+/// in the same loop.
 #pragma once
 
 #include <gtest/gtest.h>
@@ -89,7 +91,7 @@
     for (const transport::TimePoint deadline = now() + 2s; !connection && now() < deadline;) runFor(5ms);
     return connection;
   }
-  // Says bytes as a client and waits for what comes back.
+  // Sends bytes as a client and returns what comes back within the duration.
   std::string exchangeBytes(const std::string& request, std::chrono::milliseconds duration = 60ms) {
     if (!client) {
       client = connectClient();
@@ -117,8 +119,8 @@
     return text.find(part) != std::string::npos;
   }
 
-  const int subnet;                  // of 127.0.NET.0/24, so that runs beside each other do not meet
-  const std::size_t maxConnections;  // connections of clients
+  const int subnet;                  // of 127.0.NET.0/24, so that tests that run in parallel do not meet
+  const std::size_t maxConnections;  // of clients
   const std::string listenAddress = engineAddress(200);
   std::string logText;
   const Logger logger{[this](const LogRecord& record) {
@@ -136,7 +138,7 @@
   std::vector<std::unique_ptr<FakeEngine>> engines;
   std::string received;
   std::unique_ptr<Connection> client;
-  std::vector<std::unique_ptr<Connection>> earlierClients;  // clients from before
+  std::vector<std::unique_ptr<Connection>> earlierClients;  // kept open
   transport::TaskGroup group{*this, [](const char*) {}};
 };
 
