--- a/src/admin/admin_server.cpp
+++ b/src/admin/admin_server.cpp
@@ -38,7 +38,7 @@
                     0},
       socketFile_(options.socketPath),
       listener_(scheduler, socketFile_.release()),
-      tasks_(scheduler, [this](const char* what) { log_.info("door", what, {}, LogLevel::warning); }) {
+      tasks_(scheduler, [this](const char* what) { log_.warning("door", what); }) {
   lifecycle_.setStateListener([this] {
     for (AdminSession* session : sessions_) session->sendProgress();
   });
