--- a/src/admin/engine_status.cpp
+++ b/src/admin/engine_status.cpp
@@ -13,7 +13,7 @@
 
 std::size_t countConnections(const routing::EngineEndpoint& engine, const std::string& addressName) {
   const auto usesAddress = [&](const routing::EngineConnection* connection) {
-    return connection->addressName == addressName;
+    return connection->addressName() == addressName;
   };
   return static_cast<std::size_t>(
       std::count_if(engine.connections.begin(), engine.connections.end(), usesAddress));
