--- a/src/loadtest/rebalance.cpp
+++ b/src/loadtest/rebalance.cpp
@@ -319,7 +319,7 @@
 #ifdef PADDLETRACK_EXACT
   passed = compareWithOptimum(fleetCount) && passed;
 #else
-  std::printf("built without GLPK: no comparison of %u fleets with the least\n", fleets);
+  std::printf("built without GLPK: no comparison of %u fleets with the least\n", fleetCount);
 #endif
   passed = measureScaling() && passed;
   passed = compareMoveRules(50) && passed;
