--- a/review/rig/rig.py
+++ b/review/rig/rig.py
@@ -447,6 +447,14 @@
             await self.process.wait()
 
 
+def say(text):
+    """Prints a line; the exit code is the verdict, whether or not somebody reads the output."""
+    try:
+        print(text, flush=True)
+    except BrokenPipeError:
+        os.dup2(os.open(os.devnull, os.O_WRONLY), 1)
+
+
 def main(folder, play):
     """Runs `play(record, temporary folder, trouble)`, which returns a list of breaks; exits with 0, 1 or 2."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
@@ -465,13 +473,13 @@
                                 record("log of " + name[:-4] + ": " + line)
         for text in breaks:
             record("BROKEN: " + text)
-            print("BROKEN: " + text)
+            say("BROKEN: " + text)
         status = 1 if breaks else 0
         if not breaks:
             record("the rule held")
-            print("the rule held")
+            say("the rule held")
     except (CannotRun, asyncio.TimeoutError, OSError) as error:
         record("could not run: %r" % error)
-        print("could not run: %r" % error)
+        say("could not run: %r" % error)
     record.close()
     raise SystemExit(status)
