Let the review's cases end with 2 whatever keeps them from running

Need: an error of a case itself ended with 1, which says that a rule was broken. Change: any error, SIGTERM and the time limit end with 2 and end all controllers; the verdict is 0 or 1 only after a whole play.

--- a/review/rig/rig.py
+++ b/review/rig/rig.py
@@ -455,16 +455,23 @@
         os.dup2(os.open(os.devnull, os.O_WRONLY), 1)
 
 
+async def play_bounded(play, record, folder, trouble):
+    """Runs the play for 110 s at most; SIGTERM ends it early. Either way it ends what it started."""
+    task = asyncio.ensure_future(play(record, folder, trouble))
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+    return await asyncio.wait_for(task, 110)
+
+
 def main(folder, play):
     """Runs `play(record, temporary folder, trouble)`, which returns a list of breaks; exits with 0, 1 or 2."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
-    record = Record(os.path.join(folder, "record.txt"))
-    record("disruption: %s" % ("on" if trouble else "off"))
     status = 2
     try:
+        record = Record(os.path.join(folder, "record.txt"))
+        record("disruption: %s" % ("on" if trouble else "off"))
         with tempfile.TemporaryDirectory(prefix="review-") as temporary:
             try:
-                breaks = asyncio.run(asyncio.wait_for(play(record, temporary, trouble), 110))
+                breaks = asyncio.run(play_bounded(play, record, temporary, trouble))
             finally:
                 for name in sorted(os.listdir(temporary)):
                     if name.endswith(".log"):
@@ -473,13 +480,12 @@
                                 record("log of " + name[:-4] + ": " + line)
         for text in breaks:
             record("BROKEN: " + text)
-            say("BROKEN: " + text)
-        status = 1 if breaks else 0
         if not breaks:
             record("the rule held")
-            say("the rule held")
-    except (CannotRun, asyncio.TimeoutError, OSError) as error:
-        record("could not run: %r" % error)
+        record.close()
+        status = 1 if breaks else 0
+        for text in breaks or ["the rule held"]:
+            say("BROKEN: " + text if breaks else text)
+    except BaseException as error:  # Whatever went wrong, it says nothing about the rule.
         say("could not run: %r" % error)
-    record.close()
     raise SystemExit(status)
