Client session: open requests outlast the limit on an incomplete message

Callers saw: a client that wrote one request over 2 s on a connection with three running reports lost these: the controller closed the connection 1.5 s after the message's first byte, without their answers. Cause: ClientSession::receiveDeadline() looked for an incomplete message before it looked for open requests, so the time limit on incomplete messages (1.5 s) ended the session, and its end abandons all open requests. The new tests failed before the change, both with "<closed>" where the client expected nothing yet. Change: open requests are looked at first; with any of them the session only looks again later. An unsent response gets the idle time for the same reason. The limit holds from the last response on, which the second test guards. Works because no other deadline of the session applies while requests are open.

--- a/src/routing/client_session.cpp
+++ b/src/routing/client_session.cpp
@@ -167,12 +167,15 @@
 
 // ---- Reading and closing --------------------------------------------------------------------------------
 
-// The session ends if no complete message has arrived by this time. Single bytes do not extend it.
+// The session ends if no complete message has arrived by this time. Single bytes do not extend it. Each open
+// request is owed its response, so a session with open requests never ends here, whatever its client sends
+// meanwhile: it only looks again after the message timeout.
 transport::TimePoint ClientSession::receiveDeadline() const {
   const ClientLimits& limits = environment_.limits;
-  if (hasPartialMessage_) return lastActivityAt_ + limits.messageTimeout;
   if (!openRequests_.empty()) return now() + limits.messageTimeout;
-  return lastActivityAt_ + (isKnownClient_ ? limits.idleTimeout : limits.messageTimeout);
+  const bool hasUnsentResponse = connection_.unsentBytes() > 0;
+  const bool isMessageDue = !hasUnsentResponse && isAwaitingMessage();
+  return lastActivityAt_ + (isMessageDue ? limits.messageTimeout : limits.idleTimeout);
 }
 
 // All available input is read before a message is handled, so that revocations take effect first.
--- a/src/routing/client_session.hpp
+++ b/src/routing/client_session.hpp
@@ -29,8 +29,8 @@
   std::size_t maxFrameBytes = 0;  ///< Bytes of one message.
   /// If more bytes of responses than this are unwritten on a connection, its next messages wait.
   std::size_t maxUnsentBytes = 0;
-  /// A connection is closed if no complete message has arrived for this long, counted from the start of the
-  /// connection or from the first byte of a message.
+  /// A connection without open requests is closed if no complete message has arrived for this long, counted
+  /// from the start of the connection, from the first byte of a message or from the last response.
   Duration messageTimeout{std::chrono::milliseconds(1500)};
   /// A connection of a known client is closed after it has been idle for this long, which is longer than
   /// clients keep unused connections.
--- a/tests/routing/client_session_test.cpp
+++ b/tests/routing/client_session_test.cpp
@@ -242,6 +242,63 @@
 
 std::string encodeHeartbeat() { return encodeMessage(1, "heartbeat", 90, encodeInteger(0, 1)); }
 
+// Keeps the last request that an engine received, so that a test can answer it later.
+struct HeldRequest {
+  Connection* connection = nullptr;
+  std::string id;
+  FakeEngine::CommandHandler hold() {
+    return [this](FakeEngine&, Connection& engineConnection, const std::string& command,
+                  const std::string& requestId) {
+      if (command != "ASK") return;
+      connection = &engineConnection;
+      id = requestId;
+    };
+  }
+  void answer() const { FakeEngine::sendReply(*connection, {id, "200", "batches=1", "r\to\tw\n"}); }
+};
+
+// Regression: the limit on the time of an incomplete message ended the session while a request was open on
+// it, and that request never got its response.
+TEST(ClientSession, KeepsOpenRequestWhenNextMessageArrivesSlowly) {
+  ClientDepartureFixture fixture;
+  HeldRequest held;
+  fixture.addEngine(1, held.hold());
+  fixture.updateEndpoints({1});
+  RawClient client(fixture);
+  client.send(encodeSubmit(1));
+  ASSERT_TRUE(fixture.runUntil([&] { return held.connection != nullptr; }));
+  const std::string slowMessage = encodeHeartbeat();
+  const std::size_t pieceSize = slowMessage.size() / 4 + 1;
+  for (std::size_t offset = 0; offset < slowMessage.size(); offset += pieceSize) {
+    ASSERT_EQ(client.receive(), "");
+    client.send(std::string_view(slowMessage).substr(offset, pieceSize));
+    fixture.runFor(80ms);  // The limit is 100 ms for the whole message.
+  }
+  EXPECT_TRUE(fixture.contains(client.receive(), "heartbeat"));
+  ASSERT_EQ(fixture.router.openRequestCount(), 1U);
+  held.answer();
+  fixture.runFor(20ms);
+  EXPECT_TRUE(fixture.contains(client.receive(), "r\to\tw\n"));
+}
+
+// Guards the limit itself: an incomplete message ends the session once the last open request has its
+// response.
+TEST(ClientSession, ClosesConnectionWhenMessageStaysIncompleteAfterLastResponse) {
+  ClientDepartureFixture fixture;
+  HeldRequest held;
+  fixture.addEngine(1, held.hold());
+  fixture.updateEndpoints({1});
+  RawClient client(fixture);
+  client.send(encodeSubmit(1) + encodeSubmit(2).substr(0, 30));
+  ASSERT_TRUE(fixture.runUntil([&] { return held.connection != nullptr; }));
+  fixture.runFor(250ms);
+  ASSERT_EQ(client.receive(), "");
+  held.answer();
+  EXPECT_TRUE(fixture.runUntil([&] { return fixture.clientListener.connectionCount() == 0; }, 600ms));
+  EXPECT_TRUE(fixture.contains(client.receive(), "r\to\tw\n"));
+  EXPECT_TRUE(fixture.contains(fixture.clientListener.formatCounts(), "incomplete 1, idle 0"));
+}
+
 // Regression: the idle timeout passed while a request was already in the socket, and the connection was
 // reset.
 TEST(ClientSession, ServesRequestWhenItArrivesAtIdleTimeout) {
