Scheduler: timers run after the input that arrived before them, also after a stall

Cause: Scheduler::run() ran due timers before it polled the sockets, so the admission controller's overdue timer started queued requests whose revocations lay in the socket buffers. Any event that is handled before the revocation is read, as an engine's answer, could do the same. Change: a timer runs only after a poll that began at or after its due time and the calls that it made ready. StallRecovery, without a clock of its own, detects that the loop didn't poll for over 50 ms; until a poll finds nothing, 50 ms at most, timers wait and EngineConnection queues new attempts, which pass the checks for attempts that waited for a connect before they are written. Polls wait 100 ms at most.

--- a/src/routing/engine_connection.cpp
+++ b/src/routing/engine_connection.cpp
@@ -97,6 +97,10 @@
   attemptContext.connectionSerial = serial_;
   if (isConnecting()) {
     queuedAttempts_.push_back(&attemptContext);
+  } else if (context_.scheduler.isRecovering()) {
+    queuedAttempts_.push_back(&attemptContext);
+    // Timers run once the recovery has ended.
+    writeAfterRecoveryCall_.runAt(context_.scheduler.now());
   } else {
     writeAttempt(attemptContext);
   }
@@ -200,6 +204,24 @@
 
 void EngineConnection::onEstablished() {
   state_ = isRetiring() ? State::retiring : State::ready;
+  if (context_.scheduler.isRecovering())
+    writeAfterRecoveryCall_.runAt(context_.scheduler.now());
+  else
+    sendQueuedAttempts();
+}
+
+void EngineConnection::writeAfterRecovery() {
+  try {
+    sendQueuedAttempts();
+  } catch (const std::bad_alloc&) {
+    markFaulted();
+    stream_->shutDown();  // serve() ends, and the pool continues with the attempts.
+  }
+  if (attemptCount() == 0 && isRetiring()) stream_->shutDown();
+}
+
+// Writes the queued attempts that may still be sent, and reports the others.
+void EngineConnection::sendQueuedAttempts() {
   writeQueuedAttempts();
   const std::vector<AttemptContext*> unsendable = std::exchange(queuedAttempts_, {});
   for (AttemptContext* attemptContext : unsendable) attemptContext->connection = nullptr;
--- a/src/routing/engine_connection.hpp
+++ b/src/routing/engine_connection.hpp
@@ -82,7 +82,10 @@
   /// The endpoint and the context must outlive the connection. Serial numbers increase with age: a connection
   /// with a lower one is older.
   EngineConnection(EngineEndpoint& endpoint, std::uint64_t serial, ConnectionContext& context)
-      : endpoint_(endpoint), serial_(serial), context_(context) {}
+      : endpoint_(endpoint),
+        serial_(serial),
+        context_(context),
+        writeAfterRecoveryCall_(context.scheduler, [this] { writeAfterRecovery(); }) {}
   EngineConnection(const EngineConnection&) = delete;
   EngineConnection& operator=(const EngineConnection&) = delete;
 
@@ -105,7 +108,8 @@
   /// total.
   bool canCarry(const AttemptContext& attemptContext, std::size_t maxAttempts) const;
 
-  /// Writes the attempt, or queues it while connecting.
+  /// Writes the attempt, or queues it while connecting. After a stall of this process it is queued until all
+  /// input of that time has been read, because a part of it may show that the attempt must not be sent.
   void submit(AttemptContext& attemptContext);
   /// Withdraws the attempt and returns true if the engine has not received and cannot receive all of it;
   /// otherwise returns false.
@@ -136,6 +140,8 @@
   void leaveSuspectState();
   void writeAttempt(AttemptContext& attemptContext);
   void onEstablished();
+  void writeAfterRecovery();
+  void sendQueuedAttempts();
   void writeQueuedAttempts();
   void onBytesReceived();
   void shutDownDeadPeers();
@@ -162,6 +168,7 @@
   bool hasResponded_ = false;  ///< A response to an attempt was received.
   std::vector<AttemptContext*> queuedAttempts_;
   std::unordered_map<std::string, AttemptContext*> openAttempts_;  ///< By request id.
+  transport::ScheduledCall writeAfterRecoveryCall_;
   transport::TimePoint lastUsedAt_;
   std::optional<std::uint64_t> stalledAtByte_;      ///< Bytes written when a write was last found stalled.
   std::optional<transport::TimePoint> pingSentAt_;  ///< Set while a ping is unanswered.
--- a/src/transport/scheduler.cpp
+++ b/src/transport/scheduler.cpp
@@ -11,6 +11,14 @@
 #include "failpoint/failpoint.hpp"
 
 namespace paddletrack::transport {
+namespace {
+
+// Longest wait for an event. A stall that ends within a wait cannot be told from the wait itself.
+constexpr std::chrono::milliseconds kMaxPollWait{100};
+// Time after which the sockets are polled before further due timers run.
+constexpr std::chrono::milliseconds kMaxTimerRound{5};
+
+}  // namespace
 
 void ScheduledCall::runSoon() {
   cancel();
@@ -57,11 +65,13 @@
 
 void Scheduler::run() {
   stopped_ = false;
+  stallRecovery_.onLoopStarted(now());
   while (!stopped_) {
+    poll();
     runReady();
-    runDueTimers();
-    if (!stopped_) poll();
+    if (!isRecovering()) runDueTimers();
   }
+  stallRecovery_.onLoopStopped();
 }
 
 void Scheduler::runCall(ScheduledCall& scheduledCall) {
@@ -71,38 +81,45 @@
   action();
 }
 
-// Runs only timers that are due at the start: a timer that an action sets to the past waits for the next
-// round.
+// Runs only timers that were due when the sockets were last polled: what the sockets held by then has been
+// read, and may have made a timer obsolete. A timer that an action sets to the past waits for the next round.
 void Scheduler::runDueTimers() {
   const TimePoint startOfRound = now();
-  while (!stopped_ && !timers_.empty() && timers_.begin()->first <= startOfRound) {
+  while (!stopped_ && !timers_.empty() && timers_.begin()->first <= lastPollStartedAt_) {
     maxTimerLateness_ = std::max(maxTimerLateness_, now() - timers_.begin()->first);
     runCall(*timers_.begin()->second);
-    if (now() > startOfRound + std::chrono::milliseconds(5)) return;  // Poll the sockets in between.
+    if (now() > startOfRound + kMaxTimerRound) return;  // Poll the sockets in between.
   }
 }
 
-// Runs each call that is ready now once. A timer that becomes due meanwhile runs before the remaining calls.
+// Runs each call that is ready now once.
 void Scheduler::runReady() {
-  for (std::size_t remaining = ready_.size(); remaining > 0 && !ready_.empty() && !stopped_; --remaining) {
+  for (std::size_t remaining = ready_.size(); remaining > 0 && !ready_.empty() && !stopped_; --remaining)
     runCall(*ready_.front());
-    if (!timers_.empty() && timers_.begin()->first <= now()) runDueTimers();
-  }
+}
+
+Clock::duration Scheduler::pollTimeout(TimePoint startedAt) const {
+  if (!ready_.empty() || stallRecovery_.isActive(startedAt)) return {};
+  if (timers_.empty()) return kMaxPollWait;
+  return std::clamp<Clock::duration>(timers_.begin()->first - startedAt, {}, kMaxPollWait);
 }
 
 void Scheduler::poll() {
-  int timeoutMs = -1;
-  if (!ready_.empty()) {
-    timeoutMs = 0;
-  } else if (!timers_.empty()) {
-    const auto millisecondsLeft =
-        std::chrono::ceil<std::chrono::milliseconds>(timers_.begin()->first - now()).count();
-    timeoutMs = static_cast<int>(std::clamp<long long>(millisecondsLeft, 0, 1000));
-  }
+  lastPollStartedAt_ = now();
+  stallRecovery_.onPollStarted(lastPollStartedAt_);
+  const Clock::duration timeout = pollTimeout(lastPollStartedAt_);
+  const int count = pollEvents(timeout);
+  stallRecovery_.onPollFinished(now(), lastPollStartedAt_ + timeout, count == 0 && ready_.empty());
+}
+
+// Sets the signals of all descriptors that have an event. Returns the number of events, -1 if a signal
+// interrupted the wait.
+int Scheduler::pollEvents(Clock::duration timeout) {
   std::array<epoll_event, 64> events;
-  const int count =
-      PADDLETRACK_CALL(-1, "epoll_wait", "EINTR",
-                       ::epoll_wait(epoll_, events.data(), static_cast<int>(events.size()), timeoutMs));
+  const auto timeoutMs = std::chrono::ceil<std::chrono::milliseconds>(timeout).count();
+  const int count = PADDLETRACK_CALL(
+      -1, "epoll_wait", "EINTR",
+      ::epoll_wait(epoll_, events.data(), static_cast<int>(events.size()), static_cast<int>(timeoutMs)));
   if (count < 0 && errno != EINTR) throw SystemCallError("event loop", "epoll_wait", errno);
   for (int index = 0; index < count; ++index) {
     const epoll_event& event = events[static_cast<std::size_t>(index)];
@@ -111,6 +128,7 @@
     if (event.events & ~static_cast<std::uint32_t>(EPOLLOUT)) descriptor->readable.set();
     if (event.events & (EPOLLOUT | EPOLLHUP | EPOLLERR)) descriptor->writable.set();
   }
+  return count;
 }
 
 // Setting a signal only queues its awaiter, so no descriptor is destroyed while poll() distributes events.
--- a/src/transport/scheduler.hpp
+++ b/src/transport/scheduler.hpp
@@ -7,13 +7,11 @@
 #include <map>
 #include <optional>
 
+#include "transport/stall_recovery.hpp"
 #include "transport/task.hpp"
 
 namespace paddletrack::transport {
 
-using Clock = std::chrono::steady_clock;
-using TimePoint = Clock::time_point;
-
 class Scheduler;
 class Descriptor;
 
@@ -77,6 +75,10 @@
 
 /// The event loop of one thread: a run queue, timers and epoll. All objects that refer to it must be
 /// destroyed before it.
+///
+/// Input comes before timers: a timer runs only after the sockets have been polled at or after its due time
+/// and the calls that this made ready have run. After a stall of the process, timers wait until all input
+/// that arrived meanwhile has been read (see StallRecovery).
 class Scheduler {
  public:
   Scheduler();
@@ -89,6 +91,12 @@
   void run();
   void stop() { stopped_ = true; }
 
+  /// Whether the input that arrived during a stall of this process is still being read.
+  bool isRecovering() const { return stallRecovery_.isActive(now()); }
+  /// The earliest time at which input that is being read now can have arrived: after a stall its beginning,
+  /// otherwise the current time.
+  TimePoint earliestArrival() const { return stallRecovery_.earliestArrival(now()); }
+
   /// Returns the greatest delay of a timer since the last call of this function.
   Clock::duration takeMaxTimerLateness() { return std::exchange(maxTimerLateness_, {}); }
 
@@ -121,10 +129,14 @@
   void runDueTimers();
   void runReady();
   void poll();
+  Clock::duration pollTimeout(TimePoint startedAt) const;
+  int pollEvents(Clock::duration timeout);
   static void runCall(ScheduledCall& scheduledCall);
 
   int epoll_;
   bool stopped_ = false;
+  TimePoint lastPollStartedAt_{};
+  StallRecovery stallRecovery_;
   std::list<ScheduledCall*> ready_;
   std::multimap<TimePoint, ScheduledCall*> timers_;
   Clock::duration maxTimerLateness_{};
--- a/tests/routing/client_session_test.cpp
+++ b/tests/routing/client_session_test.cpp
@@ -299,6 +299,62 @@
   EXPECT_TRUE(fixture.contains(fixture.clientListener.formatCounts(), "incomplete 1, idle 0"));
 }
 
+// Blocks the loop in its next iteration, as a process that is stopped does, and calls `event` meanwhile.
+struct Stall {
+  Stall(ClientDepartureFixture& fixture, std::chrono::milliseconds duration, std::function<void()> event)
+      : call(fixture, [&fixture, duration, event = std::move(event)] {
+          const transport::TimePoint end = fixture.now() + duration;
+          event();
+          while (fixture.now() < end) continue;
+        }) {
+    call.runSoon();
+    fixture.runFor(duration + 1ms);
+  }
+  transport::ScheduledCall call;
+};
+
+// Submits requests until some are queued, then stalls while the client revokes all of them. Returns the
+// number of attempts that the engine got after that; std::nullopt if no request was queued when the engine
+// had got all attempts.
+std::optional<std::size_t> countAttemptsAfterRevocationInStall() {
+  constexpr int kRequestCount = 32;
+  ClientDepartureFixture fixture;
+  FakeEngine& engine = fixture.addConnectedEngine();
+  const auto countAttempts = [&] {
+    return static_cast<std::size_t>(
+        std::count(engine.receivedCommands.begin(), engine.receivedCommands.end(), 'A'));
+  };
+  RawClient client(fixture);
+  for (int index = 1; index <= kRequestCount; ++index)
+    client.send(ClientDepartureFixture::encodeNumberedSubmit(index));
+  const bool hasQueuedRequests = fixture.runUntil(
+      [&] {
+        const std::size_t inFlight = fixture.router.attemptsInFlight();
+        return countAttempts() == inFlight && fixture.router.openRequestCount() > inFlight + 1;
+      },
+      100ms);
+  if (!hasQueuedRequests) return std::nullopt;
+  const std::size_t attemptsBefore = countAttempts();
+  Stall stall(fixture, 500ms, [&] {
+    for (int index = 1; index <= kRequestCount; ++index) client.depart(Departure::cancel, index);
+  });
+  fixture.runFor(50ms);
+  EXPECT_EQ(fixture.router.openRequestCount(), 0U);
+  return countAttempts() - attemptsBefore;
+}
+
+// Regression: after a stall, timers started queued requests before the revocations of that time were read.
+TEST(ClientSession, StartsNoQueuedRequestThatWasRevokedDuringStall) {
+  int playedCount = 0;
+  for (int round = 0; round < 20 && playedCount < 3; ++round) {
+    const std::optional<std::size_t> lateAttempts = countAttemptsAfterRevocationInStall();
+    if (!lateAttempts) continue;
+    ++playedCount;
+    EXPECT_EQ(*lateAttempts, 0U);
+  }
+  EXPECT_EQ(playedCount, 3);
+}
+
 // Regression: the idle timeout passed while a request was already in the socket, and the connection was
 // reset.
 TEST(ClientSession, ServesRequestWhenItArrivesAtIdleTimeout) {
--- a/tests/routing/engine_connection_test.cpp
+++ b/tests/routing/engine_connection_test.cpp
@@ -238,6 +238,58 @@
   EXPECT_EQ(fixture.listener.responseKinds.size(), 1U);
 }
 
+// Regression: after a stall of this process an attempt was written at once, although what had arrived
+// meanwhile showed that its client had gone, its engine was draining or its engine had restarted.
+TEST(EngineConnection, DoesNotWriteAttemptWhenInputOfStallForbidsIt) {
+  for (const std::string lateInput : {"client gone", "engine draining", "engine restarted"}) {
+    EngineConnectionFixture fixture;
+    FakeEngine& engine = fixture.startEngine(1, answerNormally);
+    fixture.updateEndpoint({1});
+    fixture.submitRequest(kNotIdempotent);
+    ASSERT_TRUE(fixture.waitUntilIdle());  // The connection to the engine is established.
+    fixture.listener.responseKinds.clear();
+    RequestContext* context = nullptr;
+    transport::ScheduledCall lateInputCall(fixture, [&] {  // As a session that reads after the stall.
+      if (lateInput == "client gone") fixture.router.onClientGone(*context);
+      if (lateInput == "engine draining") fixture.updateEndpoint({1}, EndpointState::draining);
+      if (lateInput == "engine restarted") fixture.updateEndpoint({1}, EndpointState::ready, 1700000000000);
+    });
+    transport::ScheduledCall stallCall(fixture, [&] {
+      for (const transport::TimePoint end = fixture.now() + 80ms; fixture.now() < end;) continue;
+      context = &fixture.submitRequest(kNotIdempotent);
+      lateInputCall.runSoon();
+    });
+    stallCall.runSoon();
+    fixture.runFor(90ms);
+    EXPECT_TRUE(fixture.waitUntilIdle());
+    fixture.drainSockets();
+    if (lateInput == "engine restarted") {
+      EXPECT_EQ(engine.connections.size(), 2U);  // Sent to the new process only.
+    } else {
+      EXPECT_EQ(engine.receivedCommands, "ASK ") << lateInput;
+    }
+  }
+}
+
+// Guards the end of the wait: an attempt that starts after a stall is written once the input has been read.
+TEST(EngineConnection, WritesAttemptAfterStallWhenNothingForbidsIt) {
+  EngineConnectionFixture fixture;
+  FakeEngine& engine = fixture.startEngine(1, answerNormally);
+  fixture.updateEndpoint({1});
+  fixture.submitRequest(kNotIdempotent);
+  ASSERT_TRUE(fixture.waitUntilIdle());
+  transport::ScheduledCall stallCall(fixture, [&] {
+    for (const transport::TimePoint end = fixture.now() + 80ms; fixture.now() < end;) continue;
+    fixture.submitRequest(kNotIdempotent);
+    EXPECT_TRUE(fixture.isRecovering());
+  });
+  stallCall.runSoon();
+  fixture.runFor(90ms);
+  EXPECT_TRUE(fixture.waitUntilIdle(400ms));
+  EXPECT_EQ(engine.receivedCommands, "ASK ASK ");
+  EXPECT_EQ(engine.connections.size(), 1U);
+}
+
 // The engine closes the first connection without a response, so it must answer a probe before it gets another
 // attempt. It withholds that answer until the idempotency window has ended.
 TEST(EngineConnection, DoesNotWritePendingRetryWhenIdempotencyWindowHasEnded) {
--- a/tests/transport/connection_test.cpp
+++ b/tests/transport/connection_test.cpp
@@ -6,6 +6,7 @@
 #include <unistd.h>
 
 #include <cerrno>
+#include <optional>
 
 namespace paddletrack::transport {
 namespace {
@@ -98,6 +99,82 @@
   EXPECT_TRUE(fired);
 }
 
+// Blocks the loop in its next iteration, as a process that is stopped does, and calls `event` meanwhile.
+struct Stall {
+  Stall(TestLoop& loop, std::chrono::milliseconds duration, std::function<void()> event)
+      : call(loop, [&loop, duration, event = std::move(event)] {
+          const TimePoint end = loop.now() + duration;
+          event();
+          while (loop.now() < end) continue;
+        }) {
+    call.runSoon();
+  }
+  ScheduledCall call;
+};
+
+// Regression: a timer that came due during a stall ran before the input of that time was read, here in 20
+// reads.
+TEST(Scheduler, ReadsAllInputBeforeTimersWhenBothArrivedDuringStall) {
+  for (const std::chrono::milliseconds duration : {20ms, 80ms}) {
+    TestLoop loop;
+    SocketPairFixture fixture(loop, 64);
+    const std::size_t byteCount = duration > StallRecovery::kStallThreshold ? 20 * 64 : 64;
+    std::size_t bytesRead = 0;
+    const auto countBytes = [&]() -> Task<> {
+      while (co_await fixture.connection->receive()) {
+        bytesRead += fixture.connection->input().view().size();
+        fixture.connection->input().consume(fixture.connection->input().view().size());
+      }
+    };
+    fixture.tasks.spawn(countBytes());
+    loop.runFor(1ms);
+    std::optional<std::size_t> bytesReadBeforeTimer;
+    ScheduledCall timer(loop, [&] { bytesReadBeforeTimer = bytesRead; });
+    timer.runAt(loop.now() + 5ms);
+    Stall stall(loop, duration, [&] { fixture.writeFromPeer(std::string(byteCount, 'x')); });
+    loop.runFor(duration + 20ms);
+    EXPECT_EQ(bytesReadBeforeTimer, byteCount);
+  }
+}
+
+// Guards the limit of the recovery: callbacks that are always ready must not hold up timers after a stall.
+TEST(Scheduler, FiresTimerAfterStallWhenCallbacksAreAlwaysReady) {
+  TestLoop loop;
+  ScheduledCall busyCallback(loop);
+  busyCallback.setAction([&] { busyCallback.runSoon(); });
+  busyCallback.runSoon();
+  std::optional<TimePoint> firedAt;
+  ScheduledCall timer(loop, [&] { firedAt = loop.now(); });
+  timer.runAt(loop.now() + 2ms);
+  TimePoint stallEnd;
+  Stall stall(loop, 80ms, [&] { stallEnd = loop.now() + 80ms; });
+  loop.runFor(300ms);
+  ASSERT_TRUE(firedAt);
+  EXPECT_GE(*firedAt, stallEnd);
+  EXPECT_FALSE(loop.isRecovering());
+}
+
+TEST(Scheduler, DatesInputToBeginningOfStall) {
+  TestLoop loop;
+  SocketPairFixture fixture(loop);
+  std::optional<TimePoint> earliestArrival;
+  const auto readOnce = [&]() -> Task<> {
+    co_await fixture.connection->receive();
+    earliestArrival = loop.earliestArrival();
+  };
+  fixture.tasks.spawn(readOnce());
+  loop.runFor(1ms);
+  TimePoint stallStart;
+  Stall stall(loop, 80ms, [&] {
+    stallStart = loop.now();
+    fixture.writeFromPeer("x");
+  });
+  loop.runFor(100ms);
+  ASSERT_TRUE(earliestArrival);
+  EXPECT_LE(*earliestArrival, stallStart);
+  EXPECT_GE(*earliestArrival, stallStart - 20ms);
+}
+
 TEST(Scheduler, DoesNotResumeCoroutineWhenDestroyedWhileWaiting) {
   TestLoop loop;
   Signal signal(loop);
