Client session: a request's time counts from its arrival, not from its reading

With the old dating and without the check on arrival the two new tests fail: the answer comes after 1.0 s where 0.6 s are allowed, and a request whose time has ended is sent to the engine and unanswered 50 ms after the stall. Change: messages are dated to Scheduler::earliestArrival(), the last poll before the stall until its input has been read. The kernel tells no time for each message of a stream, so the safe side is taken. The decision module applies its check on the remaining time to new requests too, not only to queued ones.

--- a/src/admission/admission_controller.cpp
+++ b/src/admission/admission_controller.cpp
@@ -25,7 +25,7 @@
   costs_.estimateRequest(request);
   quotas_.onRequest(request);
   ordering_.add(request);
-  admitRequest(request);
+  admitUnlessTooLate(request);
   runPeriodicWork();
 }
 
@@ -126,6 +126,12 @@
   runPeriodicWork();
 }
 
+// A request can be too late when it arrives, because it may have waited while this process was stalled.
+void AdmissionController::admitUnlessTooLate(Request& request) {
+  const bool isTooLate = context_.now + 2 * context_.deployment.tickDuration >= request.deadline;
+  isTooLate ? rejectOrFail(request) : admitRequest(request);
+}
+
 void AdmissionController::admitRequest(Request& request) {
   if (!rules_.isNextInOrder(request)) {
     const Duration nextCheckAt = context_.now + context_.shortestObjective() / kSelectionsPerObjective;
@@ -251,10 +257,7 @@
 
 void AdmissionController::runPeriodicWork() {
   if (context_.now >= nextStatisticsAt_) updateStatistics();
-  while (Request* request = queue_.takeDue(context_.now)) {
-    const bool isTooLate = context_.now + 2 * context_.deployment.tickDuration >= request->deadline;
-    isTooLate ? rejectOrFail(*request) : admitRequest(*request);
-  }
+  while (Request* request = queue_.takeDue(context_.now)) admitUnlessTooLate(*request);
   const Duration nextTimer = std::min(nextStatisticsAt_, queue_.nextDueAt().value_or(nextStatisticsAt_));
   if (context_.nextTimerAt && *context_.nextTimerAt <= nextTimer) return;
   context_.nextTimerAt = nextTimer;
--- a/src/admission/admission_controller.hpp
+++ b/src/admission/admission_controller.hpp
@@ -84,6 +84,7 @@
 
  private:
   // Starts, queues or rejects the request.
+  void admitUnlessTooLate(Request& request);
   void admitRequest(Request& request);
   // Queues the request until `until`, but at most until shortly before its deadline, and for at least a tick,
   // so that its next selection round is not at the same time.
--- a/src/routing/client_session.cpp
+++ b/src/routing/client_session.cpp
@@ -208,7 +208,7 @@
   for (std::size_t handledCount = 0; handledCount < kMessagesPerTurn; ++handledCount) {
     if (receivedMessages_.empty() || updateBackedUp()) return;
     const ReceivedMessageQueue::Entry entry = receivedMessages_.popFront();
-    currentReceivedAt_ = entry.receivedAt;
+    currentArrivedAt_ = entry.earliestArrival;
     if (!entry.handled) handlePayload(receivedMessages_.payload(entry));
     receivedMessages_.consume(entry);
     backedUpSince_.reset();
@@ -219,14 +219,15 @@
 // ---- Messages on arrival --------------------------------------------------------------------------------
 
 void ClientSession::queueReceivedMessages() {
-  const transport::TimePoint receivedAt = now();
-  while (const std::optional<thrift::Message> message = receivedMessages_.queueNext(receivedAt)) {
+  const transport::TimePoint readAt = now();
+  const transport::TimePoint earliestArrival = environment_.scheduler.earliestArrival();
+  while (const std::optional<thrift::Message> message = receivedMessages_.queueNext(earliestArrival)) {
     if (isRevocation(*message)) revokeOnArrival(*message);
     hasPartialMessage_ = false;
-    lastActivityAt_ = receivedAt;
+    lastActivityAt_ = readAt;
   }
   const bool hasPartial = receivedMessages_.hasUnqueuedInput();
-  if (hasPartial && !hasPartialMessage_) lastActivityAt_ = receivedAt;
+  if (hasPartial && !hasPartialMessage_) lastActivityAt_ = readAt;
   hasPartialMessage_ = hasPartial;
 }
 
@@ -316,8 +317,9 @@
   PADDLETRACK_TABLE("exchange");
   auto context = std::make_unique<RequestContext>();
   context->id = ++environment_.lastRequestNumber;
-  // The client's timeout counts from the arrival of the message, including its time in the queue.
-  const auto waitedFor = std::chrono::duration_cast<Duration>(now() - currentReceivedAt_);
+  // The client's timeout counts from the arrival of the message, including its time in the socket and in the
+  // queue.
+  const auto waitedFor = std::chrono::duration_cast<Duration>(now() - currentArrivedAt_);
   fillRequestContext(*context, submission, environment_.router, environment_.router.now() - waitedFor);
   context->statement = connection_.input().retain(submission.statement);
   context->sequenceId = message.sequence;
--- a/src/routing/client_session.hpp
+++ b/src/routing/client_session.hpp
@@ -170,7 +170,7 @@
   UnwrittenResponses unwrittenResponses_;
   std::optional<transport::TimePoint> backedUpSince_;
   std::optional<transport::TimePoint> inputFullSince_;  // While backed up.
-  transport::TimePoint currentReceivedAt_{};            // Arrival of the message that is being handled.
+  transport::TimePoint currentArrivedAt_{};  // Earliest arrival of the message that is being handled.
   // When the session started, the last message or the first byte of a partial one arrived, or the last
   // response was ready.
   transport::TimePoint lastActivityAt_{};
--- a/src/routing/received_message_queue.cpp
+++ b/src/routing/received_message_queue.cpp
@@ -9,7 +9,7 @@
 
 namespace thrift = protocol::thrift;
 
-std::optional<thrift::Message> ReceivedMessageQueue::queueNext(transport::TimePoint now) {
+std::optional<thrift::Message> ReceivedMessageQueue::queueNext(transport::TimePoint earliestArrival) {
   if (entries_.size() >= maxMessages_) return std::nullopt;
   const std::string_view unqueued = input_.view().substr(queuedBytes_);
   const std::optional<std::size_t> payloadLength = thrift::readFrameLength(unqueued);
@@ -23,14 +23,14 @@
   }
   const thrift::Message message =
       thrift::decodeMessage(unqueued.substr(thrift::kFrameHeaderBytes, *payloadLength));
-  append(message, frameSize, now);
+  append(message, frameSize, earliestArrival);
   return message;
 }
 
 void ReceivedMessageQueue::append(const thrift::Message& message, std::size_t frameSize,
-                                  transport::TimePoint now) {
+                                  transport::TimePoint earliestArrival) {
   PADDLETRACK_TABLE("ahead");
-  Entry& entry = entries_.emplace_back(frameSize, message.sequence, now);
+  Entry& entry = entries_.emplace_back(frameSize, message.sequence, earliestArrival);
   if (message.method == "submit" && message.type == thrift::MessageType::call)
     requestsBySequence_[message.sequence] = &entry;
   queuedBytes_ += frameSize;
--- a/src/routing/received_message_queue.hpp
+++ b/src/routing/received_message_queue.hpp
@@ -23,7 +23,8 @@
   struct Entry {
     std::size_t size = 0;  ///< Bytes in the input buffer, including the frame header.
     std::int32_t sequenceId = 0;
-    transport::TimePoint receivedAt{};
+    /// The earliest time at which its last byte can have arrived, which may be long before it was read.
+    transport::TimePoint earliestArrival{};
     bool handled = false;  ///< Set for a revocation applied on arrival and for a revoked request.
   };
 
@@ -33,7 +34,7 @@
   /// Queues the next complete message of the input and returns it; its views point into the input buffer.
   /// Returns std::nullopt if no message is complete or the queue is full. Throws protocol::ParseError if the
   /// input is not a message, and std::bad_alloc.
-  std::optional<protocol::thrift::Message> queueNext(transport::TimePoint now);
+  std::optional<protocol::thrift::Message> queueNext(transport::TimePoint earliestArrival);
 
   /// Marks the message that was queued last as handled.
   void markLastHandled() { entries_.back().handled = true; }
@@ -55,7 +56,8 @@
   void consume(const Entry& entry);
 
  private:
-  void append(const protocol::thrift::Message& message, std::size_t frameSize, transport::TimePoint now);
+  void append(const protocol::thrift::Message& message, std::size_t frameSize,
+              transport::TimePoint earliestArrival);
 
   transport::InputBuffer& input_;
   const std::size_t maxMessages_;
--- a/tests/routing/client_session_test.cpp
+++ b/tests/routing/client_session_test.cpp
@@ -313,6 +313,41 @@
   transport::ScheduledCall call;
 };
 
+// Regression: the time of a request that arrived during a stall of this process counted from the moment in
+// which it was read, so its response came as much too late as the stall took.
+TEST(ClientSession, CountsTimeoutFromArrivalWhenRequestArrivesDuringStall) {
+  ClientDepartureFixture fixture;
+  fixture.addConnectedEngine();  // It does not respond.
+  RawClient client(fixture);
+  client.send(encodeHeartbeat());
+  fixture.runFor(20ms);
+  EXPECT_FALSE(client.receive().empty());
+  transport::TimePoint sentAt;
+  Stall stall(fixture, 400ms, [&] {
+    sentAt = fixture.now();
+    client.send(encodeSubmit(1, 600));
+  });
+  std::string received;
+  ASSERT_TRUE(fixture.runUntil([&] { return !(received += client.receive()).empty(); }));
+  EXPECT_LT(fixture.now() - sentAt, 650ms);
+  EXPECT_TRUE(fixture.contains(received, "submit"));
+}
+
+// Regression: as above, with a request whose time has ended before it is read. It was sent to an engine.
+TEST(ClientSession, RejectsRequestAtOnceWhenItsTimeEndedDuringStall) {
+  ClientDepartureFixture fixture;
+  FakeEngine& engine = fixture.addConnectedEngine();
+  RawClient client(fixture);
+  client.send(encodeHeartbeat());
+  fixture.runFor(20ms);
+  EXPECT_FALSE(client.receive().empty());
+  Stall stall(fixture, 300ms, [&] { client.send(encodeSubmit(1, 200)); });
+  std::string received;
+  ASSERT_TRUE(fixture.runUntil([&] { return !(received += client.receive()).empty(); }, 50ms));
+  EXPECT_TRUE(fixture.contains(received, "submit"));
+  EXPECT_EQ(engine.receivedCommands, "");
+}
+
 // Submits requests until some are queued, then stalls while the client revokes all of them. Returns the
 // number of attempts that the engine got after that; std::nullopt if no request was queued when the engine
 // had got all attempts.
