Endpoint watcher: a stall no longer ends a session whose socket holds events

Cause: the session's silence timer came due during the stall and ran before the socket was read; the loop of the session also left without a read when it found its deadline past. The handling of lines is a function of its own.

--- a/src/routing/endpoint_watcher.cpp
+++ b/src/routing/endpoint_watcher.cpp
@@ -146,17 +146,17 @@
                                    kMaxInputBytes, outputBudget_);
   connection.send({BufferSlice(protocol::encodeSince(lastEventNumber_))});
   transport::InputBuffer& input = connection.input();
-  // Only complete lines with content count: incomplete and empty lines do not extend the session.
+  // Only complete lines with content count: incomplete and empty lines do not extend the session. It ends
+  // only after a read that found none of them past its deadline: after a stall of this process, the socket
+  // may hold the lines of that time.
   transport::TimePoint lastDataAt = scheduler_.now();
-  while (scheduler_.now() < lastDataAt + reconnectSchedule_.silenceTimeout()) {
-    const bool hasInput = co_await connection.receive(lastDataAt + reconnectSchedule_.silenceTimeout());
+  for (;;) {
+    const transport::TimePoint deadline = lastDataAt + reconnectSchedule_.silenceTimeout();
+    const bool hasInput = co_await connection.receive(deadline);
     if (!hasInput) break;
-    for (std::size_t lineEnd = input.view().find('\n'); lineEnd != std::string_view::npos;
-         lineEnd = input.view().find('\n')) {
-      if (handleLine(input.view().substr(0, lineEnd), generation)) lastDataAt = scheduler_.now();
-      input.consume(lineEnd + 1);
-    }
-    if (input.view().size() > 0) input.expectSize(input.view().size() * 2);
+    if (handleLines(input, generation)) lastDataAt = scheduler_.now();
+    if (scheduler_.now() >= lastDataAt + reconnectSchedule_.silenceTimeout() && !scheduler_.isRecovering())
+      break;
   }
   if (input.isFull()) throw protocol::ParseError("line exceeds the size limit");
   const bool isSilent = connection.readEnd() == transport::Connection::ReadEnd::none;
@@ -164,6 +164,18 @@
   co_return isSilent && !hasReceivedData_ ? SessionEnd::unresponsive : SessionEnd::refused;
 }
 
+// Handles the complete lines of the input. Returns whether one of them had content.
+bool EndpointWatcher::handleLines(transport::InputBuffer& input, std::uint64_t generation) {
+  bool hadContent = false;
+  for (std::size_t lineEnd = input.view().find('\n'); lineEnd != std::string_view::npos;
+       lineEnd = input.view().find('\n')) {
+    if (handleLine(input.view().substr(0, lineEnd), generation)) hadContent = true;
+    input.consume(lineEnd + 1);
+  }
+  if (input.view().size() > 0) input.expectSize(input.view().size() * 2);
+  return hadContent;
+}
+
 void EndpointWatcher::logSessionEnd(bool isSilent, bool isCurrent, const transport::Address& listAddress) {
   const std::string nextAction = isCurrent ? "reconnecting" : "another endpoint list is being watched";
   if (isSilent)
--- a/src/routing/endpoint_watcher.hpp
+++ b/src/routing/endpoint_watcher.hpp
@@ -45,6 +45,7 @@
   transport::Task<> waitToReconnect();
   transport::Task<> switchAt(transport::TimePoint switchTime);
   transport::Task<SessionEnd> runSession(std::uint64_t generation, transport::Address listAddress);
+  bool handleLines(transport::InputBuffer& input, std::uint64_t generation);
   bool handleLine(std::string_view text, std::uint64_t generation);
   void checkApplicable(const protocol::EndpointListLine& line, bool isCurrent) const;
   void warnIfBehind(const protocol::EndpointListLine& line);
--- a/tests/discovery/endpoint_watcher_test.cpp
+++ b/tests/discovery/endpoint_watcher_test.cpp
@@ -168,6 +168,24 @@
   EXPECT_EQ(fixture.firstList.queryTimes.size(), 4u);
 }
 
+// Regression: after a stall of this process the session ended as silent, although the socket held events of
+// that time, and the engine that one of them drains got requests until the watcher had connected again.
+TEST(EndpointWatcher, AppliesEventsThatArrivedDuringStallLongerThanSilenceTimeout) {
+  WatcherFixture fixture;
+  fixture.startWatcher();
+  ASSERT_TRUE(fixture.waitUntilFollowing());
+  fixture.firstList.publish(makeEndpoints(1, "leaving"));  // Written in the next iteration, then it stalls.
+  transport::ScheduledCall stallCall(fixture, [&] {
+    for (const transport::TimePoint end = fixture.now() + 1600ms; fixture.now() < end;) continue;
+  });
+  stallCall.runSoon();
+  fixture.runFor(1620ms);
+  EXPECT_EQ(fixture.countEngines(EndpointState::draining), 1U);
+  fixture.runFor(400ms);
+  EXPECT_EQ(fixture.firstList.queryTimes.size(), 1U);
+  EXPECT_FALSE(fixture.hasLogged("silent"));
+}
+
 // The watcher switches away and back within one event loop iteration: the service that it follows is no new
 // target, and its session continues.
 TEST(EndpointWatcher, KeepsSessionWhenSwitchedAwayAndBackAndNewListIsUnreachable) {
