Stall recovery: timers run and arrivals are dated anew where every round is late

Callers would see: on a machine that starves the controller for over 50 ms in each turn of the loop, no timer would run, so no deadline would be kept, and requests would be dated to the first of these stalls. Cause: each late poll renewed the limit of the recovery, and a late turn held the timers by itself. Change: the limit counts from the beginning of a recovery, 50 ms and two finished polls; at the limit timers run once and the next stall is dated from its own beginning.

--- a/src/transport/scheduler.cpp
+++ b/src/transport/scheduler.cpp
@@ -69,7 +69,7 @@
   while (!stopped_) {
     poll();
     runReady();
-    if (!isRecovering()) runDueTimers();
+    if (stallRecovery_.allowsTimers(now())) runDueTimers();
   }
   stallRecovery_.onLoopStopped();
 }
--- a/src/transport/stall_recovery.cpp
+++ b/src/transport/stall_recovery.cpp
@@ -5,21 +5,22 @@
 void StallRecovery::onLoopStarted(TimePoint now) {
   lastPollFinishedAt_ = now;
   stalledSince_.reset();
+  isLimitReached_ = false;
 }
 
 void StallRecovery::onLoopStopped() { lastPollFinishedAt_.reset(); }
 
 void StallRecovery::onPollStarted(TimePoint now) {
+  isLimitReached_ = false;
   if (isLate(now)) startRecovery(now);
 }
 
 void StallRecovery::onPollFinished(TimePoint now, TimePoint expectedBy, bool foundNothing) {
   const bool wasStalled = now > expectedBy + kStallThreshold;
-  const bool hasEnded = foundNothing || now >= detectedAt_ + kMaxDuration;
-  if (wasStalled)
-    startRecovery(now);
-  else if (hasEnded)
-    stalledSince_.reset();
+  ++finishedPolls_;
+  isLimitReached_ = hasReachedLimit(now);
+  if (isLimitReached_ || (foundNothing && !wasStalled)) stalledSince_.reset();
+  if (wasStalled) startRecovery(now);
   lastPollFinishedAt_ = now;
 }
 
@@ -33,10 +34,16 @@
   return lastPollFinishedAt_ && now > *lastPollFinishedAt_ + kStallThreshold;
 }
 
-// If the previous recovery has not ended, its input may be unread as well.
+// A stall during a recovery prolongs nothing: what is unread dates from the first one.
 void StallRecovery::startRecovery(TimePoint now) {
-  if (!stalledSince_) stalledSince_ = lastPollFinishedAt_;
-  detectedAt_ = now;
+  if (stalledSince_) return;
+  stalledSince_ = lastPollFinishedAt_;
+  startedAt_ = now;
+  finishedPolls_ = 0;
+}
+
+bool StallRecovery::hasReachedLimit(TimePoint now) const {
+  return stalledSince_ && finishedPolls_ >= kMinPolls && now >= startedAt_ + kMaxDuration;
 }
 
 }  // namespace paddletrack::transport
--- a/src/transport/stall_recovery.hpp
+++ b/src/transport/stall_recovery.hpp
@@ -15,15 +15,18 @@
 /// each poll.
 ///
 ///     inactive ---> recovering    a poll starts or ends later than expected by more than the threshold
-///     recovering -> inactive      a poll finds no event while no call is ready, or the time limit has passed
+///     recovering -> inactive      a poll finds no event while no call is ready, or the limit is reached
 ///
-/// A poll that was itself late does not end the recovery, because its result may be older than the stall.
+/// A poll that was itself late does not end the recovery, because its result may be older than the stall. At
+/// the limit timers may run once even if the process has stalled again: they must not starve while each
+/// iteration of the loop is late.
 class StallRecovery {
  public:
   /// Lateness of a poll that counts as a stall. Clients and engines allow for input that is read this late.
   static constexpr std::chrono::milliseconds kStallThreshold{50};
-  /// Longest recovery: a peer that never stops sending must not hold up the timers.
+  /// The limit of a recovery: this time has passed, and this many polls have been finished, since it began.
   static constexpr std::chrono::milliseconds kMaxDuration{50};
+  static constexpr int kMinPolls = 2;
 
   /// The event loop starts, or starts again after it was stopped deliberately.
   void onLoopStarted(TimePoint now);
@@ -36,16 +39,21 @@
 
   /// Whether input from the time of a stall may be unread.
   bool isActive(TimePoint now) const { return stalledSince_ || isLate(now); }
+  /// Whether timers may run in this iteration of the loop.
+  bool allowsTimers(TimePoint now) const { return isLimitReached_ || !isActive(now); }
   /// The earliest time at which input that is read at `now` can have arrived.
   TimePoint earliestArrival(TimePoint now) const;
 
  private:
   bool isLate(TimePoint now) const;
   void startRecovery(TimePoint now);
+  bool hasReachedLimit(TimePoint now) const;
 
   std::optional<TimePoint> lastPollFinishedAt_;  // Unset while the loop is stopped.
-  TimePoint detectedAt_{};                       // The end of the latest stall.
   std::optional<TimePoint> stalledSince_;        // Set while recovering: the last poll before the stall.
+  TimePoint startedAt_{};                        // Of the recovery, which is when the stall was detected.
+  int finishedPolls_ = 0;                        // Since then.
+  bool isLimitReached_ = false;                  // By the poll of this iteration.
 };
 
 }  // namespace paddletrack::transport
--- a/tests/transport/connection_test.cpp
+++ b/tests/transport/connection_test.cpp
@@ -154,6 +154,25 @@
   EXPECT_FALSE(loop.isRecovering());
 }
 
+// Guards the same where each iteration of the loop takes longer than the threshold of a stall.
+TEST(Scheduler, FiresTimersWhenEveryIterationIsLate) {
+  TestLoop loop;
+  ScheduledCall slowCallback(loop);
+  slowCallback.setAction([&] {
+    const TimePoint end = loop.now() + 60ms;
+    while (loop.now() < end) continue;
+    slowCallback.runSoon();
+  });
+  slowCallback.runSoon();
+  std::optional<TimePoint> firedAt;
+  ScheduledCall timer(loop, [&] { firedAt = loop.now(); });
+  const TimePoint dueAt = loop.now() + 2ms;
+  timer.runAt(dueAt);
+  loop.runFor(400ms);  // Its end is a timer, too.
+  ASSERT_TRUE(firedAt);
+  EXPECT_LT(*firedAt - dueAt, 300ms);
+}
+
 TEST(Scheduler, DatesInputToBeginningOfStall) {
   TestLoop loop;
   SocketPairFixture fixture(loop);
--- a/tests/transport/stall_recovery_test.cpp
+++ b/tests/transport/stall_recovery_test.cpp
@@ -75,6 +75,19 @@
   EXPECT_FALSE(recovery.isActive(now));
 }
 
+// Guards against timers that never run, and requests that are dated ever longer back, on a starved machine.
+TEST_F(StallRecoveryTest, AllowsTimersAndDatesAnewWhenEveryRoundIsLate) {
+  int roundsWithTimers = 0;
+  for (int round = 0; round < 30; ++round) {
+    const bool isLateInPoll = round % 2 == 0;
+    poll(0ms, isLateInPoll ? kLate : 0ms, false);
+    if (!isLateInPoll) now += kLate;
+    roundsWithTimers += recovery.allowsTimers(now);
+    EXPECT_LE(now - recovery.earliestArrival(now), 6 * kLate);
+  }
+  EXPECT_GE(roundsWithTimers, 7);
+}
+
 TEST_F(StallRecoveryTest, TakesNoStoppedLoopForStall) {
   recovery.onLoopStopped();
   now += 10s;
