Stall recovery: a second stall dates its own input when the first recovery ends

Change: at the limit a recovery begins anew from the stall that this turn of the loop has detected, if any.

--- a/src/transport/stall_recovery.cpp
+++ b/src/transport/stall_recovery.cpp
@@ -12,15 +12,19 @@
 
 void StallRecovery::onPollStarted(TimePoint now) {
   isLimitReached_ = false;
-  if (isLate(now)) startRecovery(now);
+  iterationStall_.reset();
+  if (isLate(now)) iterationStall_ = lastPollFinishedAt_;
+  if (iterationStall_) startRecovery(*iterationStall_, now);
 }
 
 void StallRecovery::onPollFinished(TimePoint now, TimePoint expectedBy, bool foundNothing) {
   const bool wasStalled = now > expectedBy + kStallThreshold;
+  if (wasStalled && !iterationStall_) iterationStall_ = lastPollFinishedAt_;
   ++finishedPolls_;
   isLimitReached_ = hasReachedLimit(now);
   if (isLimitReached_ || (foundNothing && !wasStalled)) stalledSince_.reset();
-  if (wasStalled) startRecovery(now);
+  // At the limit of one recovery, the input of a stall that ended just now is still unread.
+  if (wasStalled || (isLimitReached_ && iterationStall_)) startRecovery(*iterationStall_, now);
   lastPollFinishedAt_ = now;
 }
 
@@ -35,9 +39,9 @@
 }
 
 // A stall during a recovery prolongs nothing: what is unread dates from the first one.
-void StallRecovery::startRecovery(TimePoint now) {
+void StallRecovery::startRecovery(TimePoint stallStart, TimePoint now) {
   if (stalledSince_) return;
-  stalledSince_ = lastPollFinishedAt_;
+  stalledSince_ = stallStart;
   startedAt_ = now;
   finishedPolls_ = 0;
 }
--- a/src/transport/stall_recovery.hpp
+++ b/src/transport/stall_recovery.hpp
@@ -46,7 +46,7 @@
 
  private:
   bool isLate(TimePoint now) const;
-  void startRecovery(TimePoint now);
+  void startRecovery(TimePoint stallStart, TimePoint now);
   bool hasReachedLimit(TimePoint now) const;
 
   std::optional<TimePoint> lastPollFinishedAt_;  // Unset while the loop is stopped.
@@ -54,6 +54,7 @@
   TimePoint startedAt_{};                        // Of the recovery, which is when the stall was detected.
   int finishedPolls_ = 0;                        // Since then.
   bool isLimitReached_ = false;                  // By the poll of this iteration.
+  std::optional<TimePoint> iterationStall_;      // Beginning of the stall that this iteration detected.
 };
 
 }  // namespace paddletrack::transport
--- a/tests/transport/stall_recovery_test.cpp
+++ b/tests/transport/stall_recovery_test.cpp
@@ -75,6 +75,24 @@
   EXPECT_FALSE(recovery.isActive(now));
 }
 
+// Regression: a stall during the recovery from a short one, as on a loaded machine, ended that recovery at
+// its limit, and the input of the second stall counted as just arrived.
+TEST_F(StallRecoveryTest, DatesInputToSecondStallWhenItExceedsLimitOfFirstRecovery) {
+  for (const bool stallsInPoll : {true, false}) {
+    poll(0ms, kLate, false);
+    poll(0ms, 1ms, false);
+    poll(0ms, 1ms, false);
+    const TimePoint stalledAt = now;
+    if (!stallsInPoll) now += 2s;
+    poll(0ms, stallsInPoll ? 2s : 0s, false);
+    EXPECT_TRUE(recovery.isActive(now));
+    EXPECT_LE(recovery.earliestArrival(now), stalledAt);
+    poll(0ms, 0ms);
+    poll(0ms, 0ms);
+    EXPECT_FALSE(recovery.isActive(now));
+  }
+}
+
 // Guards against timers that never run, and requests that are dated ever longer back, on a starved machine.
 TEST_F(StallRecoveryTest, AllowsTimersAndDatesAnewWhenEveryRoundIsLate) {
   int roundsWithTimers = 0;
