Client session: a response not yet written no longer prolongs the limit of a message

Cause: receiveDeadline() gave the idle time while a response was unsent, and it is called right after the response was queued, before it is written.

--- a/src/routing/client_session.cpp
+++ b/src/routing/client_session.cpp
@@ -173,9 +173,7 @@
 transport::TimePoint ClientSession::receiveDeadline() const {
   const ClientLimits& limits = environment_.limits;
   if (!openRequests_.empty()) return now() + limits.messageTimeout;
-  const bool hasUnsentResponse = connection_.unsentBytes() > 0;
-  const bool isMessageDue = !hasUnsentResponse && isAwaitingMessage();
-  return lastActivityAt_ + (isMessageDue ? limits.messageTimeout : limits.idleTimeout);
+  return lastActivityAt_ + (isAwaitingMessage() ? limits.messageTimeout : limits.idleTimeout);
 }
 
 // All available input is read before a message is handled, so that revocations take effect first.
