Deploy tests: built and run on arm64 as on x86-64

Change: the filter of deploy_command_test.cpp takes the audit architecture of the kind of machine and denies fork and vfork where they exist; any other kind is a compile error. What x86-64 denies, and in which order, is unchanged. deploy_build_test.cpp expects the library folder of the kind of machine.

--- a/tests/program/deploy_build_test.cpp
+++ b/tests/program/deploy_build_test.cpp
@@ -18,6 +18,15 @@
 
 namespace fs = std::filesystem;
 
+// The folder of the system's libraries, which Debian names after the kind of machine.
+#if defined(__x86_64__)
+constexpr const char* kLibraryFolder = "/usr/lib/x86_64-linux-gnu/";
+#elif defined(__aarch64__)
+constexpr const char* kLibraryFolder = "/usr/lib/aarch64-linux-gnu/";
+#else
+#error "this kind of machine has no folder of libraries here"
+#endif
+
 struct CommandResult {
   int exitCode = -1;
   std::string output;
@@ -172,7 +181,7 @@
   replace("deploy/balancer.toml", "\"libcli11-dev\"", "\"libcli11-dev\", \"libglpk40\"");
   write("CMakeLists.txt",
         std::string(kCMakeLists) + "target_link_libraries(sample PRIVATE -Wl,--no-as-needed glpk)\n");
-  expectRejected({"/usr/lib/x86_64-linux-gnu/libglpk.so: belongs to libglpk-dev, which"});
+  expectRejected({std::string(kLibraryFolder) + "libglpk.so: belongs to libglpk-dev, which"});
 }
 
 TEST_F(DeployBuild, NamesPackageWhenDeclaredPackageIsNotInstalled) {
--- a/tests/program/deploy_command_test.cpp
+++ b/tests/program/deploy_command_test.cpp
@@ -55,16 +55,27 @@
   return words;
 }
 
+// The audit architecture of the kind of machine that this is built for. A call of another kind ends the
+// process.
+#if defined(__x86_64__)
+constexpr unsigned kAuditArchitecture = AUDIT_ARCH_X86_64;
+#elif defined(__aarch64__)
+constexpr unsigned kAuditArchitecture = AUDIT_ARCH_AARCH64;
+#else
+#error "this kind of machine has no audit architecture here"
+#endif
+
 // Denies the system calls that the benchmark environment denies. ENOSYS: execve (the launcher itself uses
 // execveat), fork, vfork, clone without CLONE_THREAD, clone3, io_uring and sendfile. EINVAL: splice.
-// EAFNOSUPPORT: socket() of any family but AF_INET. All other calls are allowed.
+// EAFNOSUPPORT: socket() of any family but AF_INET. All other calls are allowed. arm64 has no calls fork and
+// vfork; a process begins there by clone or clone3 alone.
 void installSystemCallFilter() {
   constexpr auto kDeny = [](int error) { return SECCOMP_RET_ERRNO | (error & SECCOMP_RET_DATA); };
   constexpr unsigned kNr = offsetof(seccomp_data, nr), kArch = offsetof(seccomp_data, arch);
   constexpr unsigned kArg0 = offsetof(seccomp_data, args[0]);
   std::vector<sock_filter> instructions = {
       BPF_STMT(BPF_LD | BPF_W | BPF_ABS, kArch),
-      BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K, AUDIT_ARCH_X86_64, 1, 0),
+      BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K, kAuditArchitecture, 1, 0),
       BPF_STMT(BPF_RET | BPF_K, SECCOMP_RET_KILL_PROCESS),
       BPF_STMT(BPF_LD | BPF_W | BPF_ABS, kNr),
   };
@@ -72,8 +83,14 @@
     instructions.push_back(BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K, static_cast<unsigned>(nr), 0, 1));
     instructions.push_back(BPF_STMT(BPF_RET | BPF_K, kDeny(error)));
   };
-  for (long nr : {SYS_execve, SYS_fork, SYS_vfork, SYS_clone3, SYS_io_uring_setup, SYS_io_uring_enter,
-                  SYS_io_uring_register, SYS_sendfile})
+  refuse(SYS_execve, ENOSYS);
+#ifdef SYS_fork
+  refuse(SYS_fork, ENOSYS);
+#endif
+#ifdef SYS_vfork
+  refuse(SYS_vfork, ENOSYS);
+#endif
+  for (long nr : {SYS_clone3, SYS_io_uring_setup, SYS_io_uring_enter, SYS_io_uring_register, SYS_sendfile})
     refuse(nr, ENOSYS);
   refuse(SYS_splice, EINVAL);
   // clone: allowed for threads (CLONE_THREAD), denied for processes.
