--- a/review/rig-2/rig.hpp
+++ b/review/rig-2/rig.hpp
@@ -844,6 +844,7 @@
     // The arguments of execve are made before the fork, as the process has several threads.
     std::vector<std::string> environment = {"GW_NAME=" + deployment_.name, "GW_LISTEN=" + listen,
                                             "GW_CONFIG=" + configPath(), "TMPDIR=" + folder_, "PATH=/usr/bin:/bin"};
+    environment.insert(environment.end(), extraEnvironment.begin(), extraEnvironment.end());
     std::vector<char*> environmentPointers;
     for (std::string& entry : environment) environmentPointers.push_back(entry.data());
     environmentPointers.push_back(nullptr);
@@ -905,6 +906,7 @@
     return 0;
   }
   int exitStatus = 0;
+  std::vector<std::string> extraEnvironment;  // As NAME=value, for the next start.
 
  private:
   const std::string root_, folder_;
