--- a/examples/example_client.cpp
+++ b/examples/example_client.cpp
@@ -47,12 +47,12 @@
 // scheduler.
 transport::Task<> runQuery(transport::Scheduler& scheduler, transport::Address address, std::string frame,
                            int& exitCode) {
-  transport::OutputBudget outputBudget{1 << 20, 0};
+  transport::MemoryBudget memoryBudget{1 << 20, 0};
   transport::ConnectResult connectResult =
       co_await transport::connect(scheduler, address, scheduler.now() + 1s);
   if (connectResult.descriptor) {
     transport::Connection connection(scheduler, std::move(connectResult.descriptor), 4096, 1 << 20,
-                                     outputBudget);
+                                     memoryBudget);
     connection.send({transport::BufferSlice(std::move(frame))});
     while (exitCode < 0 && co_await connection.receive(scheduler.now() + 4s)) {
       const auto length = protocol::thrift::readFrameLength(connection.input().view());
--- a/examples/example_server.cpp
+++ b/examples/example_server.cpp
@@ -15,14 +15,14 @@
   }
   try {
     transport::Scheduler scheduler;
-    transport::OutputBudget outputBudget{1 << 20, 0};
-    fakes::FakeEngine engine(scheduler, outputBudget, transport::Address(argv[1]));
+    transport::MemoryBudget memoryBudget{1 << 20, 0};
+    fakes::FakeEngine engine(scheduler, memoryBudget, transport::Address(argv[1]));
     engine.overrideScript = [](fakes::Script& script, const std::string& id) {
       std::printf("example_server: %s: %s in %lld ms, %u pages\n", id.c_str(), script.status.c_str(),
                   static_cast<long long>(script.duration.count()), script.pageCount);
       std::fflush(stdout);
     };
-    fakes::FakeEndpointList endpointList(scheduler, outputBudget, transport::Address(argv[2]));
+    fakes::FakeEndpointList endpointList(scheduler, memoryBudget, transport::Address(argv[2]));
     endpointList.publish({{"s-1", argv[1]}}, true);
     scheduler.run();
   } catch (const std::exception& error) {
--- a/src/admin/admin_server.cpp
+++ b/src/admin/admin_server.cpp
@@ -34,7 +34,7 @@
       options_(options),
       lifecycle_(lifecycle),
       log_(log),
-      outputBudget_{options.maxUnsentBytes * options.maxClients * transport::OutputBudget::kFairShareDivisor,
+      memoryBudget_{options.maxUnsentBytes * options.maxClients * transport::MemoryBudget::kFairShareDivisor,
                     0},
       socketFile_(options.socketPath),
       listener_(scheduler, socketFile_.release()),
@@ -89,7 +89,7 @@
                                peerName + " is not allowed to connect"));
     co_return;
   }
-  AdminSession session(scheduler_, options_, lifecycle_, outputBudget_, std::move(accepted),
+  AdminSession session(scheduler_, options_, lifecycle_, memoryBudget_, std::move(accepted),
                        std::move(peerName));
   const SessionRegistration registration(sessions_, session);
   co_await session.run();
--- a/src/admin/admin_server.hpp
+++ b/src/admin/admin_server.hpp
@@ -36,7 +36,7 @@
   const AdminServerOptions options_;
   ServiceLifecycle& lifecycle_;
   const Logger& log_;
-  transport::OutputBudget outputBudget_;
+  transport::MemoryBudget memoryBudget_;
   SocketFile socketFile_;
   transport::Listener listener_;
   std::list<AdminSession*> sessions_;
--- a/src/admin/admin_session.cpp
+++ b/src/admin/admin_session.cpp
@@ -16,13 +16,13 @@
 }  // namespace
 
 AdminSession::AdminSession(transport::Scheduler& scheduler, const AdminServerOptions& options,
-                           ServiceLifecycle& lifecycle, transport::OutputBudget& outputBudget,
+                           ServiceLifecycle& lifecycle, transport::MemoryBudget& memoryBudget,
                            std::unique_ptr<transport::Descriptor> accepted, std::string peerName)
     : scheduler_(scheduler),
       options_(options),
       lifecycle_(lifecycle),
       peerName_(std::move(peerName)),
-      connection_(scheduler, std::move(accepted), kInitialInputBytes, options.maxLineBytes, outputBudget),
+      connection_(scheduler, std::move(accepted), kInitialInputBytes, options.maxLineBytes, memoryBudget),
       lastMessageAt_(scheduler.now()),
       lastDrainedAt_(lastMessageAt_) {}
 
--- a/src/admin/admin_session.hpp
+++ b/src/admin/admin_session.hpp
@@ -20,7 +20,7 @@
  public:
   /// `peerName` identifies the client in the log.
   AdminSession(transport::Scheduler& scheduler, const AdminServerOptions& options,
-               ServiceLifecycle& lifecycle, transport::OutputBudget& outputBudget,
+               ServiceLifecycle& lifecycle, transport::MemoryBudget& memoryBudget,
                std::unique_ptr<transport::Descriptor> accepted, std::string peerName);
 
   /// Serves the client until it disconnects or exceeds a limit.
--- a/src/fakes/admin_connection.cpp
+++ b/src/fakes/admin_connection.cpp
@@ -9,9 +9,9 @@
 
 }  // namespace
 
-AdminConnection::AdminConnection(transport::Scheduler& scheduler, transport::OutputBudget& outputBudget,
+AdminConnection::AdminConnection(transport::Scheduler& scheduler, transport::MemoryBudget& memoryBudget,
                                  const std::string& path)
-    : scheduler_(scheduler), outputBudget_(outputBudget), tasks_(scheduler, [](const char*) {}) {
+    : scheduler_(scheduler), memoryBudget_(memoryBudget), tasks_(scheduler, [](const char*) {}) {
   tasks_.spawn(run(path));
 }
 
@@ -27,7 +27,7 @@
   transport::ConnectResult connectResult = co_await transport::connect(
       scheduler_, transport::Address("unix:" + path), scheduler_.now() + kConnectTimeout);
   if (connectResult.descriptor) {
-    connection_.emplace(scheduler_, std::move(connectResult.descriptor), 4096, 1 << 20, outputBudget_);
+    connection_.emplace(scheduler_, std::move(connectResult.descriptor), 4096, 1 << 20, memoryBudget_);
     if (!pendingOutput_.empty()) connection_->send({transport::BufferSlice(pendingOutput_)});
     while (co_await connection_->receive()) processLines();
   }
--- a/src/fakes/admin_connection.hpp
+++ b/src/fakes/admin_connection.hpp
@@ -13,8 +13,8 @@
 /// Client of the admin protocol that runs in the scheduler's event loop.
 class AdminConnection {
  public:
-  /// Connects to the Unix socket at `path`. The scheduler and the output budget must outlive the connection.
-  AdminConnection(transport::Scheduler& scheduler, transport::OutputBudget& outputBudget,
+  /// Connects to the Unix socket at `path`. The scheduler and the memory budget must outlive the connection.
+  AdminConnection(transport::Scheduler& scheduler, transport::MemoryBudget& memoryBudget,
                   const std::string& path);
   /// Sends `line`, which ends with a line feed, as soon as the connection is established.
   void send(const std::string& line);
@@ -28,7 +28,7 @@
   void processLines();
 
   transport::Scheduler& scheduler_;
-  transport::OutputBudget& outputBudget_;
+  transport::MemoryBudget& memoryBudget_;
   std::optional<transport::Connection> connection_;
   std::string pendingOutput_;
   transport::TaskGroup tasks_;
--- a/src/fakes/fake_endpoint_list.cpp
+++ b/src/fakes/fake_endpoint_list.cpp
@@ -17,9 +17,9 @@
 
 }  // namespace
 
-FakeEndpointList::FakeEndpointList(transport::Scheduler& scheduler, transport::OutputBudget& outputBudget,
+FakeEndpointList::FakeEndpointList(transport::Scheduler& scheduler, transport::MemoryBudget& memoryBudget,
                                    const transport::Address& address)
-    : scheduler_(scheduler), outputBudget_(outputBudget), address_(address) {
+    : scheduler_(scheduler), memoryBudget_(memoryBudget), address_(address) {
   open();
 }
 
@@ -84,7 +84,7 @@
 
 transport::Task<> FakeEndpointList::serve(std::unique_ptr<transport::Descriptor> descriptor) {
   transport::Connection connection(scheduler_, std::move(descriptor), kInputBytes, kMaxInputBytes,
-                                   outputBudget_);
+                                   memoryBudget_);
   const std::optional<std::size_t> since = co_await receiveQuery(connection);
   if (!since) co_return;
   const bool wasSilenced = co_await waitWhileSilent(connection);
--- a/src/fakes/fake_endpoint_list.hpp
+++ b/src/fakes/fake_endpoint_list.hpp
@@ -15,8 +15,8 @@
 /// queries are recorded.
 class FakeEndpointList {
  public:
-  /// Listens on `address` immediately. The scheduler and the output budget must outlive the list.
-  FakeEndpointList(transport::Scheduler& scheduler, transport::OutputBudget& outputBudget,
+  /// Listens on `address` immediately. The scheduler and the memory budget must outlive the list.
+  FakeEndpointList(transport::Scheduler& scheduler, transport::MemoryBudget& memoryBudget,
                    const transport::Address& address);
 
   struct Endpoint {
@@ -80,7 +80,7 @@
   }
 
   transport::Scheduler& scheduler_;
-  transport::OutputBudget& outputBudget_;
+  transport::MemoryBudget& memoryBudget_;
   const transport::Address address_;
   std::optional<transport::Listener> listener_;
   std::vector<std::string> events_;  // Sequence numbers start at 1.
--- a/src/fakes/fake_engine.cpp
+++ b/src/fakes/fake_engine.cpp
@@ -57,7 +57,7 @@
         listenAddress_(listenAddress),
         fd_(accepted->fd()),
         connection_(engine.scheduler_, std::move(accepted), 16 * 1024, kMaxStatementBytes + 4096,
-                    engine.outputBudget_),
+                    engine.memoryBudget_),
         statementTasks_(engine.scheduler_, [](const char*) {}) {
     engine_.sessions_.insert(this);
     if (engine_.onCommand) engine_.connections.push_back(&connection_);
@@ -235,9 +235,9 @@
   transport::TaskGroup statementTasks_;
 };
 
-FakeEngine::FakeEngine(transport::Scheduler& scheduler, transport::OutputBudget& outputBudget,
+FakeEngine::FakeEngine(transport::Scheduler& scheduler, transport::MemoryBudget& memoryBudget,
                        const transport::Address& address)
-    : scheduler_(scheduler), outputBudget_(outputBudget), sessionTasks_(scheduler, [](const char*) {}) {
+    : scheduler_(scheduler), memoryBudget_(memoryBudget), sessionTasks_(scheduler, [](const char*) {}) {
   addAddress(address);
 }
 
--- a/src/fakes/fake_engine.hpp
+++ b/src/fakes/fake_engine.hpp
@@ -46,8 +46,8 @@
 /// that it receives.
 class FakeEngine {
  public:
-  /// Listens on `address` at once. The scheduler and the output budget must outlive the engine.
-  FakeEngine(transport::Scheduler& scheduler, transport::OutputBudget& outputBudget,
+  /// Listens on `address` at once. The scheduler and the memory budget must outlive the engine.
+  FakeEngine(transport::Scheduler& scheduler, transport::MemoryBudget& memoryBudget,
              const transport::Address& address);
 
   /// Also listens on `address`. Returns the index of the address; the constructor's address has the index 0.
@@ -132,7 +132,7 @@
   transport::Task<> serve(ListenAddress& listenAddress, std::unique_ptr<transport::Descriptor> accepted);
 
   transport::Scheduler& scheduler_;
-  transport::OutputBudget& outputBudget_;
+  transport::MemoryBudget& memoryBudget_;
   EventLog* eventLog_ = nullptr;
   std::size_t engineNumber_ = 0;
   std::vector<std::unique_ptr<ListenAddress>> listenAddresses_;
--- a/src/fakes/fake_fleet.cpp
+++ b/src/fakes/fake_fleet.cpp
@@ -21,14 +21,14 @@
 
 }  // namespace
 
-FakeFleet::FakeFleet(transport::Scheduler& scheduler, transport::OutputBudget& outputBudget,
+FakeFleet::FakeFleet(transport::Scheduler& scheduler, transport::MemoryBudget& memoryBudget,
                      const FakeFleetOptions& options)
     : options_(options),
-      endpointList_(scheduler, outputBudget, transport::Address(addressText(kEndpointListHost))) {
+      endpointList_(scheduler, memoryBudget, transport::Address(addressText(kEndpointListHost))) {
   for (unsigned engine = 0; engine < options.engines; ++engine) {
     const std::string address =
         addressText(1 + engine % kEngineHostsPerPort, kBasePort + engine / kEngineHostsPerPort);
-    engines_.push_back(std::make_unique<FakeEngine>(scheduler, outputBudget, transport::Address(address)));
+    engines_.push_back(std::make_unique<FakeEngine>(scheduler, memoryBudget, transport::Address(address)));
     endpoints_.push_back({"s-" + std::to_string(engine + 1), address});
     if (options.customizeEndpoint) options.customizeEndpoint(endpoints_.back(), engine, directory_.path());
   }
--- a/src/fakes/fake_fleet.hpp
+++ b/src/fakes/fake_fleet.hpp
@@ -47,8 +47,8 @@
 /// files.
 class FakeFleet {
  public:
-  /// The scheduler and the output budget must outlive the fleet.
-  FakeFleet(transport::Scheduler& scheduler, transport::OutputBudget& outputBudget,
+  /// The scheduler and the memory budget must outlive the fleet.
+  FakeFleet(transport::Scheduler& scheduler, transport::MemoryBudget& memoryBudget,
             const FakeFleetOptions& options);
 
   /// Starts or restarts a controller and rewrites its configuration files. A running process is killed.
--- a/src/fakes/gossip_cluster.hpp
+++ b/src/fakes/gossip_cluster.hpp
@@ -36,8 +36,8 @@
   GossipCluster(TestScheduler& scheduler, GossipClusterOptions options)
       : scheduler_(scheduler),
         mesh(scheduler, options.subnet, options.members, options.seed),
-        fleet(scheduler, scheduler.outputBudget, fleetOptions(options)),
-        loadGenerator(scheduler, scheduler.outputBudget, fleet.controllerAddresses(), options.seed),
+        fleet(scheduler, scheduler.memoryBudget, fleetOptions(options)),
+        loadGenerator(scheduler, scheduler.memoryBudget, fleet.controllerAddresses(), options.seed),
         members_(options.members) {
     loadGenerator.setHeartbeatInterval(milliseconds(500));
     loadGenerator.start(
@@ -46,7 +46,7 @@
 
   /// Returns the status report of a member, or null JSON if the member does not answer within the timeout.
   Json status(unsigned member, milliseconds timeout = milliseconds(2000)) {
-    AdminConnection connection(scheduler_, scheduler_.outputBudget, fleet.adminSocketPath(member));
+    AdminConnection connection(scheduler_, scheduler_.memoryBudget, fleet.adminSocketPath(member));
     connection.send("{\"v\":1,\"id\":1,\"do\":\"status\"}\n");
     scheduler_.runUntil([&] { return !connection.receivedLines.empty() || connection.isClosed; }, timeout);
     if (connection.receivedLines.empty()) return {};
--- a/src/fakes/load_generator.cpp
+++ b/src/fakes/load_generator.cpp
@@ -119,7 +119,7 @@
     if (!connectResult.descriptor) co_return;
     fd_ = connectResult.descriptor->fd();
     connection_.emplace(scheduler, std::move(connectResult.descriptor), 16 * 1024, 1 << 20,
-                        generator_.outputBudget_);
+                        generator_.memoryBudget_);
     connection_->send(pendingOutput_);
     while (co_await waitForInput()) processReplies();
     if (closeReason_ != CloseReason::closed && closeReason_ != CloseReason::reset) co_return;
@@ -239,10 +239,10 @@
   bool isClosing_ = false;
 };
 
-LoadGenerator::LoadGenerator(transport::Scheduler& scheduler, transport::OutputBudget& outputBudget,
+LoadGenerator::LoadGenerator(transport::Scheduler& scheduler, transport::MemoryBudget& memoryBudget,
                              std::vector<transport::Address> addresses, std::uint64_t seed)
     : scheduler_(scheduler),
-      outputBudget_(outputBudget),
+      memoryBudget_(memoryBudget),
       random_(static_cast<std::minstd_rand::result_type>(seed % 2147483646 + 1)),
       lastReference_(seed << 32),
       tasks_(scheduler, [](const char* error) { std::fprintf(stderr, "load: %s\n", error); }) {
@@ -307,7 +307,7 @@
     transport::ConnectResult connectResult =
         co_await transport::connect(scheduler_, state.address, scheduler_.now() + kHeartbeatConnectTimeout);
     if (connectResult.descriptor) {
-      Connection connection(scheduler_, std::move(connectResult.descriptor), 1024, 4096, outputBudget_);
+      Connection connection(scheduler_, std::move(connectResult.descriptor), 1024, 4096, memoryBudget_);
       co_await exchangeHeartbeats(connection, state);
     }
     state.isInService = false;
--- a/src/fakes/load_generator.hpp
+++ b/src/fakes/load_generator.hpp
@@ -58,8 +58,8 @@
   enum class AbandonMode { revoke, close, halfClose, reset };
 
   /// Starts to send heartbeats to all `addresses`, which are those of the controllers, numbered from 0. The
-  /// scheduler and the output budget must outlive the generator.
-  LoadGenerator(transport::Scheduler& scheduler, transport::OutputBudget& outputBudget,
+  /// scheduler and the memory budget must outlive the generator.
+  LoadGenerator(transport::Scheduler& scheduler, transport::MemoryBudget& memoryBudget,
                 std::vector<transport::Address> addresses, std::uint64_t seed);
   ~LoadGenerator();
 
@@ -123,7 +123,7 @@
   void recordEvent(Event::Kind kind, std::size_t request, const char* detail, std::string body = {});
 
   transport::Scheduler& scheduler_;
-  transport::OutputBudget& outputBudget_;
+  transport::MemoryBudget& memoryBudget_;
   std::vector<Controller> controllers_;
   std::vector<RequestProfile> profiles_;
   double requestsPerSecond_ = 0;
--- a/src/fakes/misbehaving_clients.hpp
+++ b/src/fakes/misbehaving_clients.hpp
@@ -12,10 +12,10 @@
 /// invalid fields or nothing.
 class MisbehavingClients {
  public:
-  MisbehavingClients(transport::Scheduler& scheduler, transport::OutputBudget& outputBudget,
+  MisbehavingClients(transport::Scheduler& scheduler, transport::MemoryBudget& memoryBudget,
                      const transport::Address& target, unsigned count)
       : scheduler_(scheduler),
-        outputBudget_(outputBudget),
+        memoryBudget_(memoryBudget),
         target_(target),
         tasks_(scheduler, [](const char*) {}) {
     for (unsigned client = 0; client < count; ++client) tasks_.spawn(runClient());
@@ -49,7 +49,7 @@
           co_await transport::connect(scheduler_, target_, scheduler_.now() + std::chrono::milliseconds(300));
       if (connectResult.descriptor) {
         transport::Connection connection(scheduler_, std::move(connectResult.descriptor), 1024, 8192,
-                                         outputBudget_);
+                                         memoryBudget_);
         connection.send({transport::BufferSlice(nextMalformedInput())});
         const bool received = co_await connection.receive(scheduler_.now() + std::chrono::milliseconds(200));
         if (received || connection.readEnd() != transport::Connection::ReadEnd::none) ++closedCount_;
@@ -59,7 +59,7 @@
   }
 
   transport::Scheduler& scheduler_;
-  transport::OutputBudget& outputBudget_;
+  transport::MemoryBudget& memoryBudget_;
   const transport::Address target_;
   std::minstd_rand random_{11};
   std::uint64_t closedCount_ = 0;
--- a/src/fakes/tcp_fault_proxy.cpp
+++ b/src/fakes/tcp_fault_proxy.cpp
@@ -40,11 +40,11 @@
   std::list<ProxiedConnection*>::iterator position;
 };
 
-TcpFaultProxy::TcpFaultProxy(transport::Scheduler& scheduler, transport::OutputBudget& outputBudget,
+TcpFaultProxy::TcpFaultProxy(transport::Scheduler& scheduler, transport::MemoryBudget& memoryBudget,
                              const transport::Address& listenAddress, const transport::Address& target,
                              std::uint64_t seed)
     : scheduler_(scheduler),
-      outputBudget_(outputBudget),
+      memoryBudget_(memoryBudget),
       target_(target),
       random_(seed),
       listener_(scheduler, listenAddress),
@@ -77,9 +77,9 @@
   }
   ProxiedConnection proxiedConnection(*this, accepted->fd(), connectResult.descriptor->fd());
   transport::Connection client(scheduler_, std::move(accepted), kInputBytes, kMaxBufferedBytes,
-                               outputBudget_);
+                               memoryBudget_);
   transport::Connection server(scheduler_, std::move(connectResult.descriptor), kInputBytes,
-                               kMaxBufferedBytes, outputBudget_);
+                               kMaxBufferedBytes, memoryBudget_);
   transport::TaskGroup directions(scheduler_, [&](const char*) { proxiedConnection.finished.set(); });
   directions.spawn(forwardStream(proxiedConnection, client, server, forwardFaults, counts_.forwardBytes));
   directions.spawn(forwardStream(proxiedConnection, server, client, reverseFaults, counts_.reverseBytes));
--- a/src/fakes/tcp_fault_proxy.hpp
+++ b/src/fakes/tcp_fault_proxy.hpp
@@ -24,7 +24,7 @@
   };
   static constexpr std::size_t kMaxConnections = 1024;  ///< Connections beyond this limit are reset.
 
-  TcpFaultProxy(transport::Scheduler& scheduler, transport::OutputBudget& outputBudget,
+  TcpFaultProxy(transport::Scheduler& scheduler, transport::MemoryBudget& memoryBudget,
                 const transport::Address& listenAddress, const transport::Address& target,
                 std::uint64_t seed);
   ~TcpFaultProxy();
@@ -47,7 +47,7 @@
                                   std::uint64_t& bytes);
 
   transport::Scheduler& scheduler_;
-  transport::OutputBudget& outputBudget_;
+  transport::MemoryBudget& memoryBudget_;
   const transport::Address target_;
   std::mt19937_64 random_;
   Counts counts_;
--- a/src/fakes/test_scheduler.hpp
+++ b/src/fakes/test_scheduler.hpp
@@ -8,7 +8,7 @@
 
 namespace paddletrack::fakes {
 
-/// Runs the event loop for a given time or until a condition holds. Owns an output budget that is large
+/// Runs the event loop for a given time or until a condition holds. Owns a memory budget that is large
 /// enough not to be exhausted in tests.
 struct TestScheduler : transport::Scheduler {
   void runFor(std::chrono::milliseconds duration) {
@@ -27,7 +27,7 @@
     return predicate();
   }
 
-  transport::OutputBudget outputBudget{256 << 20, 0};
+  transport::MemoryBudget memoryBudget{256 << 20, 0};
 };
 
 }  // namespace paddletrack::fakes
--- a/src/loadtest/address_failover.cpp
+++ b/src/loadtest/address_failover.cpp
@@ -44,11 +44,11 @@
   explicit InProcessController(const std::string& configLines)
       : config(protocol::decodeControllerConfig(protocol::flattenLines(configLines))),
         logger([](const LogRecord&) {}),
-        router(*this, outputBudget, config, {4000, {4, 400, config.connectTimeout, config.idleTimeout}}, 7,
+        router(*this, memoryBudget, config, {4000, {4, 400, config.connectTimeout, config.idleTimeout}}, 7,
                logger),
-        clientListener(*this, outputBudget, Address("127.0.73.9:18443"), {200, 1 << 20, 1 << 20}, router,
+        clientListener(*this, memoryBudget, Address("127.0.73.9:18443"), {200, 1 << 20, 1 << 20}, router,
                        logger),
-        loadGenerator(*this, outputBudget, {Address("127.0.73.9:18443")}, 3) {}
+        loadGenerator(*this, memoryBudget, {Address("127.0.73.9:18443")}, 3) {}
   const protocol::ControllerConfig config;
   const Logger logger;
   routing::RequestRouter router;
@@ -98,7 +98,7 @@
                                              "127.0.73.1:18443"};
   const std::string faultyAddress = addresses[static_cast<std::size_t>(failoverCase.family)],
                     workingAddress = addresses[(static_cast<std::size_t>(failoverCase.family) + 1) % 3];
-  FakeEngine engine(controller, controller.outputBudget, Address(workingAddress));
+  FakeEngine engine(controller, controller.memoryBudget, Address(workingAddress));
   std::optional<fakes::UnresponsiveListener> silentListener;
   if (failoverCase.fault == AddressFault::silent && failoverCase.family != 0) {
     silentListener.emplace(Address(faultyAddress));
@@ -250,11 +250,11 @@
       if (isEveryThird && variant.addressLayout == 3)
         endpoint.addresses = {silentAddress, endpoint.address, refusedAddress};
     };
-    fakes::FakeFleet fleet(loop, loop.outputBudget, options);
+    fakes::FakeFleet fleet(loop, loop.memoryBudget, options);
     for (unsigned engineIndex = 0; variant.addressLayout >= 2 && engineIndex < engineCount; ++engineIndex)
       if (engineIndex % 3 != 0)
         fleet.engine(engineIndex).addAddress(Address("unix:" + localAddress(engineIndex)));
-    LoadGenerator loadGenerator(loop, loop.outputBudget, fleet.controllerAddresses(), 4);
+    LoadGenerator loadGenerator(loop, loop.memoryBudget, fleet.controllerAddresses(), 4);
     if (!loop.runUntil([&] { return loadGenerator.isInService(0); }, 10s))
       throw std::runtime_error("the controller did not start serving within 10 s");
     const std::string processPath = "/proc/" + std::to_string(fleet.controller(0).pid());
--- a/src/loadtest/admin_overhead.cpp
+++ b/src/loadtest/admin_overhead.cpp
@@ -36,8 +36,8 @@
   const fakes::TemporaryDirectory folder;
   const std::string callgrindFile = folder.path() + "/callgrind";
   options.launcher = {"/usr/bin/valgrind", "-q", "--tool=callgrind", "--callgrind-out-file=" + callgrindFile};
-  fakes::FakeFleet fleet(loop, loop.outputBudget, options);
-  LoadGenerator loadGenerator(loop, loop.outputBudget, fleet.controllerAddresses(), 9);
+  fakes::FakeFleet fleet(loop, loop.memoryBudget, options);
+  LoadGenerator loadGenerator(loop, loop.memoryBudget, fleet.controllerAddresses(), 9);
   loadGenerator.setHeartbeatInterval(1000ms);
   if (!loop.runUntil([&] { return loadGenerator.isInService(0); }, 30s))
     throw std::runtime_error(variant.name +
@@ -60,8 +60,8 @@
   options.program = variant.program;
   options.subnet = 72;
   options.hasAdminSockets = variant.adminEnabled;
-  fakes::FakeFleet fleet(loop, loop.outputBudget, options);
-  LoadGenerator loadGenerator(loop, loop.outputBudget, fleet.controllerAddresses(), 9);
+  fakes::FakeFleet fleet(loop, loop.memoryBudget, options);
+  LoadGenerator loadGenerator(loop, loop.memoryBudget, fleet.controllerAddresses(), 9);
   if (!loop.runUntil([&] { return loadGenerator.isInService(0); }, 5s))
     throw std::runtime_error(variant.name + ": the controller did not start serving within 5 s");
   runRequests(loop, loadGenerator, 2000);
--- a/src/loadtest/cold_start.cpp
+++ b/src/loadtest/cold_start.cpp
@@ -62,9 +62,9 @@
       };
     }
     warmupEndsAt_ = loop_.now() + std::chrono::milliseconds(kWarmupMs);
-    fleet_.emplace(loop_, loop_.outputBudget, fleetOptions);
+    fleet_.emplace(loop_, loop_.memoryBudget, fleetOptions);
     fleet_->endpointList().behavior.answerDuration = std::chrono::milliseconds(options.discoveryLatencyMs);
-    loadGenerator_.emplace(loop_, loop_.outputBudget, fleet_->controllerAddresses(), 11);
+    loadGenerator_.emplace(loop_, loop_.memoryBudget, fleet_->controllerAddresses(), 11);
     loadGenerator_->setHeartbeatInterval(50ms);
     loadGenerator_->setDedicatedClients(!options.routesToServingControllers);
   }
--- a/src/loadtest/demo.cpp
+++ b/src/loadtest/demo.cpp
@@ -52,8 +52,8 @@
   options.subnet = 61;
   options.controllers = controllerCount;
   options.drainNotice = "800ms";
-  fakes::FakeFleet fleet(loop, loop.outputBudget, options);
-  LoadGenerator loadGenerator(loop, loop.outputBudget, fleet.controllerAddresses(),
+  fakes::FakeFleet fleet(loop, loop.memoryBudget, options);
+  LoadGenerator loadGenerator(loop, loop.memoryBudget, fleet.controllerAddresses(),
                               static_cast<std::uint64_t>(::getpid()));
   loadGenerator.start(requestsPerSecond, {fakes::FakeFleet::lookUpProfile(85),
                                           {"report", "acme", 14, 200ms, 3s, 30s},
--- a/src/loadtest/drain.cpp
+++ b/src/loadtest/drain.cpp
@@ -28,8 +28,8 @@
   options.subnet = networkIndex;
   options.cores = 256;
   options.drainNotice = "100ms";
-  fakes::FakeFleet fleet(loop, loop.outputBudget, options);
-  LoadGenerator loadGenerator(loop, loop.outputBudget, fleet.controllerAddresses(), 5);
+  fakes::FakeFleet fleet(loop, loop.memoryBudget, options);
+  LoadGenerator loadGenerator(loop, loop.memoryBudget, fleet.controllerAddresses(), 5);
   loadGenerator.setHeartbeatInterval(20ms);
   if (!loop.runUntil([&] { return loadGenerator.isInService(0); }, 5s))
     throw std::runtime_error("the controller did not start serving within 5 s");
@@ -37,7 +37,7 @@
   adminClient.sendRequest({{"do", "watch"}, {"every_ms", 100}});
   std::optional<fakes::MisbehavingClients> misbehavingClients;
   if (drainCase.hasMisbehavingClients)
-    misbehavingClients.emplace(loop, loop.outputBudget, fleet.controllerAddresses()[0], 60);
+    misbehavingClients.emplace(loop, loop.memoryBudget, fleet.controllerAddresses()[0], 60);
   loadGenerator.start(drainCase.requestsPerSecond,
                       {fakes::FakeFleet::lookUpProfile(), {"report", "acme", 0, 300ms, 1500ms, 30s}});
   std::vector<double> delaysAfterLastRequest, delaysAfterDeadline;
@@ -98,8 +98,8 @@
   options.subnet = 69;
   options.cores = 256;
   options.drainNotice = "100ms";
-  fakes::FakeFleet fleet(loop, loop.outputBudget, options);
-  LoadGenerator loadGenerator(loop, loop.outputBudget, fleet.controllerAddresses(), 6);
+  fakes::FakeFleet fleet(loop, loop.memoryBudget, options);
+  LoadGenerator loadGenerator(loop, loop.memoryBudget, fleet.controllerAddresses(), 6);
   if (!loop.runUntil([&] { return loadGenerator.isInService(0); }, 5s))
     throw std::runtime_error("the controller did not start serving within 5 s");
   // The answer to a heartbeat would briefly count as unsent bytes.
--- a/src/loadtest/experiments.hpp
+++ b/src/loadtest/experiments.hpp
@@ -26,7 +26,7 @@
 class AdminClient {
  public:
   AdminClient(TestScheduler& loop, const std::string& adminAddress)
-      : loop_(loop), connection_(loop, loop.outputBudget, adminAddress) {
+      : loop_(loop), connection_(loop, loop.memoryBudget, adminAddress) {
     connection_.onLine = [this](const std::string& line) { onLine(line); };
   }
   /// Sends a request and returns the response, or null if there is none within five seconds.
--- a/src/loadtest/fail_points.cpp
+++ b/src/loadtest/fail_points.cpp
@@ -133,10 +133,10 @@
   }
 
   void runScript() {
-    fleet_.emplace(loop_, loop_.outputBudget, options_);
-    fakes::FakeEndpointList secondDiscovery(loop_, loop_.outputBudget, fleet_->addressOf(251));
+    fleet_.emplace(loop_, loop_.memoryBudget, options_);
+    fakes::FakeEndpointList secondDiscovery(loop_, loop_.memoryBudget, fleet_->addressOf(251));
     secondDiscovery.publish(fleet_->endpoints(), true);
-    loadGenerator_.emplace(loop_, loop_.outputBudget, fleet_->controllerAddresses(), 5);
+    loadGenerator_.emplace(loop_, loop_.memoryBudget, fleet_->controllerAddresses(), 5);
     loadGenerator_->setHeartbeatInterval(20ms);
     loadGenerator_->disableResend();
     loadGenerator_->start(0, {{"look-up", "acme", 0, 3ms, 6ms, 3s},
--- a/src/loadtest/gossip.cpp
+++ b/src/loadtest/gossip.cpp
@@ -32,7 +32,7 @@
   void watchMember(GossipCluster& fleet, unsigned member) {
     connections_.resize(memberStatuses_.size());
     memberStatuses_[member] = {};
-    connections_[member] = std::make_unique<fakes::AdminConnection>(loop_, loop_.outputBudget,
+    connections_[member] = std::make_unique<fakes::AdminConnection>(loop_, loop_.memoryBudget,
                                                                     fleet.fleet.adminSocketPath(member));
     connections_[member]->onLine = [this, member](const std::string& text) {
       const Json message = Json::parse(text);
--- a/src/loadtest/placement_effect.cpp
+++ b/src/loadtest/placement_effect.cpp
@@ -40,10 +40,10 @@
            std::to_string(10 * (kGroupBytes >> 20)) + "MiB\"\n  group = \"" +
            std::to_string(kGroupBytes >> 20) + "MiB\"\n  period = \"4s\"\n  guard = \"200ms\"\n}\n";
   };
-  fakes::FakeFleet fleet(loop, loop.outputBudget, options);
+  fakes::FakeFleet fleet(loop, loop.memoryBudget, options);
   for (unsigned index = 0; index < options.engines; ++index)
     fleet.engine(index).configureCache({10, kGroupBytes, std::chrono::milliseconds(120)});
-  fakes::LoadGenerator loadGenerator(loop, loop.outputBudget, fleet.controllerAddresses(), 5);
+  fakes::LoadGenerator loadGenerator(loop, loop.memoryBudget, fleet.controllerAddresses(), 5);
   std::vector<fakes::LoadGenerator::RequestProfile> profiles;
   for (unsigned group = 1; group <= kGroupCount; ++group) {
     fakes::LoadGenerator::RequestProfile profile = fakes::FakeFleet::lookUpProfile(1.0 / (5 + group));
--- a/src/loadtest/rolling_drain.cpp
+++ b/src/loadtest/rolling_drain.cpp
@@ -45,8 +45,8 @@
   options.controllers = 3;
   options.cores = 64;
   options.drainNotice = "300ms";
-  fakes::FakeFleet fleet(loop, loop.outputBudget, options);
-  LoadGenerator loadGenerator(loop, loop.outputBudget, fleet.controllerAddresses(), 8);
+  fakes::FakeFleet fleet(loop, loop.memoryBudget, options);
+  LoadGenerator loadGenerator(loop, loop.memoryBudget, fleet.controllerAddresses(), 8);
   loadGenerator.setHeartbeatInterval(100ms);
   if (!loop.runUntil(
           [&] {
--- a/src/loadtest/soak.cpp
+++ b/src/loadtest/soak.cpp
@@ -16,8 +16,8 @@
   options.subnet = 73;
   options.hasAdminSockets = false;
   options.memoryMb = 64;
-  fakes::FakeFleet fleet(loop, loop.outputBudget, options);
-  fakes::LoadGenerator loadGenerator(loop, loop.outputBudget, fleet.controllerAddresses(), 11);
+  fakes::FakeFleet fleet(loop, loop.memoryBudget, options);
+  fakes::LoadGenerator loadGenerator(loop, loop.memoryBudget, fleet.controllerAddresses(), 11);
   if (!loop.runUntil([&] { return loadGenerator.isInService(0); }, 5s))
     throw std::runtime_error("the controller did not start serving within 5 s");
   loadGenerator.start(requestsPerSecond,
--- a/src/program/resource_budget.cpp
+++ b/src/program/resource_budget.cpp
@@ -7,8 +7,8 @@
 namespace paddletrack::program {
 namespace {
 
-constexpr std::size_t kOutputMemoryDivisor = 4;       // A quarter of the memory is for output buffers.
-constexpr std::size_t kInputMemoryDivisor = 8;        // An eighth is for requests that are being received.
+constexpr std::size_t kPeerMemoryDivisor = 2;         // Half of the memory is for what peers make us hold.
+constexpr std::size_t kInputMemoryDivisor = 8;        // Of it, an eighth of all is for incomplete requests.
 constexpr std::size_t kOpenRequestMemoryDivisor = 4;  // A quarter is for open requests.
 constexpr std::size_t kOpenRequestBytes = 8192;  // Estimated memory of an open request with its response.
 constexpr std::size_t kMaxFrameBytes = std::size_t{1} << 20;
@@ -40,8 +40,8 @@
 
 }  // namespace
 
-std::size_t maxOutputBytes(const NodeConfig& nodeConfig) {
-  return nodeConfig.memoryLimitBytes / kOutputMemoryDivisor;
+std::size_t maxPeerBytes(const NodeConfig& nodeConfig) {
+  return nodeConfig.memoryLimitBytes / kPeerMemoryDivisor;
 }
 
 std::size_t countInheritedDescriptors(std::size_t limit) {
--- a/src/program/resource_budget.hpp
+++ b/src/program/resource_budget.hpp
@@ -15,8 +15,8 @@
   std::size_t maxFrameBytes = 0;  // Maximum size of a client's message.
 };
 
-/// Returns the maximum number of bytes in the output buffers of all connections together.
-std::size_t maxOutputBytes(const NodeConfig& nodeConfig);
+/// Returns the maximum of the transport::MemoryBudget of all connections together.
+std::size_t maxPeerBytes(const NodeConfig& nodeConfig);
 
 /// Counts the descriptors below `limit` that the process inherited in addition to the standard streams. They
 /// are not available to it. Must be called before the process opens descriptors of its own.
--- a/src/program/server.cpp
+++ b/src/program/server.cpp
@@ -38,7 +38,7 @@
       operatorOptions_(std::move(operatorOptions)),
       inheritedDescriptors_(countInheritedDescriptors(nodeConfig.descriptorLimit)),
       log_([this](const LogRecord& record) { logWriter_.write(record); }),
-      outputBudget_{maxOutputBytes(nodeConfig), 0},
+      memoryBudget_{maxPeerBytes(nodeConfig), 0},
       tasks_(scheduler_,
              [this](const char* cause) { log_.error("leaving", Error(ErrorKind::unexpected, "", cause)); }) {
   configureLog();
@@ -80,7 +80,7 @@
   limits.connectionLimits = {config.maxAttemptsPerConnection, resourceBudget_.maxEngineConnections,
                              config.connectTimeout, config.idleTimeout,
                              operatorOptions_.config.familyPreference};
-  router_ = std::make_unique<routing::RequestRouter>(scheduler_, outputBudget_, config, limits,
+  router_ = std::make_unique<routing::RequestRouter>(scheduler_, memoryBudget_, config, limits,
                                                      nodeConfig_.seed, log_);
   router_->setFatalErrorHandler([](const Error& error) { std::_Exit(command::reportError(error)); });
   for (const protocol::EndpointEvent& event : nodeConfig_.endpointEvents) router_->onEndpointUpdate(event);
@@ -90,7 +90,7 @@
   const routing::ClientListener::Limits limits{resourceBudget_.maxClientConnections,
                                                resourceBudget_.maxFrameBytes, resourceBudget_.maxFrameBytes};
   clientListener_ = std::make_unique<routing::ClientListener>(
-      scheduler_, outputBudget_, nodeConfig_.listenAddress, limits, *router_, log_);
+      scheduler_, memoryBudget_, nodeConfig_.listenAddress, limits, *router_, log_);
 }
 
 void Server::startEndpointWatcher() {
@@ -99,7 +99,7 @@
   // Controllers that are configured with the same seed by mistake must still reconnect at different times.
   const std::uint64_t watcherSeed = nodeConfig_.seed ^ std::hash<std::string>()(nodeConfig_.name);
   endpointWatcher_ = std::make_unique<routing::EndpointWatcher>(
-      scheduler_, outputBudget_, nodeConfig_.endpointListAddress, nodeConfig_.knownSequence, watcherSeed,
+      scheduler_, memoryBudget_, nodeConfig_.endpointListAddress, nodeConfig_.knownSequence, watcherSeed,
       *router_, log_, reconnectOptions);
 }
 
--- a/src/program/server.hpp
+++ b/src/program/server.hpp
@@ -73,7 +73,7 @@
   LogWriter logWriter_;
   const Logger log_;
   transport::Scheduler scheduler_;
-  transport::OutputBudget outputBudget_;
+  transport::MemoryBudget memoryBudget_;
   ResourceBudget resourceBudget_;
   std::unique_ptr<routing::RequestRouter> router_;
   std::unique_ptr<routing::ClientListener> clientListener_;
--- a/src/routing/client_listener.cpp
+++ b/src/routing/client_listener.cpp
@@ -15,11 +15,11 @@
 
 }  // namespace
 
-ClientListener::ClientListener(transport::Scheduler& scheduler, transport::OutputBudget& outputBudget,
+ClientListener::ClientListener(transport::Scheduler& scheduler, transport::MemoryBudget& memoryBudget,
                                const transport::Address& address, const Limits& limits, RequestRouter& router,
                                const Logger& logger, ServiceGate* serviceGate)
     : environment_{.scheduler = scheduler,
-                   .outputBudget = outputBudget,
+                   .memoryBudget = memoryBudget,
                    .limits = limits,
                    .router = router,
                    .logger = logger,
--- a/src/routing/client_listener.hpp
+++ b/src/routing/client_listener.hpp
@@ -12,14 +12,14 @@
 
 namespace paddletrack::routing {
 
-/// Accepts client connections up to a limit and runs a session for each. The scheduler, the output budget,
+/// Accepts client connections up to a limit and runs a session for each. The scheduler, the memory budget,
 /// the router, the logger and the gate belong to the caller and outlive the listener.
 class ClientListener {
  public:
   using Limits = ClientLimits;
 
   /// Starts to listen immediately. Throws std::system_error if the address cannot be listened on.
-  ClientListener(transport::Scheduler& scheduler, transport::OutputBudget& outputBudget,
+  ClientListener(transport::Scheduler& scheduler, transport::MemoryBudget& memoryBudget,
                  const transport::Address& address, const Limits& limits, RequestRouter& router,
                  const Logger& logger, ServiceGate* serviceGate = nullptr);
 
--- a/src/routing/client_session.cpp
+++ b/src/routing/client_session.cpp
@@ -51,7 +51,7 @@
                              std::unique_ptr<transport::Descriptor> acceptedSocket)
     : environment_(environment),
       connection_(environment.scheduler, std::move(acceptedSocket), kInitialInputBytes,
-                  thrift::kFrameHeaderBytes + environment.limits.maxFrameBytes, environment.outputBudget),
+                  thrift::kFrameHeaderBytes + environment.limits.maxFrameBytes, environment.memoryBudget),
       receivedMessages_(connection_.input(), kMaxQueuedMessages) {
   position_ = environment_.sessions.add(*this);
   ++environment_.counts.accepted;
--- a/src/routing/client_session.hpp
+++ b/src/routing/client_session.hpp
@@ -50,7 +50,7 @@
 /// The state shared by the sessions of one listener. The listener owns it, and it outlives all sessions.
 struct ClientSessionEnvironment {
   transport::Scheduler& scheduler;
-  transport::OutputBudget& outputBudget;
+  transport::MemoryBudget& memoryBudget;
   const ClientLimits limits;
   RequestRouter& router;
   const Logger& logger;
--- a/src/routing/endpoint_watcher.cpp
+++ b/src/routing/endpoint_watcher.cpp
@@ -24,12 +24,12 @@
 
 }  // namespace
 
-EndpointWatcher::EndpointWatcher(transport::Scheduler& scheduler, transport::OutputBudget& outputBudget,
+EndpointWatcher::EndpointWatcher(transport::Scheduler& scheduler, transport::MemoryBudget& memoryBudget,
                                  const transport::Address& listAddress, std::uint64_t lastKnownEvent,
                                  std::uint64_t seed, RequestRouter& router, const Logger& logger,
                                  const discovery::ReconnectOptions& options)
     : scheduler_(scheduler),
-      outputBudget_(outputBudget),
+      memoryBudget_(memoryBudget),
       listAddress_(listAddress),
       lastEventNumber_(lastKnownEvent),
       router_(router),
@@ -143,7 +143,7 @@
     co_return SessionEnd::unreachable;
   }
   transport::Connection connection(scheduler_, std::move(result.descriptor), kInitialInputBytes,
-                                   kMaxInputBytes, outputBudget_);
+                                   kMaxInputBytes, memoryBudget_);
   connection.send({BufferSlice(protocol::encodeSince(lastEventNumber_))});
   transport::InputBuffer& input = connection.input();
   // Only complete lines with content count: incomplete and empty lines do not extend the session. It ends
--- a/src/routing/endpoint_watcher.hpp
+++ b/src/routing/endpoint_watcher.hpp
@@ -18,7 +18,7 @@
 /// up with the last known event. The references belong to the caller and must outlive the watcher.
 class EndpointWatcher {
  public:
-  EndpointWatcher(transport::Scheduler& scheduler, transport::OutputBudget& outputBudget,
+  EndpointWatcher(transport::Scheduler& scheduler, transport::MemoryBudget& memoryBudget,
                   const transport::Address& listAddress, std::uint64_t lastKnownEvent, std::uint64_t seed,
                   RequestRouter& router, const Logger& logger,
                   const discovery::ReconnectOptions& options = {});
@@ -53,7 +53,7 @@
   void logError(ErrorKind kind, const transport::Address& listAddress, const std::string& message);
 
   transport::Scheduler& scheduler_;
-  transport::OutputBudget& outputBudget_;
+  transport::MemoryBudget& memoryBudget_;
   transport::Address listAddress_;
   std::uint64_t lastEventNumber_;
   RequestRouter& router_;
--- a/src/routing/engine_connection.cpp
+++ b/src/routing/engine_connection.cpp
@@ -121,7 +121,7 @@
   const BufferSlice head(protocol::resp::encodeAskHead(request.requestId, request.requestClassName, options,
                                                        request.statement.size()));
   const BufferSlice tail = BufferSlice::fromStatic(protocol::resp::kAskTail);
-  // The offset is computed before sending: a stream that is shut down, or whose output budget is exhausted,
+  // The offset is computed before sending: a stream that is shut down, or whose memory budget is exhausted,
   // queues nothing, and then the attempt must never count as fully written.
   attemptContext.streamEndOffset =
       stream_->queuedBytes() + head.size() + request.statement.size() + tail.size();
@@ -357,7 +357,7 @@
     const protocol::resp::Array message = protocol::resp::parseArray(input.view());
     const bool isComplete = message.size > 0;
     if (!isComplete) {
-      if (message.requiredSize > 0) input.expectSize(message.requiredSize);
+      if (message.requiredSize > 0) announceMessage(message.requiredSize);
       if (!partialMessageSince_ && !input.view().empty()) partialMessageSince_ = context_.scheduler.now();
       return;
     }
@@ -367,6 +367,12 @@
   }
 }
 
+void EngineConnection::announceMessage(std::size_t size) {
+  transport::InputBuffer& input = stream_->input();
+  input.expectSize(size);
+  if (size > input.maxSize()) input.extendLimit(size);
+}
+
 void EngineConnection::onResponse(const protocol::resp::Answer& answer) {
   if (answer.kind == AnswerKind::alive) return;
   if (answer.kind == AnswerKind::unknown) {
@@ -415,12 +421,25 @@
   for (const BufferSlice& page : attemptContext.pages) resultBytes += page.size();
   if (!protocol::resp::areRowsComplete(answer.body) || resultBytes > protocol::resp::kMaxResultBytes)
     throw protocol::ParseError("page ends within a row, or the result exceeds its size limit");
+  if (!context_.memoryBudget.allows(answer.body.size(), transport::MemoryBudget::Purpose::openRequest))
+    return dropResult(attemptContext);
   attemptContext.pages[answer.pageNumber] = stream_->input().retain(answer.body);
   ++attemptContext.receivedPages;
   if (attemptContext.receivedPages == attemptContext.expectedPages)
     finishAttempt(attemptContext, AttemptOutcome::completed);
 }
 
+// There is no memory for the rest of the result. That is no fault of the engine's.
+void EngineConnection::dropResult(AttemptContext& attemptContext) {
+  context_.logger.warning("request",
+                          Error(ErrorKind::outOfMemory, "engine " + endpoint_.id,
+                                "the memory for peers is used up, result dropped"),
+                          {{"engine", endpoint_.id}, {"address", addressName_}});
+  attemptContext.pages.clear();
+  stream_->send({BufferSlice(protocol::resp::encodeFree(attemptContext.requestContext.requestId))});
+  finishAttempt(attemptContext, AttemptOutcome::connectionAborted);
+}
+
 void EngineConnection::recordOutcome(ConnectOutcome outcome, std::optional<Duration> connectTime) {
   context_.addressBook.recordOutcome(endpoint_, addressName_, outcome, connectTime);
 }
--- a/src/routing/engine_connection.hpp
+++ b/src/routing/engine_connection.hpp
@@ -34,6 +34,7 @@
   const Logger& logger;
   const Duration connectTimeout;
   const Duration idleTimeout;
+  const transport::MemoryBudget& memoryBudget;
   std::uint64_t faultedConnections = 0;  ///< Connections closed by this process for invalid or missing input.
 };
 
@@ -151,9 +152,11 @@
   bool isMessageOverdue() const;
   [[noreturn]] void failOverdueMessage();
   void readResponses();
+  void announceMessage(std::size_t size);
   void onResponse(const protocol::resp::Answer& answer);
   void onFirstPage(AttemptContext& attemptContext, const protocol::resp::Answer& answer);
   void storePage(AttemptContext& attemptContext, const protocol::resp::Answer& answer);
+  void dropResult(AttemptContext& attemptContext);
   void finishAttempt(AttemptContext& attemptContext, AttemptOutcome outcome);
   void recordOutcome(addresses::ConnectOutcome outcome, std::optional<Duration> connectTime = {});
 
--- a/src/routing/engine_connection_pool.cpp
+++ b/src/routing/engine_connection_pool.cpp
@@ -35,15 +35,15 @@
 }  // namespace
 
 EngineConnectionPool::EngineConnectionPool(transport::Scheduler& scheduler,
-                                           transport::OutputBudget& outputBudget, const Limits& limits,
+                                           transport::MemoryBudget& memoryBudget, const Limits& limits,
                                            AttemptListener& listener, const Logger& logger)
     : limits_(limits),
       attemptListener_(listener),
       logger_(logger),
       addressBook_(scheduler, {limits.connectTimeout, limits.familyPreference}, logger),
-      connectionContext_{scheduler, addressBook_,          listener,
-                         logger,    limits.connectTimeout, limits.idleTimeout},
-      connector_(scheduler, outputBudget, addressBook_, logger, limits.maxConnections,
+      connectionContext_{scheduler,          addressBook_, listener, logger, limits.connectTimeout,
+                         limits.idleTimeout, memoryBudget},
+      connector_(scheduler, memoryBudget, addressBook_, logger, limits.maxConnections,
                  [this] { return descriptorCount() < limits_.maxConnections; }),
       reportUnplacedCall_(scheduler, [this] { reportUnplacedAttempts(); }),
       connectionTasks_(scheduler, [this](const char* message) {
--- a/src/routing/engine_connection_pool.hpp
+++ b/src/routing/engine_connection_pool.hpp
@@ -33,7 +33,7 @@
   };
 
   /// The references must outlive the pool, as must all endpoints and attempts that are passed to it.
-  EngineConnectionPool(transport::Scheduler& scheduler, transport::OutputBudget& outputBudget,
+  EngineConnectionPool(transport::Scheduler& scheduler, transport::MemoryBudget& memoryBudget,
                        const Limits& limits, AttemptListener& listener, const Logger& logger);
 
   /// Sends an attempt to its engine, immediately or as soon as a connection is established. Throws
--- a/src/routing/engine_connector.cpp
+++ b/src/routing/engine_connector.cpp
@@ -15,8 +15,8 @@
 using addresses::ConnectOutcome;
 using transport::Connection;
 
-constexpr std::size_t kInitialInputBytes = 32 * 1024;
-constexpr std::size_t kMaxInputBytes = 64 * 1024;
+// Room for two pages. A longer message is allowed if the memory budget has room for it.
+constexpr std::size_t kInputBytes = 16UL * 1024;
 
 }  // namespace
 
@@ -75,11 +75,11 @@
   std::size_t* const parallelConnects_;
 };
 
-EngineConnector::EngineConnector(transport::Scheduler& scheduler, transport::OutputBudget& outputBudget,
+EngineConnector::EngineConnector(transport::Scheduler& scheduler, transport::MemoryBudget& memoryBudget,
                                  EngineAddressBook& addressBook, const Logger& logger,
                                  std::size_t maxConnections, std::function<bool()> allowsParallelConnect)
     : scheduler_(scheduler),
-      outputBudget_(outputBudget),
+      memoryBudget_(memoryBudget),
       addressBook_(addressBook),
       logger_(logger),
       connectLimiter_(maxConnections),
@@ -183,8 +183,8 @@
   } else if (endpoint.addressesByName.count(attempt.addressName) == 0) {
     attempt.fail(ConnectOutcome::refused);  // Removed during the connect: gets no new attempts.
   } else {
-    attempt.stream = std::make_unique<Connection>(scheduler_, std::move(result.descriptor),
-                                                  kInitialInputBytes, kMaxInputBytes, outputBudget_);
+    attempt.stream = std::make_unique<Connection>(scheduler_, std::move(result.descriptor), kInputBytes,
+                                                  kInputBytes, memoryBudget_);
     if (needsProbe(endpoint, attempt.addressName)) {
       co_await probe(connection, attempt, race);
     } else {
--- a/src/routing/engine_connector.hpp
+++ b/src/routing/engine_connector.hpp
@@ -23,7 +23,7 @@
   /// `maxConnections` limits the connections to all engines together. `allowsParallelConnect` returns whether
   /// a descriptor is available for one more stream in addition to the first of a race. The references must
   /// outlive the connector, and the connector must outlive the tasks of connect().
-  EngineConnector(transport::Scheduler& scheduler, transport::OutputBudget& outputBudget,
+  EngineConnector(transport::Scheduler& scheduler, transport::MemoryBudget& memoryBudget,
                   EngineAddressBook& addressBook, const Logger& logger, std::size_t maxConnections,
                   std::function<bool()> allowsParallelConnect);
 
@@ -54,7 +54,7 @@
   void recordUnfinishedAttempts(EngineEndpoint& endpoint, const ConnectAttempts& attempts);
 
   transport::Scheduler& scheduler_;
-  transport::OutputBudget& outputBudget_;
+  transport::MemoryBudget& memoryBudget_;
   EngineAddressBook& addressBook_;
   const Logger& logger_;
   addresses::ConnectLimiter connectLimiter_;
--- a/src/routing/received_message_queue.hpp
+++ b/src/routing/received_message_queue.hpp
@@ -10,7 +10,7 @@
 #include <unordered_map>
 
 #include "protocol/thrift.hpp"
-#include "transport/buffer_slice.hpp"
+#include "transport/input_buffer.hpp"
 #include "transport/scheduler.hpp"
 
 namespace paddletrack::routing {
--- a/src/routing/request_router.cpp
+++ b/src/routing/request_router.cpp
@@ -20,10 +20,11 @@
 
 }  // namespace
 
-RequestRouter::RequestRouter(transport::Scheduler& scheduler, transport::OutputBudget& outputBudget,
+RequestRouter::RequestRouter(transport::Scheduler& scheduler, transport::MemoryBudget& memoryBudget,
                              const protocol::ControllerConfig& config, const Limits& limits,
                              std::uint64_t seed, const Logger& logger)
     : scheduler_(scheduler),
+      memoryBudget_(memoryBudget),
       config_(config),
       limits_(limits),
       logger_(logger),
@@ -32,7 +33,7 @@
       engineRegistry_(logger),
       reportCancelledCall_(scheduler, [this] { reportCancelledAttempts(); }),
       timerCall_(scheduler, [this] { onTimer(); }),
-      connectionPool_(scheduler, outputBudget, limits.connectionLimits, *this, logger),
+      connectionPool_(scheduler, memoryBudget, limits.connectionLimits, *this, logger),
       admissionController_(*this, config.deployment, seed, Duration{0}) {}
 
 Duration RequestRouter::now() const {
--- a/src/routing/request_router.hpp
+++ b/src/routing/request_router.hpp
@@ -34,7 +34,7 @@
     EngineConnectionPool::Limits connectionLimits;
   };
   /// The references passed belong to the caller and outlive the router.
-  RequestRouter(transport::Scheduler& scheduler, transport::OutputBudget& outputBudget,
+  RequestRouter(transport::Scheduler& scheduler, transport::MemoryBudget& memoryBudget,
                 const protocol::ControllerConfig& config, const Limits& limits, std::uint64_t seed,
                 const Logger& logger);
 
@@ -43,7 +43,11 @@
 
   // ---- Requests ----
   std::size_t openRequestCount() const { return requestTable_.size(); }
-  bool isFull() const { return requestTable_.size() >= limits_.maxOpenRequests; }
+  /// Whether a new request must be rejected, because too many are open or hold too much memory.
+  bool isFull() const {
+    return requestTable_.size() >= limits_.maxOpenRequests ||
+           !memoryBudget_.allows(0, transport::MemoryBudget::Purpose::newRequest);
+  }
   bool hasOpenRequest(const std::string& requestId) const { return requestTable_.containsId(requestId); }
   /// Passes the request to the admission controller. The response may be given within this call. Throws
   /// std::bad_alloc if there is no memory for the request, which is then discarded.
@@ -156,6 +160,7 @@
   transport::TimePoint toTimePoint(Duration sinceStart) const { return startedAt_ + sinceStart; }
 
   transport::Scheduler& scheduler_;
+  const transport::MemoryBudget& memoryBudget_;
   const protocol::ControllerConfig& config_;
   const Limits limits_;
   const Logger& logger_;
--- a/src/transport/connection.cpp
+++ b/src/transport/connection.cpp
@@ -7,6 +7,7 @@
 #include <sys/un.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <charconv>
@@ -21,6 +22,13 @@
 constexpr std::size_t kMaxSlicesPerWrite = 64;
 constexpr std::chrono::milliseconds kAcceptRetryInterval{20};
 
+// Memory of a queued slice in addition to its bytes: its place in the queue and its owner's control block.
+constexpr std::size_t kSliceOverheadBytes = 96;
+
+std::size_t chargedBytes(const BufferSlice& slice) {
+  return kSliceOverheadBytes + (slice.isCounted() ? 0 : slice.size());
+}
+
 int openStreamSocket(int family) { return ::socket(family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0); }
 
 void disableNagle(int fd) {
@@ -105,11 +113,12 @@
 }
 
 Connection::Connection(Scheduler& scheduler, std::unique_ptr<Descriptor> descriptor, std::size_t initialInput,
-                       std::size_t maxInput, OutputBudget& outputBudget)
+                       std::size_t maxInput, MemoryBudget& memoryBudget)
     : scheduler_(scheduler),
       descriptor_(std::move(descriptor)),
-      input_(initialInput, maxInput),
-      outputBudget_(outputBudget),
+      input_(initialInput, maxInput, memoryBudget),
+      memoryBudget_(memoryBudget),
+      outputCharge_(memoryBudget),
       outputQueued_(scheduler),
       outputDrained_(scheduler),
       writeTask_(writeOutput()) {
@@ -117,7 +126,7 @@
   writeTask_.start();
 }
 
-Connection::~Connection() { outputBudget_.usedBytes -= unsentBytes(); }
+Connection::~Connection() = default;
 
 Task<bool> Connection::receive(std::optional<TimePoint> deadline) {
   if (!isInputDrained_) co_await scheduler_.yield();  // A busy peer must not starve the others.
@@ -132,6 +141,7 @@
       continue;
     }
     const auto [destination, size] = input_.prepareSpace();
+    if (size == 0) co_return false;
     const ssize_t received =
         PADDLETRACK_CALL(descriptor_->fd(), "read", "again short EINTR ECONNRESET",
                          ::read(descriptor_->fd(), destination, PADDLETRACK_IO_SIZE(size)));
@@ -172,13 +182,17 @@
   co_return wasSignaled;
 }
 
+// A peer that reads has little unsent output. One that does not must not use up the budget of all.
+bool Connection::isOutputAllowed(const BufferSlice& slice) const {
+  const std::size_t fairShare = memoryBudget_.maxBytes / MemoryBudget::kFairShareDivisor;
+  const bool exceedsFairShare = unsentBytes() + slice.size() > fairShare;
+  return memoryBudget_.allows(
+      chargedBytes(slice), exceedsFairShare ? MemoryBudget::Purpose::excess : MemoryBudget::Purpose::output);
+}
+
 void Connection::enqueue(const BufferSlice& slice) {
   if (isShutDown_ || slice.size() == 0) return;
-  const bool exceedsFairShare =
-      unsentBytes() + slice.size() > outputBudget_.maxBytes / OutputBudget::kFairShareDivisor;
-  if (outputBudget_.usedBytes + slice.size() >
-      (exceedsFairShare ? outputBudget_.maxBytes : 2 * outputBudget_.maxBytes))
-    return shutDown();
+  if (!isOutputAllowed(slice)) return shutDown();
   try {
     PADDLETRACK_TABLE("unsent");
     outputQueue_.push_back(slice);
@@ -186,7 +200,7 @@
     return shutDown();
   }
   queuedBytes_ += slice.size();
-  outputBudget_.usedBytes += slice.size();
+  outputCharge_.add(chargedBytes(slice));
   outputQueued_.set();
 }
 
@@ -226,23 +240,27 @@
       co_return;
     }
     writtenBytes_ += static_cast<std::uint64_t>(sent);
-    outputBudget_.usedBytes -= static_cast<std::size_t>(sent);
-    for (std::size_t remaining = static_cast<std::size_t>(sent); remaining > 0;) {
-      const std::size_t firstSize = outputQueue_.front().size() - firstSliceOffset_;
-      if (remaining < firstSize) {
-        firstSliceOffset_ += remaining;
-        break;
-      }
-      remaining -= firstSize;
-      firstSliceOffset_ = 0;
-      outputQueue_.pop_front();
-    }
+    removeWritten(static_cast<std::size_t>(sent));
     outputDrained_.set();
     if (isWaitingForActivity_) descriptor_->readable.set();
     if (!outputQueue_.empty()) co_await scheduler_.yield();
   }
 }
 
+void Connection::removeWritten(std::size_t writtenBytes) {
+  while (writtenBytes > 0) {
+    const BufferSlice& first = outputQueue_.front();
+    const std::size_t writtenOfFirst = std::min(writtenBytes, first.size() - firstSliceOffset_);
+    if (!first.isCounted()) outputCharge_.remove(writtenOfFirst);
+    writtenBytes -= writtenOfFirst;
+    firstSliceOffset_ += writtenOfFirst;
+    if (firstSliceOffset_ < first.size()) return;
+    firstSliceOffset_ = 0;
+    outputCharge_.remove(kSliceOverheadBytes);
+    outputQueue_.pop_front();
+  }
+}
+
 Task<bool> Connection::waitUntilDrained(std::size_t maxUnsent, TimePoint deadline) {
   while (!isShutDown_ && unsentBytes() > maxUnsent) {
     const bool wasDrained = co_await outputDrained_.wait(deadline);
--- a/src/transport/connection.hpp
+++ b/src/transport/connection.hpp
@@ -10,7 +10,8 @@
 #include <memory>
 #include <string>
 
-#include "transport/buffer_slice.hpp"
+#include "transport/input_buffer.hpp"
+#include "transport/memory_budget.hpp"
 #include "transport/scheduler.hpp"
 
 namespace paddletrack::transport {
@@ -34,23 +35,15 @@
   socklen_t length_ = 0;
 };
 
-/// The unsent bytes of all connections of the process, and their limit. At the limit, connections that hold
-/// more than a fair share of it are closed, because their peers are not reading.
-struct OutputBudget {
-  static constexpr std::size_t kFairShareDivisor = 64;
-  std::size_t maxBytes = 0;
-  std::size_t usedBytes = 0;
-};
-
 /// A stream socket with bounded buffers. Everything that is sent within one iteration of the event loop is
-/// written together. The scheduler and the output budget must outlive the connection.
+/// written together. The scheduler and the memory budget must outlive the connection.
 class Connection {
  public:
   /// How the input ended.
   enum class ReadEnd { none, closed, reset };
 
   Connection(Scheduler& scheduler, std::unique_ptr<Descriptor> descriptor, std::size_t initialInput,
-             std::size_t maxInput, OutputBudget& outputBudget);
+             std::size_t maxInput, MemoryBudget& memoryBudget);
   ~Connection();
 
   /// Waits for more input. Yields false at the deadline, at the end of input and when the input buffer is
@@ -69,8 +62,8 @@
   /// were written. Yields false if the deadline passes first.
   Task<bool> waitForActivity(TimePoint deadline);
 
-  /// Queues the slices for writing; the bytes are shared, not copied. If the output budget does not allow it,
-  /// the connection is shut down.
+  /// Queues the slices for writing; the bytes are shared, not copied. If the memory budget does not allow it,
+  /// the connection is shut down: its peer does not read.
   void send(std::initializer_list<BufferSlice> slices);
   void send(const std::deque<BufferSlice>& slices);
   std::uint64_t queuedBytes() const { return queuedBytes_; }    ///< Total bytes that send() has queued.
@@ -87,12 +80,15 @@
 
  private:
   void enqueue(const BufferSlice& slice);
+  bool isOutputAllowed(const BufferSlice& slice) const;
+  void removeWritten(std::size_t writtenBytes);
   Task<> writeOutput();
 
   Scheduler& scheduler_;
   std::unique_ptr<Descriptor> descriptor_;
   InputBuffer input_;
-  OutputBudget& outputBudget_;
+  MemoryBudget& memoryBudget_;
+  MemoryCharge outputCharge_;  ///< Of the queued slices.
   ReadEnd readEnd_ = ReadEnd::none;
   bool isShutDown_ = false;
   bool isInputDrained_ = true;  ///< There is nothing to read until the next signal.
--- a/tests/addresses/address_failover_test.cpp
+++ b/tests/addresses/address_failover_test.cpp
@@ -30,7 +30,7 @@
   explicit AddressFixture(std::size_t connectionLimit = 40, const std::string& settings = "")
       : maxEngineConnections(connectionLimit),
         extraSettings(settings),
-        loadGenerator(*this, outputBudget, {Address("127.0.84.9:18443")}, 3) {
+        loadGenerator(*this, memoryBudget, {Address("127.0.84.9:18443")}, 3) {
     loadGenerator.start(0, {{"again", "", 1, 1ms, 1ms, 4000ms},
                             {"keyed", "", 1, 1ms, 1ms, 4000ms},
                             {"once", "", 1, 1ms, 1ms, 4000ms}});
@@ -86,14 +86,14 @@
       extraSettings));
   routing::RequestRouter router{
       *this,
-      outputBudget,
+      memoryBudget,
       config,
       {100,
        {config.maxAttemptsPerConnection, maxEngineConnections, config.connectTimeout, config.idleTimeout}},
       7,
       logger};
   routing::ClientListener clientListener{
-      *this, outputBudget, Address("127.0.84.9:18443"), {20, 40 << 20, 1 << 20}, router, logger};
+      *this, memoryBudget, Address("127.0.84.9:18443"), {20, 40 << 20, 1 << 20}, router, logger};
   TemporaryDirectory folder;
   const std::string ipv4Address = "127.0.84.1:18443", ipv6Address = "[::1]:18484",
                     unixAddress = "unix:" + folder.path() + "/engine";
@@ -105,7 +105,7 @@
   for (int workingIndex = 0; workingIndex < 3; ++workingIndex) {
     AddressFixture fixture;
     const std::vector<std::string> addresses{fixture.unixAddress, fixture.ipv6Address, fixture.ipv4Address};
-    FakeEngine engine(fixture, fixture.outputBudget,
+    FakeEngine engine(fixture, fixture.memoryBudget,
                       Address(addresses[static_cast<std::size_t>(workingIndex)]));
     fixture.updateEndpoint(addresses);
     EXPECT_LT(fixture.runRequestMs(2), 15) << workingIndex;
@@ -120,7 +120,7 @@
 TEST(AddressFailover, DelaysOneStaggerAndDemotesAddressWhenConnectIsUnanswered) {
   AddressFixture fixture;
   const UnresponsiveListener unresponsiveListener(Address(fixture.ipv6Address));
-  FakeEngine engine(fixture, fixture.outputBudget, Address(fixture.ipv4Address));
+  FakeEngine engine(fixture, fixture.memoryBudget, Address(fixture.ipv4Address));
   fixture.updateEndpoint({fixture.ipv6Address, fixture.ipv4Address});
   const double firstMs = fixture.runRequestMs(2);
   EXPECT_EQ(fixture.lastOutcome, Reply::Outcome::completed) << fixture.logText;
@@ -134,7 +134,7 @@
 
 TEST(AddressFailover, FailsUnsafeRequestAndAvoidsAddressWhenItAcceptsButNeverResponds) {
   AddressFixture fixture;
-  FakeEngine engine(fixture, fixture.outputBudget, Address(fixture.ipv4Address));
+  FakeEngine engine(fixture, fixture.memoryBudget, Address(fixture.ipv4Address));
   const std::size_t unresponsiveIndex = engine.addAddress(Address(fixture.unixAddress));
   engine.setFault(unresponsiveIndex, Fault::unresponsive);
   fixture.updateEndpoint({fixture.unixAddress, fixture.ipv4Address});
@@ -151,7 +151,7 @@
 TEST(AddressFailover, MovesAttemptToOtherAddressWhenMessageIsOnlyPartlyWritten) {
   for (const std::size_t profileIndex : {0U, 1U, 2U}) {
     AddressFixture fixture;
-    FakeEngine engine(fixture, fixture.outputBudget, Address(fixture.ipv4Address));
+    FakeEngine engine(fixture, fixture.memoryBudget, Address(fixture.ipv4Address));
     const std::size_t unresponsiveIndex = engine.addAddress(Address(fixture.unixAddress));
     engine.setFault(unresponsiveIndex, Fault::unresponsive);
     fixture.updateEndpoint({fixture.unixAddress, fixture.ipv4Address});
@@ -175,7 +175,7 @@
   for (const Fault fault : {Fault::resetOnAccept, Fault::resetOnAsk, Fault::partialAnswer})
     for (const std::size_t profileIndex : {0U, 2U}) {
       AddressFixture fixture;
-      FakeEngine engine(fixture, fixture.outputBudget, Address(fixture.ipv4Address));
+      FakeEngine engine(fixture, fixture.memoryBudget, Address(fixture.ipv4Address));
       const std::size_t faultyIndex = engine.addAddress(Address(fixture.unixAddress));
       engine.setFault(faultyIndex, fault);
       fixture.updateEndpoint({fixture.unixAddress, fixture.ipv4Address});
@@ -191,7 +191,7 @@
 
 TEST(AddressFailover, FinishesOpenAttemptsAndSendsNoNewOnesWhenAddressIsDelisted) {
   AddressFixture fixture;
-  FakeEngine engine(fixture, fixture.outputBudget, Address(fixture.ipv4Address));
+  FakeEngine engine(fixture, fixture.memoryBudget, Address(fixture.ipv4Address));
   const std::size_t delistedIndex = engine.addAddress(Address(fixture.unixAddress));
   fixture.loadGenerator.start(0, {{"once", "", 1, 150ms, 150ms, 4000ms}, {"again", "", 1, 1ms, 1ms, 4000ms}});
   fixture.updateEndpoint({fixture.unixAddress, fixture.ipv4Address});
@@ -213,7 +213,7 @@
 TEST(AddressFailover, RetriesOnOtherAddressUnlessNotIdempotentWhenAddressVanishesInFlight) {
   for (const std::size_t profileIndex : {0U, 1U, 2U}) {
     AddressFixture fixture;
-    FakeEngine engine(fixture, fixture.outputBudget, Address(fixture.ipv4Address));
+    FakeEngine engine(fixture, fixture.memoryBudget, Address(fixture.ipv4Address));
     const std::size_t closedIndex = engine.addAddress(Address(fixture.unixAddress));
     std::vector<LoadGenerator::RequestProfile> profiles(3, {"", "", 1, 120ms, 120ms, 4000ms});
     profiles[0].requestClass = "again", profiles[1].requestClass = "keyed", profiles[2].requestClass = "once";
@@ -235,7 +235,7 @@
 // An idempotent request serves as the trial that detects the recovery of a failed, preferred address.
 TEST(AddressFailover, ReusesPreferredAddressWhenItRecovers) {
   AddressFixture fixture;
-  FakeEngine engine(fixture, fixture.outputBudget, Address(fixture.ipv4Address));
+  FakeEngine engine(fixture, fixture.memoryBudget, Address(fixture.ipv4Address));
   fixture.updateEndpoint({fixture.unixAddress, fixture.ipv4Address});
   fixture.runRequestMs(0);
   const std::size_t recoveredIndex = engine.addAddress(Address(fixture.unixAddress));
@@ -255,7 +255,7 @@
   fixture.updateEndpoint({fixture.unixAddress, fixture.ipv6Address, fixture.ipv4Address});
   EXPECT_LT(fixture.runRequestMs(2), 800);
   EXPECT_EQ(fixture.lastOutcome, Reply::Outcome::rejected) << fixture.logText;
-  FakeEngine engine(fixture, fixture.outputBudget, Address(fixture.ipv6Address));
+  FakeEngine engine(fixture, fixture.memoryBudget, Address(fixture.ipv6Address));
   EXPECT_TRUE(fixture.runUntil(
       [&] { return fixture.runRequestMs(0) > 0 && fixture.lastOutcome == Reply::Outcome::completed; },
       8000ms));
@@ -268,7 +268,7 @@
     AddressFixture fixture;
     std::optional<UnresponsiveListener> unresponsiveListener;
     if (isConnecting) unresponsiveListener.emplace(Address(fixture.ipv6Address));
-    FakeEngine engine(fixture, fixture.outputBudget, Address(fixture.ipv4Address));
+    FakeEngine engine(fixture, fixture.memoryBudget, Address(fixture.ipv4Address));
     const std::string firstAddress = isConnecting ? fixture.ipv6Address : fixture.unixAddress;
     if (!isConnecting) engine.setFault(engine.addAddress(Address(fixture.unixAddress)), Fault::unresponsive);
     fixture.loadGenerator.start(
@@ -295,10 +295,10 @@
     std::optional<UnresponsiveListener> ipv4Listener;
     std::optional<FakeEngine> engine;
     if (hasWorkingAddress)
-      engine.emplace(fixture, fixture.outputBudget, Address(fixture.ipv4Address));
+      engine.emplace(fixture, fixture.memoryBudget, Address(fixture.ipv4Address));
     else
       ipv4Listener.emplace(Address(fixture.ipv4Address));
-    FakeEngine busyEngine(fixture, fixture.outputBudget, Address("127.0.84.2:18443"));
+    FakeEngine busyEngine(fixture, fixture.memoryBudget, Address("127.0.84.2:18443"));
     fixture.loadGenerator.start(0,
                                 {{"again", "", 1, 900ms, 900ms, 4000ms}, {"again", "", 1, 1ms, 1ms, 4000ms}});
     fixture.updateEndpoint({"127.0.84.2:18443"}, "s-2", false);
@@ -330,7 +330,7 @@
 // having sent an attempt to that address.
 TEST(AddressFailover, DelaysOneStaggerWhenRetriedAddressStallsAgain) {
   AddressFixture fixture;
-  FakeEngine engine(fixture, fixture.outputBudget, Address(fixture.ipv4Address));
+  FakeEngine engine(fixture, fixture.memoryBudget, Address(fixture.ipv4Address));
   const std::size_t unresponsiveIndex = engine.addAddress(Address(fixture.unixAddress));
   fixture.updateEndpoint({fixture.unixAddress, fixture.ipv4Address});
   fixture.runRequestMs(0);
@@ -351,8 +351,8 @@
 // Another program listens on the socket path, or the socket's mode denies access to this user.
 TEST(AddressFailover, UsesOtherAddressWhenUnixSocketIsForeignOrForbidden) {
   AddressFixture fixture;
-  FakeEngine engine(fixture, fixture.outputBudget, Address(fixture.ipv4Address)),
-      foreignServer(fixture, fixture.outputBudget, Address(fixture.unixAddress));
+  FakeEngine engine(fixture, fixture.memoryBudget, Address(fixture.ipv4Address)),
+      foreignServer(fixture, fixture.memoryBudget, Address(fixture.unixAddress));
   foreignServer.onCommand = [](FakeEngine&, transport::Connection& connection, const std::string&,
                                const std::string&) {
     connection.send({transport::BufferSlice::fromStatic("HTTP/1.1 400 Bad Request\r\n\r\n")});
@@ -365,8 +365,8 @@
   EXPECT_TRUE(fixture.hasLogged("reset early")) << fixture.logText;
   if (::geteuid() != 0) return;  // Only root can drop to a user that has no access.
   const std::string forbiddenAddress = fixture.unixAddress + "-shut";
-  FakeEngine forbiddenEngine(fixture, fixture.outputBudget, Address(forbiddenAddress)),
-      openEngine(fixture, fixture.outputBudget, Address("127.0.84.3:18443"));
+  FakeEngine forbiddenEngine(fixture, fixture.memoryBudget, Address(forbiddenAddress)),
+      openEngine(fixture, fixture.memoryBudget, Address("127.0.84.3:18443"));
   ::chmod(forbiddenAddress.substr(5).c_str(), 0600);
   ::chmod(fixture.folder.path().c_str(), 0755);
   fixture.updateEndpoint({forbiddenAddress, "127.0.84.3:18443"}, "s-3", true);
@@ -384,7 +384,7 @@
   AddressFixture fixture(
       40, "rules.coldUs=60000000\nrules.startCapacity=0.03\nrules.fallMultiple=3\nrules.fallUs=2000000\n");
   const UnresponsiveListener unresponsiveListener(Address(fixture.ipv6Address));
-  FakeEngine engine(fixture, fixture.outputBudget, Address(fixture.ipv4Address));
+  FakeEngine engine(fixture, fixture.memoryBudget, Address(fixture.ipv4Address));
   fixture.loadGenerator.start(0, {{"again", "", 1, 300ms, 300ms, 4000ms}});
   const auto now = std::chrono::duration_cast<std::chrono::milliseconds>(
       std::chrono::system_clock::now().time_since_epoch());
@@ -408,7 +408,7 @@
   for (int index = 1; index <= 6; ++index) {
     const std::string ipv4Address = "127.0.84." + std::to_string(10 + index) + ":18443",
                       unixAddress = fixture.unixAddress + std::to_string(index);
-    engines.push_back(std::make_unique<FakeEngine>(fixture, fixture.outputBudget, Address(ipv4Address)));
+    engines.push_back(std::make_unique<FakeEngine>(fixture, fixture.memoryBudget, Address(ipv4Address)));
     engines.back()->addAddress(Address(unixAddress));
     fixture.updateEndpoint({unixAddress, ipv4Address}, "s-" + std::to_string(index), false);
   }
@@ -425,11 +425,11 @@
 // than one race delay.
 TEST(AddressFailover, LosesNoRequestWhenAddressFlaps) {
   AddressFixture fixture;
-  FakeEngine engine(fixture, fixture.outputBudget, Address(fixture.ipv4Address));
+  FakeEngine engine(fixture, fixture.memoryBudget, Address(fixture.ipv4Address));
   fixture.updateEndpoint({fixture.unixAddress, fixture.ipv4Address});
   for (int index = 0; index < 30; ++index) {
     std::optional<FakeEngine> flappingEngine;
-    if (index % 2 == 0) flappingEngine.emplace(fixture, fixture.outputBudget, Address(fixture.unixAddress));
+    if (index % 2 == 0) flappingEngine.emplace(fixture, fixture.memoryBudget, Address(fixture.unixAddress));
     EXPECT_LT(fixture.runRequestMs(0), 60) << index;
     EXPECT_EQ(fixture.lastOutcome, Reply::Outcome::completed) << index << fixture.logText;
     flappingEngine.reset();
@@ -443,7 +443,7 @@
 TEST(AddressFailover, LogsInvalidAddressesAndServesThroughValidOneWhenListIsMixed) {
   AddressFixture fixture;
   std::ofstream(fixture.unixAddress.substr(5)) << "no socket";
-  FakeEngine engine(fixture, fixture.outputBudget, Address(fixture.ipv4Address));
+  FakeEngine engine(fixture, fixture.memoryBudget, Address(fixture.ipv4Address));
   std::vector<std::string> addresses{fixture.unixAddress,
                                      "unix:relative",
                                      "host.example:80",
--- a/tests/admin/admin_server_test.cpp
+++ b/tests/admin/admin_server_test.cpp
@@ -34,11 +34,11 @@
   explicit ControllerUnderLoad(int subnet, FakeFleetOptions options = {}) {
     options.program = PADDLETRACK_PROGRAM;
     options.subnet = subnet;
-    fleet.emplace(*this, outputBudget, options);
-    loadGenerator.emplace(*this, outputBudget, fleet->controllerAddresses(), 7);
+    fleet.emplace(*this, memoryBudget, options);
+    loadGenerator.emplace(*this, memoryBudget, fleet->controllerAddresses(), 7);
     loadGenerator->setHeartbeatInterval(20ms);
     EXPECT_TRUE(runUntil([&] { return loadGenerator->isInService(0); })) << readLog();
-    if (options.hasAdminSockets) adminClient.emplace(*this, outputBudget, fleet->adminSocketPath(0));
+    if (options.hasAdminSockets) adminClient.emplace(*this, memoryBudget, fleet->adminSocketPath(0));
   }
   // Sends a request and waits for the response; null if the connection closes or the wait times out.
   Json sendAdminRequest(const Json& request) {
@@ -207,7 +207,7 @@
   EXPECT_EQ(run.queryState(), "serving");
   EXPECT_EQ(run.sendAdminRequest({{"do", "drain"}, {"deadline_ms", 20000}})["status"]["drain"]["number"], 1);
   {
-    AdminConnection otherOperator(run, run.outputBudget, run.fleet->adminSocketPath(0));
+    AdminConnection otherOperator(run, run.memoryBudget, run.fleet->adminSocketPath(0));
     otherOperator.send(R"({"v":1,"id":"o","do":"drain","deadline_ms":600})"
                        "\n"
                        R"({"v":1,"id":"w","do":"watch","every_ms":50})"
@@ -271,7 +271,7 @@
     configText.replace(configText.find("127.0.95.250"), 12, "127.0.95.249");
     std::ofstream(configPath) << configText;
   }
-  FakeEndpointList secondEndpointList(run, run.outputBudget, transport::Address("127.0.95.249:18443"));
+  FakeEndpointList secondEndpointList(run, run.memoryBudget, transport::Address("127.0.95.249:18443"));
   secondEndpointList.publish({}, false);  // no records beyond those already known
   run.fleet->controller(0).sendSignal(SIGHUP);
   EXPECT_TRUE(
@@ -306,7 +306,7 @@
 
 TEST(DrainUnderLoad, CompletesWithoutLossWhenClientsMisbehave) {
   ControllerUnderLoad run(88);
-  MisbehavingClients misbehavingClients(run, run.outputBudget, run.fleet->controllerAddresses()[0], 40);
+  MisbehavingClients misbehavingClients(run, run.memoryBudget, run.fleet->controllerAddresses()[0], 40);
   run.loadGenerator->start(300, {FakeFleet::lookUpProfile(), {"report", "acme", 0.02, 100ms, 900ms, 20s}});
   run.runFor(500ms);
   for (int round = 0; round < 3; ++round) {
@@ -508,7 +508,7 @@
                                {"serve", "--config", run.fleet->directory() + "/config0.json", "--log",
                                 "json", "--log-level", "warning"},
                                run.fleet->directory() + "/json");
-  MisbehavingClients misbehavingClients(run, run.outputBudget, run.fleet->controllerAddresses()[0], 10);
+  MisbehavingClients misbehavingClients(run, run.memoryBudget, run.fleet->controllerAddresses()[0], 10);
   run.fleet->engine(0).setFault(0, FakeEngine::Fault::unresponsive);
   run.runFor(700ms);
   jsonController.sendSignal(SIGTERM);
@@ -530,12 +530,12 @@
 TEST(AdminServer, DisturbsNoRequestWhenAdminClientsMisbehave) {
   ControllerUnderLoad run(96);
   run.loadGenerator->start(100, {FakeFleet::lookUpProfile()});
-  AdminConnection garbageClient(run, run.outputBudget, run.fleet->adminSocketPath(0));
+  AdminConnection garbageClient(run, run.memoryBudget, run.fleet->adminSocketPath(0));
   garbageClient.send("\xff\xfe{{{\nGET / HTTP/1.1\r\n\r\n{\"v\":9}\n");
   EXPECT_TRUE(run.runUntil([&] { return garbageClient.receivedLines.size() >= 4; }));
   for (const std::string& receivedLine : garbageClient.receivedLines)
     EXPECT_FALSE(Json::parse(receivedLine)["ok"]) << receivedLine;
-  AdminConnection endlessLineClient(run, run.outputBudget, run.fleet->adminSocketPath(0));
+  AdminConnection endlessLineClient(run, run.memoryBudget, run.fleet->adminSocketPath(0));
   endlessLineClient.send(std::string(40000, 'x'));
   EXPECT_TRUE(run.runUntil([&] { return endlessLineClient.isClosed; }));
   ASSERT_EQ(endlessLineClient.receivedLines.size(), 1U);
@@ -555,7 +555,7 @@
   std::vector<std::unique_ptr<AdminConnection>> clients;
   for (int index = 0; index < 12; ++index)
     clients.push_back(
-        std::make_unique<AdminConnection>(run, run.outputBudget, run.fleet->adminSocketPath(0)));
+        std::make_unique<AdminConnection>(run, run.memoryBudget, run.fleet->adminSocketPath(0)));
   EXPECT_TRUE(run.runUntil([&] {
     return std::count_if(clients.begin(), clients.end(),
                          [](const auto& client) { return client->isClosed; }) >= 4;
@@ -576,9 +576,9 @@
       "profiles.0.idempotency=retryable\nprofiles.0.onTimeUs=400000\nprofiles.0.giveUpUs=2000000\ntickUs="
       "5000\n"));
   const Logger logger([](const LogRecord&) {});
-  routing::RequestRouter router(scheduler, scheduler.outputBudget, config, {100, {4, 20, 20ms, 400ms}}, 7,
+  routing::RequestRouter router(scheduler, scheduler.memoryBudget, config, {100, {4, 20, 20ms, 400ms}}, 7,
                                 logger);
-  routing::ClientListener clientListener(scheduler, scheduler.outputBudget,
+  routing::ClientListener clientListener(scheduler, scheduler.memoryBudget,
                                          transport::Address("127.0.98.9:18443"), {10, 4096, 65536}, router,
                                          logger);
   admin::ServiceLifecycle lifecycle(scheduler, router, clientListener, "n", {}, logger, [] {});
@@ -587,9 +587,9 @@
   options.idleTimeout = 200ms;
   options.maxUnsentBytes = 8192;
   admin::AdminServer server(scheduler, options, lifecycle, logger);
-  AdminConnection idleClient(scheduler, scheduler.outputBudget, path),
-      watcher(scheduler, scheduler.outputBudget, path),
-      partialLineWatcher(scheduler, scheduler.outputBudget, path);
+  AdminConnection idleClient(scheduler, scheduler.memoryBudget, path),
+      watcher(scheduler, scheduler.memoryBudget, path),
+      partialLineWatcher(scheduler, scheduler.memoryBudget, path);
   watcher.send("{\"v\":1,\"do\":\"watch\",\"every_ms\":20}\n");
   partialLineWatcher.send("{\"v\":1,\"do\":\"watch\",\"every_ms\":20}\n{\"v\":");
   const transport::Address address("unix:" + path);
@@ -682,7 +682,7 @@
   FakeFleetOptions fleetOptions;
   fleetOptions.program = PADDLETRACK_PROGRAM;
   fleetOptions.subnet = 99;
-  FakeFleet fleet(scheduler, scheduler.outputBudget, fleetOptions);
+  FakeFleet fleet(scheduler, scheduler.memoryBudget, fleetOptions);
   scheduler.runFor(300ms);
   ServerProcess secondController(
       PADDLETRACK_PROGRAM,
@@ -700,7 +700,7 @@
     event.isSnapshot = true;
     event.entries.push_back({"s-1", "127.0.89.1:18443", "a", "m", 0, EndpointState::ready, 0});
     router.onEndpointUpdate(event);
-    loadGenerator.emplace(*this, outputBudget, std::vector{transport::Address("127.0.89.9:18443")}, 3);
+    loadGenerator.emplace(*this, memoryBudget, std::vector{transport::Address("127.0.89.9:18443")}, 3);
     loadGenerator->start(0, {});
   }
   const Logger logger{[](const LogRecord&) {}};
@@ -717,11 +717,11 @@
       "limits.maxRetryAfterUs=900000\nlimits.streamsPerConn=4\nlimits.dialTimeoutUs=3000000\n"
       "limits.idleCloseUs=9000000\ntickUs=5000\n"));
   routing::RequestRouter router{
-      *this,  outputBudget,
+      *this,  memoryBudget,
       config, {100, {config.maxAttemptsPerConnection, 20, config.connectTimeout, config.idleTimeout}},
       7,      logger};
   routing::ClientListener clientListener{
-      *this, outputBudget, transport::Address("127.0.89.9:18443"), {20, 4096, 65536}, router, logger};
+      *this, memoryBudget, transport::Address("127.0.89.9:18443"), {20, 4096, 65536}, router, logger};
   admin::ServiceLifecycle lifecycle{*this, router, clientListener, "n", {}, logger, [] {}};
   std::optional<LoadGenerator> loadGenerator;
 };
@@ -738,7 +738,7 @@
       unresponsiveEngine.emplace(engineAddress);
       fixture.runFor(20ms);
     } else {
-      engine.emplace(fixture, fixture.outputBudget, engineAddress);
+      engine.emplace(fixture, fixture.memoryBudget, engineAddress);
     }
     std::vector<LoadGenerator::RequestProfile> profiles;
     for (const char* requestClass : {"again", "keyed", "once"})
@@ -777,7 +777,7 @@
 TEST(DrainDeadline, RejectsAndNeverDeliversWholeRequestWhenAttemptIsRecalled) {
   for (const bool isLongRequest : {false, true}) {
     DrainFixture fixture;
-    routing::ClientListener largeMessageListener(fixture, fixture.outputBudget,
+    routing::ClientListener largeMessageListener(fixture, fixture.memoryBudget,
                                                  transport::Address("127.0.89.8:18443"),
                                                  {20, 40 << 20, 1 << 20}, fixture.router, fixture.logger);
     const transport::Address engineAddress("127.0.89.1:18443");
@@ -786,7 +786,7 @@
     ::setsockopt(listeningSocket, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
     ASSERT_EQ(::bind(listeningSocket, engineAddress.nativeHandle(), engineAddress.length()), 0);
     ASSERT_EQ(::listen(listeningSocket, 8), 0);  // the kernel accepts; no process reads
-    LoadGenerator client(fixture, fixture.outputBudget, {transport::Address("127.0.89.8:18443")}, 5);
+    LoadGenerator client(fixture, fixture.memoryBudget, {transport::Address("127.0.89.8:18443")}, 5);
     const std::size_t statementBytes = isLongRequest ? 24 << 20 : 100;
     client.start(0, {{"once", "", 1, 10ms, 10ms, 9000ms, std::string(statementBytes, 'x')}});
     client.send(0, 0);
--- a/tests/discovery/endpoint_watcher_test.cpp
+++ b/tests/discovery/endpoint_watcher_test.cpp
@@ -89,7 +89,7 @@
     firstList.publish(makeEndpoints(4), true);
     otherList.publish(makeEndpoints(4), true);
   }
-  void startWatcher() { watcher.emplace(*this, outputBudget, firstAddress, 0, 7, router, logger, options_); }
+  void startWatcher() { watcher.emplace(*this, memoryBudget, firstAddress, 0, 7, router, logger, options_); }
   bool waitUntilFollowing() {
     return runUntil([&] { return watcher->status().isWatching && watcher->status().lastEventNumber >= 1; },
                     4s);
@@ -105,7 +105,7 @@
   const discovery::ReconnectOptions options_;
   const transport::Address firstAddress{hostAddress(250)}, otherAddress{hostAddress(251)},
       unreachableAddress{hostAddress(252)};
-  FakeEndpointList firstList{*this, outputBudget, firstAddress}, otherList{*this, outputBudget, otherAddress};
+  FakeEndpointList firstList{*this, memoryBudget, firstAddress}, otherList{*this, memoryBudget, otherAddress};
   std::string logText;
   const Logger logger{[this](const LogRecord& record) {
     logText += std::string(record.topic) + ": " + record.message + "\n";
@@ -113,7 +113,7 @@
   protocol::ControllerConfig config =
       protocol::decodeControllerConfig(protocol::flattenLines(kControllerSettings));
   routing::RequestRouter router{
-      *this,  outputBudget,
+      *this,  memoryBudget,
       config, {100, {config.maxAttemptsPerConnection, 20, config.connectTimeout, config.idleTimeout, {}}},
       7,      logger};
   std::optional<routing::EndpointWatcher> watcher;
@@ -314,8 +314,8 @@
     options.hasAdminSockets = options.startsControllers = false;
   }
   void launch() {
-    fleet.emplace(*this, outputBudget, options);
-    loadGenerator.emplace(*this, outputBudget, fleet->controllerAddresses(), 3);
+    fleet.emplace(*this, memoryBudget, options);
+    loadGenerator.emplace(*this, memoryBudget, fleet->controllerAddresses(), 3);
     loadGenerator->setHeartbeatInterval(50ms);
     loadGenerator->setDedicatedClients(true);
     for (std::size_t index = 0; index < options.controllers; ++index) fleet->startController(index);
@@ -386,7 +386,7 @@
         co_await transport::connect(fixture, fixture.fleet->controllerAddresses()[0], fixture.now() + 10s);
     if (connectResult.descriptor) {
       transport::Connection connection(fixture, std::move(connectResult.descriptor), 256, 4096,
-                                       fixture.outputBudget);
+                                       fixture.memoryBudget);
       if (sendsHeartbeat) connection.send({transport::BufferSlice(heartbeat)});
       for (bool hasMore = true; hasMore;) {
         hasMore = co_await connection.receive();
@@ -410,7 +410,7 @@
       R"(exec 7</dev/null 8</dev/null 9</dev/null; exec "$0" "$@")"};  // It inherits three descriptors.
   fixture.launch();
   ASSERT_TRUE(fixture.waitUntilReady(15s));
-  FakeEndpointList otherList(fixture, fixture.outputBudget,
+  FakeEndpointList otherList(fixture, fixture.memoryBudget,
                              transport::Address(fixture.fleet->addressText(251)));
   otherList.publish(fixture.fleet->endpoints(), true);
   otherList.behavior.unansweredSessions =
--- a/tests/discovery/reconnect_schedule_test.cpp
+++ b/tests/discovery/reconnect_schedule_test.cpp
@@ -118,8 +118,8 @@
     if (!rateSettings.empty()) options.operatorConfig = "coldstart {\n" + rateSettings + "\n}\n";
   }
   void startFakes() {
-    fleet.emplace(*this, outputBudget, options);
-    loadGenerator.emplace(*this, outputBudget, fleet->controllerAddresses(), 3);
+    fleet.emplace(*this, memoryBudget, options);
+    loadGenerator.emplace(*this, memoryBudget, fleet->controllerAddresses(), 3);
     loadGenerator->setHeartbeatInterval(30ms);
     loadGenerator->setDedicatedClients(true);
   }
@@ -323,7 +323,7 @@
   fixture.startControllers();
   EXPECT_TRUE(fixture.waitUntilAllReady(8s));
   EXPECT_TRUE(fixture.runUntil([&] { return fixture.endpointList().queryTimes.size() >= 12; }, 8s));
-  fakes::FakeEndpointList newService(fixture, fixture.outputBudget,
+  fakes::FakeEndpointList newService(fixture, fixture.memoryBudget,
                                      transport::Address(fixture.fleet->addressText(251)));
   std::vector<fakes::FakeEndpointList::Endpoint> endpoints;
   for (unsigned index = 0; index < 6; ++index)
--- a/tests/gossip/gossip_cluster_test.cpp
+++ b/tests/gossip/gossip_cluster_test.cpp
@@ -210,7 +210,7 @@
   options.program = PADDLETRACK_PROGRAM;
   options.subnet = 169;
   options.operatorConfig = "share { listen = \"127.0.169.1:17946\" }\n";
-  FakeFleet fleet(scheduler, scheduler.outputBudget, options);
+  FakeFleet fleet(scheduler, scheduler.memoryBudget, options);
   ASSERT_TRUE(scheduler.runUntil([&] { return fleet.controller(0).exitCode().has_value(); }));
   EXPECT_EQ(fleet.controller(0).exitCode(), 1);
   std::ifstream file(fleet.logPath(0));
@@ -225,10 +225,10 @@
   FakeFleetOptions options;
   options.program = PADDLETRACK_PROGRAM;
   options.subnet = 167;
-  FakeFleet fleet(scheduler, scheduler.outputBudget, options);
+  FakeFleet fleet(scheduler, scheduler.memoryBudget, options);
   GossipCluster::Json status;
   EXPECT_TRUE(scheduler.runUntil([&] {
-    AdminConnection adminConnection(scheduler, scheduler.outputBudget, fleet.adminSocketPath(0));
+    AdminConnection adminConnection(scheduler, scheduler.memoryBudget, fleet.adminSocketPath(0));
     adminConnection.send("{\"v\":1,\"id\":1,\"do\":\"status\"}\n");
     scheduler.runUntil([&] { return !adminConnection.receivedLines.empty() || adminConnection.isClosed; },
                        1s);
--- a/tests/loadtest/fault_proxy_test.cpp
+++ b/tests/loadtest/fault_proxy_test.cpp
@@ -89,19 +89,19 @@
 struct TcpProxyFixture : TestScheduler {
   Address proxyAddress{"127.0.168.3:17948"}, serverAddress{"127.0.168.4:17948"};
   transport::Listener listener{*this, serverAddress};
-  TcpFaultProxy proxy{*this, outputBudget, proxyAddress, serverAddress, 3};
+  TcpFaultProxy proxy{*this, memoryBudget, proxyAddress, serverAddress, 3};
   std::optional<transport::Connection> clientConnection, serverConnection;
   transport::TaskGroup tasks{*this, [](const char*) {}};
   std::string clientReceived, serverReceived;
   transport::Task<> acceptConnection() {
     std::unique_ptr<transport::Descriptor> accepted = co_await listener.accept();
-    serverConnection.emplace(*this, std::move(accepted), 4096, 65536, outputBudget);
+    serverConnection.emplace(*this, std::move(accepted), 4096, 65536, memoryBudget);
     co_await readAll(*serverConnection, serverReceived);
   }
   transport::Task<> connectClient() {
     transport::ConnectResult connectResult = co_await transport::connect(*this, proxyAddress, now() + 1s);
     if (!connectResult.descriptor) co_return;
-    clientConnection.emplace(*this, std::move(connectResult.descriptor), 4096, 65536, outputBudget);
+    clientConnection.emplace(*this, std::move(connectResult.descriptor), 4096, 65536, memoryBudget);
     co_await readAll(*clientConnection, clientReceived);
   }
   bool openConnections() {
--- a/tests/loadtest/randomized_faults_test.cpp
+++ b/tests/loadtest/randomized_faults_test.cpp
@@ -58,19 +58,19 @@
     };
     for (subnet_ = options.subnet = 190; !fleet_;) {  // The first subnet that is not in use.
       try {
-        fleet_.emplace(loop_, loop_.outputBudget, options);
+        fleet_.emplace(loop_, loop_.memoryBudget, options);
       } catch (const ListenError&) {
         ++options.subnet;
         subnet_ = options.subnet;
         if (subnet_ > 230) throw;
       }
     }
-    engineProxy_.emplace(loop_, loop_.outputBudget, fleet_->addressOf(kProxyHost),
+    engineProxy_.emplace(loop_, loop_.memoryBudget, fleet_->addressOf(kProxyHost),
                          fleet_->addressOf(kProxiedEngine + 1), seed);
     engineProxy_->forwardFaults.maxDelay = engineProxy_->reverseFaults.maxDelay = 30ms;
-    endpointListProxy_.emplace(loop_, loop_.outputBudget, fleet_->addressOf(251), fleet_->addressOf(250),
+    endpointListProxy_.emplace(loop_, loop_.memoryBudget, fleet_->addressOf(251), fleet_->addressOf(250),
                                seed);
-    loadGenerator_.emplace(loop_, loop_.outputBudget, fleet_->controllerAddresses(), seed);
+    loadGenerator_.emplace(loop_, loop_.memoryBudget, fleet_->controllerAddresses(), seed);
     loadGenerator_->setHeartbeatInterval(20ms);
     loadGenerator_->recordTo(events_);
     // Late answers are checked by the invariant checker, which knows how long a process waited for a core.
@@ -329,7 +329,7 @@
       return;
     }
     recordStep("misbehaving clients" + controllerText);
-    misbehavingClients_.emplace(loop_, loop_.outputBudget, fleet_->controllerAddresses()[controller], 2);
+    misbehavingClients_.emplace(loop_, loop_.memoryBudget, fleet_->controllerAddresses()[controller], 2);
   }
 
   void publishEngineState(std::size_t engine, const std::string& id, const std::string& state,
@@ -483,7 +483,7 @@
   };
   ResourceUsage readResourceUsage(std::size_t controller) {
     ResourceUsage usage;
-    AdminConnection adminClient(loop_, loop_.outputBudget, fleet_->adminSocketPath(controller));
+    AdminConnection adminClient(loop_, loop_.memoryBudget, fleet_->adminSocketPath(controller));
     adminClient.send("{\"v\":1,\"id\":1,\"do\":\"status\"}\n");
     loop_.runUntil([&] { return !adminClient.receivedLines.empty() || adminClient.isClosed; }, 2s);
     const std::string openPrefix = "\"open\":{\"jobs\":";
--- a/tests/loadtest/trace_oracle_test.cpp
+++ b/tests/loadtest/trace_oracle_test.cpp
@@ -194,7 +194,7 @@
 TEST(TraceOracle, ReportsViolationWhenFakeEngineRecordsSecondExecution) {
   TestScheduler loop;
   EventLog events(loop);
-  FakeEngine engine(loop, loop.outputBudget, transport::Address("127.0.188.1:18443"));
+  FakeEngine engine(loop, loop.memoryBudget, transport::Address("127.0.188.1:18443"));
   engine.recordTo(events, 0);
   events.append({.kind = Kind::requestSent, .reference = "a", .detail = "load", .timeout = 1000ms});
   transport::TaskGroup running(loop, [](const char* message) { FAIL() << message; });
@@ -202,7 +202,7 @@
     transport::ConnectResult connectResult =
         co_await transport::connect(eventLoop, transport::Address("127.0.188.1:18443"), eventLoop.now() + 2s);
     transport::Connection connection(eventLoop, std::move(connectResult.descriptor), 4096, 4096,
-                                     eventLoop.outputBudget);
+                                     eventLoop.memoryBudget);
     for (int index = 0; index < 2; ++index) {  // The second is sent after the answer to the first.
       FakeEngine::sendReply(connection, {"ASK", "a", "-", "select 1"});
       (void)co_await connection.receive(eventLoop.now() + 2s);
--- a/tests/program/node_config_test.cpp
+++ b/tests/program/node_config_test.cpp
@@ -325,8 +325,8 @@
 // One site: an endpoint list, an engine, and a controller that is configured with both.
 struct SiteInstance {
   SiteInstance(fakes::TestScheduler& loop, const json& siteConfig, const std::string& network)
-      : endpointList(loop, loop.outputBudget, transport::Address(network + ".250:18443")),
-        engine(loop, loop.outputBudget, transport::Address(network + ".1:18443")),
+      : endpointList(loop, loop.memoryBudget, transport::Address(network + ".250:18443")),
+        engine(loop, loop.memoryBudget, transport::Address(network + ".1:18443")),
         configPath(directory.writeConfig(siteConfig)) {
     const json& settings = siteConfig["settings"];
     endpointList.publish(
@@ -355,7 +355,7 @@
   SiteInstance first(loop, makeSiteConfig(sites[0], networks[0]), networks[0]),
       second(loop, makeSiteConfig(sites[1], networks[1]), networks[1]);
   LoadGenerator loadClients(
-      loop, loop.outputBudget,
+      loop, loop.memoryBudget,
       {transport::Address(networks[0] + ".200:18443"), transport::Address(networks[1] + ".200:18443")}, 7);
   loadClients.setHeartbeatInterval(20ms);
   ASSERT_TRUE(loop.runUntil([&] { return loadClients.isInService(0) && loadClients.isInService(1); }));
@@ -392,7 +392,7 @@
   const std::vector<std::string> networks{ownNetwork(0), ownNetwork(1)};
   const json ownConfig = makeSiteConfig(sites[0], networks[0]);
   SiteInstance instance(loop, ownConfig, networks[0]);
-  FakeEndpointList otherList(loop, loop.outputBudget, transport::Address(networks[1] + ".250:18443"));
+  FakeEndpointList otherList(loop, loop.memoryBudget, transport::Address(networks[1] + ".250:18443"));
   ASSERT_TRUE(loop.runUntil([&] { return instance.endpointList.queryTimes.size() == 1; }));
   otherList.publish(
       {{"s-9", networks[1] + ".1:18443", "active", sites[0].zones[0], sites[0].machineTypes[0]}}, true);
@@ -445,7 +445,7 @@
     config["listen"] = ownNetwork(0) + ".200:18443";
     config["changelog"] = ownNetwork(0) + ".250:18443";
     SiteInstance instance(loop, config, ownNetwork(0));
-    LoadGenerator loadClients(loop, loop.outputBudget, {transport::Address(ownNetwork(0) + ".200:18443")}, 7);
+    LoadGenerator loadClients(loop, loop.memoryBudget, {transport::Address(ownNetwork(0) + ".200:18443")}, 7);
     loadClients.setHeartbeatInterval(20ms);
     ASSERT_TRUE(loop.runUntil([&] { return loadClients.isInService(0); }))
         << sockets << readFile(instance.logPath());
--- a/tests/program/rolling_restart_test.cpp
+++ b/tests/program/rolling_restart_test.cpp
@@ -29,14 +29,14 @@
   std::optional<FakeFleet> startedFleet;
   for (options.subnet = 150; !startedFleet;) {  // the first unused subnet
     try {
-      startedFleet.emplace(loop, loop.outputBudget, options);
+      startedFleet.emplace(loop, loop.memoryBudget, options);
     } catch (const std::system_error&) {
       if (++options.subnet > 170) throw;
     }
   }
   FakeFleet& fleet = *startedFleet;
   const std::string network = "127.0." + std::to_string(options.subnet) + ".";
-  LoadGenerator loadClients(loop, loop.outputBudget, fleet.controllerAddresses(), 7);
+  LoadGenerator loadClients(loop, loop.memoryBudget, fleet.controllerAddresses(), 7);
   loadClients.setHeartbeatInterval(20ms);
   const auto areAllServing = [&] {
     for (std::size_t index = 0; index < options.controllers; ++index)
@@ -45,7 +45,7 @@
   };
   ASSERT_TRUE(loop.runUntil(areAllServing));
   loadClients.start(150, {FakeFleet::lookUpProfile(9), {"report", "acme", 1, 100ms, 300ms, 2s}});
-  MisbehavingClients misbehavingClients(loop, loop.outputBudget, fleet.controllerAddresses().front(), 3);
+  MisbehavingClients misbehavingClients(loop, loop.memoryBudget, fleet.controllerAddresses().front(), 3);
   loop.runFor(300ms);
   fleet.endpointList().setSilent(true);
   fleet.engine(0).setFault(0, FakeEngine::Fault::unresponsive);
--- a/tests/program/server_process_test.cpp
+++ b/tests/program/server_process_test.cpp
@@ -50,7 +50,7 @@
     transport::Listener listener(*this, Address(address));
     for (;;) {
       auto accepted = co_await listener.accept();
-      transport::Connection connection(*this, std::move(accepted), 4096, 65536, outputBudget);
+      transport::Connection connection(*this, std::move(accepted), 4096, 65536, memoryBudget);
       while (co_await connection.receive()) {
         received += connection.input().view();
         connection.input().consume(connection.input().view().size());
@@ -71,7 +71,7 @@
   }
   std::string configPath =
       ::testing::TempDir() + "paddletrack_program_" + std::to_string(::getpid()) + ".json";
-  transport::OutputBudget outputBudget{1 << 20, 0};
+  transport::MemoryBudget memoryBudget{1 << 20, 0};
   transport::TaskGroup tasks{*this, [](const char*) {}};
   pid_t pid = 0;
 };
@@ -109,7 +109,7 @@
         co_await transport::connect(server, Address("127.0.78.9:18443"), server.now() + 2s);
     if (!connectResult.descriptor) co_return;
     connection = std::make_unique<transport::Connection>(server, std::move(connectResult.descriptor), 4096,
-                                                         65536, server.outputBudget);
+                                                         65536, server.memoryBudget);
     while (co_await connection->receive()) {
       received += connection->input().view();
       connection->input().consume(connection->input().view().size());
--- a/tests/rebalance/rebalance_cluster_test.cpp
+++ b/tests/rebalance/rebalance_cluster_test.cpp
@@ -51,10 +51,10 @@
            "]\n  period = \"50ms\"\n}\nrebalance {\n  capacity = \"640MiB\"\n  group = \"64MiB\"\n"
            "  period = \"2s\"\n  guard = \"100ms\"\n}\n";
   };
-  fakes::FakeFleet fleet(scheduler, scheduler.outputBudget, options);
+  fakes::FakeFleet fleet(scheduler, scheduler.memoryBudget, options);
   for (unsigned engine = 0; engine < options.engines; ++engine)
     fleet.engine(engine).configureCache({10, 64 << 20, milliseconds(30)});
-  fakes::LoadGenerator loadGenerator(scheduler, scheduler.outputBudget, fleet.controllerAddresses(), 3);
+  fakes::LoadGenerator loadGenerator(scheduler, scheduler.memoryBudget, fleet.controllerAddresses(), 3);
   std::vector<fakes::LoadGenerator::RequestProfile> profiles;
   for (unsigned group = 1; group <= 12; ++group) {
     profiles.push_back(fakes::FakeFleet::lookUpProfile());
--- a/tests/routing/engine_connection_test.cpp
+++ b/tests/routing/engine_connection_test.cpp
@@ -52,7 +52,7 @@
 
   static std::string engineAddress(int host) { return "127.0.121." + std::to_string(host) + ":18443"; }
   FakeEngine& startEngine(int host, FakeEngine::CommandHandler script) {
-    engines.push_back(std::make_unique<FakeEngine>(*this, outputBudget, Address(engineAddress(host))));
+    engines.push_back(std::make_unique<FakeEngine>(*this, memoryBudget, Address(engineAddress(host))));
     engines.back()->onCommand = std::move(script);
     return *engines.back();
   }
@@ -103,7 +103,7 @@
   RecordingListener listener;
   RequestRouter router{
       *this,
-      outputBudget,
+      memoryBudget,
       config,
       {100, {config.maxAttemptsPerConnection, maxConnections, config.connectTimeout, config.idleTimeout}},
       7,
@@ -139,7 +139,7 @@
     descriptor_ = std::move(accepted);
   }
   transport::Task<> readUntilEnd() {
-    connection_.emplace(fixture_, std::move(descriptor_), 1 << 20, 1 << 20, fixture_.outputBudget);
+    connection_.emplace(fixture_, std::move(descriptor_), 1 << 20, 1 << 20, fixture_.memoryBudget);
     for (;;) {
       const bool hasMore = co_await connection_->receive();
       if (!hasMore) break;
@@ -160,9 +160,9 @@
   std::size_t previousBytes = 0;
   return fixture.runUntil([&] {
     const bool isUnchanged =
-        fixture.outputBudget.usedBytes > 0 && fixture.outputBudget.usedBytes == previousBytes;
-    previousBytes = fixture.outputBudget.usedBytes;
-    return isUnchanged && fixture.outputBudget.usedBytes < kLargerThanSocketBuffers;
+        fixture.memoryBudget.usedBytes > 0 && fixture.memoryBudget.usedBytes == previousBytes;
+    previousBytes = fixture.memoryBudget.usedBytes;
+    return isUnchanged && fixture.memoryBudget.usedBytes < kLargerThanSocketBuffers;
   });
 }
 
@@ -387,19 +387,19 @@
   EXPECT_NE(fixture.listener.responseKinds[0], RequestContext::ResponseKind::succeeded);
 }
 
-// The output budget of this process is exhausted, so the attempts are not executed and even non-idempotent
+// The memory budget of this process is exhausted, so the attempts are not executed and even non-idempotent
 // requests may be retried.
-TEST(EngineConnection, ReportsAttemptsUnreachableWhenOutputBudgetRefusesThem) {
+TEST(EngineConnection, ReportsAttemptsUnreachableWhenMemoryBudgetRefusesThem) {
   EngineConnectionFixture fixture(kAllowCancellation, 1);  // All attempts wait for the only connection.
   fixture.startEngine(1, answerNormally);
   fixture.updateEndpoint({1});
   for (int index = 0; index < 3; ++index) fixture.submitRequest(kNotIdempotent);
   const std::size_t heldBytes =
-      std::exchange(fixture.outputBudget.usedBytes, 2 * fixture.outputBudget.maxBytes);
+      std::exchange(fixture.memoryBudget.usedBytes, 2 * fixture.memoryBudget.maxBytes);
   ASSERT_TRUE(
       fixture.runUntil([&] { return fixture.countOutcomes(AttemptOutcome::unreachable) >= 3; }, 500ms))
       << fixture.router.formatCounts();
-  fixture.outputBudget.usedBytes -= 2 * fixture.outputBudget.maxBytes - heldBytes;
+  fixture.memoryBudget.usedBytes -= 2 * fixture.memoryBudget.maxBytes - heldBytes;
   EXPECT_TRUE(fixture.waitUntilIdle());
   EXPECT_EQ(fixture.countOutcomes(AttemptOutcome::reset), 0U) << fixture.router.formatCounts();
   const auto& responseKinds = fixture.listener.responseKinds;
@@ -448,7 +448,7 @@
                           BufferSlice(std::string(isFullyWritten ? 10 : kLargerThanSocketBuffers, 's')));
     fixture.updateEndpoint({1}, EndpointState::ready, 0, "two");
     ASSERT_TRUE(isFullyWritten ? fixture.runUntil([&] {
-      return firstEngine.hasAccepted() && fixture.outputBudget.usedBytes == 0;
+      return firstEngine.hasAccepted() && fixture.memoryBudget.usedBytes == 0;
     })
                                : waitUntilWriteStalls(fixture));
     fixture.drainSockets();
--- a/tests/routing/request_router_test.cpp
+++ b/tests/routing/request_router_test.cpp
@@ -456,7 +456,7 @@
     for (const std::string& lines : {event(4, "active") + event(4, "left") + "4\n", event(6, "active"),
                                      event(5, "active") + "nonsense\n", std::string("5\n")}) {
       auto accepted = co_await listener.accept();
-      Connection connection(fixture, std::move(accepted), 4096, 65536, fixture.outputBudget);
+      Connection connection(fixture, std::move(accepted), 4096, 65536, fixture.memoryBudget);
       const bool hasRequest = co_await connection.receive();
       if (hasRequest) requestLines.emplace_back(connection.input().view());
       connection.send({BufferSlice(lines)});
@@ -464,7 +464,7 @@
     }
   };
   fixture.group.spawn(serveList());
-  EndpointWatcher watcher(fixture, fixture.outputBudget, Address("127.0.77.100:18443"), 3, 7, fixture.router,
+  EndpointWatcher watcher(fixture, fixture.memoryBudget, Address("127.0.77.100:18443"), 3, 7, fixture.router,
                           fixture.logger);
   fixture.addEngine(1, respondDone);
   fixture.runFor(100ms);
@@ -484,7 +484,7 @@
   const auto serveList = [&]() -> Task<> {
     for (;;) {
       auto accepted = co_await listener.accept();
-      Connection connection(fixture, std::move(accepted), 4096, 65536, fixture.outputBudget);
+      Connection connection(fixture, std::move(accepted), 4096, 65536, fixture.memoryBudget);
       ++connectCount;
       for (int index = 0; index < 10; ++index) {
         connection.send({BufferSlice(std::string("{"))});
@@ -493,7 +493,7 @@
     }
   };
   fixture.group.spawn(serveList());
-  EndpointWatcher watcher(fixture, fixture.outputBudget, Address("127.0.77.100:18443"), 3, 7, fixture.router,
+  EndpointWatcher watcher(fixture, fixture.memoryBudget, Address("127.0.77.100:18443"), 3, 7, fixture.router,
                           fixture.logger);
   fixture.runFor(3s);
   EXPECT_EQ(connectCount, 2);
@@ -515,7 +515,7 @@
   std::optional<transport::Listener> secondListener;
   const auto serveFirstList = [&]() -> Task<> {
     auto accepted = co_await firstListener.accept();
-    Connection connection(fixture, std::move(accepted), 4096, 65536, fixture.outputBudget);
+    Connection connection(fixture, std::move(accepted), 4096, 65536, fixture.memoryBudget);
     connection.send({BufferSlice(std::string("3\n"))});
     co_await fixture.sleepUntil(fixture.now() + 150ms);
     connection.send({BufferSlice(event(4, "active"))});
@@ -524,14 +524,14 @@
   };
   const auto serveSecondList = [&]() -> Task<> {
     auto accepted = co_await secondListener->accept();
-    Connection connection(fixture, std::move(accepted), 4096, 65536, fixture.outputBudget);
+    Connection connection(fixture, std::move(accepted), 4096, 65536, fixture.memoryBudget);
     const bool hasRequest = co_await connection.receive();
     if (hasRequest) secondRequestLine = connection.input().view();
     connection.send({BufferSlice(event(5, "left"))});
     co_await fixture.sleepUntil(fixture.now() + 5s);
   };
   fixture.group.spawn(serveFirstList());
-  EndpointWatcher watcher(fixture, fixture.outputBudget, Address("127.0.77.100:18443"), 3, 7, fixture.router,
+  EndpointWatcher watcher(fixture, fixture.memoryBudget, Address("127.0.77.100:18443"), 3, 7, fixture.router,
                           fixture.logger);
   fixture.runFor(50ms);
   EXPECT_TRUE(watcher.switchTo(Address("127.0.77.101:18443")));  // nothing listens there
--- a/tests/support/router_fixture.hpp
+++ b/tests/support/router_fixture.hpp
@@ -64,7 +64,7 @@
         config(protocol::decodeControllerConfig(protocol::flattenLines(settings))) {}
 
   FakeEngine& addEngine(int number, FakeEngine::CommandHandler script) {
-    engines.push_back(std::make_unique<FakeEngine>(*this, outputBudget, Address(engineAddress(number))));
+    engines.push_back(std::make_unique<FakeEngine>(*this, memoryBudget, Address(engineAddress(number))));
     engines.back()->onCommand = std::move(script);
     return *engines.back();
   }
@@ -85,7 +85,7 @@
       transport::ConnectResult connectResult =
           co_await transport::connect(*this, Address(listenAddress), now() + 1s);
       connection =
-          std::make_unique<Connection>(*this, std::move(connectResult.descriptor), 4096, 65536, outputBudget);
+          std::make_unique<Connection>(*this, std::move(connectResult.descriptor), 4096, 65536, memoryBudget);
     };
     group.spawn(connectTask());
     for (const transport::TimePoint deadline = now() + 2s; !connection && now() < deadline;) runFor(5ms);
@@ -126,15 +126,15 @@
   const Logger logger{[this](const LogRecord& record) {
     logText += std::string(record.topic) + ": " + record.message + "\n";
   }};
-  transport::OutputBudget outputBudget{4 << 20, 0};
+  transport::MemoryBudget memoryBudget{256 << 20, 0};  // of the scripted peers
+  transport::MemoryBudget peerMemory{4 << 20, 0};      // of the router and its clients
   protocol::ControllerConfig config;
   RequestRouter router{
-      *this,  outputBudget,
+      *this,  peerMemory,
       config, {100, {config.maxAttemptsPerConnection, 20, config.connectTimeout, config.idleTimeout}},
       7,      logger};
   ClientListener clientListener{
-      *this,  outputBudget, Address(listenAddress), {maxConnections, 4096, 65536, 100ms, 700ms},
-      router, logger};
+      *this, peerMemory, Address(listenAddress), {maxConnections, 4096, 65536, 100ms, 700ms}, router, logger};
   std::vector<std::unique_ptr<FakeEngine>> engines;
   std::string received;
   std::unique_ptr<Connection> client;
--- a/tests/transport/connection_test.cpp
+++ b/tests/transport/connection_test.cpp
@@ -14,7 +14,7 @@
 using namespace std::chrono_literals;
 
 struct TestLoop : Scheduler {
-  OutputBudget outputBudget{1 << 20, 0};
+  MemoryBudget memoryBudget{1 << 20, 0};
   std::string failure;
   TaskGroup tasks{*this, [this](const char* message) { failure = message; }};
   void runFor(std::chrono::milliseconds duration) {
@@ -32,7 +32,7 @@
     if (::socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, descriptors) != 0) std::abort();
     peerDescriptor = descriptors[1];
     connection = std::make_unique<Connection>(loop, std::make_unique<Descriptor>(loop, descriptors[0]), 64,
-                                              maxInputBytes, loop.outputBudget);
+                                              maxInputBytes, loop.memoryBudget);
   }
   ~SocketPairFixture() { closePeer(); }
   void closePeer() {
@@ -289,10 +289,10 @@
   EXPECT_EQ(fixture.connection->unsentBytes(), 0U);
 }
 
-// A slow reader must not use up the output budget of all connections.
-TEST(Connection, ResetsSlowReaderWhenOutputBudgetIsExceeded) {
+// A slow reader must not use up the memory budget of all connections.
+TEST(Connection, ResetsSlowReaderWhenMemoryBudgetIsExceeded) {
   TestLoop loop;
-  loop.outputBudget.maxBytes = 256 << 10;
+  loop.memoryBudget.maxBytes = 256 << 10;
   SocketPairFixture slowReader(loop), fastReader(loop);
   const BufferSlice slice(std::string(64 << 10, 'x'));
   for (int index = 0; index < 64; ++index) {
@@ -300,7 +300,7 @@
     loop.runFor(0ms);
   }
   EXPECT_EQ(slowReader.connection->readEnd(), Connection::ReadEnd::reset);
-  EXPECT_LE(loop.outputBudget.usedBytes, loop.outputBudget.maxBytes + slice.size());
+  EXPECT_LE(loop.memoryBudget.usedBytes, loop.memoryBudget.maxBytes + slice.size());
   fastReader.connection->send({BufferSlice(std::string("answer"))});
   loop.runFor(2ms);
   EXPECT_EQ(fastReader.readFromPeer(), "answer");
@@ -309,7 +309,7 @@
 // With a peer that read nothing, the waiting coroutine and its descriptor were never released.
 TEST(Connection, EndsDrainWaitWhenDeadlinePasses) {
   TestLoop loop;
-  loop.outputBudget.maxBytes = 64 << 20;
+  loop.memoryBudget.maxBytes = 64 << 20;
   SocketPairFixture slowReader(loop);
   for (int index = 0; index < 16; ++index)
     slowReader.connection->send({BufferSlice(std::string(1 << 20, 'x'))});
