A message that is too long is answered alone, and statements may have 1 MB

Cause: the longest message was the memory for input divided by the connections, and a longer one ended the session like noise.

Change: each connection keeps that share for sure; a longer message, up to a sixteenth of the memory budget and 1 MB, is read while the budget allows it and takes memory as it arrives. One that is too long or finds no memory has its header read and its rest discarded; it gets an exception or a rejection, and the connection goes on.

Evidence: PeerMemory.AnswersOpenRequestsWhenNextMessageIsTooLong failed on the code before (connection closed) and passes. It works because a request is refused by its number instead of by its connection.

--- a/src/program/resource_budget.cpp
+++ b/src/program/resource_budget.cpp
@@ -12,6 +12,7 @@
 constexpr std::size_t kOpenRequestMemoryDivisor = 4;  // A quarter is for open requests.
 constexpr std::size_t kOpenRequestBytes = 8192;  // Estimated memory of an open request with its response.
 constexpr std::size_t kMaxFrameBytes = std::size_t{1} << 20;
+constexpr std::size_t kFrameMemoryDivisor = 16;  // No message takes more than this part of the peers' memory.
 
 constexpr std::size_t kMinConnectionDescriptors = 14;  // For clients and engines together.
 constexpr std::size_t kStandardStreams = 3;
@@ -72,7 +73,9 @@
   budget.maxOpenRequests =
       std::min(nodeConfig.controllerConfig.maxOpenRequests,
                nodeConfig.memoryLimitBytes / kOpenRequestMemoryDivisor / kOpenRequestBytes);
-  budget.maxFrameBytes = std::min(kMaxFrameBytes, inputBytes / budget.maxClientConnections);
+  budget.minInputBytes = std::min(kMaxFrameBytes, inputBytes / budget.maxClientConnections);
+  budget.maxFrameBytes = std::max(budget.minInputBytes,
+                                  std::min(kMaxFrameBytes, maxPeerBytes(nodeConfig) / kFrameMemoryDivisor));
   return budget;
 }
 
--- a/src/program/resource_budget.hpp
+++ b/src/program/resource_budget.hpp
@@ -13,6 +13,7 @@
   std::size_t maxEngineConnections = 0;
   std::size_t maxOpenRequests = 0;
   std::size_t maxFrameBytes = 0;  // Maximum size of a client's message.
+  std::size_t minInputBytes = 0;  // Input that each client connection can always hold.
 };
 
 /// Returns the maximum of the transport::MemoryBudget of all connections together.
--- a/src/program/server.cpp
+++ b/src/program/server.cpp
@@ -87,8 +87,11 @@
 }
 
 void Server::startClientListener() {
-  const routing::ClientListener::Limits limits{resourceBudget_.maxClientConnections,
-                                               resourceBudget_.maxFrameBytes, resourceBudget_.maxFrameBytes};
+  routing::ClientListener::Limits limits;
+  limits.maxConnections = resourceBudget_.maxClientConnections;
+  limits.maxFrameBytes = resourceBudget_.maxFrameBytes;
+  limits.minInputBytes = resourceBudget_.minInputBytes;
+  limits.maxUnsentBytes = resourceBudget_.minInputBytes;
   clientListener_ = std::make_unique<routing::ClientListener>(
       scheduler_, memoryBudget_, nodeConfig_.listenAddress, limits, *router_, log_);
 }
--- a/src/protocol/thrift.cpp
+++ b/src/protocol/thrift.cpp
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr std::uint32_t kStrictVersion = 0x80010000;
+// The version and type, a method name of up to 52 bytes with its length, and the sequence number.
+constexpr std::size_t kMaxMessageHeaderBytes = 64;
 constexpr int kMaxDepth = 16;  // Limits the recursion that input from peers can cause.
 
 // Type codes of the binary protocol. A plain enum, because input may contain codes that are not listed.
@@ -105,6 +107,10 @@
   std::string_view bytes_;
 };
 
+void checkVersion(std::uint32_t header) {
+  if ((header & 0xffffff00U) != kStrictVersion) throw ParseError("not the strict binary protocol");
+}
+
 using paddletrack::appendBigEndian;
 
 void appendString(std::string& output, std::string_view text) {
@@ -256,7 +262,7 @@
 Message decodeMessage(std::string_view frame) {
   Reader reader(frame);
   const std::uint32_t header = reader.readU32();
-  if ((header & 0xffffff00U) != kStrictVersion) throw ParseError("not the strict binary protocol");
+  checkVersion(header);
   const std::uint32_t typeCode = header & 0xff;
   if (typeCode < 1 || typeCode > 4)
     throw ParseError("message type " + std::to_string(typeCode) + " is unknown");
@@ -268,6 +274,13 @@
   return message;
 }
 
+std::optional<Message> decodeMessageHeader(std::string_view beginning) {
+  if (beginning.size() < sizeof kStrictVersion) return std::nullopt;
+  checkVersion(Reader(beginning).readU32());
+  if (beginning.size() < kMaxMessageHeaderBytes) return std::nullopt;
+  return decodeMessage(beginning);
+}
+
 SubmitRequest decodeSubmit(std::string_view arguments) {
   Reader reader(arguments);
   SubmitRequest submit;
--- a/src/protocol/thrift.hpp
+++ b/src/protocol/thrift.hpp
@@ -33,6 +33,11 @@
 /// Decodes a frame without its length header.
 Message decodeMessage(std::string_view frame);
 
+/// Decodes the message header of a frame of which only `beginning` has arrived, without its length header.
+/// Returns std::nullopt if more bytes are needed. Throws ParseError if it is not the beginning of a message,
+/// or if its method name is longer than any known one.
+std::optional<Message> decodeMessageHeader(std::string_view beginning);
+
 /// The arguments of a submit call as the client wrote them; an absent field is empty.
 struct SubmitRequest {
   std::string_view requestClass;
--- a/src/routing/client_session.cpp
+++ b/src/routing/client_session.cpp
@@ -34,6 +34,11 @@
 // More consecutive invalid requests than this mean that the peer is not a client.
 constexpr int kMaxConsecutiveInvalidRequests = 8;
 
+std::size_t inputBytesOf(const ClientLimits& limits) {
+  const std::size_t payloadBytes = limits.minInputBytes > 0 ? limits.minInputBytes : limits.maxFrameBytes;
+  return thrift::kFrameHeaderBytes + payloadBytes;
+}
+
 bool isCall(const thrift::Message& message) { return message.type == thrift::MessageType::call; }
 
 bool isRevocation(const thrift::Message& message) {
@@ -51,8 +56,9 @@
                              std::unique_ptr<transport::Descriptor> acceptedSocket)
     : environment_(environment),
       connection_(environment.scheduler, std::move(acceptedSocket), kInitialInputBytes,
-                  thrift::kFrameHeaderBytes + environment.limits.maxFrameBytes, environment.memoryBudget),
-      receivedMessages_(connection_.input(), kMaxQueuedMessages) {
+                  inputBytesOf(environment.limits), environment.memoryBudget),
+      receivedMessages_(connection_.input(), environment.memoryBudget,
+                        {kMaxQueuedMessages, environment.limits.maxFrameBytes}) {
   position_ = environment_.sessions.add(*this);
   ++environment_.counts.accepted;
 }
@@ -78,6 +84,7 @@
     }
     const bool hasInput = co_await connection_.receive(receivedMessages_.empty() ? receiveDeadline() : now());
     queueReceivedMessages();
+    rejectUnreceivableMessage();
     // No message is handled after the client has disconnected.
     if (connection_.isHungUp()) break;
     if (hasMoreToRead()) continue;
@@ -229,6 +236,28 @@
   hasPartialMessage_ = hasPartial;
 }
 
+// Answers a message that cannot be received, so that the requests that are open on the connection do not end
+// with it. Its request has not been accepted, so the client may send it again.
+void ClientSession::rejectUnreceivableMessage() {
+  using DiscardedMessage = ReceivedMessageQueue::DiscardedMessage;
+  const std::optional<DiscardedMessage> discarded = receivedMessages_.discardUnreceivable();
+  if (!discarded) return;
+  const std::string length = std::to_string(discarded->payloadLength) + " bytes";
+  const protocol::ParseError error("frame too long: " + length + ", at most " +
+                                   std::to_string(environment_.limits.maxFrameBytes) + " are allowed");
+  if (!isCall(discarded->header) || openRequests_.contains(discarded->header.sequence)) throw error;
+  currentRequestId_ = {};
+  currentRequestClass_ = {};
+  if (discarded->reason == DiscardedMessage::Reason::tooLong) {
+    if (!canReportInvalidMessage(discarded->header)) throw error;
+    reportInvalidMessage(discarded->header, error);
+    return;
+  }
+  environment_.logger.warning(
+      "request", Error(ErrorKind::outOfMemory, "request", "no memory for " + length + ", rejected"));
+  sendResponse(discarded->header.sequence, thrift::encodeRejection(discarded->header.sequence, std::nullopt));
+}
+
 void ClientSession::revokeOnArrival(const thrift::Message& message) {
   try {
     const std::int32_t sequenceId = thrift::decodeRevoke(message.arguments);
--- a/src/routing/client_session.hpp
+++ b/src/routing/client_session.hpp
@@ -26,7 +26,8 @@
 
 struct ClientLimits {
   std::size_t maxConnections = 1;
-  std::size_t maxFrameBytes = 0;  ///< Bytes of one message.
+  /// Bytes of one message. A longer one is answered with an exception.
+  std::size_t maxFrameBytes = 0;
   /// If more bytes of responses than this are unwritten on a connection, its next messages wait.
   std::size_t maxUnsentBytes = 0;
   /// A connection without open requests is closed if no complete message has arrived for this long, counted
@@ -35,6 +36,9 @@
   /// A connection of a known client is closed after it has been idle for this long, which is longer than
   /// clients keep unused connections.
   Duration idleTimeout{std::chrono::seconds(5)};
+  /// Bytes of messages that each connection can hold, whatever the others do. If the memory budget has no
+  /// room for a message that is longer, the request is rejected. 0: as many as a message may have.
+  std::size_t minInputBytes = 0;
 };
 
 /// Counts of accepted connections, invalid requests and closed sessions by reason, for the log.
@@ -132,6 +136,7 @@
 
   // Processing of messages on arrival.
   void queueReceivedMessages();
+  void rejectUnreceivableMessage();
   void revokeOnArrival(const protocol::thrift::Message& message);
   bool isAwaitingMessage() const { return hasPartialMessage_ || !isKnownClient_; }
   bool isRecentlyActive() const;
--- a/tests/routing/peer_memory_test.cpp
+++ b/tests/routing/peer_memory_test.cpp
@@ -4,6 +4,7 @@
 #include <malloc.h>
 
 #include <algorithm>
+#include <list>
 #include <string>
 #include <vector>
 
@@ -12,6 +13,7 @@
 extern "C" std::size_t __sanitizer_get_current_allocated_bytes();
 #endif
 
+#include "program/resource_budget.hpp"
 #include "support/raw_client.hpp"
 #include "support/router_fixture.hpp"
 
@@ -141,5 +143,144 @@
       << fixture.peerMemory.usedBytes;
 }
 
+// ---- Messages that cannot be received -------------------------------------------------------------------
+
+// A router's client listener with room for messages that are longer than a connection's share of the memory.
+struct LongMessageFixture : PeerMemoryFixture {
+  static ClientLimits limits() {
+    ClientLimits clientLimits;
+    clientLimits.maxConnections = 300;
+    clientLimits.maxFrameBytes = 256UL * 1024;
+    clientLimits.minInputBytes = 8UL * 1024;
+    clientLimits.maxUnsentBytes = 8UL * 1024;
+    return clientLimits;
+  }
+  const Address longMessageAddress{engineAddress(201)};
+  ClientListener longMessageListener{*this, peerMemory, longMessageAddress, limits(), router, logger};
+  std::string receiveUntil(const RawClient& rawClient, const std::string& part) {
+    std::string receivedText;
+    runUntil([&] { return contains(receivedText += rawClient.receive(), part); }, 2s);
+    return receivedText;
+  }
+};
+
+// Keeps the requests of an engine until the test answers them.
+struct HeldRequests {
+  std::vector<PagingEngine::Result> asks;
+  FakeEngine::CommandHandler hold() {
+    return [this](FakeEngine&, Connection& connection, const std::string& command, const std::string& id) {
+      if (command == "ASK") asks.push_back({&connection, id});
+    };
+  }
+  void answerAll() const {
+    for (const PagingEngine::Result& ask : asks)
+      FakeEngine::sendReply(*ask.connection, {ask.id, "200", "batches=1", "r\to\tw\n"});
+  }
+};
+
+std::size_t countParts(const std::string& text, const std::string& part) {
+  std::size_t count = 0;
+  for (std::size_t found = text.find(part); found != std::string::npos; found = text.find(part, found + 1))
+    ++count;
+  return count;
+}
+
+// Regression: a request that was longer than the frame limit ended the connection, and all requests that were
+// open on it got no answer.
+TEST(PeerMemory, AnswersOpenRequestsWhenNextMessageIsTooLong) {
+  LongMessageFixture fixture;
+  HeldRequests held;
+  fixture.addEngine(1, held.hold());
+  fixture.updateEndpoints({1});
+  RawClient client(fixture.longMessageAddress);
+  for (int sequence = 1; sequence <= 10; ++sequence) client.send(encodeNumberedSubmit(sequence));
+  ASSERT_TRUE(fixture.runUntil([&] { return held.asks.size() == 10; }));
+  std::string longMessage = encodeNumberedSubmit(11, std::string(1 << 20, 'x'));
+  longMessage += encodeNumberedSubmit(12);
+  fixture.runUntil([&] {
+    longMessage.erase(0, client.send(longMessage));
+    return longMessage.empty();
+  });
+  EXPECT_TRUE(fixture.contains(fixture.receiveUntil(client, "frame too long"), "frame too long"));
+  ASSERT_TRUE(fixture.runUntil([&] { return held.asks.size() == 11; }));  // The request after it is read.
+  held.answerAll();
+  std::string answers;
+  EXPECT_TRUE(fixture.runUntil([&] { return countParts(answers += client.receive(), "r\to\tw\n") == 11; }))
+      << answers;
+}
+
+// A message that is shorter than the limit for frames is rejected as soon as there is no memory for it.
+TEST(PeerMemory, RejectsLongRequestAndKeepsOpenOnesWhenMemoryIsUsedUp) {
+  LongMessageFixture fixture;
+  HeldRequests held;
+  fixture.addEngine(1, held.hold());
+  fixture.updateEndpoints({1});
+  RawClient client(fixture.longMessageAddress);
+  const std::string longMessage = encodeNumberedSubmit(2, "select '" + std::string(100000, 'x') + "'");
+  client.send(encodeNumberedSubmit(1));
+  ASSERT_TRUE(fixture.runUntil([&] { return held.asks.size() == 1; }));
+  {
+    const transport::MemoryCharge otherMemory(fixture.peerMemory, fixture.peerMemory.maxBytes / 2);
+    client.send(longMessage);
+    EXPECT_TRUE(fixture.runUntil([&] { return fixture.contains(fixture.logText, "rejected"); }));
+    EXPECT_FALSE(fixture.receiveUntil(client, "submit").empty());
+    EXPECT_EQ(held.asks.size(), 1U);
+  }
+  client.send(longMessage);  // Trying again is harmless, and now there is room.
+  EXPECT_TRUE(fixture.runUntil([&] { return held.asks.size() == 2; }));
+  held.answerAll();
+  EXPECT_TRUE(fixture.contains(fixture.receiveUntil(client, "r\to\tw\n"), "r\to\tw\n"));
+}
+
+// Hundreds of clients stop half way through a long request, or send the beginning of one with very many short
+// fields. The memory that they take is bounded, and other clients are served.
+TEST(PeerMemory, ServesOtherClientsWhenHundredsStopWithinLongRequests) {
+  std::string manyFields(200000, '\0');  // Empty names and values.
+  for (const bool hasManyFields : {false, true}) {
+    LongMessageFixture fixture;
+    fixture.addEngine(1, respondDone);
+    fixture.updateEndpoints({1});
+    std::string message = encodeNumberedSubmit(1, std::string(200000, 'x'));
+    if (hasManyFields)
+      message = encodeMessage(1, "submit", 1,
+                              std::string("\x0d\0\x01\x0b\x0b", 5) + encodeInteger(25000, 4) + manyFields);
+    const std::size_t heapBefore = heapBytes();
+    std::list<RawClient> slowClients;
+    std::size_t maxUsedBytes = 0;
+    std::size_t maxHeapBytes = 0;
+    for (int index = 0; index < 200; ++index) {
+      slowClients.emplace_back(fixture.longMessageAddress);
+      slowClients.back().send(std::string_view(message).substr(0, 150000));
+      fixture.runFor(1ms);
+      maxUsedBytes = std::max(maxUsedBytes, fixture.peerMemory.usedBytes);
+      maxHeapBytes = std::max(maxHeapBytes, heapBytes());
+    }
+    EXPECT_GE(fixture.longMessageListener.connectionCount(), 200U);
+    EXPECT_LE(maxUsedBytes, fixture.peerMemory.maxBytes * 3 / 4);
+    EXPECT_LE(maxHeapBytes, heapBefore + 3 * fixture.peerMemory.maxBytes);
+    RawClient otherClient(fixture.longMessageAddress);
+    otherClient.send(encodeNumberedSubmit(2));
+    EXPECT_TRUE(fixture.contains(fixture.receiveUntil(otherClient, "r\to\tw\n"), "r\to\tw\n"));
+    slowClients.clear();
+    otherClient.close();
+    EXPECT_TRUE(fixture.runUntil([&] { return fixture.peerMemory.usedBytes == 0; }))
+        << fixture.peerMemory.usedBytes;
+  }
+}
+
+// A usual statement is received at all limits that the deployment page allows for memory and descriptors.
+TEST(ResourceBudget, AllowsLongStatementsAtAllLimits) {
+  for (const std::size_t memoryMb : {32, 64, 192})
+    for (const std::size_t descriptors : {256, 512, 1024}) {
+      const Address unusedAddress("127.0.0.1:1");
+      program::NodeConfig nodeConfig{"front", unusedAddress, unusedAddress, 0, 0, 0, 0, {}, {}, {}};
+      nodeConfig.memoryLimitBytes = memoryMb << 20;
+      nodeConfig.descriptorLimit = descriptors;
+      const program::ResourceBudget budget = program::computeResourceBudget(nodeConfig, {}, 0);
+      EXPECT_GE(budget.maxFrameBytes, std::size_t{1} << 20) << memoryMb << " MB, " << descriptors;
+      EXPECT_LE(budget.minInputBytes * budget.maxClientConnections, program::maxPeerBytes(nodeConfig) / 4);
+    }
+}
+
 }  // namespace
 }  // namespace paddletrack::routing
