A silent session of the endpoint list continues beside a new one

Cause: a session without a line for 1.5 s was closed with the late lines under way to it, and each new one as well.

Change: the silent session makes the watcher open a new one beside it; two silent ones are listened to for 8.5 s each, and the first that delivers a line becomes the current one. New sessions come at the same times as before, so a list that has stopped is left as fast. Without a configured rate, reconnects after a common loss spread over 2.5 ms a controller, 0.8 s at most.

Evidence: EndpointWatcher.AppliesEventsInTimeWhenListIsLateByLessThanVisibilityLimit, 4 s and 6.9 s late, failed on the code before and passes. It works because whatever is under way still has a reader.

--- a/src/discovery/reconnect_schedule.cpp
+++ b/src/discovery/reconnect_schedule.cpp
@@ -13,7 +13,9 @@
 constexpr unsigned kMaxTimeoutDoublings = 2;  // Of the silence timeout before a session's first line.
 constexpr Duration kMinWaitDuration = kHeartbeatInterval / 10;  // Minimum wait after a session.
 constexpr Duration kMaxWaitDuration =
-    kHeartbeatInterval * 4 / 5;      // Upper bound unless the spread window requires longer waits.
+    kHeartbeatInterval * 4 / 5;  // Upper bound unless the spread window requires longer waits.
+// Minimum share of each controller in the time over which all of them reconnect if no rate is configured.
+constexpr std::chrono::microseconds kMinReconnectSpacing{2500};
 constexpr int kJitterGrowth = 3;     // Maximum ratio of a wait to the previous one.
 constexpr int kExpediteDivisor = 4;  // Expediting cuts the remaining wait at least by this factor.
 
@@ -70,14 +72,18 @@
 // Each wait is drawn between a minimum and three times the previous wait (decorrelated jitter), so that
 // controllers that failed together spread out. Waits of at least half a window and at most two windows keep
 // all controllers together near the target rate. After a session with valid data, all controllers may have
-// lost their session at once, so the wait is drawn from the whole window.
+// lost their session at once, so the wait is drawn from the whole window, or without a rate from a time that
+// grows with the number of controllers.
 void ReconnectSchedule::onSessionEnded(Duration now, SessionEnd sessionEnd, bool hasEndpointList) {
   const Duration window = this->spreadWindow(hasEndpointList);
   const Duration minWait = std::max(kMinWaitDuration, window / 2);
   const Duration maxWait =
       std::max({kMaxWaitDuration, minWait, std::min(window * 2, options_.maxWaitDuration)});
   if (sessionEnd == SessionEnd::receivedData || consecutiveFailures_ == 0) previousWait_ = minWait;
-  Duration wait = std::min(drawBetween(minWait, previousWait_ * kJitterGrowth), maxWait);
+  Duration longestDraw = previousWait_ * kJitterGrowth;
+  if (sessionEnd == SessionEnd::receivedData)
+    longestDraw = std::max(longestDraw, std::min(kMinReconnectSpacing * options_.controllerCount, maxWait));
+  Duration wait = std::min(drawBetween(minWait, longestDraw), maxWait);
   if (sessionEnd == SessionEnd::receivedData && window > kMinWaitDuration)
     wait = drawBetween(Duration{0}, window);
   consecutiveFailures_ = sessionEnd == SessionEnd::receivedData ? 0 : consecutiveFailures_ + 1;
--- a/src/fakes/fake_endpoint_list.cpp
+++ b/src/fakes/fake_endpoint_list.cpp
@@ -56,8 +56,7 @@
 void FakeEndpointList::publish(const std::vector<Endpoint>& servers, bool isSnapshot) {
   events_.push_back(formatEvent(events_.size() + 1, isSnapshot, servers));
   if (behavior.lastVisibleSequence || behavior.silentAfterAnswer || silent_) return;
-  for (transport::Connection* subscriber : subscribers_)
-    subscriber->send({BufferSlice(events_.back() + "\n")});
+  for (transport::Connection* subscriber : subscribers_) sendLine(*subscriber, events_.back() + "\n");
 }
 
 void FakeEndpointList::sendRaw(const std::string& bytes) {
@@ -85,6 +84,13 @@
 transport::Task<> FakeEndpointList::serve(std::unique_ptr<transport::Descriptor> descriptor) {
   transport::Connection connection(scheduler_, std::move(descriptor), kInputBytes, kMaxInputBytes,
                                    memoryBudget_);
+  struct ConnectionGuard {
+    std::map<std::uint64_t, transport::Connection*>& connections;
+    std::uint64_t number;
+    ~ConnectionGuard() { connections.erase(number); }
+  };
+  const ConnectionGuard guard{openConnections_, connectionCount_};
+  openConnections_.emplace(connectionCount_, &connection);
   const std::optional<std::size_t> since = co_await receiveQuery(connection);
   if (!since) co_return;
   const bool wasSilenced = co_await waitWhileSilent(connection);
@@ -140,7 +146,7 @@
   std::string answer;
   for (std::size_t index = since; index < visibleEventCount(); ++index) answer += events_[index] + "\n";
   if (behavior.truncateAfterBytes == 0 || answer.size() <= behavior.truncateAfterBytes) {
-    connection.send({BufferSlice(answer)});
+    sendLine(connection, answer);
     co_return true;
   }
   connection.send({BufferSlice(answer.substr(0, behavior.truncateAfterBytes))});
@@ -148,6 +154,22 @@
   co_return false;
 }
 
+void FakeEndpointList::sendLine(transport::Connection& connection, const std::string& lines) {
+  if (lateness_.count() == 0) {
+    connection.send({BufferSlice(lines)});
+    return;
+  }
+  const auto open = std::find_if(openConnections_.begin(), openConnections_.end(),
+                                 [&](const auto& entry) { return entry.second == &connection; });
+  sessionTasks_->spawn(sendLate(open->first, lines));
+}
+
+transport::Task<> FakeEndpointList::sendLate(std::uint64_t connectionNumber, std::string lines) {
+  co_await scheduler_.sleepUntil(scheduler_.now() + lateness_);
+  const auto open = openConnections_.find(connectionNumber);
+  if (open != openConnections_.end()) open->second->send({BufferSlice(lines)});
+}
+
 // Subscribes the connection to published events and sends heartbeats until the client disconnects.
 transport::Task<> FakeEndpointList::serveSubscriber(transport::Connection& connection) {
   struct SubscriberGuard {
@@ -158,7 +180,7 @@
   const SubscriberGuard guard{subscribers_, subscribers_.insert(subscribers_.end(), &connection)};
   while (connection.readEnd() == transport::Connection::ReadEnd::none) {
     if (!behavior.silentAfterAnswer && !silent_)
-      connection.send({BufferSlice(std::to_string(visibleEventCount()) + "\n")});
+      sendLine(connection, std::to_string(visibleEventCount()) + "\n");
     connection.input().consume(connection.input().view().size());
     co_await connection.receive(scheduler_.now() + kHeartbeatInterval);
   }
--- a/src/fakes/fake_endpoint_list.hpp
+++ b/src/fakes/fake_endpoint_list.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <list>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -36,6 +37,8 @@
   /// While silent, the list sends nothing to subscribers or new sessions. Sessions that queried during the
   /// silence are closed when it ends.
   void setSilent(bool isSilent) { silent_ = isSilent; }
+  /// From now on all that the list writes arrives this much later, in order and whole.
+  void setLateness(std::chrono::milliseconds lateness) { lateness_ = lateness; }
   /// Sends `bytes` unchanged to all subscribers.
   void sendRaw(const std::string& bytes);
   std::uint64_t lastSequence() const { return events_.size(); }
@@ -73,6 +76,8 @@
   transport::Task<std::optional<std::size_t>> receiveQuery(transport::Connection& connection);
   transport::Task<bool> waitWhileSilent(transport::Connection& connection);
   transport::Task<bool> sendAnswer(transport::Connection& connection, std::size_t since);
+  void sendLine(transport::Connection& connection, const std::string& lines);
+  transport::Task<> sendLate(std::uint64_t connectionNumber, std::string lines);
   transport::Task<> serveSubscriber(transport::Connection& connection);
   transport::Task<> serveReplacement(transport::Connection& connection, const std::string& replacement);
   std::uint64_t visibleEventCount() const {
@@ -86,6 +91,8 @@
   std::vector<std::string> events_;  // Sequence numbers start at 1.
   std::list<transport::Connection*> subscribers_;
   bool silent_ = false;
+  std::chrono::milliseconds lateness_{0};
+  std::map<std::uint64_t, transport::Connection*> openConnections_;  // By number, which is used once.
   transport::TimePoint nextAnswerAt_{};  // When all answers queued so far are prepared.
   std::uint64_t connectionCount_ = 0;
   std::optional<transport::TaskGroup> acceptTasks_;
--- a/src/program/resource_budget.cpp
+++ b/src/program/resource_budget.cpp
@@ -16,9 +16,10 @@
 
 constexpr std::size_t kMinConnectionDescriptors = 14;  // For clients and engines together.
 constexpr std::size_t kStandardStreams = 3;
-constexpr std::size_t kServiceDescriptors = 3;    // epoll, signals and the client listener.
-constexpr std::size_t kDiscoveryDescriptors = 2;  // The current endpoint list and the one that replaces it.
-constexpr std::size_t kSpareDescriptors = 2;      // One for reloading a file and one in reserve.
+constexpr std::size_t kServiceDescriptors = 3;  // epoll, signals and the client listener.
+constexpr std::size_t kDiscoveryDescriptors =
+    3;                                        // The current endpoint list and two that are silent or left.
+constexpr std::size_t kSpareDescriptors = 2;  // One for reloading a file and one in reserve.
 constexpr std::size_t kReservedDescriptors =
     kStandardStreams + kServiceDescriptors + kDiscoveryDescriptors + kSpareDescriptors;
 constexpr std::size_t kAdminServerDescriptors = 2;  // The listener and a client that is being refused.
--- a/src/routing/endpoint_watcher.cpp
+++ b/src/routing/endpoint_watcher.cpp
@@ -16,6 +16,11 @@
 constexpr std::size_t kInitialInputBytes = 8 * 1024, kMaxInputBytes = 1024 * 1024;
 constexpr milliseconds kConnectTimeout{1000};
 constexpr milliseconds kUnreachableCheckInterval{100};
+constexpr std::size_t kMaxEarlierWatches = 2;  // Each holds a descriptor.
+// A change counts as visible to all controllers this long after it was made, whether or not it was received.
+constexpr milliseconds kVisibilityLimit{7000};
+// A list whose lines are late by less than the visibility limit delivers the next one within this time.
+constexpr milliseconds kSlowSessionTimeout = kVisibilityLimit + milliseconds{1500};
 constexpr int kMaxInvalidSessions = 3;  // After these in a row, a gap in the event numbers is accepted.
 
 std::string describeEndpointList(const transport::Address& listAddress) {
@@ -46,7 +51,47 @@
 void EndpointWatcher::startWatching() {
   currentWatch_ = std::make_unique<transport::TaskGroup>(
       scheduler_, [this](const char* message) { logError(ErrorKind::unexpected, listAddress_, message); });
-  currentWatch_->spawn(watch(++generation_, listAddress_));
+  generation_ = ++lastGeneration_;
+  currentWatch_->spawn(watch(generation_, listAddress_));
+}
+
+// Schedules the next connect after the current session has ended or fallen silent.
+void EndpointWatcher::endWatch(SessionEnd sessionEnd) {
+  reconnectSchedule_.onSessionEnded(router_.now(), hasReceivedData_ ? SessionEnd::receivedData : sessionEnd,
+                                    router_.isReady());
+  hasReceivedData_ = false;
+  router_.onDiscoveryFailed();
+}
+
+// Called by the current session when it is silent. If the list is only slow, ending the session would discard
+// the lines that are under way. Returns whether a new watch was started beside it.
+bool EndpointWatcher::continueBesideNewWatch() {
+  std::erase_if(earlierWatches_, [](const EarlierWatch& watch) { return watch.tasks->size() == 0; });
+  if (earlierWatches_.size() >= kMaxEarlierWatches) return false;
+  endWatch(SessionEnd::unresponsive);
+  earlierWatches_.push_back({generation_, true, std::move(currentWatch_)});
+  startWatching();
+  return true;
+}
+
+EndpointWatcher::EarlierWatch* EndpointWatcher::findEarlierWatch(std::uint64_t generation) {
+  const auto found = std::find_if(earlierWatches_.begin(), earlierWatches_.end(),
+                                  [&](const EarlierWatch& watch) { return watch.generation == generation; });
+  return found == earlierWatches_.end() ? nullptr : &*found;
+}
+
+// The watch has delivered a line before the current one did, so the list is slow. All others of the same list
+// end, so that a slow list is not asked again and again.
+void EndpointWatcher::makeCurrent(EarlierWatch& watch) {
+  generation_ = watch.generation;
+  currentWatch_ = std::move(watch.tasks);
+  std::erase_if(earlierWatches_, [](const EarlierWatch& earlierWatch) { return earlierWatch.isSameList; });
+  hasReceivedData_ = isBehind_ = isWaiting_ = false;
+}
+
+Duration EndpointWatcher::silenceTimeout(std::uint64_t generation) {
+  const EarlierWatch* const earlierWatch = findEarlierWatch(generation);
+  return earlierWatch && earlierWatch->isSameList ? kSlowSessionTimeout : reconnectSchedule_.silenceTimeout();
 }
 
 // The new address may be temporarily or permanently unreachable, so a session that has received data
@@ -72,7 +117,8 @@
   nextListAddress_.reset();
   consecutiveInvalidSessions_ = 0;
   reconnectSchedule_.onSwitched(router_.now());
-  if (hasReceivedData_) previousWatch_ = std::move(currentWatch_);
+  earlierWatches_.clear();
+  if (hasReceivedData_) earlierWatches_.push_back({generation_, false, std::move(currentWatch_)});
   hasReceivedData_ = isBehind_ = isWaiting_ = false;
   startWatching();
 }
@@ -110,10 +156,7 @@
       logger_.warning("changelog", toError(error, describeEndpointList(listAddress)));
     }
     if (generation != generation_) co_return;
-    reconnectSchedule_.onSessionEnded(router_.now(), hasReceivedData_ ? SessionEnd::receivedData : sessionEnd,
-                                      router_.isReady());
-    hasReceivedData_ = false;
-    router_.onDiscoveryFailed();
+    endWatch(sessionEnd);
   }
 }
 
@@ -151,16 +194,18 @@
   // may hold the lines of that time.
   transport::TimePoint lastDataAt = scheduler_.now();
   for (;;) {
-    const transport::TimePoint deadline = lastDataAt + reconnectSchedule_.silenceTimeout();
+    const transport::TimePoint deadline = lastDataAt + silenceTimeout(generation);
     const bool hasInput = co_await connection.receive(deadline);
-    if (!hasInput) break;
-    if (handleLines(input, generation)) lastDataAt = scheduler_.now();
-    if (scheduler_.now() >= lastDataAt + reconnectSchedule_.silenceTimeout() && !scheduler_.isRecovering())
-      break;
+    if (hasInput && handleLines(input, generation)) lastDataAt = scheduler_.now();
+    if (input.isFull() || connection.readEnd() != transport::Connection::ReadEnd::none) break;
+    if (scheduler_.now() < lastDataAt + silenceTimeout(generation)) continue;
+    if (hasInput && scheduler_.isRecovering()) continue;
+    if (generation != generation_ || !continueBesideNewWatch()) break;
+    logSessionEnd(true, generation, listAddress);
   }
   if (input.isFull()) throw protocol::ParseError("line exceeds the size limit");
   const bool isSilent = connection.readEnd() == transport::Connection::ReadEnd::none;
-  logSessionEnd(isSilent, generation == generation_, listAddress);
+  logSessionEnd(isSilent, generation, listAddress);
   co_return isSilent && !hasReceivedData_ ? SessionEnd::unresponsive : SessionEnd::refused;
 }
 
@@ -176,8 +221,12 @@
   return hadContent;
 }
 
-void EndpointWatcher::logSessionEnd(bool isSilent, bool isCurrent, const transport::Address& listAddress) {
-  const std::string nextAction = isCurrent ? "reconnecting" : "another endpoint list is being watched";
+void EndpointWatcher::logSessionEnd(bool isSilent, std::uint64_t generation,
+                                    const transport::Address& listAddress) {
+  const EarlierWatch* const earlierWatch = findEarlierWatch(generation);
+  std::string nextAction = "another endpoint list is being watched";
+  if (generation == generation_) nextAction = "reconnecting";
+  if (earlierWatch && earlierWatch->isSameList) nextAction = "reconnecting beside it";
   if (isSilent)
     logError(ErrorKind::discoveryStalled, listAddress, "silent: " + nextAction);
   else
@@ -191,9 +240,11 @@
   if (text.ends_with('\r')) text.remove_suffix(1);
   if (text.empty()) return false;
   const protocol::EndpointListLine parsedLine = protocol::parseEndpointListLine(text);
-  const bool isCurrent = generation == generation_;
   const bool isNew = parsedLine.sequence > lastEventNumber_;
-  if (isNew) checkApplicable(parsedLine, isCurrent);
+  if (isNew) checkApplicable(parsedLine, generation == generation_);
+  EarlierWatch* const earlierWatch = findEarlierWatch(generation);
+  if (earlierWatch && earlierWatch->isSameList && !hasReceivedData_) makeCurrent(*earlierWatch);
+  const bool isCurrent = generation == generation_;
   if (isCurrent) {
     reconnectSchedule_.onSessionData();
     hasReceivedData_ = true;
@@ -206,7 +257,7 @@
   } else if (isCurrent && parsedLine.sequence == lastEventNumber_ && !parsedLine.event) {
     consecutiveInvalidSessions_ = 0;
   }
-  if (isCurrent && parsedLine.sequence == lastEventNumber_) previousWatch_.reset();
+  if (isCurrent && parsedLine.sequence == lastEventNumber_) earlierWatches_.clear();
   return true;
 }
 
--- a/src/routing/endpoint_watcher.hpp
+++ b/src/routing/endpoint_watcher.hpp
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <vector>
 
 #include "discovery/reconnect_schedule.hpp"
 #include "routing/request_router.hpp"
@@ -15,7 +16,9 @@
 /// Watches the endpoint list and passes its events to the router. After an interruption, an invalid line or a
 /// gap it resumes after the last known event; after a second invalid session in a row it reads the list from
 /// the start. After a switch to another address the previous session continues until the new one has caught
-/// up with the last known event. The references belong to the caller and must outlive the watcher.
+/// up with the last known event. A session that falls silent may only be slow: it continues beside a new one,
+/// and the first of them that delivers a line becomes the current one. The references belong to the caller
+/// and must outlive the watcher.
 class EndpointWatcher {
  public:
   EndpointWatcher(transport::Scheduler& scheduler, transport::MemoryBudget& memoryBudget,
@@ -40,7 +43,19 @@
 
  private:
   using SessionEnd = discovery::ReconnectSchedule::SessionEnd;
+  /// A watch whose session continues beside the current one.
+  struct EarlierWatch {
+    std::uint64_t generation = 0;
+    bool isSameList = true;  ///< It was replaced because it was silent, not by a switch to another list.
+    std::unique_ptr<transport::TaskGroup> tasks;
+  };
+
   void startWatching();
+  void endWatch(SessionEnd sessionEnd);
+  bool continueBesideNewWatch();
+  EarlierWatch* findEarlierWatch(std::uint64_t generation);
+  void makeCurrent(EarlierWatch& watch);
+  Duration silenceTimeout(std::uint64_t generation);
   transport::Task<> watch(std::uint64_t generation, transport::Address listAddress);
   transport::Task<> waitToReconnect();
   transport::Task<> switchAt(transport::TimePoint switchTime);
@@ -49,7 +64,7 @@
   bool handleLine(std::string_view text, std::uint64_t generation);
   void checkApplicable(const protocol::EndpointListLine& line, bool isCurrent) const;
   void warnIfBehind(const protocol::EndpointListLine& line);
-  void logSessionEnd(bool isSilent, bool isCurrent, const transport::Address& listAddress);
+  void logSessionEnd(bool isSilent, std::uint64_t generation, const transport::Address& listAddress);
   void logError(ErrorKind kind, const transport::Address& listAddress, const std::string& message);
 
   transport::Scheduler& scheduler_;
@@ -66,10 +81,10 @@
   int consecutiveInvalidSessions_ = 0;
   std::optional<transport::Address> nextListAddress_;
   transport::TimePoint switchAt_{};
-  std::uint64_t generation_ = 0;  // Incremented by each switch; identifies the current watch.
+  std::uint64_t generation_ = 0;  // Identifies the current watch.
+  std::uint64_t lastGeneration_ = 0;
   std::unique_ptr<transport::TaskGroup> currentWatch_;
-  std::unique_ptr<transport::TaskGroup>
-      previousWatch_;  // Watches the previous address until the current watch has caught up.
+  std::vector<EarlierWatch> earlierWatches_;  // Until the current watch has caught up.
   std::optional<transport::TaskGroup> pendingSwitch_;
 };
 
--- a/tests/discovery/endpoint_watcher_test.cpp
+++ b/tests/discovery/endpoint_watcher_test.cpp
@@ -168,6 +168,37 @@
   EXPECT_EQ(fixture.firstList.queryTimes.size(), 4u);
 }
 
+// Regression: a session without a line for 1.5 s was closed with the late lines under way to it, and each new
+// one as well, so that a change was not learned as long as the list was slow.
+TEST(EndpointWatcher, AppliesEventsInTimeWhenListIsLateByLessThanVisibilityLimit) {
+  WatcherFixture fixture;
+  fixture.startWatcher();
+  routing::RequestRouter otherRouter{
+      fixture, fixture.memoryBudget, fixture.config, {100, {4, 20, Duration(20ms), Duration(400ms), {}}},
+      7,       fixture.logger};
+  routing::EndpointWatcher otherWatcher{fixture, fixture.memoryBudget, fixture.otherAddress, 0,
+                                        8,       otherRouter,          fixture.logger};
+  ASSERT_TRUE(fixture.waitUntilFollowing());
+  ASSERT_TRUE(fixture.runUntil([&] { return otherWatcher.status().isWatching; }, 4s));
+  fixture.firstList.setLateness(4s);
+  fixture.otherList.setLateness(6900ms);
+  fixture.runFor(100ms);
+  fixture.firstList.publish(makeEndpoints(1, "leaving"));
+  fixture.otherList.publish(makeEndpoints(2, "leaving"));
+  const transport::TimePoint changedAt = fixture.now();
+  EXPECT_TRUE(fixture.runUntil([&] { return fixture.countEngines(EndpointState::draining) == 1; }, 7s));
+  EXPECT_LE(fixture.now() - changedAt, 4100ms);
+  EXPECT_TRUE(fixture.runUntil([&] { return otherWatcher.status().lastEventNumber == 2; }, 4s));
+  EXPECT_LE(fixture.now() - changedAt, kVisibilityLimit);
+  // A list that is known to be slow is not asked again.
+  EXPECT_LE(fixture.firstList.acceptTimes.size(), 3u);
+  EXPECT_LE(fixture.otherList.acceptTimes.size(), 4u);
+  fixture.runFor(2s);
+  EXPECT_TRUE(fixture.watcher->status().isWatching);
+  EXPECT_LE(fixture.firstList.acceptTimes.size(), 3u);
+  EXPECT_LE(fixture.otherList.acceptTimes.size(), 4u);
+}
+
 // Regression: after a stall of this process the session ended as silent, although the socket held events of
 // that time, and the engine that one of them drains got requests until the watcher had connected again.
 TEST(EndpointWatcher, AppliesEventsThatArrivedDuringStallLongerThanSilenceTimeout) {
--- a/tests/discovery/reconnect_schedule_test.cpp
+++ b/tests/discovery/reconnect_schedule_test.cpp
@@ -4,6 +4,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <array>
 #include <csignal>
 #include <cstdio>
@@ -70,6 +71,20 @@
   EXPECT_EQ(schedule.nextConnectAt(), scheduledAt);
 }
 
+// All controllers lose their lines at the same moment when the list is slow or stops.
+TEST(ReconnectSchedule, SpreadsReconnectsOfThreeHundredControllersWhenNoRatesAreConfigured) {
+  constexpr Duration kInterval = 100ms;
+  std::array<std::size_t, 20> connectsByInterval{};
+  for (unsigned index = 0; index < 300; ++index) {
+    ReconnectSchedule schedule({300, 0, 0, 30s}, true, index, Duration{0});
+    schedule.onSessionData();
+    schedule.onSessionEnded(Duration{0}, SessionEnd::receivedData, true);
+    ++connectsByInterval.at(static_cast<std::size_t>(schedule.nextConnectAt() / kInterval));
+    EXPECT_LE(schedule.nextConnectAt(), 800ms);
+  }
+  EXPECT_LE(*std::max_element(connectsByInterval.begin(), connectsByInterval.end()), 300u / 4);
+}
+
 TEST(ReconnectSchedule, CapsWaitAndShortensItOnceWhenReconnectIsExpedited) {
   Duration sum{0};
   for (unsigned seed = 0; seed < 100; ++seed) {
