A connection drops the records of written responses as it goes

Cause: records of written responses were dropped only when the next message found other output unwritten, so a client that takes turns left one of 16 bytes for each message, and each cancellation searched them all. Change: written ones are dropped whenever a response is recorded.

Evidence: PeerMemory.DoesNotGrowWhenOneConnectionSendsManySmallRequests failed with the change taken out and passes. The turns of one connection were sound: PeerMemory.ServesOtherClientsInTimeWhenOneSendsAtFullSpeed passed at once.

--- a/src/routing/client_session.cpp
+++ b/src/routing/client_session.cpp
@@ -431,11 +431,16 @@
   slices.insert(slices.end(), context.pages.begin(), context.pages.end());
   slices.push_back(BufferSlice::fromStatic(thrift::encodeAnswerTail()));
   connection_.send(slices);
-  unwrittenResponses_.add(context.sequenceId, connection_.queuedBytes());
+  recordUnwritten(context.sequenceId);
 }
 
 void ClientSession::sendResponse(std::int32_t sequenceId, std::string frame) {
   connection_.send({BufferSlice(std::move(frame))});
+  recordUnwritten(sequenceId);
+}
+
+void ClientSession::recordUnwritten(std::int32_t sequenceId) {
+  unwrittenResponses_.removeWritten(connection_.writtenBytes());
   unwrittenResponses_.add(sequenceId, connection_.queuedBytes());
 }
 
--- a/src/routing/client_session.hpp
+++ b/src/routing/client_session.hpp
@@ -159,6 +159,7 @@
   void writeResponse(const RequestContext& context);
   void sendResultPages(const RequestContext& context);
   void sendResponse(std::int32_t sequenceId, std::string frame);
+  void recordUnwritten(std::int32_t sequenceId);
   void sendRejection(std::int32_t sequenceId, Duration retryAfter);
 
   transport::TimePoint now() const { return environment_.scheduler.now(); }
--- a/tests/routing/peer_memory_test.cpp
+++ b/tests/routing/peer_memory_test.cpp
@@ -4,8 +4,10 @@
 #include <malloc.h>
 
 #include <algorithm>
+#include <atomic>
 #include <list>
 #include <string>
+#include <thread>
 #include <vector>
 
 #ifdef __SANITIZE_ADDRESS__
@@ -268,6 +270,56 @@
   }
 }
 
+// Regression: a connection kept a record of each of its responses for as long as it lived, because the
+// records of written ones were removed only while other output was unwritten.
+TEST(PeerMemory, DoesNotGrowWhenOneConnectionSendsManySmallRequests) {
+  constexpr int kRequests = 1500;
+  PeerMemoryFixture fixture;
+  RawClient client(fixture);
+  const std::string heartbeat = encodeMessage(1, "heartbeat", 1, encodeInteger(0, 1));
+  const auto exchange = [&] {
+    client.send(heartbeat);
+    return fixture.runUntil([&] { return !client.receive().empty(); });
+  };
+  ASSERT_TRUE(exchange());
+  const std::size_t heapBefore = heapBytes();
+  for (int index = 0; index < kRequests; ++index) ASSERT_TRUE(exchange());
+  constexpr std::size_t kLeastRecordBytes = sizeof(std::uint64_t);
+  EXPECT_LE(heapBytes(), heapBefore + kRequests * kLeastRecordBytes);
+}
+
+// One client sends small messages under ever new names at full speed; others are served in time.
+TEST(PeerMemory, ServesOtherClientsInTimeWhenOneSendsAtFullSpeed) {
+  constexpr auto kOnTime = 400ms;  // Of the class.
+  PeerMemoryFixture fixture;
+  fixture.addEngine(1, respondDone);
+  fixture.updateEndpoints({1});
+  std::atomic<bool> isStopped{false};
+  std::thread flood([&] {
+    RawClient floodClient(fixture);
+    for (int index = 0; !isStopped; ++index) {
+      const std::string name = "method" + std::to_string(index);
+      floodClient.send(encodeMessage(1, name, index, encodeInteger(0, 1)) + encodeRevoke(index));
+      if (index % 16 == 0) floodClient.receive();
+    }
+  });
+  transport::Clock::duration longestWait{};
+  std::size_t maxUsedBytes = 0;
+  for (int sequence = 1; sequence <= 60; ++sequence) {
+    RawClient client(fixture);
+    const transport::TimePoint sentAt = fixture.now();
+    client.send(encodeNumberedSubmit(sequence));
+    EXPECT_TRUE(fixture.runUntil([&] { return fixture.contains(client.receive(), "r\to\tw\n"); }, 2s));
+    longestWait = std::max(longestWait, fixture.now() - sentAt);
+    maxUsedBytes = std::max(maxUsedBytes, fixture.peerMemory.usedBytes);
+    fixture.runFor(10ms);
+  }
+  isStopped = true;
+  flood.join();
+  EXPECT_LE(longestWait, kOnTime);
+  EXPECT_LE(maxUsedBytes, fixture.peerMemory.maxBytes / 2);
+}
+
 // A usual statement is received at all limits that the deployment page allows for memory and descriptors.
 TEST(ResourceBudget, AllowsLongStatementsAtAllLimits) {
   for (const std::size_t memoryMb : {32, 64, 192})
