An id that may have run is not taken again for a request that must run once

Cause: an id was refused only while its request was open, and a client's departure ends it. Change: the table remembers the last 16,384 ids of requests that are not idempotent and may have run, and answers such an id with an exception; one that provably never ran may come again.

Evidence: RequestRouter.RejectsIdOfNonIdempotentRequestWhenItComesAgainAfterClientLeft failed with the change taken out (the engine got ASK QUIT ASK) and passes.

--- a/src/routing/request_router.hpp
+++ b/src/routing/request_router.hpp
@@ -49,6 +49,10 @@
            !memoryBudget_.allows(0, transport::MemoryBudget::Purpose::newRequest);
   }
   bool hasOpenRequest(const std::string& requestId) const { return requestTable_.containsId(requestId); }
+  /// Whether a request with this id has ended whose effect must not occur a second time.
+  bool mayHaveExecuted(const std::string& requestId) const {
+    return requestTable_.mayHaveExecuted(requestId);
+  }
   /// Passes the request to the admission controller. The response may be given within this call. Throws
   /// std::bad_alloc if there is no memory for the request, which is then discarded.
   void acceptRequest(std::unique_ptr<RequestContext> newContext);
--- a/src/routing/request_table.cpp
+++ b/src/routing/request_table.cpp
@@ -1,5 +1,6 @@
 #include "routing/request_table.hpp"
 
+#include <algorithm>
 #include <new>
 #include <utility>
 
@@ -21,7 +22,18 @@
   *context.position = std::move(newContext);
 }
 
+namespace {
+
+bool mustNotRunAgain(const RequestContext& context) {
+  if (context.requestClass->idempotency != Idempotency::notIdempotent) return false;
+  return std::any_of(context.attempts.begin(), context.attempts.end(),
+                     [](const auto& attempt) { return !attempt->provenNotExecuted; });
+}
+
+}  // namespace
+
 void RequestTable::remove(RequestContext& context) {
+  if (mustNotRunAgain(context)) usedIds_.add(context.requestId);
   requestIds_.erase(context.requestId);
   requests_.erase(context.position);
 }
--- a/src/routing/request_table.hpp
+++ b/src/routing/request_table.hpp
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "routing/request_context.hpp"
+#include "routing/used_request_ids.hpp"
 
 namespace paddletrack::routing {
 
@@ -20,11 +21,14 @@
  public:
   /// Adds a request. Throws std::bad_alloc and then leaves the table unchanged.
   void add(std::unique_ptr<RequestContext> newContext);
-  /// Destroys the request.
+  /// Destroys the request. Its id is remembered if its effect must not occur again.
   void remove(RequestContext& context);
 
   std::size_t size() const { return requests_.size(); }
   bool containsId(const std::string& requestId) const { return requestIds_.contains(requestId); }
+  /// Whether a request with this id that is not idempotent may have been executed. Only the latest ones are
+  /// remembered.
+  bool mayHaveExecuted(const std::string& requestId) const { return usedIds_.contains(requestId); }
   std::size_t countAttemptsInFlight() const;
 
   /// Calls `visit` with each request, including finished ones, in the order of acceptance.
@@ -38,9 +42,12 @@
   std::vector<RequestContext*> takeMarked();
 
  private:
+  static constexpr std::size_t kMaxUsedIds = 16384;
+
   std::list<std::unique_ptr<RequestContext>> requests_;
   std::unordered_set<std::string> requestIds_;
   std::vector<RequestContext*> markedRequests_;
+  UsedRequestIds usedIds_{kMaxUsedIds};
 };
 
 }  // namespace paddletrack::routing
--- a/src/routing/submit_request.cpp
+++ b/src/routing/submit_request.cpp
@@ -79,6 +79,8 @@
   context.requestClassName = submission.requestClass;
   context.requestId = validateRequestId(submission.reference);
   if (router.hasOpenRequest(context.requestId)) throw protocol::ParseError("ref", "it is in use");
+  if (router.mayHaveExecuted(context.requestId))
+    throw protocol::ParseError("ref", "it was used by a request that may have run");
   if (!config.tenantNames.empty())
     context.tenantIndex = protocol::indexOfName(config.tenantNames, submission.tenant, "project");
   context.arrivedAt = arrivedAt;
--- a/tests/routing/request_router_test.cpp
+++ b/tests/routing/request_router_test.cpp
@@ -1,4 +1,5 @@
 // The controller with scripted clients, engines and endpoint lists, both valid and misbehaving.
+#include "support/raw_client.hpp"
 #include "support/router_fixture.hpp"
 
 namespace paddletrack::routing {
@@ -372,6 +373,23 @@
   EXPECT_TRUE(fixture.contains(fixture.router.formatCounts(), "1 engines known of 4"));
 }
 
+// Regression: a request that is not idempotent was executed a second time when its id came again after its
+// client had left.
+TEST(RequestRouter, RejectsIdOfNonIdempotentRequestWhenItComesAgainAfterClientLeft) {
+  RouterFixture fixture(kBaseSettings + "profiles.0.idempotency=fragile\n");
+  FakeEngine& engine = fixture.addEngine(1, ignoreCommand);
+  fixture.updateEndpoints({1});
+  RawClient client(fixture);
+  client.send(encodeSubmit(1));
+  fixture.runFor(20ms);
+  ASSERT_EQ(engine.receivedCommands, "ASK ");
+  client.close();
+  fixture.runFor(20ms);
+  ASSERT_EQ(fixture.router.openRequestCount(), 0U);
+  EXPECT_TRUE(fixture.contains(fixture.exchangeBytes(encodeSubmit(1)), "ref: it was used"));
+  EXPECT_EQ(engine.receivedCommands, "ASK QUIT ");
+}
+
 // An engine on a machine that failed and recovered does not respond on its old connections; a slow one does
 // not respond on any.
 TEST(EngineConnectionPool, ClosesSilentConnectionOnlyWhenEngineAnswersOnAnother) {
