An engine that is listed at another one's address replaces it

Cause: engines were told apart by id alone, so until the old one's removal was told its requests went to the new process, with the connections, warm-up and statistics of the old one; and an engine that came back under its id kept its statistics while an attempt on it was open. Change: an event that lists an engine as ready at all addresses of another removes that one, and an engine that returns counts as a new process.

Evidence: EngineRegistry.RemovesEngineWhenAnotherIsListedAtItsAddress and EngineRegistry.ForgetsProcessStateWhenRemovedEngineReturns failed with the change taken out and pass.

--- a/src/routing/engine_registry.hpp
+++ b/src/routing/engine_registry.hpp
@@ -28,6 +28,8 @@
   void markListed(EngineEndpoint& endpoint) { removedEndpoints_.erase(&endpoint); }
   void markRemoved(EngineEndpoint& endpoint) { removedEndpoints_.insert(&endpoint); }
 
+  bool isRemoved(EngineEndpoint& endpoint) const { return removedEndpoints_.contains(&endpoint); }
+
   bool empty() const { return endpoints_.empty(); }
   std::size_t size() const { return endpoints_.size(); }
   /// The number of engines added since the start.
--- a/src/routing/request_router.cpp
+++ b/src/routing/request_router.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <exception>
+#include <unordered_set>
 #include <utility>
 
 #include "failpoint/failpoint.hpp"
@@ -250,7 +251,10 @@
     EngineEndpoint& endpoint = updateEngine(entry, *record);
     records.emplace_back(&endpoint, *record);
   }
-  if (update.isSnapshot) removeUnlistedEngines(records);
+  if (update.isSnapshot)
+    removeUnlistedEngines(records);
+  else
+    removeReplacedEngines(records);
   runDecision([&] { admissionController_.onEndpointUpdate(now(), update.isSnapshot, records); });
   removeFinishedRequests();
 }
@@ -284,7 +288,8 @@
   EngineEndpoint& endpoint = engineRegistry_.findOrAdd(entry.id);
   // If the engine has restarted or is not ready, open attempts may finish, but new ones do not use its
   // current connections.
-  const bool isSameProcess = endpoint.endpoint.startedAt == record.startedAt;
+  const bool isSameProcess =
+      endpoint.endpoint.startedAt == record.startedAt && !engineRegistry_.isRemoved(endpoint);
   if (record.state != EndpointState::ready || !isSameProcess) connectionPool_.drainConnections(endpoint);
   std::vector<std::string> addressNames = entry.addresses;
   if (std::find(addressNames.begin(), addressNames.end(), entry.address) == addressNames.end())
@@ -298,16 +303,45 @@
 }
 
 // A snapshot lists all engines, so an engine that is not in it has been removed.
-void RequestRouter::removeUnlistedEngines(const EndpointRecords& records) {
+void RequestRouter::removeUnlistedEngines(EndpointRecords& records) {
+  std::unordered_set<const Engine*> listedEngines;
+  for (const auto& [engine, record] : records) listedEngines.insert(engine);
   engineRegistry_.forEach([&](EngineEndpoint& endpoint) {
-    const bool isListed = std::any_of(records.begin(), records.end(),
-                                      [&](const auto& record) { return record.first == &endpoint; });
-    if (isListed) return;
-    connectionPool_.drainConnections(endpoint);
-    engineRegistry_.markRemoved(endpoint);
+    if (!listedEngines.contains(&endpoint)) removeEngine(endpoint, records);
   });
 }
 
+// A new engine may have the address of one that has gone and whose removal is told later. What is sent to
+// that address reaches the new engine, so the old one must not get anything there.
+void RequestRouter::removeReplacedEngines(EndpointRecords& records) {
+  std::unordered_set<std::string> readyAddresses;
+  std::unordered_set<const Engine*> updatedEngines;
+  for (const auto& [engine, record] : records) {
+    updatedEngines.insert(engine);
+    if (record.state != EndpointState::ready) continue;
+    for (const auto& [name, address] : static_cast<const EngineEndpoint*>(engine)->addressesByName)
+      readyAddresses.insert(name);
+  }
+  if (readyAddresses.empty()) return;
+  engineRegistry_.forEach([&](EngineEndpoint& endpoint) {
+    if (updatedEngines.contains(&endpoint) || engineRegistry_.isRemoved(endpoint)) return;
+    const auto& addresses = endpoint.addressesByName;
+    const bool isReplaced =
+        !addresses.empty() && std::all_of(addresses.begin(), addresses.end(), [&](const auto& entry) {
+          return readyAddresses.contains(entry.first);
+        });
+    if (isReplaced) removeEngine(endpoint, records);
+  });
+}
+
+void RequestRouter::removeEngine(EngineEndpoint& endpoint, EndpointRecords& records) {
+  connectionPool_.drainConnections(endpoint);
+  engineRegistry_.markRemoved(endpoint);
+  EndpointRecord removedRecord = endpoint.endpoint;
+  removedRecord.state = EndpointState::removed;
+  records.emplace_back(&endpoint, removedRecord);
+}
+
 void RequestRouter::onDiscoveryFailed() {
   if (!std::exchange(discoveryRequested_, false)) return;
   runDecision([&] { admissionController_.onDiscoveryFailed(now()); });
--- a/src/routing/request_router.hpp
+++ b/src/routing/request_router.hpp
@@ -159,7 +159,9 @@
 
   std::optional<EndpointRecord> readRecord(const protocol::EndpointEntry& entry) const;
   EngineEndpoint& updateEngine(const protocol::EndpointEntry& entry, const EndpointRecord& record);
-  void removeUnlistedEngines(const EndpointRecords& records);
+  void removeUnlistedEngines(EndpointRecords& records);
+  void removeReplacedEngines(EndpointRecords& records);
+  void removeEngine(EngineEndpoint& endpoint, EndpointRecords& records);
 
   transport::TimePoint toTimePoint(Duration sinceStart) const { return startedAt_ + sinceStart; }
 
--- a/tests/routing/request_router_test.cpp
+++ b/tests/routing/request_router_test.cpp
@@ -373,6 +373,56 @@
   EXPECT_TRUE(fixture.contains(fixture.router.formatCounts(), "1 engines known of 4"));
 }
 
+protocol::EndpointEvent makeUpdate(const std::string& id, const std::string& address, EndpointState state) {
+  protocol::EndpointEvent update;
+  update.entries.push_back({id, address, "a", "m", 0, state, 0});
+  return update;
+}
+
+// Regression: an engine was still sent requests after another one was listed at its address, so they went to
+// the new process as if it were the old one, until the old one's removal was told.
+TEST(EngineRegistry, RemovesEngineWhenAnotherIsListedAtItsAddress) {
+  RouterFixture fixture;
+  fixture.addEngine(1, respondDone);
+  fixture.updateEndpoints({1});
+  EXPECT_TRUE(fixture.contains(fixture.exchangeBytes(encodeSubmit(1)), "r\to\tw\n"));
+  FakeEngine& engine = *fixture.engines.front();
+  const std::size_t oldConnections = engine.connections.size();
+  fixture.router.onEndpointUpdate(makeUpdate("s-new", fixture.engineAddress(1), EndpointState::ready));
+  std::vector<std::string> availableEngines;
+  fixture.router.forEachEndpoint([&](const EngineEndpoint& endpoint) {
+    if (endpoint.available) availableEngines.push_back(endpoint.id);
+  });
+  EXPECT_EQ(availableEngines, std::vector<std::string>{"s-new"});
+  EXPECT_TRUE(fixture.contains(fixture.exchangeBytes(encodeSubmit(2)), "r\to\tw\n"));
+  EXPECT_EQ(engine.connections.size(), oldConnections + 1);  // Not on a connection of the old engine.
+  fixture.router.onEndpointUpdate(makeUpdate("s-1", fixture.engineAddress(1), EndpointState::removed));
+  EXPECT_TRUE(fixture.contains(fixture.exchangeBytes(encodeSubmit(3)), "r\to\tw\n"));
+}
+
+// Regression: an engine that had been removed and came back under its id, while one of its attempts was still
+// open, kept the statistics of its previous process.
+TEST(EngineRegistry, ForgetsProcessStateWhenRemovedEngineReturns) {
+  RouterFixture fixture;
+  fixture.addEngine(1, respondDone);
+  fixture.updateEndpoints({1});
+  EXPECT_TRUE(fixture.contains(fixture.exchangeBytes(encodeSubmit(1)), "r\to\tw\n"));
+  fixture.engines.front()->onCommand = ignoreCommand;
+  fixture.exchangeBytes(encodeSubmit(2), 10ms);
+  ASSERT_EQ(fixture.router.openRequestCount(), 1U);
+  const auto cachedDataSetCount = [&] {
+    std::size_t count = 0;
+    fixture.router.forEachEndpoint([&](const EngineEndpoint& endpoint) {
+      if (endpoint.id == "s-1") count = endpoint.cachedDataSets.size();
+    });
+    return count;
+  };
+  ASSERT_EQ(cachedDataSetCount(), 1U);
+  fixture.updateEndpoints({1}, false, EndpointState::removed);
+  fixture.updateEndpoints({1}, false);
+  EXPECT_EQ(cachedDataSetCount(), 0U);
+}
+
 // Regression: a request that is not idempotent was executed a second time when its id came again after its
 // client had left.
 TEST(RequestRouter, RejectsIdOfNonIdempotentRequestWhenItComesAgainAfterClientLeft) {
