A second switch keeps the list of before the first; the decision module stays as it was

Change: only sessions of the list that is left end; a lack of memory forgets the id; the router resets a returned engine.

--- a/src/admission/admission_controller.cpp
+++ b/src/admission/admission_controller.cpp
@@ -87,10 +87,7 @@
   for (Engine* engine : context_.engines) engine->available = engine->available && !isSnapshot;
   for (const auto& [engine, endpoint] : records) {
     registerEngine(*engine, endpoint);
-    const bool hasRestarted = endpoint.startedAt && endpoint.startedAt != engine->endpoint.startedAt;
-    const bool hasReturned =
-        engine->endpoint.state == EndpointState::removed && endpoint.state != EndpointState::removed;
-    if (hasRestarted || hasReturned) engine->resetProcessState();
+    if (endpoint.startedAt && endpoint.startedAt != engine->endpoint.startedAt) engine->resetProcessState();
     engine->endpoint = endpoint;
     engine->available = endpoint.state == EndpointState::ready;
     health_.updateEffectiveCores(*engine);
--- a/src/routing/endpoint_watcher.cpp
+++ b/src/routing/endpoint_watcher.cpp
@@ -117,7 +117,9 @@
   nextListAddress_.reset();
   consecutiveInvalidSessions_ = 0;
   reconnectSchedule_.onSwitched(router_.now());
-  earlierWatches_.clear();
+  // Silent sessions of the list that is left end; one of a list that was left before may go on.
+  std::erase_if(earlierWatches_,
+                [&](const EarlierWatch& watch) { return watch.isSameList || hasReceivedData_; });
   if (hasReceivedData_) earlierWatches_.push_back({generation_, false, std::move(currentWatch_)});
   hasReceivedData_ = isBehind_ = isWaiting_ = false;
   startWatching();
--- a/src/routing/request_router.cpp
+++ b/src/routing/request_router.cpp
@@ -288,8 +288,9 @@
   EngineEndpoint& endpoint = engineRegistry_.findOrAdd(entry.id);
   // If the engine has restarted or is not ready, open attempts may finish, but new ones do not use its
   // current connections.
-  const bool isSameProcess =
-      endpoint.endpoint.startedAt == record.startedAt && !engineRegistry_.isRemoved(endpoint);
+  const bool hasReturned = engineRegistry_.isRemoved(endpoint) && record.state != EndpointState::removed;
+  const bool isSameProcess = endpoint.endpoint.startedAt == record.startedAt && !hasReturned;
+  if (hasReturned) endpoint.resetProcessState();
   if (record.state != EndpointState::ready || !isSameProcess) connectionPool_.drainConnections(endpoint);
   std::vector<std::string> addressNames = entry.addresses;
   if (std::find(addressNames.begin(), addressNames.end(), entry.address) == addressNames.end())
--- a/src/routing/request_table.cpp
+++ b/src/routing/request_table.cpp
@@ -33,7 +33,11 @@
 }  // namespace
 
 void RequestTable::remove(RequestContext& context) {
-  if (mustNotRunAgain(context)) usedIds_.add(context.requestId);
+  try {
+    if (mustNotRunAgain(context)) usedIds_.add(context.requestId);
+  } catch (const std::bad_alloc&) {
+    // The id is not remembered. Its request ends all the same.
+  }
   requestIds_.erase(context.requestId);
   requests_.erase(context.position);
 }
--- a/src/routing/used_request_ids.hpp
+++ b/src/routing/used_request_ids.hpp
@@ -19,8 +19,9 @@
   /// Throws std::bad_alloc.
   void add(std::string_view requestId) {
     const std::uint64_t number = parse(requestId);
-    if (!numbers_.insert(number).second) return;
+    if (numbers_.contains(number)) return;
     numbersByAge_.push_back(number);
+    numbers_.insert(number);
     if (numbersByAge_.size() <= maxCount_) return;
     numbers_.erase(numbersByAge_.front());
     numbersByAge_.pop_front();
