No request is accepted from a client that may have left behind much unread input

Cause: a close is visible only behind all input before it, and a session whose buffer is full handles messages before the rest is read. Change: a session knows since when input has been unread, and after 50 ms of that rejects new requests until all is read; nothing was sent for these, so trying again is harmless. Beside it the tests share runUntil, encodeNumberedSubmit and the start of incomplete results, and the flood test asserts that a flood took place.

Evidence: ClientSession.StartsNoRequestWhenClientLeftDuringStallWithMuchUnread failed before (ASK six times in each of two variants) and passes.

--- a/src/routing/client_session.cpp
+++ b/src/routing/client_session.cpp
@@ -25,6 +25,9 @@
 // not read its responses, its revocations can no longer be read, so it is disconnected after half of that
 // time.
 constexpr std::chrono::milliseconds kInputFullTimeout{50};
+// For the same reason no request is accepted if input has been unread for longer than this, because the end
+// of the connection can be behind it.
+constexpr std::chrono::milliseconds kMaxUndrainedTime{50};
 // A client resends a request that crosses the close within 50 ms. Input is read and discarded for twice that
 // time, up to the usual size of a client's open requests.
 constexpr std::chrono::milliseconds kLingerTimeout{100};
@@ -231,6 +234,7 @@
     hasPartialMessage_ = false;
     lastActivityAt_ = readAt;
   }
+  updateUndrainedSince();
   const bool hasPartial = receivedMessages_.hasUnqueuedInput();
   if (hasPartial && !hasPartialMessage_) lastActivityAt_ = readAt;
   hasPartialMessage_ = hasPartial;
@@ -353,6 +357,19 @@
   return context;
 }
 
+void ClientSession::updateUndrainedSince() {
+  if (connection_.isInputDrained())
+    undrainedSince_.reset();
+  else if (!undrainedSince_)
+    undrainedSince_ = environment_.scheduler.earliestArrival();
+}
+
+// A close is visible only when all input before it was read. If more is unread than the buffer can hold, the
+// client may have left after any message since the input was drained.
+bool ClientSession::mayHaveLeft() const {
+  return undrainedSince_ && now() - *undrainedSince_ > kMaxUndrainedTime;
+}
+
 // Rejects a valid request that this process does not accept now. No attempt has started, so the client may
 // retry.
 bool ClientSession::rejectIfUnavailable(std::int32_t sequenceId) {
@@ -363,7 +380,7 @@
       return true;
     }
   }
-  if (!environment_.router.isFull()) return false;
+  if (!environment_.router.isFull() && !mayHaveLeft()) return false;
   sendResponse(sequenceId, thrift::encodeRejection(sequenceId, std::nullopt));
   return true;
 }
--- a/src/routing/client_session.hpp
+++ b/src/routing/client_session.hpp
@@ -149,6 +149,8 @@
   void submitRequest(const protocol::thrift::Message& message);
   std::unique_ptr<RequestContext> createRequest(const protocol::thrift::Message& message);
   bool rejectIfUnavailable(std::int32_t sequenceId);
+  void updateUndrainedSince();
+  bool mayHaveLeft() const;
   bool canReportInvalidMessage(const protocol::thrift::Message& message);
   void reportInvalidMessage(const protocol::thrift::Message& message, const protocol::ParseError& error);
 
@@ -176,6 +178,8 @@
   UnwrittenResponses unwrittenResponses_;
   std::optional<transport::TimePoint> backedUpSince_;
   std::optional<transport::TimePoint> inputFullSince_;  // While backed up.
+  // Earliest arrival of the input after that which was read completely for the last time.
+  std::optional<transport::TimePoint> undrainedSince_;
   transport::TimePoint currentArrivedAt_{};  // Earliest arrival of the message that is being handled.
   // When the session started, the last message or the first byte of a partial one arrived, or the last
   // response was ready.
--- a/tests/routing/client_session_test.cpp
+++ b/tests/routing/client_session_test.cpp
@@ -24,11 +24,6 @@
 struct ClientDepartureFixture : RouterFixture {
   explicit ClientDepartureFixture(std::size_t connectionLimit = 10, const std::string& extraSettings = "")
       : RouterFixture(kBaseSettings + extraSettings, kSubnet, connectionLimit) {}
-  bool runUntil(const std::function<bool()>& isDone, std::chrono::milliseconds timeout = 5s) {
-    for (const transport::TimePoint deadline = now() + timeout; now() < deadline; runFor(1ms))
-      if (isDone()) return true;
-    return isDone();
-  }
   // Sends messages without reading the responses until at least `minUnsentBytes` are unsent in the
   // controller.
   bool backUpOutput(const RawClient& rawClient, std::size_t minUnsentBytes = 65537) {
@@ -49,13 +44,6 @@
     engine.receivedCommands.clear();
     return engine;
   }
-  // Encodes a request whose id is derived from its sequence number.
-  static std::string encodeNumberedSubmit(int sequence, int timeoutMs = 3000) {
-    std::array<char, 17> id;
-    std::snprintf(id.data(), id.size(), "%016x", static_cast<unsigned>(sequence));
-    return protocol::thrift::encodeSubmit(
-        sequence, {{"service", "q"}, {"ref", id.data()}, {"allow", std::to_string(timeoutMs)}}, "select 1");
-  }
 };
 
 // Regression: the controller did not read from a client whose responses were backed up, so it did not notice
@@ -111,7 +99,7 @@
     RawClient client(fixture);
     fixture.runFor(5ms);
     std::string messages;
-    for (int index = 1; index <= 30; ++index) messages += ClientDepartureFixture::encodeNumberedSubmit(index);
+    for (int index = 1; index <= 30; ++index) messages += encodeNumberedSubmit(index);
     for (int index = 31; index <= 60; ++index) messages += encodeRevoke(index);
     ASSERT_GT(messages.size(), 4096U);  // more than one read can return
     client.send(messages);
@@ -166,7 +154,7 @@
   fixture.updateEndpoints({1});
   RawClient client(fixture, 4096);
   std::string received;
-  for (int index = 1; index <= 32; ++index) client.send(ClientDepartureFixture::encodeNumberedSubmit(index));
+  for (int index = 1; index <= 32; ++index) client.send(encodeNumberedSubmit(index));
   EXPECT_TRUE(fixture.runUntil([&] { return fixture.router.totals().responses[1] == 32; }))
       << fixture.router.formatCounts() << fixture.clientListener.formatCounts();
   const auto countResponses = [&] {
@@ -257,6 +245,32 @@
   transport::ScheduledCall call;
 };
 
+// A client closes with more unread than the kernel holds on this side, so that its close is not visible until
+// most of it is read. None of its requests may be sent on.
+TEST(ClientSession, StartsNoRequestWhenClientLeftDuringStallWithMuchUnread) {
+  for (const std::size_t statementBytes : {100UL, 3000UL}) {
+    ClientDepartureFixture fixture;
+    FakeEngine& engine = fixture.addConnectedEngine();
+    RawClient client(fixture);
+    ASSERT_TRUE(fixture.runUntil([&] { return fixture.clientListener.connectionCount() == 2; }));
+    std::size_t sentBytes = 0;
+    const Stall stall(fixture, 400ms, [&] {
+      const std::string revocations = encodeRevoke(99) + encodeRevoke(98);
+      for (int index = 1; index <= 30; ++index) {
+        std::string message = encodeNumberedSubmit(index, 3000, std::string(statementBytes, 'x'));
+        while (message.size() < 30000) message += revocations;
+        sentBytes += client.send(message);
+      }
+      client.close();
+    });
+    EXPECT_GE(sentBytes, 500000U);
+    EXPECT_TRUE(fixture.runUntil([&] { return fixture.clientListener.connectionCount() == 1; }));
+    fixture.runFor(50ms);
+    EXPECT_EQ(engine.receivedCommands, "") << statementBytes;
+    EXPECT_EQ(fixture.router.openRequestCount(), 0U);
+  }
+}
+
 // Regression: the time of a request that arrived during a stall of this process counted from the moment in
 // which it was read, so its response came as much too late as the stall took.
 TEST(ClientSession, CountsTimeoutFromArrivalWhenRequestArrivesDuringStall) {
@@ -304,8 +318,7 @@
         std::count(engine.receivedCommands.begin(), engine.receivedCommands.end(), 'A'));
   };
   RawClient client(fixture);
-  for (int index = 1; index <= kRequestCount; ++index)
-    client.send(ClientDepartureFixture::encodeNumberedSubmit(index));
+  for (int index = 1; index <= kRequestCount; ++index) client.send(encodeNumberedSubmit(index));
   const bool hasQueuedRequests = fixture.runUntil(
       [&] {
         const std::size_t inFlight = fixture.router.attemptsInFlight();
@@ -459,8 +472,7 @@
   std::size_t nextClient = 0;
   EXPECT_TRUE(fixture.runUntil([&] {
     if (fixture.now() > terminatedAt + 740ms + 5ms * nextClient && nextClient < 40) {
-      clients[nextClient]->send(
-          ClientDepartureFixture::encodeNumberedSubmit(static_cast<int>(nextClient) + 1));
+      clients[nextClient]->send(encodeNumberedSubmit(static_cast<int>(nextClient) + 1));
       ++nextClient;
     }
     return fixture.exited;
@@ -515,7 +527,7 @@
   ShutdownFixture fixture;
   fixture.engines[0]->onCommand = ignoreCommand;
   RawClient client(fixture), partialClient(fixture);
-  client.send(ClientDepartureFixture::encodeNumberedSubmit(1, 16000));
+  client.send(encodeNumberedSubmit(1, 16000));
   partialClient.send(encodeSubmit(2).substr(0, 30));
   fixture.runFor(30ms);
   EXPECT_EQ(fixture.lifecycle.requestDrain(Duration{20s}, std::nullopt, "test"), drain::DrainError::none);
--- a/tests/routing/peer_memory_test.cpp
+++ b/tests/routing/peer_memory_test.cpp
@@ -24,6 +24,7 @@
 
 constexpr int kSubnet = 183;
 constexpr std::size_t kPageBytes = 1000;
+constexpr int kRequestTimeoutMs = 1500;
 
 std::size_t heapBytes() {
 #ifdef __SANITIZE_ADDRESS__
@@ -40,24 +41,12 @@
   return page;
 }
 
-std::string encodeNumberedSubmit(int sequence, const std::string& statement = "select 1") {
-  std::array<char, 17> id;
-  std::snprintf(id.data(), id.size(), "%016x", static_cast<unsigned>(sequence));
-  return protocol::thrift::encodeSubmit(sequence, {{"service", "q"}, {"ref", id.data()}, {"allow", "1500"}},
-                                        statement);
-}
-
 struct PeerMemoryFixture : RouterFixture {
   explicit PeerMemoryFixture(std::size_t connectionLimit = 100)
       : RouterFixture(kBaseSettings +
                           "familyInfo.kindCores=64\nlimits.dialTimeoutUs=1000000\n"
                           "limits.idleCloseUs=9000000\n",
                       kSubnet, connectionLimit) {}
-  bool runUntil(const std::function<bool()>& isDone, std::chrono::milliseconds timeout = 5s) {
-    for (const transport::TimePoint deadline = now() + timeout; now() < deadline; runFor(1ms))
-      if (isDone()) return true;
-    return isDone();
-  }
 };
 
 // An engine that sends the first page of each result and the others only on demand.
@@ -75,6 +64,12 @@
     });
     fixture.updateEndpoints({1});
   }
+  // Sends requests from the client. Returns whether the engine has received them all.
+  bool receiveRequests(const RawClient& client, int count) {
+    for (int sequence = 1; sequence <= count; ++sequence)
+      client.send(encodeNumberedSubmit(sequence, kRequestTimeoutMs));
+    return fixture_.runUntil([&] { return results.size() == static_cast<std::size_t>(count); });
+  }
   // Each page arrives by itself, so that it is read by itself.
   void sendPage(int number) {
     const std::string numberField = "batch=" + std::to_string(number);
@@ -100,9 +95,8 @@
   constexpr int kPages = 40;
   PeerMemoryFixture fixture;
   PagingEngine engine(fixture, kPages);
-  RawClient client(fixture);
-  for (int sequence = 1; sequence <= kRequests; ++sequence) client.send(encodeNumberedSubmit(sequence));
-  ASSERT_TRUE(fixture.runUntil([&] { return engine.results.size() == kRequests; }));
+  const RawClient client(fixture);
+  ASSERT_TRUE(engine.receiveRequests(client, kRequests));
   fixture.runFor(5ms);
   const std::size_t heapBefore = heapBytes();
   for (int page = 1; page < kPages - 1; ++page) engine.sendPage(page);
@@ -118,9 +112,8 @@
   constexpr int kPages = 40;
   PeerMemoryFixture fixture;
   PagingEngine engine(fixture, kPages);
-  RawClient client(fixture);
-  for (int sequence = 1; sequence <= kRequests; ++sequence) client.send(encodeNumberedSubmit(sequence));
-  ASSERT_TRUE(fixture.runUntil([&] { return engine.results.size() == kRequests; }));
+  const RawClient client(fixture);
+  ASSERT_TRUE(engine.receiveRequests(client, kRequests));
   fixture.peerMemory.maxBytes = kRequests * kPages * kPageBytes / 2;
   int page = 1;
   for (; page < kPages && !fixture.router.isFull(); ++page) engine.sendPage(page);
@@ -197,7 +190,7 @@
   RawClient client(fixture.longMessageAddress);
   for (int sequence = 1; sequence <= 10; ++sequence) client.send(encodeNumberedSubmit(sequence));
   ASSERT_TRUE(fixture.runUntil([&] { return held.asks.size() == 10; }));
-  std::string longMessage = encodeNumberedSubmit(11, std::string(1 << 20, 'x'));
+  std::string longMessage = encodeNumberedSubmit(11, kRequestTimeoutMs, std::string(1 << 20, 'x'));
   longMessage += encodeNumberedSubmit(12);
   fixture.runUntil([&] {
     longMessage.erase(0, client.send(longMessage));
@@ -218,7 +211,8 @@
   fixture.addEngine(1, held.hold());
   fixture.updateEndpoints({1});
   RawClient client(fixture.longMessageAddress);
-  const std::string longMessage = encodeNumberedSubmit(2, "select '" + std::string(100000, 'x') + "'");
+  const std::string longMessage =
+      encodeNumberedSubmit(2, kRequestTimeoutMs, "select '" + std::string(100000, 'x') + "'");
   client.send(encodeNumberedSubmit(1));
   ASSERT_TRUE(fixture.runUntil([&] { return held.asks.size() == 1; }));
   {
@@ -242,7 +236,7 @@
     LongMessageFixture fixture;
     fixture.addEngine(1, respondDone);
     fixture.updateEndpoints({1});
-    std::string message = encodeNumberedSubmit(1, std::string(200000, 'x'));
+    std::string message = encodeNumberedSubmit(1, kRequestTimeoutMs, std::string(200000, 'x'));
     if (hasManyFields)
       message = encodeMessage(1, "submit", 1,
                               std::string("\x0d\0\x01\x0b\x0b", 5) + encodeInteger(25000, 4) + manyFields);
@@ -295,12 +289,13 @@
   fixture.addEngine(1, respondDone);
   fixture.updateEndpoints({1});
   std::atomic<bool> isStopped{false};
+  std::atomic<std::size_t> floodReplyBytes{0};
   std::thread flood([&] {
     RawClient floodClient(fixture);
     for (int index = 0; !isStopped; ++index) {
       const std::string name = "method" + std::to_string(index);
       floodClient.send(encodeMessage(1, name, index, encodeInteger(0, 1)) + encodeRevoke(index));
-      if (index % 16 == 0) floodClient.receive();
+      if (index % 16 == 0) floodReplyBytes += floodClient.receive().size();
     }
   });
   transport::Clock::duration longestWait{};
@@ -317,6 +312,7 @@
   isStopped = true;
   flood.join();
   EXPECT_LE(longestWait, kOnTime);
+  EXPECT_GE(floodReplyBytes, 100000U);  // Over a thousand of its messages were answered meanwhile.
   EXPECT_LE(maxUsedBytes, fixture.peerMemory.maxBytes / 2);
 }
 
--- a/tests/support/router_fixture.hpp
+++ b/tests/support/router_fixture.hpp
@@ -5,6 +5,11 @@
 
 #include <gtest/gtest.h>
 
+#include <array>
+#include <cstdio>
+#include <functional>
+#include <string>
+
 #include "base/big_endian.hpp"
 #include "fakes/fake_engine.hpp"
 #include "fakes/test_scheduler.hpp"
@@ -44,6 +49,15 @@
                                         "select * from s_3.t");
 }
 
+// Encodes a request whose id is derived from its sequence number.
+inline std::string encodeNumberedSubmit(int sequence, int timeoutMs = 3000,
+                                        const std::string& statement = "select 1") {
+  std::array<char, 17> id;
+  std::snprintf(id.data(), id.size(), "%016x", static_cast<unsigned>(sequence));
+  return protocol::thrift::encodeSubmit(
+      sequence, {{"service", "q"}, {"ref", id.data()}, {"allow", std::to_string(timeoutMs)}}, statement);
+}
+
 inline void respondDone(FakeEngine&, Connection& connection, const std::string& command,
                         const std::string& id) {
   if (command == "ASK") FakeEngine::sendReply(connection, {id, "200", "batches=1", "r\to\tw\n"});
@@ -115,6 +129,11 @@
     stopTimer.runAt(now() + duration);
     run();
   }
+  bool runUntil(const std::function<bool()>& isDone, std::chrono::milliseconds timeout = 5s) {
+    for (const transport::TimePoint deadline = now() + timeout; now() < deadline; runFor(1ms))
+      if (isDone()) return true;
+    return isDone();
+  }
   bool contains(const std::string& text, const std::string& part) {
     return text.find(part) != std::string::npos;
   }
