--- a/src/program/resource_budget.cpp
+++ b/src/program/resource_budget.cpp
@@ -7,19 +7,19 @@
 namespace paddletrack::program {
 namespace {
 
-constexpr std::size_t kPeerMemoryDivisor = 2;         // Half of the memory is for what peers make us hold.
+constexpr std::size_t kPeerMemoryDivisor = 2;         // Half of the memory is the budget of the peers.
 constexpr std::size_t kInputMemoryDivisor = 8;        // Of it, an eighth of all is for incomplete requests.
 constexpr std::size_t kOpenRequestMemoryDivisor = 4;  // A quarter is for open requests.
-constexpr std::size_t kOpenRequestBytes = 8192;  // Estimated memory of an open request with its response.
+// Estimated memory of an open request. The memory budget counts its statement and result as they are.
+constexpr std::size_t kOpenRequestBytes = 8192;
 constexpr std::size_t kMaxFrameBytes = std::size_t{1} << 20;
 constexpr std::size_t kFrameMemoryDivisor = 16;  // No message takes more than this part of the peers' memory.
 
 constexpr std::size_t kMinConnectionDescriptors = 14;  // For clients and engines together.
 constexpr std::size_t kStandardStreams = 3;
-constexpr std::size_t kServiceDescriptors = 3;  // epoll, signals and the client listener.
-constexpr std::size_t kDiscoveryDescriptors =
-    3;                                        // The current endpoint list and two that are silent or left.
-constexpr std::size_t kSpareDescriptors = 2;  // One for reloading a file and one in reserve.
+constexpr std::size_t kServiceDescriptors = 3;    // epoll, signals and the client listener.
+constexpr std::size_t kDiscoveryDescriptors = 3;  // The current endpoint list and two earlier sessions.
+constexpr std::size_t kSpareDescriptors = 2;      // One for reloading a file and one in reserve.
 constexpr std::size_t kReservedDescriptors =
     kStandardStreams + kServiceDescriptors + kDiscoveryDescriptors + kSpareDescriptors;
 constexpr std::size_t kAdminServerDescriptors = 2;  // The listener and a client that is being refused.
--- a/src/routing/client_session.cpp
+++ b/src/routing/client_session.cpp
@@ -252,7 +252,8 @@
   if (!isCall(discarded->header) || openRequests_.contains(discarded->header.sequence)) throw error;
   currentRequestId_ = {};
   currentRequestClass_ = {};
-  if (discarded->reason == DiscardedMessage::Reason::tooLong) {
+  const bool isSubmit = discarded->header.method == "submit";
+  if (discarded->reason == DiscardedMessage::Reason::tooLong || !isSubmit) {
     if (!canReportInvalidMessage(discarded->header)) throw error;
     reportInvalidMessage(discarded->header, error);
     return;
